--- /dev/null
+++ b/packages/agreement/src/agreement.ts
@@ -0,0 +1,464 @@
+import { type Logger, monotonicMs, rankByRendezvous, startLoop, withJitter } from "@heatherline/common";
+import type { ObjectStore, StoredObject } from "@heatherline/store";
+import { HolderLease } from "./holderLease";
+import {
+    type Heartbeat,
+    HEARTBEAT_INTERVAL_MS,
+    type HeartbeatReply,
+    LEASE_TERM_MS,
+    type LeaseRecord,
+    type MemberTable,
+    type PeerTransport,
+    TAKEOVER_MARGIN_MS,
+} from "./types";
+
+const CALL_TIMEOUT_MS = 700;
+const SILENCE_MS = HEARTBEAT_INTERVAL_MS * 1.6;
+const CONSENT_METHOD = "agreement.consent";
+const HEARTBEAT_METHOD = "agreement.heartbeat";
+
+/** Who this process is. */
+export interface AgreementIdentity {
+    readonly instanceId: string;
+    readonly incarnation: string;
+    readonly dataCentre: string;
+}
+
+/** What the agreement needs from the rest of the instance. */
+export interface AgreementSurroundings {
+    /** @returns Instances of this data centre that the platform lists, this one included. */
+    getListedInstances(): readonly string[];
+    /** @returns Facts that this instance, as holder, spreads in its data centre. */
+    getNotes(): Record<string, unknown>;
+    /**
+     * Called with each valid answer of the holder, also of this instance itself as holder.
+     *
+     * @param notes - The holder's facts.
+     * @param sentAtMs - When they were asked for, on the monotonic clock; validities in them count from then.
+     */
+    onNotes(notes: Record<string, unknown>, sentAtMs: number): void;
+    /**
+     * Called before this instance acts on a new table.
+     *
+     * @param table - The new table.
+     */
+    onTable(table: MemberTable): void;
+}
+
+interface Observation {
+    readonly object: StoredObject;
+    readonly record: LeaseRecord;
+    /** When this version was first seen here. */
+    readonly firstSeenAtMs: number;
+}
+
+interface MemberState {
+    lastHeardAtMs: number;
+    /** Until when a part handed to the member may be valid. */
+    partUntilMs: number;
+    incarnation: string | undefined;
+}
+
+/**
+ * One instance's part in the agreement of its data centre: one lease in the store, one holder, and a table of
+ * members among whom subjects are divided by rendezvous hashing. Every validity runs on the monotonic clock from
+ * when the request for it was sent, and is checked at the point of use.
+ */
+export class DataCentreAgreement {
+    private readonly path: string;
+    private observation: Observation | undefined;
+    private lease: HolderLease | undefined;
+    private readonly memberStates = new Map<string, MemberState>();
+    private table: MemberTable | undefined;
+    private partValidUntilMs = 0;
+    private acknowledged: Heartbeat["acknowledged"];
+    private promise = { epoch: 0, untilMs: 0 };
+    /** Holders of this epoch and below never get a promise again. */
+    private renouncedEpoch = 0;
+    private isLeaving = false;
+    private isMemberRestarted = false;
+    private lastReplyAtMs = -Infinity;
+    private readonly ownerCache = new Map<string, string>();
+    private readonly stops: (() => Promise<void>)[] = [];
+
+    /**
+     * @param identity - This process.
+     * @param store - The platform's store.
+     * @param transport - Calls to peers.
+     * @param surroundings - The rest of the instance.
+     * @param logger - Log of the daemon.
+     */
+    constructor(
+        private readonly identity: AgreementIdentity,
+        private readonly store: ObjectStore,
+        private readonly transport: PeerTransport,
+        private readonly surroundings: AgreementSurroundings,
+        private readonly logger: Logger,
+    ) {
+        this.path = `leases/${identity.dataCentre}`;
+    }
+
+    /** Starts the loops: one towards the store, one towards the holder. */
+    start(): void {
+        this.stops.push(startLoop(() => withJitter(HEARTBEAT_INTERVAL_MS), () => this.tickStore()));
+        this.stops.push(startLoop(() => HEARTBEAT_INTERVAL_MS, () => this.tickHeartbeat()));
+    }
+
+    /** Gives up what this instance owns and stops. */
+    async stop(): Promise<void> {
+        this.isLeaving = true;
+        await this.tickHeartbeat();
+        for (const stop of this.stops) {
+            void stop();
+        }
+        this.partValidUntilMs = 0;
+        this.lease = undefined;
+    }
+
+    /** @returns The table this instance acts on, or `undefined` when its part has lapsed. */
+    getTable(): MemberTable | undefined {
+        return monotonicMs() < this.partValidUntilMs ? this.table : undefined;
+    }
+
+    /** @returns The last table known, valid or not. */
+    getLastTable(): MemberTable | undefined {
+        return this.table;
+    }
+
+    /** @returns Whether this instance holds the lease now. */
+    isHolder(): boolean {
+        return this.getLeaseRemainingMs() > 0;
+    }
+
+    /** @returns Milliseconds that this instance's own lease is still valid; 0 when it holds none. */
+    getLeaseRemainingMs(): number {
+        return this.lease?.getRemainingMs() ?? 0;
+    }
+
+    /**
+     * @param subject - What has to be decided about.
+     * @returns Whether this instance is its owner now.
+     */
+    isOwner(subject: string): boolean {
+        return this.getOwner(subject) === this.identity.instanceId;
+    }
+
+    /**
+     * @param subject - What has to be decided about.
+     * @returns The owner by the table this instance acts on.
+     */
+    getOwner(subject: string): string | undefined {
+        const table = this.getTable();
+        if (table === undefined) {
+            return undefined;
+        }
+        let owner = this.ownerCache.get(subject);
+        if (owner === undefined) {
+            owner = rankByRendezvous(subject, table.members)[0];
+            if (owner !== undefined) {
+                this.ownerCache.set(subject, owner);
+            }
+        }
+        return owner;
+    }
+
+    /**
+     * Handles a heartbeat as holder.
+     *
+     * @param heartbeat - The member's message.
+     * @returns The answer, or `undefined` where this instance does not hold the lease.
+     */
+    handleHeartbeat(heartbeat: Heartbeat): HeartbeatReply | undefined {
+        const lease = this.lease;
+        const remainingMs = lease?.getRemainingMs() ?? 0;
+        if (lease === undefined || remainingMs === 0 || heartbeat.epoch > lease.record.epoch) {
+            return undefined;
+        }
+        const nowMs = monotonicMs();
+        const isMember = lease.record.members.includes(heartbeat.from);
+        const { acknowledged } = heartbeat;
+        if (acknowledged?.epoch === lease.record.epoch) {
+            lease.notePromise(heartbeat.from, acknowledged.stamp);
+        }
+        const state = this.memberStates.get(heartbeat.from);
+        const partMs = isMember && !heartbeat.isLeaving ? Math.min(LEASE_TERM_MS, remainingMs) : 0;
+        this.memberStates.set(heartbeat.from, {
+            lastHeardAtMs: heartbeat.isLeaving ? -Infinity : nowMs,
+            // A member that leaves has given up what it owned before it said so.
+            partUntilMs: heartbeat.isLeaving ? 0 : Math.max(state?.partUntilMs ?? 0, nowMs + partMs),
+            incarnation: heartbeat.incarnation,
+        });
+        if (state?.incarnation !== undefined && state.incarnation !== heartbeat.incarnation) {
+            this.isMemberRestarted = true;
+        }
+        const { epoch, version, holder, members } = lease.record;
+        return {
+            table: { epoch, version, holder, members },
+            stamp: nowMs,
+            remainingMs: partMs,
+            notes: this.surroundings.getNotes(),
+        };
+    }
+
+    /**
+     * Handles a newcomer's question whether it may take the lease over.
+     *
+     * @param epoch - Epoch that would end.
+     * @returns Whether this instance agrees; then it never again vouches for that epoch.
+     */
+    handleConsent(epoch: number): boolean {
+        if (this.promise.epoch >= epoch && monotonicMs() < this.promise.untilMs) {
+            return false;
+        }
+        if (this.isHolder()) {
+            return false;
+        }
+        this.renouncedEpoch = Math.max(this.renouncedEpoch, epoch);
+        return true;
+    }
+
+    private async tickStore(): Promise<void> {
+        if (this.isHolder()) {
+            await this.renew();
+            return;
+        }
+        if (this.lease !== undefined) {
+            this.logger.warn({ epoch: this.lease.record.epoch }, "lease lapsed");
+            this.lease = undefined;
+        }
+        // While the holder answers there is nothing to look for in the store.
+        const isHolderSilent = monotonicMs() - this.lastReplyAtMs > SILENCE_MS;
+        if (!this.isLeaving && isHolderSilent) {
+            await this.observe();
+            await this.considerTakeover();
+        }
+    }
+
+    private async observe(): Promise<void> {
+        const read = await this.store.get(this.path);
+        if (read.isErr()) {
+            return;
+        }
+        const object = read.value;
+        if (object === undefined) {
+            this.observation = undefined;
+            await this.acquire(undefined);
+            return;
+        }
+        if (object.version !== this.observation?.object.version) {
+            const record = object.value as unknown as LeaseRecord;
+            this.observation = { object, record, firstSeenAtMs: monotonicMs() };
+            if (record.epoch === this.renouncedEpoch) {
+                // The holder has renewed: a takeover from the version seen before can't succeed any more.
+                this.renouncedEpoch -= 1;
+            }
+        }
+    }
+
+    private async considerTakeover(): Promise<void> {
+        const observation = this.observation;
+        if (observation === undefined || this.lease !== undefined) {
+            return;
+        }
+        const unchangedMs = monotonicMs() - observation.firstSeenAtMs;
+        if (unchangedMs < LEASE_TERM_MS + TAKEOVER_MARGIN_MS) {
+            return;
+        }
+        const { record } = observation;
+        if (this.promise.epoch >= record.epoch && monotonicMs() < this.promise.untilMs) {
+            return;
+        }
+        const isMember = record.members.includes(this.identity.instanceId);
+        if (!isMember && !await this.hasConsent(record)) {
+            return;
+        }
+        // From here on this instance must not vouch for the old holder, whatever becomes of the write.
+        this.renouncedEpoch = Math.max(this.renouncedEpoch, record.epoch);
+        await this.acquire(observation);
+    }
+
+    /** A newcomer needs one member's word, or all members gone from the platform's list. */
+    private async hasConsent(record: LeaseRecord): Promise<boolean> {
+        const listed = this.surroundings.getListedInstances();
+        const remaining = record.members.filter(member => listed.includes(member));
+        if (remaining.length === 0) {
+            return listed.length > 0;
+        }
+        const answers = await Promise.all(
+            remaining.map(member =>
+                this.transport.call<boolean>(member, CONSENT_METHOD, { epoch: record.epoch }, CALL_TIMEOUT_MS)
+            ),
+        );
+        return answers.some(answer => answer.isOk() && answer.value);
+    }
+
+    private async acquire(observation: Observation | undefined): Promise<void> {
+        const record: LeaseRecord = {
+            epoch: (observation?.record.epoch ?? 0) + 1,
+            version: (observation?.record.version ?? 0) + 1,
+            holder: this.identity.instanceId,
+            incarnation: this.identity.incarnation,
+            members: this.chooseFirstMembers(observation?.record),
+            renewal: 0,
+        };
+        const sentAtMs = monotonicMs();
+        const written = await this.store.put(this.path, { ...record }, observation?.object.version ?? 0);
+        if (written.isErr()) {
+            if (written.error.kind === "conflict" && observation !== undefined) {
+                this.renouncedEpoch = Math.min(this.renouncedEpoch, observation.record.epoch - 1);
+            }
+            // After a lost answer the next look at the store shows this write; it then ages like a stranger's lease.
+            return;
+        }
+        this.memberStates.clear();
+        const graceUntilMs = monotonicMs() + LEASE_TERM_MS;
+        for (const member of record.members) {
+            this.memberStates.set(member, {
+                lastHeardAtMs: monotonicMs(),
+                partUntilMs: graceUntilMs,
+                incarnation: undefined,
+            });
+        }
+        this.lease = new HolderLease(record, written.value, sentAtMs);
+        this.logger.info({ epoch: record.epoch }, "lease acquired");
+        this.adoptOwnTable();
+    }
+
+    /** The members stay, so that subjects keep their owners; only the holder that fell silent goes. */
+    private chooseFirstMembers(before: LeaseRecord | undefined): string[] {
+        const remaining = before?.members.filter(member => member !== before.holder) ?? [];
+        return [...new Set([...remaining, this.identity.instanceId])].sort();
+    }
+
+    private async renew(): Promise<void> {
+        const lease = this.lease;
+        if (lease === undefined) {
+            return;
+        }
+        const members = this.chooseMembers(lease.record.members);
+        // A restarted member has lost its state: a new table version lets the others bring it up to date.
+        const isChanged = members.join() !== lease.record.members.join() || this.isMemberRestarted;
+        const record: LeaseRecord = {
+            ...lease.record,
+            members,
+            version: lease.record.version + (isChanged ? 1 : 0),
+            renewal: lease.record.renewal + 1,
+        };
+        const sentAtMs = monotonicMs();
+        const written = await this.store.put(this.path, { ...record }, lease.version);
+        if (written.isOk()) {
+            lease.noteRenewal(record, written.value, sentAtMs);
+            this.isMemberRestarted &&= !isChanged;
+            this.adoptOwnTable();
+            return;
+        }
+        if (written.error.kind === "unknown") {
+            lease.noteUncertainWrite(members);
+        }
+        if (written.error.kind === "unknown" || written.error.kind === "conflict") {
+            await this.readBackRenewal(lease);
+        }
+    }
+
+    /** After a lost answer or a conflict: the object itself tells whether this holder wrote it. */
+    private async readBackRenewal(lease: HolderLease): Promise<void> {
+        const read = await this.store.get(this.path);
+        if (read.isErr()) {
+            return;
+        }
+        const record = read.value?.value as unknown as LeaseRecord | undefined;
+        if (record?.epoch !== lease.record.epoch || record.incarnation !== this.identity.incarnation) {
+            this.logger.warn({ epoch: lease.record.epoch, newEpoch: record?.epoch }, "lease was taken over");
+            this.lease = undefined;
+            this.partValidUntilMs = 0;
+            return;
+        }
+        // This holder wrote it, but when is not known: it counts for the members, not for the term.
+        lease.noteRenewal(record, read.value?.version ?? lease.version, -Infinity);
+        this.adoptOwnTable();
+    }
+
+    private chooseMembers(current: readonly string[]): string[] {
+        const nowMs = monotonicMs();
+        const listed = new Set(this.surroundings.getListedInstances());
+        const kept = current.filter(member => {
+            const state = this.memberStates.get(member);
+            if (member === this.identity.instanceId || state === undefined) {
+                return member === this.identity.instanceId;
+            }
+            // A member leaves the table only when nothing handed to it can be valid any more.
+            return nowMs < state.partUntilMs || nowMs - state.lastHeardAtMs < LEASE_TERM_MS;
+        });
+        const joined = [...this.memberStates]
+            .filter(([member, { lastHeardAtMs }]) => !kept.includes(member) && nowMs - lastHeardAtMs < LEASE_TERM_MS)
+            .map(([member]) => member)
+            .filter(member => listed.size === 0 || listed.has(member));
+        return [...kept, ...joined].sort();
+    }
+
+    private async tickHeartbeat(): Promise<void> {
+        if (this.isHolder()) {
+            this.adoptOwnTable();
+            return;
+        }
+        const holder = this.observation?.record.holder ?? this.table?.holder;
+        if (holder === undefined || holder === this.identity.instanceId) {
+            return;
+        }
+        const heartbeat: Heartbeat = {
+            from: this.identity.instanceId,
+            incarnation: this.identity.incarnation,
+            epoch: Math.max(this.table?.epoch ?? 0, this.renouncedEpoch),
+            tableVersion: this.table?.version ?? 0,
+            acknowledged: (this.acknowledged?.epoch ?? 0) > this.renouncedEpoch ? this.acknowledged : undefined,
+            isLeaving: this.isLeaving,
+        };
+        const sentAtMs = monotonicMs();
+        const reply = await this.transport.call<HeartbeatReply | undefined>(
+            holder,
+            HEARTBEAT_METHOD,
+            heartbeat,
+            CALL_TIMEOUT_MS,
+        );
+        if (reply.isOk() && reply.value) {
+            this.noteReply(reply.value, sentAtMs);
+        }
+    }
+
+    private noteReply(reply: HeartbeatReply, sentAtMs: number): void {
+        const { table } = reply;
+        if (table.epoch <= this.renouncedEpoch || table.epoch < (this.table?.epoch ?? 0)) {
+            return;
+        }
+        // The promise starts now, later than the stamp that the holder will count it from.
+        this.promise = { epoch: table.epoch, untilMs: monotonicMs() + LEASE_TERM_MS };
+        this.acknowledged = { epoch: table.epoch, stamp: reply.stamp };
+        this.lastReplyAtMs = monotonicMs();
+        if (reply.remainingMs > 0 && !this.isLeaving) {
+            this.adoptTable(table, sentAtMs + reply.remainingMs);
+            this.surroundings.onNotes(reply.notes, sentAtMs);
+        }
+        else {
+            this.table ??= table;
+        }
+    }
+
+    private adoptOwnTable(): void {
+        const remainingMs = this.getLeaseRemainingMs();
+        if (this.lease === undefined || remainingMs === 0 || this.isLeaving) {
+            return;
+        }
+        const { epoch, version, holder, members } = this.lease.record;
+        this.adoptTable({ epoch, version, holder, members }, monotonicMs() + Math.min(remainingMs, LEASE_TERM_MS));
+        this.surroundings.onNotes(this.surroundings.getNotes(), monotonicMs());
+    }
+
+    private adoptTable(table: MemberTable, validUntilMs: number): void {
+        if (this.table?.version !== table.version) {
+            this.surroundings.onTable(table);
+            this.ownerCache.clear();
+        }
+        this.table = table;
+        this.partValidUntilMs = validUntilMs;
+    }
+}
--- /dev/null
+++ b/packages/agreement/src/errors.ts
@@ -0,0 +1,21 @@
+import { LayerError } from "@heatherline/common";
+
+/**
+ * - `unreachable`: the peer does not accept connections; the call was not processed.
+ * - `lost`: no answer came; the call may have been processed.
+ * - `refused`: the peer answered with an error.
+ * - `unknown-peer`: no address is known for the peer.
+ */
+export type PeerErrorKind = "unreachable" | "lost" | "refused" | "unknown-peer";
+
+/** An error of a call from one instance to another. */
+export class PeerError extends LayerError<PeerErrorKind> {
+    /**
+     * @param kind - What went wrong.
+     * @param message - One sentence for people.
+     * @param cause - The error below.
+     */
+    constructor(kind: PeerErrorKind, message: string, cause?: unknown) {
+        super("peer", kind, message, cause);
+    }
+}
--- /dev/null
+++ b/packages/agreement/src/index.ts
@@ -0,0 +1,5 @@
+export * from "./agreement";
+export * from "./errors";
+export * from "./ownership";
+export * from "./peers";
+export * from "./types";
--- /dev/null
+++ b/packages/cli/src/kinds.ts
@@ -0,0 +1,10 @@
+import type { DocumentKind } from "@heatherline/config";
+
+/** All kinds of documents, for help and checks. */
+export const DocumentKindNames = [
+    "service",
+    "key",
+    "data-centre",
+    "instance",
+    "quarantine",
+] as const satisfies readonly DocumentKind[];
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,7 @@
+export * from "./errors";
+export * from "./ids";
+export * from "./invariant";
+export * from "./logger";
+export * from "./settings";
+export * from "./timing";
+export * from "./version";
--- /dev/null
+++ b/packages/daemon/src/adminApi.ts
@@ -0,0 +1,165 @@
+import {
+    type ConfigError,
+    type ConfigReplica,
+    type ConfigWriter,
+    type DocumentKind,
+    getDocumentPath,
+} from "@heatherline/config";
+import type http from "node:http";
+import { readBody, sendJson } from "./http";
+
+const PREFIX = "/admin/";
+const MAX_DOCUMENT_BYTES = 900_000;
+const LOOPBACK = new Set(["127.0.0.1", "::1", "::ffff:127.0.0.1"]);
+
+const ERROR_STATUS: Record<ConfigError["kind"], number> = {
+    invalid: 422,
+    conflict: 409,
+    unavailable: 503,
+    unknown: 502,
+};
+
+/** State of one instance as operators see it. */
+export interface InstanceStatus {
+    readonly instanceId: string;
+    readonly dataCentre: string;
+    readonly incarnation: string;
+    readonly version: string;
+    readonly isReady: boolean;
+    readonly isLeaseHolder: boolean;
+    readonly epoch: number;
+    readonly members: readonly string[];
+    readonly configDigest: string;
+    readonly storeAgeMs: number;
+    readonly inFlight: number;
+    readonly activeJobs: number;
+    readonly invalidDocuments: Record<string, number>;
+    readonly violations: number;
+    readonly endpoints: readonly {
+        readonly endpoint: string;
+        readonly credits: number;
+        readonly limit: number;
+        readonly online: number;
+        readonly batch: number;
+        readonly isWarm: boolean;
+    }[];
+}
+
+/** Whether an instance has a version of a document in force. */
+export interface InForceEntry {
+    readonly instanceId: string;
+    readonly dataCentre: string;
+    /** The version in force there; absent where the instance can't be heard. */
+    readonly version?: number;
+}
+
+/** What the operators' routes need from the daemon. */
+export interface AdminSurroundings {
+    readonly replica: ConfigReplica;
+    readonly writer: ConfigWriter;
+    readonly operatorToken: string | undefined;
+    /** Hands a document that was just accepted to all peers. */
+    readonly pushDocument: (path: string) => void;
+    /** @returns The state of this instance and of all others that can be heard. */
+    readonly collectStatus: () => Promise<{ heard: InstanceStatus[]; silent: string[]; }>;
+    /** @returns Where a document is in force. */
+    readonly collectInForce: (path: string) => Promise<InForceEntry[]>;
+}
+
+/** Serves the operators' routes below `/admin/`. */
+export class AdminApi {
+    /**
+     * @param surroundings - What the routes need.
+     */
+    constructor(private readonly surroundings: AdminSurroundings) {}
+
+    /**
+     * @param path - Path of a request.
+     * @returns Whether this API serves it.
+     */
+    static isMine(path: string): boolean {
+        return path.startsWith(PREFIX);
+    }
+
+    /**
+     * @param request - The operator's request.
+     * @param response - The response.
+     */
+    async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        if (!this.isAllowed(request)) {
+            sendJson(response, 401, { error: "not-allowed", message: "the operator token is missing or wrong" });
+            request.resume();
+            return;
+        }
+        const url = new URL(request.url ?? "/", "http://localhost");
+        const [resource = "", kind = "", id = ""] = url.pathname.slice(PREFIX.length).split("/");
+        switch (`${request.method ?? ""} ${resource}`) {
+            case "PUT documents":
+                return this.putDocument(request, response, url.searchParams.get("expected"));
+            case "GET documents":
+                return this.getDocuments(response, kind as DocumentKind, id);
+            case "GET status":
+                return sendJson(response, 200, await this.surroundings.collectStatus());
+            case "GET in-force": {
+                const path = url.searchParams.get("path") ?? "";
+                return sendJson(response, 200, { path, instances: await this.surroundings.collectInForce(path) });
+            }
+            default:
+                return sendJson(response, 404, { error: "not-found", message: `there is no route ${url.pathname}` });
+        }
+    }
+
+    private isAllowed(request: http.IncomingMessage): boolean {
+        const { operatorToken } = this.surroundings;
+        return operatorToken === undefined
+            ? LOOPBACK.has(request.socket.remoteAddress ?? "")
+            : request.headers["x-operator-token"] === operatorToken;
+    }
+
+    private async putDocument(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        expected: string | null,
+    ): Promise<void> {
+        const body = await readBody(request, MAX_DOCUMENT_BYTES);
+        if (body.isErr()) {
+            sendJson(response, body.error.status, { error: body.error.kind, message: body.error.message });
+            return;
+        }
+        let document: unknown;
+        try {
+            document = JSON.parse(body.value.toString("utf8"));
+        }
+        catch {
+            sendJson(response, 400, { error: "invalid", message: "the body is not valid JSON", faults: [] });
+            return;
+        }
+        const written = await this.surroundings.writer.write(
+            document,
+            expected === null ? undefined : Number(expected),
+        );
+        if (written.isErr()) {
+            const { kind, message, faults } = written.error;
+            sendJson(response, ERROR_STATUS[kind], { error: kind, message, faults });
+            return;
+        }
+        this.surroundings.pushDocument(written.value.path);
+        sendJson(response, 200, written.value);
+    }
+
+    private getDocuments(response: http.ServerResponse, kind: DocumentKind, id: string): void {
+        const { replica } = this.surroundings;
+        if (id === "") {
+            sendJson(response, 200, { documents: replica.getAll(kind) });
+            return;
+        }
+        const path = getDocumentPath(kind, id);
+        const [document] = replica.export([path]);
+        if (document?.value === undefined) {
+            sendJson(response, 404, { error: "not-found", message: `there is no ${kind} ${id}` });
+            return;
+        }
+        const { writeIds: unusedWriteIds, ...value } = document.value;
+        sendJson(response, 200, { path, version: document.version, document: value });
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/batchExecutor.ts
@@ -0,0 +1,108 @@
+import type { BatchItem, ItemExecutor, ItemOutcome, ItemOwner } from "@heatherline/batch";
+import { monotonicMs, newId, sha256Hex } from "@heatherline/common";
+import type { ConfigReplica } from "@heatherline/config";
+import { type AnswerSink, getEndReason, newExchange, type Pipeline, type Refusal } from "@heatherline/serving";
+
+const DEFAULT_TIMEOUT_MS = 120_000;
+const NOT_RUN_RETRY_MS = 500;
+/** Refusals that no repetition can change. */
+const FINAL_CODES = new Set(["bad-request", "not-found", "method-not-allowed", "model-not-found", "quarantined"]);
+
+/** Runs batch items through the same filters as online requests, in the batch class. */
+export class PipelineExecutor implements ItemExecutor {
+    /**
+     * @param pipeline - Filters for batch items.
+     * @param replica - The configuration in force.
+     */
+    constructor(private readonly pipeline: Pipeline, private readonly replica: ConfigReplica) {}
+
+    async execute(item: BatchItem, job: ItemOwner, signal: AbortSignal): Promise<ItemOutcome> {
+        if (signal.aborted) {
+            return { kind: "cancelled" };
+        }
+        const ending = new AbortController();
+        const onAbort = () => ending.abort("cancelled");
+        signal.addEventListener("abort", onAbort, { once: true });
+        const timer = setTimeout(() => ending.abort("deadline"), DEFAULT_TIMEOUT_MS);
+        const sink = new MemorySink();
+        const body = Buffer.from(JSON.stringify(item.body ?? {}));
+        const exchange = newExchange({
+            requestId: newId(),
+            workClass: "batch",
+            method: item.method,
+            path: item.path,
+            headers: { "content-type": "application/json" },
+            body,
+            sink,
+            ending,
+            deadlineAtMs: monotonicMs() + DEFAULT_TIMEOUT_MS,
+        });
+        exchange.organisation = this.findOrganisation(job);
+        exchange.fingerprint = sha256Hex(`${job.organisation}\0${item.path}\0${sha256Hex(body)}`);
+        try {
+            const outcome = await this.pipeline(exchange);
+            if (outcome.isOk()) {
+                return { kind: "answered", status: outcome.value.status, body: sink.getBody() };
+            }
+            return toItemOutcome(outcome.error, getEndReason(exchange));
+        }
+        finally {
+            clearTimeout(timer);
+            signal.removeEventListener("abort", onAbort);
+        }
+    }
+
+    private findOrganisation(job: ItemOwner) {
+        const service = this.replica.getServices().find(other => other.service === job.service);
+        return service?.organisations.find(other => other.organisation === job.organisation);
+    }
+}
+
+function toItemOutcome(refusal: Refusal, endReason: string | undefined): ItemOutcome {
+    if (endReason === "cancelled") {
+        return { kind: "cancelled" };
+    }
+    if (endReason === "preempted") {
+        return { kind: "preempted" };
+    }
+    if (FINAL_CODES.has(refusal.kind)) {
+        return { kind: "impossible", reason: `${refusal.kind}: ${refusal.message}` };
+    }
+    if (refusal.notRun === true) {
+        return { kind: "not-run", retryAfterMs: refusal.retryAfterMs ?? NOT_RUN_RETRY_MS };
+    }
+    return { kind: "failed", reason: `${refusal.kind}: ${refusal.message}` };
+}
+
+/** Collects an answer in memory. */
+class MemorySink implements AnswerSink {
+    hasBegun = false;
+    private chunks: Buffer[] = [];
+
+    begin(): void {
+        this.hasBegun = true;
+    }
+
+    write(chunk: Buffer): undefined {
+        this.chunks.push(chunk);
+        return undefined;
+    }
+
+    end(): void {
+        return undefined;
+    }
+
+    breakOff(): void {
+        this.chunks = [];
+    }
+
+    getBody(): unknown {
+        const text = Buffer.concat(this.chunks).toString("utf8");
+        try {
+            return JSON.parse(text);
+        }
+        catch {
+            return text;
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/callerServer.ts
@@ -0,0 +1,133 @@
+import { describeError, type Logger, newId } from "@heatherline/common";
+import type { ConfigReplica } from "@heatherline/config";
+import { type Pipeline, Refusal } from "@heatherline/serving";
+import http from "node:http";
+import { AdminApi } from "./adminApi";
+import { BatchApi } from "./batchApi";
+import { sendJson, sendRefusal } from "./http";
+import type { DaemonMetrics } from "./metrics";
+import { serveOnline } from "./onlineApi";
+
+const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+const HEADERS_TIMEOUT_MS = 20_000;
+
+/** What the server needs from the daemon. */
+export interface CallerSurroundings {
+    readonly pipeline: Pipeline;
+    readonly batch: BatchApi;
+    readonly admin: AdminApi;
+    readonly metrics: DaemonMetrics;
+    readonly replica: ConfigReplica;
+    readonly maxBodyBytes: number;
+    readonly isReady: () => boolean;
+    readonly isDraining: () => boolean;
+    readonly logger: Logger;
+}
+
+/** HTTP towards callers and operators. */
+export class CallerServer {
+    private readonly server: http.Server;
+    private open = 0;
+
+    /**
+     * @param surroundings - What the server needs.
+     */
+    constructor(private readonly surroundings: CallerSurroundings) {
+        this.server = http.createServer({
+            keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+            headersTimeout: HEADERS_TIMEOUT_MS,
+        });
+        this.server.requestTimeout = 0;
+        this.server.on("request", (request, response) => this.onRequest(request, response));
+        this.server.on("clientError", (error, socket) => {
+            if (socket.writable) {
+                socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+            }
+        });
+    }
+
+    /**
+     * @param address - IP address to listen on.
+     * @param port - Port; 0 for any free one.
+     * @returns The port.
+     */
+    listen(address: string, port: number): Promise<number> {
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(port, address, () => {
+                const bound = this.server.address();
+                resolve(typeof bound === "object" && bound !== null ? bound.port : port);
+            });
+        });
+    }
+
+    /** Stops accepting connections; requests that are open go on. */
+    close(): Promise<void> {
+        return new Promise(resolve => {
+            this.server.close(() => resolve());
+            this.server.closeIdleConnections();
+        });
+    }
+
+    /** @returns Number of requests that have no complete answer yet. */
+    countOpen(): number {
+        return this.open;
+    }
+
+    private onRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
+        this.open += 1;
+        response.on("close", () => {
+            this.open -= 1;
+        });
+        if (this.surroundings.isDraining()) {
+            // The answer is given; the connection then closes, so that the caller comes back to another instance.
+            response.shouldKeepAlive = false;
+        }
+        const requestId = newId();
+        this.route(request, response, requestId).catch((error: unknown) => {
+            this.surroundings.logger.error({ requestId, error: describeError(error) }, "request failed");
+            sendRefusal(response, new Refusal("internal", 500, "internal error", "unknown"), requestId);
+        });
+    }
+
+    private async route(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        requestId: string,
+    ): Promise<void> {
+        const path = request.url ?? "/";
+        if (path.startsWith("/healthz")) {
+            sendJson(response, 200, { status: "ok" });
+            return;
+        }
+        if (path.startsWith("/readyz")) {
+            const isReady = this.surroundings.isReady();
+            sendJson(response, isReady ? 200 : 503, { ready: isReady });
+            return;
+        }
+        if (path === "/metrics") {
+            const { registry } = this.surroundings.metrics;
+            response.writeHead(200, { "content-type": registry.contentType }).end(await registry.metrics());
+            return;
+        }
+        if (AdminApi.isMine(path)) {
+            return this.surroundings.admin.serve(request, response);
+        }
+        if (BatchApi.isMine(path)) {
+            return this.surroundings.batch.serve(request, response, requestId);
+        }
+        if (path === "/v1/models" && request.method === "GET") {
+            this.sendModels(response);
+            return;
+        }
+        const { pipeline, maxBodyBytes } = this.surroundings;
+        await serveOnline(request, response, requestId, pipeline, maxBodyBytes);
+    }
+
+    private sendModels(response: http.ServerResponse): void {
+        const data = this.surroundings.replica.getServices().flatMap(({ service, models }) =>
+            models.map(({ model, versions }) => ({ id: model, object: "model", owned_by: service, versions }))
+        );
+        sendJson(response, 200, { object: "list", data });
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/claimWiring.ts
@@ -0,0 +1,212 @@
+import type { DataCentreAgreement, MemberTable, PeerTransport } from "@heatherline/agreement";
+import { type Logger, rankByRendezvous, startLoop } from "@heatherline/common";
+import { getGroup } from "@heatherline/limits";
+import { type Claim, type ClaimDecision, type ClaimEnd, type ClaimService, ClaimTable } from "@heatherline/serving";
+import type { OwnerLocator } from "./ownerLocator";
+
+const CALL_TIMEOUT_MS = 700;
+const SYNC_INTERVAL_MS = 200;
+const CLAIMS_PER_MESSAGE = 200;
+/** Copies of each claim: the owner's and one backup's. */
+const COPIES = 2;
+
+/** Claims sent to an instance that keeps copies of them. */
+export interface ClaimSync {
+    readonly from: string;
+    readonly claims: readonly Claim[];
+    /** Table version that the sender has sent all its claims for; absent while more follow. */
+    readonly syncedVersion?: number;
+}
+
+/** What the wiring of claims needs to know. */
+export interface ClaimSurroundings {
+    readonly instanceId: string;
+    readonly dataCentre: string;
+    readonly agreement: DataCentreAgreement;
+    readonly locator: OwnerLocator;
+    readonly transport: PeerTransport;
+    readonly logger: Logger;
+    /** @returns All data centres. */
+    readonly getDataCentres: () => readonly string[];
+}
+
+/**
+ * Keeps each claim on its owner and on the instance that would own it next, and brings new owners up to date before
+ * they decide. Each claim has one data centre for good: in no other may the same request run.
+ */
+export class ClaimWiring implements ClaimService {
+    private readonly table = new ClaimTable();
+    /** Member to the newest table version for which it has sent its claims here. */
+    private readonly syncedBy = new Map<string, number>();
+    /** Member to the newest table version for which it has got the claims from here. */
+    private readonly syncedTo = new Map<string, number>();
+    private stopLoop: (() => Promise<void>) | undefined;
+
+    /**
+     * @param surroundings - The rest of the daemon.
+     */
+    constructor(private readonly surroundings: ClaimSurroundings) {}
+
+    /** Starts bringing other members up to date. */
+    start(): void {
+        this.stopLoop = startLoop(() => SYNC_INTERVAL_MS, () => this.syncMembers());
+    }
+
+    /** Stops. */
+    stop(): void {
+        void this.stopLoop?.();
+    }
+
+    async begin(claim: Claim): Promise<ClaimDecision> {
+        const owner = await this.findOwner(claim.key);
+        if (owner === undefined) {
+            return { kind: "unavailable" };
+        }
+        if (owner === this.surroundings.instanceId) {
+            return this.handleBegin(claim);
+        }
+        const reply = await this.surroundings.transport.call<ClaimDecision>(
+            owner,
+            "claims.begin",
+            claim,
+            CALL_TIMEOUT_MS * 2,
+        );
+        // After a lost answer the claim may have been made for this very request, which has not run: it is given up.
+        if (reply.isErr() && reply.error.kind === "lost") {
+            void this.end(claim, { kind: "not-run" });
+        }
+        return reply.isOk() ? reply.value : { kind: "unavailable" };
+    }
+
+    async end(claim: Claim, end: ClaimEnd): Promise<void> {
+        const owner = await this.findOwner(claim.key);
+        if (owner === undefined || owner === this.surroundings.instanceId) {
+            await this.handleEnd(claim.key, claim.requestId, end);
+            return;
+        }
+        const params = { key: claim.key, requestId: claim.requestId, end };
+        await this.surroundings.transport.call(owner, "claims.end", params, CALL_TIMEOUT_MS);
+    }
+
+    /**
+     * Decides about a claim as owner. The claim is on its backup before anything runs under it.
+     *
+     * @param claim - The claim.
+     * @returns The decision.
+     */
+    async handleBegin(claim: Claim): Promise<ClaimDecision> {
+        const table = this.surroundings.agreement.getTable();
+        if (
+            table === undefined || !this.isReady(table) ||
+            this.getCopies(claim.key, table)[0] !== this.surroundings.instanceId
+        ) {
+            return { kind: "unavailable" };
+        }
+        const decision = this.table.begin(claim);
+        if (decision.kind !== "run") {
+            return decision;
+        }
+        const isKept = await this.sendToBackup(claim, table);
+        const isOwnerStill = this.surroundings.agreement.getTable()?.version === table.version;
+        if (!isKept || !isOwnerStill) {
+            this.table.end(claim.key, claim.requestId, { kind: "not-run" });
+            return { kind: "unavailable" };
+        }
+        return decision;
+    }
+
+    /**
+     * Notes as owner how a claimed request ended.
+     *
+     * @param key - Key of the claim.
+     * @param requestId - The request.
+     * @param end - How it ended.
+     */
+    async handleEnd(key: string, requestId: string, end: ClaimEnd): Promise<void> {
+        const claim = this.table.end(key, requestId, end);
+        const table = this.surroundings.agreement.getLastTable();
+        const backup = table === undefined
+            ? undefined
+            : this.getCopies(key, table).find(copy => copy !== this.surroundings.instanceId);
+        if (backup === undefined) {
+            return;
+        }
+        if (claim === undefined) {
+            await this.surroundings.transport.call(backup, "claims.drop", { key }, CALL_TIMEOUT_MS);
+            return;
+        }
+        await this.send(backup, { from: this.surroundings.instanceId, claims: [claim] });
+    }
+
+    /**
+     * @param sync - Claims from another member.
+     * @returns Acknowledgement.
+     */
+    handleSync(sync: ClaimSync): boolean {
+        for (const claim of sync.claims) {
+            this.table.merge(claim);
+        }
+        if (sync.syncedVersion !== undefined) {
+            this.syncedBy.set(sync.from, Math.max(sync.syncedVersion, this.syncedBy.get(sync.from) ?? 0));
+        }
+        return true;
+    }
+
+    /**
+     * @param key - Key of a claim whose request certainly did not run.
+     */
+    handleDrop(key: string): void {
+        this.table.drop(key);
+    }
+
+    private async findOwner(key: string): Promise<string | undefined> {
+        const dataCentre = getGroup(key, this.surroundings.getDataCentres());
+        return this.surroundings.locator.getOwner(dataCentre, key);
+    }
+
+    /** All other members have sent their claims for the table in force. */
+    private isReady(table: MemberTable): boolean {
+        return table.members
+            .filter(member => member !== this.surroundings.instanceId)
+            .every(member => (this.syncedBy.get(member) ?? 0) >= table.version);
+    }
+
+    private getCopies(key: string, table: MemberTable): string[] {
+        return rankByRendezvous(key, table.members).slice(0, COPIES);
+    }
+
+    private async sendToBackup(claim: Claim, table: MemberTable): Promise<boolean> {
+        const backup = this.getCopies(claim.key, table)[1];
+        return backup === undefined || this.send(backup, { from: this.surroundings.instanceId, claims: [claim] });
+    }
+
+    private async send(member: string, sync: ClaimSync): Promise<boolean> {
+        const reply = await this.surroundings.transport.call<boolean>(member, "claims.sync", sync, CALL_TIMEOUT_MS);
+        return reply.isOk() && reply.value;
+    }
+
+    private async syncMembers(): Promise<void> {
+        const table = this.surroundings.agreement.getTable();
+        if (table === undefined) {
+            return;
+        }
+        const behind = table.members.filter(member =>
+            member !== this.surroundings.instanceId && (this.syncedTo.get(member) ?? 0) < table.version
+        );
+        await Promise.all(behind.map(member => this.syncMember(member, table)));
+    }
+
+    private async syncMember(member: string, table: MemberTable): Promise<void> {
+        const { instanceId } = this.surroundings;
+        const claims = this.table.getAll().filter(claim => this.getCopies(claim.key, table).includes(member));
+        for (let start = 0; start < claims.length; start += CLAIMS_PER_MESSAGE) {
+            const part = claims.slice(start, start + CLAIMS_PER_MESSAGE);
+            if (!await this.send(member, { from: instanceId, claims: part })) {
+                return;
+            }
+        }
+        if (await this.send(member, { from: instanceId, claims: [], syncedVersion: table.version })) {
+            this.syncedTo.set(member, table.version);
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/configDisk.ts
@@ -0,0 +1,53 @@
+import { describeError, type Logger } from "@heatherline/common";
+import type { ConfigReplica, VersionedDocument } from "@heatherline/config";
+import { mkdir, readFile, rename, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+
+const FILE_NAME = "config.json";
+const SAVE_DELAY_MS = 500;
+
+/** Keeps the last accepted configuration on disk, for starts without store and peers. */
+export class ConfigDisk {
+    private timer: NodeJS.Timeout | undefined;
+
+    /**
+     * @param folder - Data folder of the instance.
+     * @param replica - The configuration to keep.
+     * @param logger - Log of the daemon.
+     */
+    constructor(
+        private readonly folder: string,
+        private readonly replica: ConfigReplica,
+        private readonly logger: Logger,
+    ) {}
+
+    /** Loads what is there and saves each change from now on. */
+    async start(): Promise<void> {
+        try {
+            const text = await readFile(join(this.folder, FILE_NAME), "utf8");
+            for (const document of JSON.parse(text) as VersionedDocument[]) {
+                this.replica.merge(document);
+            }
+        }
+        catch (error) {
+            this.logger.info({ error: describeError(error) }, "no configuration on disk");
+        }
+        this.replica.onChange(() => {
+            this.timer ??= setTimeout(() => void this.save(), SAVE_DELAY_MS);
+        });
+    }
+
+    private async save(): Promise<void> {
+        this.timer = undefined;
+        try {
+            await mkdir(this.folder, { recursive: true });
+            const path = join(this.folder, FILE_NAME);
+            // A crash in the middle of a write must not destroy the last good copy.
+            await writeFile(`${path}.new`, JSON.stringify(this.replica.export()));
+            await rename(`${path}.new`, path);
+        }
+        catch (error) {
+            this.logger.warn({ error: describeError(error) }, "configuration can't be saved on disk");
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/creditWiring.ts
@@ -0,0 +1,160 @@
+import { type DataCentreAgreement, Ownership, type PeerTransport } from "@heatherline/agreement";
+import type { ConfigReplica, EndpointSpec } from "@heatherline/config";
+import {
+    CREDIT_TTL_MS,
+    type CreditBroker,
+    type CreditDemand,
+    type CreditGrant,
+    EndpointLedger,
+    getEndpointKey,
+    getFloorCredits,
+} from "@heatherline/serving";
+import type { OwnerLocator } from "./ownerLocator";
+
+const REQUEST_TIMEOUT_MS = 600;
+const HINT_TIMEOUT_MS = 600;
+
+/** One endpoint's demand as it travels. */
+export interface CreditEntry {
+    readonly endpoint: string;
+    readonly demand: CreditDemand;
+}
+
+/** One endpoint's grant as it travels. */
+export interface GrantEntry {
+    readonly endpoint: string;
+    readonly grant: CreditGrant;
+}
+
+/** What the wiring of credits needs to know. */
+export interface CreditSurroundings {
+    readonly instanceId: string;
+    readonly dataCentre: string;
+    readonly agreement: DataCentreAgreement;
+    readonly locator: OwnerLocator;
+    readonly transport: PeerTransport;
+    readonly replica: ConfigReplica;
+    /** Called when this instance should ask for credits again. */
+    readonly onHint: () => void;
+}
+
+/** Connects the owners of endpoints with the instances that use them. */
+export class CreditWiring implements CreditBroker {
+    readonly ownership: Ownership;
+    private readonly ledgers = new Map<string, EndpointLedger>();
+    private readonly hinted = new Set<string>();
+
+    /**
+     * @param surroundings - The rest of the daemon.
+     */
+    constructor(private readonly surroundings: CreditSurroundings) {
+        this.ownership = new Ownership(surroundings.agreement, surroundings.instanceId, CREDIT_TTL_MS);
+    }
+
+    async request(demands: ReadonlyMap<string, CreditDemand>): Promise<ReadonlyMap<string, CreditGrant>> {
+        const byOwner = await this.groupByOwner(demands);
+        const grants = new Map<string, CreditGrant>();
+        await Promise.all([...byOwner].map(async ([owner, entries]) => {
+            for (const { endpoint, grant } of await this.askOwner(owner, entries)) {
+                grants.set(endpoint, grant);
+            }
+        }));
+        return grants;
+    }
+
+    getFloor(endpoint: string, lastGrant: CreditGrant | undefined): number {
+        const spec = this.findSpec(endpoint);
+        const table = this.surroundings.agreement.getLastTable();
+        if (spec === undefined || table === undefined || spec.dataCentre !== this.surroundings.dataCentre) {
+            return 0;
+        }
+        const limit = lastGrant?.isWarm === true ? lastGrant.limit : spec.coldConcurrency;
+        return getFloorCredits(endpoint, limit, table.members, this.surroundings.instanceId);
+    }
+
+    /**
+     * Handles demands as owner.
+     *
+     * @param entries - Demands by endpoint.
+     * @returns Grants for the endpoints that this instance may decide about.
+     */
+    handleRequest(entries: readonly CreditEntry[]): GrantEntry[] {
+        return entries.flatMap(({ endpoint, demand }) => {
+            const ledger = this.getLedger(endpoint);
+            const members = this.surroundings.agreement.getTable()?.members ?? [];
+            return ledger === undefined ? [] : [{ endpoint, grant: ledger.grant(demand, members) }];
+        });
+    }
+
+    private async groupByOwner(demands: ReadonlyMap<string, CreditDemand>): Promise<Map<string, CreditEntry[]>> {
+        const byOwner = new Map<string, CreditEntry[]>();
+        for (const [endpoint, demand] of demands) {
+            const dataCentre = this.findSpec(endpoint)?.dataCentre;
+            const owner = dataCentre === undefined
+                ? undefined
+                : await this.surroundings.locator.getOwner(dataCentre, getSubject(endpoint));
+            if (owner !== undefined) {
+                byOwner.set(owner, [...byOwner.get(owner) ?? [], { endpoint, demand }]);
+            }
+        }
+        return byOwner;
+    }
+
+    private async askOwner(owner: string, entries: CreditEntry[]): Promise<GrantEntry[]> {
+        if (owner === this.surroundings.instanceId) {
+            return this.handleRequest(entries);
+        }
+        const reply = await this.surroundings.transport.call<GrantEntry[]>(
+            owner,
+            "credits.request",
+            { entries },
+            REQUEST_TIMEOUT_MS,
+        );
+        return reply.unwrapOr([]);
+    }
+
+    private getLedger(endpoint: string): EndpointLedger | undefined {
+        const spec = this.findSpec(endpoint);
+        if (spec === undefined || this.ownership.check(getSubject(endpoint)).kind !== "ready") {
+            this.ledgers.delete(endpoint);
+            return undefined;
+        }
+        let ledger = this.ledgers.get(endpoint);
+        if (ledger === undefined) {
+            ledger = new EndpointLedger(
+                endpoint,
+                spec.coldConcurrency,
+                spec.maxConcurrency,
+                instanceId => this.hint(instanceId),
+            );
+            this.ledgers.set(endpoint, ledger);
+        }
+        ledger.warmth.setBounds(spec.coldConcurrency, spec.maxConcurrency);
+        return ledger;
+    }
+
+    private hint(instanceId: string): void {
+        if (instanceId === this.surroundings.instanceId) {
+            this.surroundings.onHint();
+            return;
+        }
+        if (this.hinted.has(instanceId)) {
+            return;
+        }
+        this.hinted.add(instanceId);
+        setImmediate(() => {
+            this.hinted.delete(instanceId);
+            void this.surroundings.transport.call(instanceId, "credits.hint", {}, HINT_TIMEOUT_MS);
+        });
+    }
+
+    private findSpec(endpoint: string): EndpointSpec | undefined {
+        const name = endpoint.split("/")[0];
+        const service = this.surroundings.replica.getServices().find(other => other.service === name);
+        return service?.endpoints.find(spec => getEndpointKey(service.service, spec) === endpoint);
+    }
+}
+
+function getSubject(endpoint: string): string {
+    return `endpoint/${endpoint}`;
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,468 @@
+import { DataCentreAgreement, type Heartbeat, RpcPeerServer, RpcPeerTransport } from "@heatherline/agreement";
+import { JobRunner } from "@heatherline/batch";
+import { getInvariantCounts, type Logger, newId, onInvariantViolation, sleep } from "@heatherline/common";
+import { VERSION } from "@heatherline/common";
+import {
+    ConfigReplica,
+    ConfigSpreader,
+    type ConfigSyncReply,
+    type ConfigSyncRequest,
+    ConfigWriter,
+    parseDocuments,
+} from "@heatherline/config";
+import { GrantLimiter, type RateLimiter, StaticSplitLimiter, type UsableShares } from "@heatherline/limits";
+import {
+    AttemptFilter,
+    type Claim,
+    CreditHolder,
+    DeduplicateFilter,
+    HttpDispatcher,
+    IdentifyFilter,
+    InFlightRegistry,
+    LeastOutstandingPolicy,
+    LimitFilter,
+    newPipeline,
+    type Pipeline,
+    PrefixAffinityPolicy,
+    RecordFilter,
+    Refusal,
+    ResolveFilter,
+    RetryBudget,
+    RoundRobinPolicy,
+    type RoutePolicy,
+    Scheduler,
+} from "@heatherline/serving";
+import { HttpStore, MemoryStore, type ObjectStore } from "@heatherline/store";
+import { err } from "neverthrow";
+import { readFile } from "node:fs/promises";
+import { AdminApi, type InForceEntry, type InstanceStatus } from "./adminApi";
+import { BatchApi, getJobSubject } from "./batchApi";
+import { PipelineExecutor } from "./batchExecutor";
+import { CallerServer } from "./callerServer";
+import { type ClaimSync, ClaimWiring } from "./claimWiring";
+import { ConfigDisk } from "./configDisk";
+import { type CreditEntry, CreditWiring } from "./creditWiring";
+import { DaemonMetrics } from "./metrics";
+import { OwnerLocator } from "./ownerLocator";
+import { type Hello, PeerBook } from "./peerBook";
+import { QuarantineWiring, type SuspectNews } from "./quarantineWiring";
+import { type BorrowRequest, RateWiring } from "./rateWiring";
+import type { DaemonSettings } from "./settings";
+
+const STATUS_TIMEOUT_MS = 1_500;
+const SYNC_TIMEOUT_MS = 1_500;
+const DRAIN_POLL_MS = 20;
+
+/** One instance of the system: everything that runs in one process, wired together. */
+export class Daemon {
+    private readonly incarnation = newId();
+    private readonly store: ObjectStore;
+    private readonly platform: HttpStore | undefined;
+    private readonly replica = new ConfigReplica();
+    private readonly writer: ConfigWriter;
+    private readonly transport: RpcPeerTransport;
+    private readonly peerServer: RpcPeerServer;
+    private readonly book: PeerBook;
+    private readonly agreement: DataCentreAgreement;
+    private readonly locator: OwnerLocator;
+    private readonly rates: RateWiring;
+    private readonly credits: CreditWiring;
+    private readonly claims: ClaimWiring;
+    private readonly quarantine: QuarantineWiring;
+    private readonly spreader: ConfigSpreader;
+    private readonly limiter: RateLimiter;
+    private readonly scheduler: Scheduler;
+    private readonly holder: CreditHolder;
+    private readonly inFlight = new InFlightRegistry();
+    private readonly runner: JobRunner;
+    private readonly metrics: DaemonMetrics;
+    private readonly callers: CallerServer;
+    private peerPort = 0;
+    private isDraining = false;
+
+    /**
+     * @param settings - Checked settings.
+     * @param logger - Log of the daemon.
+     */
+    constructor(private readonly settings: DaemonSettings, private readonly logger: Logger) {
+        const { instance, dataCentre } = settings;
+        this.platform = settings.storeUrl === undefined ? undefined : new HttpStore(settings.storeUrl, instance);
+        this.store = this.platform ?? new MemoryStore();
+        this.writer = new ConfigWriter(this.store, this.replica);
+        this.transport = new RpcPeerTransport(peerId => this.book.getAddress(peerId), settings.peerSecret);
+        this.peerServer = new RpcPeerServer(settings.peerSecret);
+        this.book = new PeerBook(() => this.getHello(), this.platform, settings.peers, logger);
+        const { transport } = this;
+        this.agreement = new DataCentreAgreement(
+            { instanceId: instance, incarnation: this.incarnation, dataCentre },
+            this.store,
+            transport,
+            {
+                getListedInstances: () => this.book.getDataCentreInstances(),
+                getNotes: () => ({ shares: this.rates.getNotes() }),
+                onNotes: (notes, sentAtMs) => this.rates.noteShares((notes.shares ?? {}) as UsableShares, sentAtMs),
+                onTable: table => {
+                    this.rates.ownership.noteTable(table);
+                    this.credits.ownership.noteTable(table);
+                },
+            },
+            logger,
+        );
+        const { agreement } = this;
+        this.locator = new OwnerLocator(dataCentre, agreement, this.book, transport);
+        const { locator } = this;
+        const getDataCentres = () => this.getDataCentres();
+        const common = { instanceId: instance, dataCentre, agreement, locator, transport, logger, getDataCentres };
+        this.rates = new RateWiring(common);
+        this.claims = new ClaimWiring(common);
+        this.credits = new CreditWiring({ ...common, replica: this.replica, onHint: () => this.holder.wantRefresh() });
+        this.quarantine = new QuarantineWiring(this.writer, this.book, transport, logger);
+        this.spreader = new ConfigSpreader(this.store, this.replica, {
+            getPeerIds: () => this.book.getPeers().map(({ instanceId }) => instanceId),
+            sync: (peerId, request) => this.syncWith(peerId, request),
+        }, logger);
+        this.scheduler = new Scheduler(newRoutePolicy(settings.routePolicy));
+        this.holder = new CreditHolder(
+            instance,
+            dataCentre,
+            this.credits,
+            service => this.scheduler.getWaiting(service),
+            other => this.replica.isDataCentreOut(other),
+            logger,
+        );
+        this.scheduler.attach(this.holder);
+        this.limiter = settings.limitPolicy === "grants"
+            ? new GrantLimiter(instance, this.rates)
+            : new StaticSplitLimiter(this.book.getPeers().length + 1);
+        this.metrics = this.newMetrics();
+        const { online, batch } = this.newPipelines();
+        this.runner = new JobRunner(
+            this.store,
+            new PipelineExecutor(batch, this.replica),
+            { isRunner: jobId => this.isJobRunner(jobId) },
+            logger,
+        );
+        this.callers = new CallerServer({
+            pipeline: online,
+            batch: new BatchApi(this.store, this.replica, jobId => this.onJobSubmitted(jobId)),
+            admin: this.newAdminApi(),
+            metrics: this.metrics,
+            replica: this.replica,
+            maxBodyBytes: settings.maxBodyBytes,
+            isReady: () => this.isReady(),
+            isDraining: () => this.isDraining,
+            logger,
+        });
+    }
+
+    /**
+     * Starts everything.
+     *
+     * @returns The ports that are listened on.
+     */
+    async start(): Promise<{ port: number; peerPort: number; }> {
+        const { settings } = this;
+        onInvariantViolation((name, detail) => this.logger.fatal({ invariant: name, detail }, "invariant violated"));
+        this.addRpcMethods();
+        this.peerPort = await this.peerServer.listen(settings.listenAddress, settings.peerPort);
+        if (settings.dataDir !== undefined) {
+            await new ConfigDisk(settings.dataDir, this.replica, this.logger).start();
+        }
+        this.replica.onChange((path, document) => {
+            if (document?.kind === "key" && document.state === "withdrawn") {
+                const ended = this.inFlight.endKey(document.keyId);
+                this.logger.info({ keyId: document.keyId, ended }, "key withdrawn");
+            }
+            if (document?.kind !== "key") {
+                this.holder.setServices(this.replica.getServices());
+            }
+        });
+        await this.book.start(this.transport);
+        this.spreader.start();
+        this.agreement.start();
+        this.rates.start();
+        this.claims.start();
+        this.holder.start();
+        if (this.limiter instanceof GrantLimiter) {
+            this.limiter.start();
+        }
+        await this.applyInitialDocuments();
+        this.holder.setServices(this.replica.getServices());
+        this.runner.start();
+        const port = await this.callers.listen(settings.listenAddress, settings.port);
+        this.logger.info({ port, peerPort: this.peerPort, incarnation: this.incarnation }, "started");
+        return { port, peerPort: this.peerPort };
+    }
+
+    /** Stops accepting, lets what runs end, gives up what is owned, and stops. */
+    async stop(): Promise<void> {
+        this.isDraining = true;
+        this.logger.info({ inFlight: this.inFlight.size }, "draining");
+        await sleep(this.settings.drainDelayMs);
+        this.runner.stop();
+        const closed = this.callers.close();
+        const untilMs = performance.now() + this.settings.drainTimeoutMs;
+        while (this.callers.countOpen() > 0 && performance.now() < untilMs) {
+            await sleep(DRAIN_POLL_MS);
+        }
+        await Promise.race([closed, sleep(DRAIN_POLL_MS)]);
+        if (this.limiter instanceof GrantLimiter) {
+            this.limiter.stop();
+        }
+        this.holder.stop();
+        this.spreader.stop();
+        this.rates.stop();
+        this.claims.stop();
+        await this.agreement.stop();
+        this.book.stop();
+        this.peerServer.close();
+        this.logger.info({ cut: this.callers.countOpen() }, "stopped");
+    }
+
+    private newPipelines(): { online: Pipeline; batch: Pipeline; } {
+        const record = new RecordFilter((entry, outcome) => {
+            this.metrics.note(entry);
+            const cause = outcome.isErr() && outcome.error.cause !== undefined
+                ? String(outcome.error.cause)
+                : undefined;
+            this.logger.info({ ...entry, cause }, "request");
+        });
+        const resolve = new ResolveFilter(this.replica);
+        const attempt = new AttemptFilter(
+            this.scheduler,
+            new HttpDispatcher(this.holder),
+            new RetryBudget(),
+            this.quarantine.suspects,
+            this.replica,
+        );
+        const last = async () => err(new Refusal("internal", 500, "no filter answered", true));
+        const online = newPipeline([
+            record,
+            resolve,
+            new IdentifyFilter(this.replica, this.inFlight, () => this.getConfigAgeMs()),
+            new DeduplicateFilter(this.claims),
+            new LimitFilter(this.limiter),
+            attempt,
+        ], last);
+        return { online, batch: newPipeline([record, resolve, attempt], last) };
+    }
+
+    private newMetrics(): DaemonMetrics {
+        return new DaemonMetrics({
+            getInFlight: () => this.inFlight.size,
+            getWaiting: () =>
+                this.replica.getServices().flatMap(({ service }) =>
+                    Object.entries(this.scheduler.getWaiting(service)).map(([workClass, count]) => ({
+                        service,
+                        workClass,
+                        count,
+                    }))
+                ),
+            getEndpoints: () => this.holder.describe(),
+            getTraffic: () => this.transport.traffic,
+            getStoreCalls: () => ({ ...this.platform?.counts ?? {} }),
+            isHolder: () => this.agreement.isHolder(),
+        });
+    }
+
+    private newAdminApi(): AdminApi {
+        return new AdminApi({
+            replica: this.replica,
+            writer: this.writer,
+            operatorToken: this.settings.operatorToken,
+            pushDocument: path => this.spreader.push(this.replica.export([path])),
+            collectStatus: () => this.collectStatus(),
+            collectInForce: path => this.collectInForce(path),
+        });
+    }
+
+    private addRpcMethods(): void {
+        const server = this.peerServer;
+        server.addMethod<Hello, Hello>("peer.hello", hello => {
+            if (hello.peerPort > 0) {
+                this.book.noteHeard(hello);
+            }
+            return this.getHello();
+        });
+        server.addMethod<ConfigSyncRequest, ConfigSyncReply>(
+            "config.sync",
+            request => this.spreader.handleSync(request),
+        );
+        server.addMethod<Heartbeat, unknown>(
+            "agreement.heartbeat",
+            heartbeat => this.agreement.handleHeartbeat(heartbeat),
+        );
+        server.addMethod<{ epoch: number; }, boolean>(
+            "agreement.consent",
+            ({ epoch }) => this.agreement.handleConsent(epoch),
+        );
+        server.addMethod("agreement.table", () => this.agreement.getTable());
+        server.addMethod("limits.ask", (ask: Parameters<RateWiring["handleAsk"]>[0]) => this.rates.handleAsk(ask));
+        server.addMethod<BorrowRequest, unknown>("shares.borrow", request => this.rates.handleBorrow(request));
+        server.addMethod<{ entries: CreditEntry[]; }, unknown>(
+            "credits.request",
+            ({ entries }) => this.credits.handleRequest(entries),
+        );
+        server.addMethod("credits.hint", () => this.holder.wantRefresh());
+        server.addMethod<Claim, unknown>("claims.begin", claim => this.claims.handleBegin(claim));
+        server.addMethod<{ key: string; requestId: string; end: Parameters<ClaimWiring["handleEnd"]>[2]; }, unknown>(
+            "claims.end",
+            ({ key, requestId, end }) => this.claims.handleEnd(key, requestId, end),
+        );
+        server.addMethod<ClaimSync, unknown>("claims.sync", sync => this.claims.handleSync(sync));
+        server.addMethod<{ key: string; }, unknown>("claims.drop", ({ key }) => this.claims.handleDrop(key));
+        server.addMethod<SuspectNews, unknown>("suspects.note", news => this.quarantine.handleNews(news));
+        server.addMethod("batch.wake", () => this.runner.wake());
+        server.addMethod("status.get", () => this.getStatus());
+        server.addMethod<{ path: string; }, number>("status.version", ({ path }) => this.replica.getVersion(path));
+    }
+
+    private async applyInitialDocuments(): Promise<void> {
+        for (const file of this.settings.documents) {
+            const parsed = parseDocuments(await readFile(file, "utf8"));
+            for (const document of parsed.unwrapOr([])) {
+                const written = await this.writer.write(document);
+                if (written.isErr()) {
+                    this.logger.error(
+                        { file, error: written.error.toString(), faults: written.error.faults },
+                        "document refused",
+                    );
+                }
+            }
+        }
+    }
+
+    private async syncWith(peerId: string, request: ConfigSyncRequest): Promise<ConfigSyncReply | undefined> {
+        const reply = await this.transport.call<ConfigSyncReply>(peerId, "config.sync", request, SYNC_TIMEOUT_MS);
+        return reply.isOk() ? reply.value : undefined;
+    }
+
+    private onJobSubmitted(jobId: string): void {
+        if (this.isJobRunner(jobId)) {
+            this.runner.wake();
+            return;
+        }
+        void this.locator.getOwner(this.getJobDataCentre(jobId), getJobSubject(jobId)).then(owner =>
+            owner === undefined ? undefined : this.transport.call(owner, "batch.wake", {}, SYNC_TIMEOUT_MS)
+        );
+    }
+
+    private isJobRunner(jobId: string): boolean {
+        return this.getJobDataCentre(jobId) === this.settings.dataCentre &&
+            this.agreement.isOwner(getJobSubject(jobId));
+    }
+
+    private getJobDataCentre(jobId: string): string {
+        return this.rates.chooseDataCentre(
+            jobId,
+            this.getDataCentres().filter(other => !this.replica.isDataCentreOut(other)),
+        );
+    }
+
+    /** Data centres by their documents; where there are none, this one alone. */
+    private getDataCentres(): readonly string[] {
+        const named = this.replica.getAll("data-centre").flatMap(document =>
+            document.kind === "data-centre" ? [document.dataCentre] : []
+        );
+        return named.length > 0 ? named.sort() : [this.settings.dataCentre];
+    }
+
+    private getConfigAgeMs(): number {
+        return this.platform === undefined ? 0 : this.spreader.getStoreAgeMs();
+    }
+
+    private isReady(): boolean {
+        const { instance, dataCentre } = this.settings;
+        return !this.isDraining &&
+            this.replica.getServices().length > 0 &&
+            !this.replica.isInstanceOut(instance) &&
+            !this.replica.isDataCentreOut(dataCentre);
+    }
+
+    private getHello(): Hello {
+        const { instance, dataCentre, advertiseAddress, listenAddress } = this.settings;
+        return {
+            instanceId: instance,
+            dataCentre,
+            address: advertiseAddress ?? listenAddress,
+            peerPort: this.peerPort,
+            incarnation: this.incarnation,
+        };
+    }
+
+    private getStatus(): InstanceStatus {
+        const table = this.agreement.getTable();
+        return {
+            instanceId: this.settings.instance,
+            dataCentre: this.settings.dataCentre,
+            incarnation: this.incarnation,
+            version: VERSION,
+            isReady: this.isReady(),
+            isLeaseHolder: this.agreement.isHolder(),
+            epoch: table?.epoch ?? 0,
+            members: table?.members ?? [],
+            configDigest: this.replica.getDigest(),
+            storeAgeMs: Math.round(Math.min(this.spreader.getStoreAgeMs(), Number.MAX_SAFE_INTEGER)),
+            inFlight: this.inFlight.size,
+            activeJobs: this.runner.countActive(),
+            invalidDocuments: this.replica.getInvalid(),
+            violations: getInvariantCounts().reduce((total, { violated }) => total + violated, 0),
+            endpoints: this.holder.describe(),
+        };
+    }
+
+    private async collectStatus(): Promise<{ heard: InstanceStatus[]; silent: string[]; }> {
+        const heard = [this.getStatus()];
+        const silent: string[] = [];
+        await Promise.all(
+            this.book.getPeers().map(async ({ instanceId }) => {
+                const reply = await this.transport.call<InstanceStatus>(
+                    instanceId,
+                    "status.get",
+                    {},
+                    STATUS_TIMEOUT_MS,
+                );
+                if (reply.isOk()) {
+                    heard.push(reply.value);
+                }
+                else {
+                    silent.push(instanceId);
+                }
+            }),
+        );
+        heard.sort((left, right) => left.instanceId < right.instanceId ? -1 : 1);
+        return { heard, silent: silent.sort() };
+    }
+
+    private async collectInForce(path: string): Promise<InForceEntry[]> {
+        const { instance, dataCentre } = this.settings;
+        const own: InForceEntry = { instanceId: instance, dataCentre, version: this.replica.getVersion(path) };
+        const others = await Promise.all(
+            this.book.getPeers().map(async (peer): Promise<InForceEntry> => {
+                const reply = await this.transport.call<number>(
+                    peer.instanceId,
+                    "status.version",
+                    { path },
+                    STATUS_TIMEOUT_MS,
+                );
+                return {
+                    instanceId: peer.instanceId,
+                    dataCentre: peer.dataCentre,
+                    version: reply.isOk() ? reply.value : undefined,
+                };
+            }),
+        );
+        return [own, ...others];
+    }
+}
+
+function newRoutePolicy(name: DaemonSettings["routePolicy"]): RoutePolicy {
+    switch (name) {
+        case "prefix-affinity":
+            return new PrefixAffinityPolicy();
+        case "least-outstanding":
+            return new LeastOutstandingPolicy();
+        case "round-robin":
+            return new RoundRobinPolicy();
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/http.ts
@@ -0,0 +1,106 @@
+import { Refusal } from "@heatherline/serving";
+import { err, ok, type Result } from "neverthrow";
+import type http from "node:http";
+
+const MS_PER_S = 1_000;
+
+/** A problem as callers get it (RFC 9457). */
+export interface Problem {
+    readonly type: string;
+    readonly title: string;
+    readonly status: number;
+    readonly code: string;
+    readonly detail: string;
+    readonly notRun: boolean | "unknown";
+    readonly retryAfterMs?: number;
+    readonly requestId?: string;
+}
+
+/**
+ * Reads a whole body.
+ *
+ * @param request - The request.
+ * @param maxBytes - Largest body that is accepted, in bytes.
+ * @returns The body, or why it can't be used.
+ */
+export function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Result<Buffer, Refusal>> {
+    const declaredBytes = Number(request.headers["content-length"] ?? 0);
+    const tooLarge = () => err(new Refusal("body-too-large", 413, `the body is larger than ${maxBytes} bytes`, true));
+    if (declaredBytes > maxBytes) {
+        return Promise.resolve(tooLarge());
+    }
+    return new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        let sizeBytes = 0;
+        request.on("data", (chunk: Buffer) => {
+            sizeBytes += chunk.length;
+            if (sizeBytes > maxBytes) {
+                resolve(tooLarge());
+                request.removeAllListeners("data").resume();
+                return;
+            }
+            chunks.push(chunk);
+        });
+        request.on("end", () => resolve(ok(Buffer.concat(chunks))));
+        request.on("close", () => {
+            if (!request.complete) {
+                resolve(err(new Refusal("bad-request", 400, "the upload ended before it was complete", true)));
+            }
+        });
+        request.on("error", () => undefined);
+    });
+}
+
+/**
+ * Sends a JSON answer.
+ *
+ * @param response - The response.
+ * @param status - HTTP status.
+ * @param body - Anything that JSON can express.
+ */
+export function sendJson(response: http.ServerResponse, status: number, body: unknown): void {
+    if (response.headersSent || response.destroyed) {
+        return;
+    }
+    const text = JSON.stringify(body);
+    response.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(text) });
+    response.end(text);
+}
+
+/**
+ * Sends a refusal as problem JSON.
+ *
+ * @param response - The response.
+ * @param refusal - The refusal.
+ * @param requestId - Identity of the request.
+ */
+export function sendRefusal(response: http.ServerResponse, refusal: Refusal, requestId: string): void {
+    if (response.headersSent || response.destroyed) {
+        response.destroy();
+        return;
+    }
+    const problem: Problem = {
+        type: `urn:heatherline:problem:${refusal.kind}`,
+        title: refusal.kind.replaceAll("-", " "),
+        status: refusal.status,
+        code: refusal.kind,
+        detail: refusal.message,
+        notRun: refusal.notRun,
+        retryAfterMs: refusal.retryAfterMs === undefined ? undefined : Math.ceil(refusal.retryAfterMs),
+        requestId,
+    };
+    const text = JSON.stringify(problem);
+    const headers: http.OutgoingHttpHeaders = {
+        "content-type": "application/problem+json",
+        "content-length": Buffer.byteLength(text),
+        "x-request-id": requestId,
+    };
+    if (refusal.retryAfterMs !== undefined) {
+        headers["retry-after"] = String(Math.max(1, Math.ceil(refusal.retryAfterMs / MS_PER_S)));
+    }
+    if (refusal.kind === "body-too-large" || refusal.kind === "shutting-down") {
+        headers.connection = "close";
+    }
+    response.writeHead(refusal.status, headers);
+    response.end(text);
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./adminApi";
+export * from "./daemon";
+export * from "./settings";
--- /dev/null
+++ b/packages/daemon/src/onlineApi.ts
@@ -0,0 +1,99 @@
+import { monotonicMs } from "@heatherline/common";
+import { newExchange, type Pipeline, Refusal } from "@heatherline/serving";
+import { err, ok, type Result } from "neverthrow";
+import type http from "node:http";
+import { readBody, sendRefusal } from "./http";
+import { HttpSink } from "./httpSink";
+
+const TIMEOUT_HEADER = "x-timeout-ms";
+const DEADLINE_HEADER = "x-deadline";
+const MAX_TIMEOUT_MS = 3_600_000;
+const DEFAULT_TIMEOUT_MS = 60_000;
+
+/**
+ * Serves one online request: reads it, runs it through the filters, and answers what they refuse.
+ *
+ * @param request - The caller's request.
+ * @param response - The caller's response.
+ * @param requestId - Identity of the request.
+ * @param pipeline - The filters.
+ * @param maxBodyBytes - Largest body, in bytes.
+ */
+export async function serveOnline(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    requestId: string,
+    pipeline: Pipeline,
+    maxBodyBytes: number,
+): Promise<void> {
+    const timeoutMs = readTimeoutMs(request.headers);
+    if (timeoutMs.isErr()) {
+        sendRefusal(response, timeoutMs.error, requestId);
+        return;
+    }
+    const ending = new AbortController();
+    const deadline = setTimeout(() => ending.abort("deadline"), timeoutMs.value);
+    response.on("close", () => {
+        clearTimeout(deadline);
+        if (!response.writableFinished) {
+            ending.abort("caller-gone");
+        }
+    });
+    const deadlineAtMs = monotonicMs() + timeoutMs.value;
+    const body = await readBody(request, maxBodyBytes);
+    if (body.isErr()) {
+        sendRefusal(response, body.error, requestId);
+        return;
+    }
+    const sink = new HttpSink(response);
+    const outcome = await pipeline(newExchange({
+        requestId,
+        workClass: "online",
+        method: request.method ?? "GET",
+        path: request.url ?? "/",
+        headers: request.headers,
+        body: body.value,
+        sink,
+        ending,
+        deadlineAtMs,
+    }));
+    if (outcome.isOk()) {
+        return;
+    }
+    if (sink.hasBegun) {
+        // An error status can't be sent any more. A cut connection tells the caller that the answer is not whole.
+        sink.breakOff();
+        return;
+    }
+    sendRefusal(response, outcome.error, requestId);
+}
+
+/**
+ * @param headers - Headers of a request.
+ * @returns How long the caller waits, in milliseconds, or why the deadline can't be met.
+ */
+export function readTimeoutMs(headers: http.IncomingHttpHeaders): Result<number, Refusal> {
+    const timeout = headers[TIMEOUT_HEADER];
+    const deadline = headers[DEADLINE_HEADER];
+    if (timeout !== undefined) {
+        const timeoutMs = Number(timeout);
+        if (!Number.isFinite(timeoutMs) || timeoutMs > MAX_TIMEOUT_MS || String(timeout).trim() === "") {
+            return err(new Refusal("bad-deadline", 400, `X-Timeout-Ms must be a number up to ${MAX_TIMEOUT_MS}`, true));
+        }
+        return checkLeft(timeoutMs);
+    }
+    if (deadline !== undefined) {
+        const untilMs = Date.parse(String(deadline));
+        if (Number.isNaN(untilMs)) {
+            return err(new Refusal("bad-deadline", 400, "X-Deadline must be a time in ISO 8601", true));
+        }
+        return checkLeft(Math.min(untilMs - Date.now(), MAX_TIMEOUT_MS));
+    }
+    return ok(DEFAULT_TIMEOUT_MS);
+}
+
+function checkLeft(leftMs: number): Result<number, Refusal> {
+    return leftMs > 0
+        ? ok(leftMs)
+        : err(new Refusal("deadline-passed", 504, "the deadline has passed already", true, 0));
+}
--- /dev/null
+++ b/packages/daemon/src/ownerLocator.ts
@@ -0,0 +1,107 @@
+import type { DataCentreAgreement, MemberTable, PeerTransport } from "@heatherline/agreement";
+import { monotonicMs, rankByRendezvous } from "@heatherline/common";
+import type { PeerBook } from "./peerBook";
+
+const TABLE_TTL_MS = 1_500;
+const TABLE_TIMEOUT_MS = 600;
+const TABLE_ATTEMPTS = 2;
+/** A data centre whose work others take over has been silent for this long, in milliseconds. */
+const SILENCE_MS = 10_000;
+
+interface CachedTable {
+    readonly table: MemberTable | undefined;
+    readonly atMs: number;
+}
+
+/** Finds the owners of subjects in this and in other data centres. */
+export class OwnerLocator {
+    private readonly tables = new Map<string, CachedTable>();
+    private readonly heardAtMs = new Map<string, number>();
+    private readonly pending = new Map<string, Promise<MemberTable | undefined>>();
+
+    /**
+     * @param dataCentre - This data centre.
+     * @param agreement - The agreement of this data centre.
+     * @param book - Known instances.
+     * @param transport - Calls to them.
+     */
+    constructor(
+        private readonly dataCentre: string,
+        private readonly agreement: DataCentreAgreement,
+        private readonly book: PeerBook,
+        private readonly transport: PeerTransport,
+    ) {}
+
+    /**
+     * @param dataCentre - A data centre.
+     * @param subject - What has to be decided about there.
+     * @returns The owner, as far as is known.
+     */
+    async getOwner(dataCentre: string, subject: string): Promise<string | undefined> {
+        if (dataCentre === this.dataCentre) {
+            return this.agreement.getOwner(subject);
+        }
+        const table = await this.getTable(dataCentre);
+        return table === undefined ? undefined : rankByRendezvous(subject, table.members)[0];
+    }
+
+    /**
+     * @param dataCentre - A data centre.
+     * @returns Its table, as one of its instances acts on it.
+     */
+    async getTable(dataCentre: string): Promise<MemberTable | undefined> {
+        if (dataCentre === this.dataCentre) {
+            return this.agreement.getTable();
+        }
+        const cached = this.tables.get(dataCentre);
+        if (cached !== undefined && monotonicMs() - cached.atMs < TABLE_TTL_MS) {
+            return cached.table;
+        }
+        let pending = this.pending.get(dataCentre);
+        if (pending === undefined) {
+            pending = this.fetchTable(dataCentre).finally(() => this.pending.delete(dataCentre));
+            this.pending.set(dataCentre, pending);
+        }
+        return pending;
+    }
+
+    /**
+     * @param dataCentre - Another data centre.
+     * @returns Whether none of its instances has answered lately.
+     */
+    isSilent(dataCentre: string): boolean {
+        const cached = this.tables.get(dataCentre);
+        if (cached === undefined || monotonicMs() - cached.atMs >= TABLE_TTL_MS) {
+            void this.getTable(dataCentre);
+        }
+        return monotonicMs() - (this.heardAtMs.get(dataCentre) ?? -Infinity) > SILENCE_MS;
+    }
+
+    /**
+     * Forgets a table that has proved wrong.
+     *
+     * @param dataCentre - Its data centre.
+     */
+    forget(dataCentre: string): void {
+        this.tables.delete(dataCentre);
+    }
+
+    private async fetchTable(dataCentre: string): Promise<MemberTable | undefined> {
+        const peers = this.book.getPeersIn(dataCentre).sort(() => Math.random() - 0.5);
+        for (const peer of peers.slice(0, TABLE_ATTEMPTS)) {
+            const reply = await this.transport.call<MemberTable | undefined>(
+                peer.instanceId,
+                "agreement.table",
+                {},
+                TABLE_TIMEOUT_MS,
+            );
+            if (reply.isOk() && reply.value) {
+                this.tables.set(dataCentre, { table: reply.value, atMs: monotonicMs() });
+                this.heardAtMs.set(dataCentre, monotonicMs());
+                return reply.value;
+            }
+        }
+        this.tables.set(dataCentre, { table: undefined, atMs: monotonicMs() });
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/serving/src/dispatch.ts
@@ -0,0 +1,134 @@
+import { monotonicMs } from "@heatherline/common";
+import { err, ok, type Result } from "neverthrow";
+import http from "node:http";
+import type { CreditHolder, EndpointSlot } from "./endpoints/holder";
+import { DispatchError } from "./errors";
+import type { Delivered, Exchange, WorkClass } from "./exchange";
+import type { Dispatcher } from "./filters/attempt";
+import { AnswerRelay } from "./relay";
+
+const REQUEST_ID_HEADER = "x-request-id";
+const START_MARK_HEADER = "x-endpoint-start";
+const KEEP_ALIVE_MS = 4_000;
+const OVERLOAD_STATUSES = new Set([429, 503]);
+
+/** Headers that are never passed on: they belong to one connection, or carry the caller's secrets. */
+const STRIPPED_HEADERS = new Set([
+    "authorization",
+    "connection",
+    "content-length",
+    "cookie",
+    "expect",
+    "host",
+    "idempotency-key",
+    "keep-alive",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-api-key",
+    "x-deadline",
+    "x-request-id",
+    "x-timeout-ms",
+]);
+
+/** Runs one attempt over HTTP; online and batch have connections of their own. */
+export class HttpDispatcher implements Dispatcher {
+    private readonly agents: Record<WorkClass, http.Agent> = {
+        online: new http.Agent({ keepAlive: true, timeout: KEEP_ALIVE_MS, scheduling: "lifo" }),
+        batch: new http.Agent({ keepAlive: true, timeout: KEEP_ALIVE_MS, scheduling: "lifo" }),
+    };
+
+    /**
+     * @param holder - Told how endpoints answer.
+     */
+    constructor(private readonly holder: CreditHolder) {}
+
+    async dispatch(exchange: Exchange, slot: EndpointSlot): Promise<Result<Delivered, DispatchError>> {
+        const sentAtMs = monotonicMs();
+        const response = await this.send(exchange, slot);
+        if (response.isErr()) {
+            return err(response.error);
+        }
+        const incoming = response.value;
+        exchange.firstByteMs = monotonicMs() - exchange.startedAtMs;
+        const startMark = incoming.headers[START_MARK_HEADER];
+        this.holder.noteAnswer(
+            slot.endpoint,
+            monotonicMs() - sentAtMs,
+            typeof startMark === "string" ? startMark : undefined,
+        );
+        const echoed = incoming.headers[REQUEST_ID_HEADER];
+        if (echoed !== undefined && echoed !== exchange.requestId) {
+            incoming.destroy();
+            return err(new DispatchError("stray", `the answer belongs to request ${String(echoed)}`, true));
+        }
+        if (OVERLOAD_STATUSES.has(incoming.statusCode ?? 0) && exchange.route?.idempotent === true) {
+            incoming.resume();
+            return err(new DispatchError("overloaded", `status ${incoming.statusCode}`, true));
+        }
+        return new AnswerRelay(exchange, incoming).run();
+    }
+
+    private send(exchange: Exchange, slot: EndpointSlot): Promise<Result<http.IncomingMessage, DispatchError>> {
+        const { signal } = exchange.ending;
+        if (signal.aborted) {
+            return Promise.resolve(err(new DispatchError("aborted", "given up before sending", false)));
+        }
+        const isIdempotent = exchange.route?.idempotent === true;
+        return new Promise(resolve => {
+            let isSent = false;
+            const markSent = () => {
+                isSent = true;
+                exchange.isSent = true;
+            };
+            const request = http.request({
+                host: slot.spec.address,
+                port: slot.spec.port,
+                method: exchange.method,
+                path: exchange.upstreamPath,
+                headers: getUpstreamHeaders(exchange),
+                // A connection that was idle may be closed by the other side just as the request goes out, and then
+                // nobody knows whether it ran. What must not run twice gets a connection of its own.
+                agent: isIdempotent ? this.agents[exchange.workClass] : false,
+                signal,
+            });
+            request.on("socket", socket => {
+                socket.setNoDelay(true);
+                if (socket.connecting) {
+                    socket.once("connect", markSent);
+                }
+                else {
+                    markSent();
+                }
+            });
+            request.on("response", incoming => resolve(ok(incoming)));
+            request.on("error", (error: NodeJS.ErrnoException) => {
+                resolve(err(toDispatchError(error, isSent, signal.aborted)));
+            });
+            request.end(exchange.body);
+        });
+    }
+}
+
+function toDispatchError(error: NodeJS.ErrnoException, isSent: boolean, isAborted: boolean): DispatchError {
+    if (isAborted) {
+        return new DispatchError("aborted", "given up", isSent, error);
+    }
+    return isSent
+        ? new DispatchError("reset", "the connection broke", true, error)
+        : new DispatchError("refused", "no connection", false, error);
+}
+
+function getUpstreamHeaders(exchange: Exchange): http.OutgoingHttpHeaders {
+    const headers: http.OutgoingHttpHeaders = {};
+    for (const [name, value] of Object.entries(exchange.headers)) {
+        if (!STRIPPED_HEADERS.has(name)) {
+            headers[name] = value;
+        }
+    }
+    headers[REQUEST_ID_HEADER] = exchange.requestId;
+    headers["content-length"] = exchange.body.length;
+    return headers;
+}
--- /dev/null
+++ b/packages/serving/src/filters/attempt.ts
@@ -0,0 +1,173 @@
+import { monotonicMs } from "@heatherline/common";
+import type { ConfigReplica } from "@heatherline/config";
+import { err, ok, type Result } from "neverthrow";
+import type { EndpointSlot } from "../endpoints/holder";
+import type { HealthEvent } from "../endpoints/warmth";
+import { type DispatchError, Refusal, type RoutingError } from "../errors";
+import { type Delivered, type Exchange, type Filter, getEndReason, type Next, type Outcome } from "../exchange";
+import type { RetryBudget } from "../retryBudget";
+import type { Scheduler } from "../scheduler";
+import type { SuspectRegistry } from "../suspects";
+
+/** Sends a request to one endpoint and relays its answer. */
+export interface Dispatcher {
+    /**
+     * @param exchange - The request.
+     * @param slot - The place at the endpoint.
+     * @returns What was delivered, or why the attempt failed.
+     */
+    dispatch(exchange: Exchange, slot: EndpointSlot): Promise<Result<Delivered, DispatchError>>;
+}
+
+const MAX_ATTEMPTS = 3;
+const QUARANTINE_RETRY_MS = 3_600_000;
+const FAILED_RETRY_MS = 1_000;
+
+/** Queues a request for a place at an endpoint, runs it there, and runs it again elsewhere where that is allowed. */
+export class AttemptFilter implements Filter {
+    readonly name = "attempt";
+
+    /**
+     * @param scheduler - Hands out places.
+     * @param dispatcher - Runs one attempt.
+     * @param retries - Bounds the retries of each service.
+     * @param suspects - Requests that may crash endpoints.
+     * @param replica - The configuration in force.
+     */
+    constructor(
+        private readonly scheduler: Scheduler,
+        private readonly dispatcher: Dispatcher,
+        private readonly retries: RetryBudget,
+        private readonly suspects: SuspectRegistry,
+        private readonly replica: ConfigReplica,
+    ) {}
+
+    async handle(exchange: Exchange, unusedNext: Next): Promise<Outcome> {
+        const { service } = exchange;
+        if (service === undefined) {
+            return err(new Refusal("internal", 500, "the request has no service", true));
+        }
+        this.retries.noteRequest(service.service);
+        const excluded = new Set<string>();
+        for (;;) {
+            if (this.isQuarantined(exchange.fingerprint)) {
+                return err(newQuarantined(exchange));
+            }
+            const slot = await this.scheduler.acquire(service.service, {
+                exchange,
+                excluded,
+                isExclusive: this.suspects.isSuspect(exchange.fingerprint),
+                preempt: exchange.workClass === "batch" ? () => exchange.ending.abort("preempted") : undefined,
+            });
+            if (slot.isErr()) {
+                return err(toRoutingRefusal(slot.error, exchange));
+            }
+            const outcome = await this.attempt(exchange, slot.value);
+            if (outcome.isOk()) {
+                return ok(outcome.value);
+            }
+            if (!this.mayRetry(exchange, outcome.error, service.service)) {
+                return err(toRefusal(outcome.error, exchange));
+            }
+            excluded.add(slot.value.endpoint);
+        }
+    }
+
+    private isQuarantined(fingerprint: string | undefined): boolean {
+        return fingerprint !== undefined &&
+            (this.replica.isQuarantined(fingerprint) || this.suspects.isCondemned(fingerprint));
+    }
+
+    private async attempt(exchange: Exchange, slot: EndpointSlot): Promise<Result<Delivered, DispatchError>> {
+        exchange.attempts += 1;
+        exchange.endpoint = slot.endpoint;
+        const leave = this.suspects.enter(slot.endpoint, exchange.fingerprint, slot.isExclusive);
+        let event: HealthEvent | undefined;
+        try {
+            const outcome = await this.dispatcher.dispatch(exchange, slot);
+            event = getHealthEvent(outcome.isOk() ? undefined : outcome.error.kind);
+            return outcome;
+        }
+        finally {
+            leave(event);
+            slot.release(event);
+        }
+    }
+
+    private mayRetry(exchange: Exchange, error: DispatchError, service: string): boolean {
+        const isRepeatable = exchange.route?.idempotent === true || !error.isSent;
+        return isRepeatable &&
+            error.kind !== "aborted" &&
+            !exchange.ending.signal.aborted &&
+            !exchange.sink.hasBegun &&
+            exchange.attempts < MAX_ATTEMPTS &&
+            monotonicMs() < exchange.deadlineAtMs &&
+            this.retries.take(service);
+    }
+}
+
+function getHealthEvent(kind: DispatchError["kind"] | undefined): HealthEvent | undefined {
+    switch (kind) {
+        case undefined:
+            return "success";
+        case "refused":
+            return "refused";
+        case "reset":
+        case "truncated":
+            return "crashed";
+        case "overloaded":
+            return "overloaded";
+        case "timeout":
+            return "slow";
+        case "stray":
+        case "aborted":
+            return undefined;
+    }
+}
+
+function toRoutingRefusal(error: RoutingError, exchange: Exchange): Refusal {
+    const notRun = exchange.isSent ? "unknown" : true;
+    switch (error.kind) {
+        case "no-endpoint":
+            return new Refusal("no-endpoint", 503, error.message, notRun, error.retryAfterMs, error);
+        case "queue-full":
+            return new Refusal("queue-full", 503, error.message, notRun, error.retryAfterMs, error);
+        case "unreachable-deadline":
+            return new Refusal("deadline-unreachable", 503, error.message, notRun, error.retryAfterMs, error);
+        case "aborted":
+            return newAborted(exchange, error);
+    }
+}
+
+function toRefusal(error: DispatchError, exchange: Exchange): Refusal {
+    if (error.kind === "aborted") {
+        return newAborted(exchange, error);
+    }
+    if (error.kind === "overloaded") {
+        return new Refusal("endpoint-failed", 503, "the endpoint is overloaded", "unknown", FAILED_RETRY_MS, error);
+    }
+    const notRun = exchange.isSent ? "unknown" : true;
+    const message = exchange.isSent
+        ? "the endpoint failed while it had the request"
+        : "no endpoint could be reached; the request was not run";
+    const code = exchange.isSent && exchange.route?.idempotent !== true ? "outcome-unknown" : "endpoint-failed";
+    return new Refusal(code, 502, message, notRun, FAILED_RETRY_MS, error);
+}
+
+function newAborted(exchange: Exchange, cause: unknown): Refusal {
+    const notRun = exchange.isSent ? "unknown" : true;
+    switch (getEndReason(exchange)) {
+        case "deadline":
+            return new Refusal("deadline-passed", 504, "the deadline passed", notRun, 0, cause);
+        case "shutdown":
+            return new Refusal("shutting-down", 503, "the instance is shutting down", notRun, 0, cause);
+        default:
+            return new Refusal("caller-gone", 499, "given up", notRun, undefined, cause);
+    }
+}
+
+function newQuarantined(exchange: Exchange): Refusal {
+    const notRun = exchange.isSent ? "unknown" : true;
+    const message = "this request has crashed the endpoints that ran it and is not run again";
+    return new Refusal("quarantined", 422, message, notRun, QUARANTINE_RETRY_MS);
+}
--- /dev/null
+++ b/packages/serving/src/filters/identify.ts
@@ -0,0 +1,125 @@
+import { sha256Hex } from "@heatherline/common";
+import { authenticateKey, type ConfigReplica } from "@heatherline/config";
+import { err } from "neverthrow";
+import { Refusal } from "../errors";
+import { type Exchange, type Filter, getEndReason, type Next, type Outcome } from "../exchange";
+
+const BEARER = /^Bearer\s+(\S+)$/i;
+
+/** Requests that run under each key, so that a withdrawn key also ends what is in flight. */
+export class InFlightRegistry {
+    private readonly byKey = new Map<string, Set<Exchange>>();
+    private readonly all = new Set<Exchange>();
+
+    /** Number of exchanges in flight. */
+    get size(): number {
+        return this.all.size;
+    }
+
+    /**
+     * @param exchange - An exchange that begins.
+     */
+    add(exchange: Exchange): void {
+        this.all.add(exchange);
+        if (exchange.keyId !== undefined) {
+            const exchanges = this.byKey.get(exchange.keyId) ?? new Set<Exchange>();
+            exchanges.add(exchange);
+            this.byKey.set(exchange.keyId, exchanges);
+        }
+    }
+
+    /**
+     * @param exchange - An exchange that has ended.
+     */
+    remove(exchange: Exchange): void {
+        this.all.delete(exchange);
+        if (exchange.keyId !== undefined) {
+            const exchanges = this.byKey.get(exchange.keyId);
+            exchanges?.delete(exchange);
+            if (exchanges?.size === 0) {
+                this.byKey.delete(exchange.keyId);
+            }
+        }
+    }
+
+    /**
+     * Ends everything that runs under a key.
+     *
+     * @param keyId - The withdrawn key.
+     * @returns How many exchanges were ended.
+     */
+    endKey(keyId: string): number {
+        const exchanges = this.byKey.get(keyId) ?? new Set<Exchange>();
+        for (const exchange of exchanges) {
+            exchange.ending.abort("key-withdrawn");
+        }
+        return exchanges.size;
+    }
+}
+
+/** Finds out whose request it is. The key goes no further than here. */
+export class IdentifyFilter implements Filter {
+    readonly name = "identify";
+
+    /**
+     * @param replica - The configuration in force.
+     * @param inFlight - Requests in flight.
+     * @param getConfigAgeMs - How long ago news of withdrawn keys could last arrive, in milliseconds.
+     */
+    constructor(
+        private readonly replica: ConfigReplica,
+        private readonly inFlight: InFlightRegistry,
+        private readonly getConfigAgeMs: () => number,
+    ) {}
+
+    async handle(exchange: Exchange, next: Next): Promise<Outcome> {
+        const refusal = this.identify(exchange);
+        if (refusal !== undefined) {
+            return err(refusal);
+        }
+        this.inFlight.add(exchange);
+        try {
+            const outcome = await next(exchange);
+            if (outcome.isErr() && getEndReason(exchange) === "key-withdrawn") {
+                const notRun = exchange.isSent ? "unknown" : true;
+                return err(new Refusal("key-withdrawn", 401, "the key has been withdrawn", notRun));
+            }
+            return outcome;
+        }
+        finally {
+            this.inFlight.remove(exchange);
+        }
+    }
+
+    private identify(exchange: Exchange): Refusal | undefined {
+        const { route, service, headers } = exchange;
+        if (route?.access === "open" || service === undefined) {
+            return undefined;
+        }
+        const secretKey = BEARER.exec(headers.authorization ?? "")?.[1];
+        if (secretKey === undefined) {
+            return new Refusal("key-missing", 401, "a key is needed: Authorization: Bearer hl_...", true);
+        }
+        if (this.getConfigAgeMs() > service.keyListMaxAgeS * 1_000) {
+            const message = "keys can't be checked: no news of withdrawals for too long";
+            return new Refusal("store-unavailable", 503, message, true, RETRY_AFTER_MS);
+        }
+        const key = authenticateKey(secretKey, this.replica);
+        if (key === undefined) {
+            return new Refusal("key-invalid", 401, "the key is not known or has been withdrawn", true);
+        }
+        const organisation = service.organisations.find(other => other.organisation === key.organisation);
+        if (organisation === undefined) {
+            const message = `${key.organisation} may not call ${service.service}`;
+            return new Refusal("organisation-not-allowed", 403, message, true);
+        }
+        exchange.keyId = key.keyId;
+        exchange.organisation = organisation;
+        exchange.fingerprint = sha256Hex(
+            `${key.organisation}\0${exchange.upstreamPath ?? ""}\0${sha256Hex(exchange.body)}`,
+        );
+        return undefined;
+    }
+}
+
+const RETRY_AFTER_MS = 5_000;
--- /dev/null
+++ b/packages/serving/src/filters/limit.ts
@@ -0,0 +1,44 @@
+import type { LimitError, RateLimiter } from "@heatherline/limits";
+import { err } from "neverthrow";
+import { Refusal } from "../errors";
+import { type Exchange, type Filter, getEndReason, type Next, type Outcome } from "../exchange";
+
+/** Admits requests within the rate and burst of their organisation. */
+export class LimitFilter implements Filter {
+    readonly name = "limit";
+
+    /**
+     * @param limiter - Decides about rates.
+     */
+    constructor(private readonly limiter: RateLimiter) {}
+
+    async handle(exchange: Exchange, next: Next): Promise<Outcome> {
+        const { organisation, service } = exchange;
+        if (organisation === undefined || service === undefined) {
+            return next(exchange);
+        }
+        const subject = { service: service.service, organisation: organisation.organisation };
+        const permit = await this.limiter.acquire(subject, organisation, exchange.ending.signal);
+        if (permit.isErr()) {
+            return err(toRefusal(permit.error, exchange));
+        }
+        const outcome = await next(exchange);
+        if (outcome.isErr() && outcome.error.notRun === true) {
+            permit.value.giveBack();
+        }
+        return outcome;
+    }
+}
+
+function toRefusal(error: LimitError, exchange: Exchange): Refusal {
+    switch (error.kind) {
+        case "exceeded":
+            return new Refusal("rate-limited", 429, error.message, true, error.retryAfterMs, error);
+        case "unavailable":
+            return new Refusal("limit-unavailable", 503, error.message, true, error.retryAfterMs, error);
+        case "aborted":
+            return getEndReason(exchange) === "deadline"
+                ? new Refusal("deadline-passed", 504, "the deadline passed before the request ran", true, 0, error)
+                : new Refusal("caller-gone", 499, "given up before the request ran", true, undefined, error);
+    }
+}
--- /dev/null
+++ b/packages/serving/src/relay.ts
@@ -0,0 +1,96 @@
+import { err, ok, type Result } from "neverthrow";
+import type http from "node:http";
+import { DispatchError } from "./errors";
+import type { Delivered, Exchange } from "./exchange";
+
+/** Answers up to this size are checked as a whole before the caller gets the first byte. */
+const MAX_BUFFERED_BYTES = 1_048_576;
+const EVENT_STREAM = "text/event-stream";
+const FINAL_EVENT = "data: [DONE]";
+/** Bytes kept of the end of a stream, to recognise its final event. */
+const KEPT_TAIL_BYTES = 64;
+
+const RELAYED_HEADERS = ["content-type", "cache-control", "etag", "last-modified", "location", "content-language"];
+
+/** Relays one answer from an endpoint to the caller, and tells whether it came whole. */
+export class AnswerRelay {
+    private readonly isEventStream: boolean;
+    private buffered: Buffer[] = [];
+    private bufferedBytes = 0;
+    private tail = "";
+
+    /**
+     * @param exchange - The request.
+     * @param incoming - The endpoint's answer.
+     */
+    constructor(private readonly exchange: Exchange, private readonly incoming: http.IncomingMessage) {
+        this.isEventStream = String(incoming.headers["content-type"] ?? "").startsWith(EVENT_STREAM);
+    }
+
+    /** @returns What was delivered, or why the answer is not whole. */
+    async run(): Promise<Result<Delivered, DispatchError>> {
+        const { sink } = this.exchange;
+        const status = this.incoming.statusCode ?? 502;
+        try {
+            for await (const chunk of this.incoming as AsyncIterable<Buffer>) {
+                await this.take(chunk, status);
+            }
+        }
+        catch (error) {
+            return this.fail(this.exchange.ending.signal.aborted ? "aborted" : "truncated", error);
+        }
+        if (!this.incoming.complete) {
+            return this.fail("truncated", undefined);
+        }
+        if (this.isEventStream && status === 200 && !this.tail.includes(FINAL_EVENT)) {
+            return this.fail("truncated", undefined);
+        }
+        if (!sink.hasBegun) {
+            this.begin(status, this.bufferedBytes);
+        }
+        sink.end();
+        return ok({ status });
+    }
+
+    private async take(chunk: Buffer, status: number): Promise<void> {
+        this.exchange.answerBytes += chunk.length;
+        if (this.isEventStream) {
+            this.tail = (this.tail + chunk.toString("latin1")).slice(-KEPT_TAIL_BYTES);
+            if (!this.exchange.sink.hasBegun) {
+                this.begin(status);
+            }
+        }
+        if (this.exchange.sink.hasBegun) {
+            await this.exchange.sink.write(chunk);
+            return;
+        }
+        this.buffered.push(chunk);
+        this.bufferedBytes += chunk.length;
+        if (this.bufferedBytes > MAX_BUFFERED_BYTES) {
+            this.begin(status);
+        }
+    }
+
+    private begin(status: number, lengthBytes?: number): void {
+        const headers: Record<string, string> = { "x-request-id": this.exchange.requestId };
+        for (const name of RELAYED_HEADERS) {
+            const value = this.incoming.headers[name];
+            if (typeof value === "string") {
+                headers[name] = value;
+            }
+        }
+        if (lengthBytes !== undefined) {
+            headers["content-length"] = String(lengthBytes);
+        }
+        this.exchange.sink.begin(status, headers);
+        for (const chunk of this.buffered) {
+            void this.exchange.sink.write(chunk);
+        }
+        this.buffered = [];
+    }
+
+    private fail(kind: "aborted" | "truncated", cause: unknown): Result<Delivered, DispatchError> {
+        this.incoming.destroy();
+        return err(new DispatchError(kind, "the answer ended before it was whole", true, cause));
+    }
+}
--- /dev/null
+++ b/packages/serving/src/suspects.ts
@@ -0,0 +1,117 @@
+import { monotonicMs } from "@heatherline/common";
+import type { HealthEvent } from "./endpoints/warmth";
+
+/** A crash of an endpoint and the requests that ran there. */
+export interface CrashReport {
+    readonly endpoint: string;
+    readonly fingerprints: readonly string[];
+    /** The request that ran alone, which makes it the cause. */
+    readonly culprit: string | undefined;
+}
+
+/** How long a request that was present at a crash stays suspect, in milliseconds. */
+const SUSPECT_TTL_MS = 600_000;
+const MAX_SUSPECTS = 10_000;
+
+/**
+ * Requests that were running when an endpoint crashed. A suspect runs again only alone: if it then ends well it is
+ * cleared, and if the endpoint crashes again it is the cause. Requests that merely stood beside are never blamed.
+ */
+export class SuspectRegistry {
+    private readonly suspects = new Map<string, number>();
+    private readonly condemned = new Set<string>();
+    private readonly present = new Map<string, Map<symbol, string>>();
+
+    /**
+     * @param onCrash - Told of each crash seen here.
+     * @param onCleared - Told of each suspect that ran well.
+     */
+    constructor(
+        private readonly onCrash: (report: CrashReport) => void,
+        private readonly onCleared: (fingerprint: string) => void,
+    ) {}
+
+    /**
+     * @param fingerprint - Fingerprint of a request, where it has one.
+     * @returns Whether the request may only run alone.
+     */
+    isSuspect(fingerprint: string | undefined): boolean {
+        const untilMs = fingerprint === undefined ? undefined : this.suspects.get(fingerprint);
+        return untilMs !== undefined && monotonicMs() < untilMs;
+    }
+
+    /**
+     * @param fingerprint - Fingerprint of a request, where it has one.
+     * @returns Whether the request is known to crash endpoints, though the configuration may not say so yet.
+     */
+    isCondemned(fingerprint: string | undefined): boolean {
+        return fingerprint !== undefined && this.condemned.has(fingerprint);
+    }
+
+    /**
+     * @param fingerprint - A request that crashed an endpoint on which it ran alone.
+     */
+    condemn(fingerprint: string): void {
+        this.condemned.add(fingerprint);
+        this.suspects.delete(fingerprint);
+    }
+
+    /**
+     * Notes that a request begins at an endpoint.
+     *
+     * @param endpoint - The endpoint.
+     * @param fingerprint - Fingerprint of the request.
+     * @param isAlone - Whether nothing else runs there.
+     * @returns To be called once with how the attempt went.
+     */
+    enter(
+        endpoint: string,
+        fingerprint: string | undefined,
+        isAlone: boolean,
+    ): (event: HealthEvent | undefined) => void {
+        if (fingerprint === undefined) {
+            return () => undefined;
+        }
+        const token = Symbol(endpoint);
+        const here = this.present.get(endpoint) ?? new Map<symbol, string>();
+        here.set(token, fingerprint);
+        this.present.set(endpoint, here);
+        return event => {
+            const fingerprints = [...new Set(here.values())];
+            here.delete(token);
+            if (event === "crashed") {
+                this.add(fingerprints);
+                if (isAlone) {
+                    this.condemn(fingerprint);
+                }
+                this.onCrash({ endpoint, fingerprints, culprit: isAlone ? fingerprint : undefined });
+            }
+            else if (event === "success" && this.suspects.delete(fingerprint)) {
+                this.onCleared(fingerprint);
+            }
+        };
+    }
+
+    /**
+     * @param fingerprints - Requests that a peer saw at a crash.
+     */
+    add(fingerprints: readonly string[]): void {
+        for (const fingerprint of fingerprints) {
+            this.suspects.set(fingerprint, monotonicMs() + SUSPECT_TTL_MS);
+        }
+        while (this.suspects.size > MAX_SUSPECTS) {
+            const oldest = this.suspects.keys().next().value;
+            if (oldest === undefined) {
+                return;
+            }
+            this.suspects.delete(oldest);
+        }
+    }
+
+    /**
+     * @param fingerprint - A request that a peer saw end well.
+     */
+    clear(fingerprint: string): void {
+        this.suspects.delete(fingerprint);
+    }
+}
--- /dev/null
+++ b/packages/store/src/memoryStore.ts
@@ -0,0 +1,132 @@
+import { err, ok, type Result } from "neverthrow";
+import { StoreError } from "./errors";
+import {
+    type ExpectedVersion,
+    type Listing,
+    MAX_VALUE_BYTES,
+    type ObjectStore,
+    type StoredObject,
+    type StoredValue,
+    type StoreEvent,
+    type WatchBatch,
+} from "./types";
+
+const MAX_HISTORY_EVENTS = 20_000;
+
+interface Entry {
+    /** JSON text, so that no caller shares structure with the store; absent for a deleted object. */
+    text?: string;
+    version: number;
+}
+
+interface HistoryEvent extends StoreEvent {
+    readonly revision: number;
+}
+
+/** A complete store in memory: the embedded default of a daemon without a platform, and the core of the stand-in. */
+export class MemoryStore implements ObjectStore {
+    private readonly entries = new Map<string, Entry>();
+    private readonly waiters = new Set<() => void>();
+    private history: HistoryEvent[] = [];
+    private revision = 0;
+
+    async get(path: string): Promise<Result<StoredObject | undefined, StoreError>> {
+        return ok(this.read(path));
+    }
+
+    async list(prefix: string): Promise<Result<Listing, StoreError>> {
+        const objects = [...this.entries.keys()]
+            .filter(path => path.startsWith(prefix))
+            .sort()
+            .map(path => this.read(path))
+            .filter(object => object !== undefined);
+        return ok({ revision: this.revision, objects });
+    }
+
+    async put(path: string, value: StoredValue, expected: ExpectedVersion): Promise<Result<number, StoreError>> {
+        const text = JSON.stringify(value);
+        if (Buffer.byteLength(text) > MAX_VALUE_BYTES) {
+            return err(new StoreError("rejected", `${path} would exceed ${MAX_VALUE_BYTES} bytes`));
+        }
+        return this.replace(path, text, expected);
+    }
+
+    async delete(path: string, expected: ExpectedVersion): Promise<Result<void, StoreError>> {
+        return this.replace(path, undefined, expected).map(() => undefined);
+    }
+
+    async watch(prefix: string, afterRevision: number, waitMs: number): Promise<Result<WatchBatch, StoreError>> {
+        const first = this.eventsAfter(prefix, afterRevision);
+        if (first.isErr() || first.value.events.length > 0) {
+            return first;
+        }
+        await this.waitForChange(prefix, waitMs);
+        return this.eventsAfter(prefix, afterRevision);
+    }
+
+    private read(path: string): StoredObject | undefined {
+        const entry = this.entries.get(path);
+        if (entry?.text === undefined) {
+            return undefined;
+        }
+        return { path, version: entry.version, value: JSON.parse(entry.text) as StoredValue };
+    }
+
+    private replace(path: string, text: string | undefined, expected: ExpectedVersion): Result<number, StoreError> {
+        const entry = this.entries.get(path) ?? { version: 0 };
+        const current = entry.text === undefined ? 0 : entry.version;
+        if (current !== expected) {
+            return err(new StoreError("conflict", `${path} is at version ${current}, not ${expected}`));
+        }
+        entry.version += 1;
+        entry.text = text;
+        this.entries.set(path, entry);
+        this.revision += 1;
+        const value = text === undefined ? undefined : JSON.parse(text) as StoredValue;
+        this.history.push({ path, version: entry.version, value, revision: this.revision });
+        if (this.history.length > MAX_HISTORY_EVENTS) {
+            this.history = this.history.slice(-MAX_HISTORY_EVENTS / 2);
+        }
+        for (const wake of [...this.waiters]) {
+            wake();
+        }
+        return ok(entry.version);
+    }
+
+    private eventsAfter(prefix: string, afterRevision: number): Result<WatchBatch, StoreError> {
+        const oldest = this.history[0]?.revision ?? this.revision + 1;
+        if (afterRevision > this.revision || afterRevision < oldest - 1) {
+            return err(new StoreError("compacted", `position ${afterRevision} is not in the history`));
+        }
+        const events: StoreEvent[] = [];
+        for (let index = this.history.length - 1; index >= 0; index -= 1) {
+            const event = this.history[index];
+            if (event === undefined || event.revision <= afterRevision) {
+                break;
+            }
+            if (event.path.startsWith(prefix)) {
+                events.unshift({ path: event.path, version: event.version, value: event.value });
+            }
+        }
+        return ok({ revision: this.revision, events });
+    }
+
+    private async waitForChange(prefix: string, waitMs: number): Promise<void> {
+        const startRevision = this.revision;
+        await new Promise<void>(resolve => {
+            const finish = () => {
+                clearTimeout(timer);
+                this.waiters.delete(wake);
+                resolve();
+            };
+            const wake = () => {
+                if (this.history.some(event => event.revision > startRevision && event.path.startsWith(prefix))) {
+                    finish();
+                }
+            };
+            const timer = setTimeout(finish, waitMs);
+            timer.unref();
+            this.waiters.add(wake);
+        });
+    }
+}
--- /dev/null
+++ b/standins/soak.ts
@@ -0,0 +1,1 @@
+process.exitCode = 1;
--- /dev/null
+++ b/tools/build.mjs
@@ -0,0 +1,26 @@
+// Bundles each program of the repository into dist/; libraries stay external.
+import { readFileSync } from "node:fs";
+import { build } from "esbuild";
+
+const { dependencies } = JSON.parse(readFileSync(new URL("../package.json", import.meta.url), "utf8"));
+
+await build({
+    entryPoints: {
+        heatherlined: "packages/daemon/src/main.ts",
+        heatherline: "packages/cli/src/main.ts",
+        platform: "standins/platform.ts",
+        endpoint: "standins/endpoint.ts",
+        demo: "standins/demo.ts",
+        soak: "standins/soak.ts",
+        bench: "bench/main.ts",
+    },
+    outdir: "dist",
+    outExtension: { ".js": ".mjs" },
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "esm",
+    sourcemap: true,
+    external: Object.keys(dependencies),
+    logLevel: "warning",
+});
