--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -16,7 +16,7 @@
             "one-var": ["error", "never"],
             "@typescript-eslint/no-floating-promises": "error",
             "@typescript-eslint/no-misused-promises": ["error", { checksVoidReturn: false }],
-            "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^unused" }],
+            "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^unused", varsIgnorePattern: "^unused" }],
         },
     },
 );
--- a/packages/batch/src/runner.ts
+++ b/packages/batch/src/runner.ts
@@ -1,5 +1,6 @@
 import { describeError, invariant, type Logger, monotonicMs, newId, sleep, startLoop } from "@heatherline/common";
 import { type ObjectStore, writeDurably } from "@heatherline/store";
+import { setMaxListeners } from "node:events";
 import PQueue from "p-queue";
 import { type ItemExecutor, runItem } from "./itemRunner";
 import { getChunkPath, getIntentPath, getManifestPath, getOpenPath, getResultPath, OPEN_PREFIX } from "./paths";
@@ -123,6 +124,8 @@
             version,
             confirmedAtMs: monotonicMs(),
         };
+        // Each item listens for the end of its job.
+        setMaxListeners(0, job.stopping.signal, job.cancelling.signal);
         this.active.set(jobId, job);
         this.logger.info({ jobId, organisation, itemCount: manifest.itemCount }, "job runs here");
         const stopConfirm = startLoop(() => CONFIRM_INTERVAL_MS, () => this.confirm(job));
--- a/packages/serving/src/endpoints/holder.ts
+++ b/packages/serving/src/endpoints/holder.ts
@@ -38,6 +38,11 @@
 const SLOW_FACTOR = 6;
 const SLOW_FLOOR_MS = 2_000;
 const SMOOTHING = 0.1;
+/** How fast the memory of online use fades, per refresh. */
+const RECENT_USE_DECAY = 0.9;
+const MIN_RECENT_USE = 0.1;
+/** Credits in advance, as a part of the recent online use. */
+const SPARE_FRACTION = 0.25;
 
 interface Hold {
     readonly endpoint: string;
@@ -46,6 +51,7 @@
     grant: CreditGrant | undefined;
     validUntilMs: number;
     readonly outstanding: Record<WorkClass, number>;
+    recentOnline: number;
     events: HealthEvent[];
     startMark: string | undefined;
     meanFirstByteMs: number | undefined;
@@ -191,6 +197,7 @@
             throw new Error(`endpoint ${endpoint} is not known`);
         }
         hold.outstanding[workClass] += 1;
+        hold.recentOnline = Math.max(hold.recentOnline, hold.outstanding.online);
         const credits = this.getCredits(hold);
         const outstanding = countOutstanding(hold);
         invariant(
@@ -400,7 +407,7 @@
         return {
             instanceId: this.instanceId,
             online: hold.outstanding.online + part(waiting.online),
-            spare: eligible.includes(hold) ? 1 + Math.ceil(hold.outstanding.online / 4) : 0,
+            spare: eligible.includes(hold) ? this.computeSpare(hold) : 0,
             batch: hold.outstanding.batch + part(waiting.batch),
             inUse: outstanding,
             isExclusive: hold.wantsExclusive > 0,
@@ -408,6 +415,12 @@
         };
     }
 
+    /** Credits in advance, in step with the recent online use; none where there is no online traffic. */
+    private computeSpare(hold: Hold): number {
+        hold.recentOnline = Math.max(hold.outstanding.online, hold.recentOnline * RECENT_USE_DECAY);
+        return hold.recentOnline < MIN_RECENT_USE ? 0 : Math.ceil(hold.recentOnline * SPARE_FRACTION);
+    }
+
     private shedBatch(hold: Hold): void {
         let excess = countOutstanding(hold) - (hold.grant?.credits ?? 0);
         while (excess > 0 && hold.preemptions.length > 0) {
@@ -441,6 +454,7 @@
         grant: undefined,
         validUntilMs: 0,
         outstanding: { online: 0, batch: 0 },
+        recentOnline: 0,
         events: [],
         startMark: undefined,
         meanFirstByteMs: undefined,
--- a/packages/serving/src/scheduler.ts
+++ b/packages/serving/src/scheduler.ts
@@ -69,7 +69,7 @@
      * @returns Batch items that could start now.
      */
     countIdle(service: string): number {
-        const reserve = Math.ceil(this.holder.countCredits(service) * BATCH_RESERVE_FRACTION);
+        const reserve = Math.floor(this.holder.countCredits(service) * BATCH_RESERVE_FRACTION);
         const running = this.holder.countRunning(service, "online") + this.holder.countRunning(service, "batch");
         return Math.max(0, this.holder.countCredits(service) - running - reserve - this.getWaiting(service).online);
     }
