Keep owners, rates and claims safe under cuts, freezes and store outages

Cause: the wait counted from when the newcomer learned the table. Change: the holder tells when no member acts on an older table (isSettled), and the wait counts from then. Change: the lease record says which copies were lost together; such keys are refused as not run until a copy is back or claims have run out. A claim is only dropped by the request that made it.

--- a/packages/agreement/src/agreement.ts
+++ b/packages/agreement/src/agreement.ts
@@ -1,5 +1,6 @@
 import { type Logger, monotonicMs, rankByRendezvous, startLoop, withJitter } from "@heatherline/common";
 import type { ObjectStore, StoredObject } from "@heatherline/store";
+import { type Coverage, updateCoverage } from "./coverage";
 import { HolderLease } from "./holderLease";
 import {
     type Heartbeat,
@@ -14,6 +15,8 @@
 
 const CALL_TIMEOUT_MS = 700;
 const SILENCE_MS = HEARTBEAT_INTERVAL_MS * 1.6;
+/** Renewals that certainly take longer than claims are kept. */
+const COVERAGE_GAP_RENEWALS = 14_400;
 const CONSENT_METHOD = "agreement.consent";
 const HEARTBEAT_METHOD = "agreement.heartbeat";
 
@@ -28,6 +31,8 @@
 export interface AgreementSurroundings {
     /** @returns Instances of this data centre that the platform lists, this one included. */
     getListedInstances(): readonly string[];
+    /** @returns Version of the table for which this instance has brought all others up to date; 0 while it has not. */
+    getSyncedVersion(): number;
     /** @returns Facts that this instance, as holder, spreads in its data centre. */
     getNotes(): Record<string, unknown>;
     /**
@@ -43,6 +48,12 @@
      * @param table - The new table.
      */
     onTable(table: MemberTable): void;
+    /**
+     * Called when no member acts on an older table any more.
+     *
+     * @param version - Version of the table that all act on.
+     */
+    onSettled(version: number): void;
 }
 
 interface Observation {
@@ -57,6 +68,9 @@
     /** Until when a part handed to the member may be valid. */
     partUntilMs: number;
     incarnation: string | undefined;
+    /** Version of the table that the member acts on. */
+    tableVersion: number;
+    syncedVersion: number;
 }
 
 /**
@@ -107,12 +121,18 @@
     /** Gives up what this instance owns and stops. */
     async stop(): Promise<void> {
         this.isLeaving = true;
-        await this.tickHeartbeat();
+        // Nothing is decided here any more before others hear that they may decide.
+        this.partValidUntilMs = 0;
         for (const stop of this.stops) {
             void stop();
         }
-        this.partValidUntilMs = 0;
+        const { lease } = this;
         this.lease = undefined;
+        if (lease === undefined || lease.getRemainingMs() === 0) {
+            await this.tickHeartbeat();
+            return;
+        }
+        await this.store.put(this.path, { ...lease.record, isReleased: true }, lease.version);
     }
 
     /** @returns The table this instance acts on, or `undefined` when its part has lapsed. */
@@ -187,19 +207,29 @@
             // A member that leaves has given up what it owned before it said so.
             partUntilMs: heartbeat.isLeaving ? 0 : Math.max(state?.partUntilMs ?? 0, nowMs + partMs),
             incarnation: heartbeat.incarnation,
+            tableVersion: heartbeat.tableVersion,
+            syncedVersion: heartbeat.syncedVersion,
         });
         if (state?.incarnation !== undefined && state.incarnation !== heartbeat.incarnation) {
             this.isMemberRestarted = true;
         }
-        const { epoch, version, holder, members } = lease.record;
         return {
-            table: { epoch, version, holder, members },
+            table: getTableOf(lease.record),
             stamp: nowMs,
             remainingMs: partMs,
+            isSettled: this.isSettled(lease.record),
             notes: this.surroundings.getNotes(),
         };
     }
 
+    private isSettled(table: MemberTable): boolean {
+        const nowMs = monotonicMs();
+        return table.members.filter(member => member !== this.identity.instanceId).every(member => {
+            const state = this.memberStates.get(member);
+            return state !== undefined && (state.tableVersion >= table.version || state.partUntilMs <= nowMs);
+        });
+    }
+
     /**
      * Handles a newcomer's question whether it may take the lease over.
      *
@@ -261,15 +291,15 @@
             return;
         }
         const unchangedMs = monotonicMs() - observation.firstSeenAtMs;
-        if (unchangedMs < LEASE_TERM_MS + TAKEOVER_MARGIN_MS) {
+        const { record } = observation;
+        if (!record.isReleased && unchangedMs < LEASE_TERM_MS + TAKEOVER_MARGIN_MS) {
             return;
         }
-        const { record } = observation;
-        if (this.promise.epoch >= record.epoch && monotonicMs() < this.promise.untilMs) {
+        if (!record.isReleased && this.promise.epoch >= record.epoch && monotonicMs() < this.promise.untilMs) {
             return;
         }
         const isMember = record.members.includes(this.identity.instanceId);
-        if (!isMember && !await this.hasConsent(record)) {
+        if (!isMember && !record.isReleased && !await this.hasConsent(record)) {
             return;
         }
         // From here on this instance must not vouch for the old holder, whatever becomes of the write.
@@ -293,13 +323,18 @@
     }
 
     private async acquire(observation: Observation | undefined): Promise<void> {
+        const members = this.chooseFirstMembers(observation?.record);
+        const before = observation?.record.coverage;
+        const renewal = (observation?.record.renewal ?? 0) + 1;
         const record: LeaseRecord = {
             epoch: (observation?.record.epoch ?? 0) + 1,
             version: (observation?.record.version ?? 0) + 1,
             holder: this.identity.instanceId,
             incarnation: this.identity.incarnation,
-            members: this.chooseFirstMembers(observation?.record),
-            renewal: 0,
+            members,
+            coverage: this.computeCoverage(before, members, false, renewal),
+            renewal,
+            isReleased: false,
         };
         const sentAtMs = monotonicMs();
         const written = await this.store.put(this.path, { ...record }, observation?.object.version ?? 0);
@@ -317,6 +352,8 @@
                 lastHeardAtMs: monotonicMs(),
                 partUntilMs: graceUntilMs,
                 incarnation: undefined,
+                tableVersion: 0,
+                syncedVersion: 0,
             });
         }
         this.lease = new HolderLease(record, written.value, sentAtMs);
@@ -330,6 +367,39 @@
         return [...new Set([...remaining, this.identity.instanceId])].sort();
     }
 
+    private areMembersSynced({ members, version }: MemberTable): boolean {
+        return members.every(member =>
+            member === this.identity.instanceId
+                ? this.surroundings.getSyncedVersion() >= version
+                : (this.memberStates.get(member)?.syncedVersion ?? 0) >= version
+        );
+    }
+
+    private computeCoverage(
+        before: Coverage | undefined,
+        members: readonly string[],
+        areSynced: boolean,
+        renewal: number,
+    ): Coverage {
+        const identities = members.map(instanceId => ({
+            instanceId,
+            incarnation: this.getIncarnation(instanceId, before),
+        }));
+        if (before === undefined) {
+            return { base: identities, gone: [], gaps: [] };
+        }
+        return updateCoverage(before, identities, areSynced, renewal, COVERAGE_GAP_RENEWALS);
+    }
+
+    /** A member that has not been heard yet is taken for the start that was known before. */
+    private getIncarnation(instanceId: string, coverage: Coverage | undefined): string {
+        if (instanceId === this.identity.instanceId) {
+            return this.identity.incarnation;
+        }
+        const known = coverage?.base.find(identity => identity.instanceId === instanceId)?.incarnation;
+        return this.memberStates.get(instanceId)?.incarnation ?? known ?? "";
+    }
+
     private async renew(): Promise<void> {
         const lease = this.lease;
         if (lease === undefined) {
@@ -338,11 +408,14 @@
         const members = this.chooseMembers(lease.record.members);
         // A restarted member has lost its state: a new table version lets the others bring it up to date.
         const isChanged = members.join() !== lease.record.members.join() || this.isMemberRestarted;
+        const renewal = lease.record.renewal + 1;
+        const areSynced = !isChanged && this.areMembersSynced(lease.record);
         const record: LeaseRecord = {
             ...lease.record,
             members,
             version: lease.record.version + (isChanged ? 1 : 0),
-            renewal: lease.record.renewal + 1,
+            coverage: this.computeCoverage(lease.record.coverage, members, areSynced, renewal),
+            renewal,
         };
         const sentAtMs = monotonicMs();
         const written = await this.store.put(this.path, { ...record }, lease.version);
@@ -410,6 +483,7 @@
             incarnation: this.identity.incarnation,
             epoch: Math.max(this.table?.epoch ?? 0, this.renouncedEpoch),
             tableVersion: this.table?.version ?? 0,
+            syncedVersion: this.surroundings.getSyncedVersion(),
             acknowledged: (this.acknowledged?.epoch ?? 0) > this.renouncedEpoch ? this.acknowledged : undefined,
             isLeaving: this.isLeaving,
         };
@@ -436,6 +510,9 @@
         this.lastReplyAtMs = monotonicMs();
         if (reply.remainingMs > 0 && !this.isLeaving) {
             this.adoptTable(table, sentAtMs + reply.remainingMs);
+            if (reply.isSettled) {
+                this.surroundings.onSettled(table.version);
+            }
             this.surroundings.onNotes(reply.notes, sentAtMs);
         }
         else {
@@ -448,8 +525,11 @@
         if (this.lease === undefined || remainingMs === 0 || this.isLeaving) {
             return;
         }
-        const { epoch, version, holder, members } = this.lease.record;
-        this.adoptTable({ epoch, version, holder, members }, monotonicMs() + Math.min(remainingMs, LEASE_TERM_MS));
+        const table = getTableOf(this.lease.record);
+        this.adoptTable(table, monotonicMs() + Math.min(remainingMs, LEASE_TERM_MS));
+        if (this.isSettled(table)) {
+            this.surroundings.onSettled(table.version);
+        }
         this.surroundings.onNotes(this.surroundings.getNotes(), monotonicMs());
     }
 
@@ -462,3 +542,7 @@
         this.partValidUntilMs = validUntilMs;
     }
 }
+
+function getTableOf({ epoch, version, holder, members, coverage }: LeaseRecord): MemberTable {
+    return { epoch, version, holder, members, coverage };
+}
--- a/packages/agreement/src/ownership.ts
+++ b/packages/agreement/src/ownership.ts
@@ -11,7 +11,8 @@
 
 interface TableEntry {
     readonly table: MemberTable;
-    readonly sinceMs: number;
+    /** Since when no other member acts on an older table; infinite until that is known. */
+    sinceMs: number;
     /** Whether a table that this instance has not seen may have been in force just before. */
     readonly isAfterGap: boolean;
 }
@@ -42,12 +43,25 @@
     noteTable(table: MemberTable): void {
         const last = this.history.at(-1);
         const isAfterGap = last === undefined ? table.version > 1 : table.version > last.table.version + 1;
-        const nowMs = monotonicMs();
-        this.history.push({ table, sinceMs: nowMs, isAfterGap });
-        const firstNeeded = this.history.findLastIndex(({ sinceMs }) => sinceMs < nowMs - this.longestGrantMs);
+        this.history.push({ table, sinceMs: Infinity, isAfterGap });
+        const oldestMs = monotonicMs() - this.longestGrantMs;
+        const firstNeeded = this.history.findLastIndex(({ sinceMs }) => sinceMs < oldestMs);
         this.history = this.history.slice(Math.max(0, firstNeeded));
     }
 
+    /**
+     * Notes that no member acts on an older table any more.
+     *
+     * @param version - Version of the table that all act on.
+     */
+    noteSettled(version: number): void {
+        for (const entry of this.history) {
+            if (entry.table.version <= version && entry.sinceMs === Infinity) {
+                entry.sinceMs = monotonicMs();
+            }
+        }
+    }
+
     /**
      * @param subject - What has to be decided about.
      * @returns Whether this instance may decide now.
--- a/packages/agreement/src/types.ts
+++ b/packages/agreement/src/types.ts
@@ -1,4 +1,5 @@
 import type { Result } from "neverthrow";
+import type { Coverage } from "./coverage";
 import type { PeerError } from "./errors";
 
 /** Validity of the data centre lease, and of the parts of it given to members, in milliseconds. */
@@ -29,6 +30,7 @@
     readonly version: number;
     readonly holder: string;
     readonly members: readonly string[];
+    readonly coverage: Coverage;
 }
 
 /** The lease object in the store. */
@@ -37,6 +39,8 @@
     readonly incarnation: string;
     /** Counts renewals, so that each write changes the object. */
     readonly renewal: number;
+    /** Whether the holder has given the lease up, so that nobody needs to wait for it to run out. */
+    readonly isReleased: boolean;
 }
 
 /** What a member sends to the holder. */
@@ -49,6 +53,8 @@
     readonly tableVersion: number;
     /** The last stamp received, of the holder of that epoch: the promise not to take over for a term. */
     readonly acknowledged: { readonly epoch: number; readonly stamp: number; } | undefined;
+    /** Version of the table for which the member has brought all others up to date; 0 while it has not. */
+    readonly syncedVersion: number;
     /** Whether the member is about to end and gives up what it owns. */
     readonly isLeaving: boolean;
 }
@@ -60,6 +66,8 @@
     readonly stamp: number;
     /** Validity of the member's part in milliseconds from when its heartbeat was sent; 0 for none. */
     readonly remainingMs: number;
+    /** Whether no member acts on an older table any more. */
+    readonly isSettled: boolean;
     /** Further facts that the holder spreads in its data centre. */
     readonly notes: Record<string, unknown>;
 }
--- a/packages/config/src/writer.ts
+++ b/packages/config/src/writer.ts
@@ -33,7 +33,8 @@
         const path = getDocumentPath(document.kind, getDocumentId(document));
         const current = await this.store.get(path);
         if (current.isErr()) {
-            return err(toConfigError(current.error, path));
+            const message = `the store is not reachable; ${path} was not written`;
+            return err(new ConfigError("unavailable", message, [], current.error));
         }
         const newest = current.value?.version ?? 0;
         if (expectedVersion !== undefined && expectedVersion !== newest) {
--- a/packages/daemon/src/claimWiring.ts
+++ b/packages/daemon/src/claimWiring.ts
@@ -1,4 +1,10 @@
-import type { DataCentreAgreement, MemberTable, PeerTransport } from "@heatherline/agreement";
+import {
+    COPIES,
+    type DataCentreAgreement,
+    isUncovered,
+    type MemberTable,
+    type PeerTransport,
+} from "@heatherline/agreement";
 import { type Logger, rankByRendezvous, startLoop } from "@heatherline/common";
 import { getGroup } from "@heatherline/limits";
 import { type Claim, type ClaimDecision, type ClaimEnd, type ClaimService, ClaimTable } from "@heatherline/serving";
@@ -7,8 +13,6 @@
 const CALL_TIMEOUT_MS = 700;
 const SYNC_INTERVAL_MS = 200;
 const CLAIMS_PER_MESSAGE = 200;
-/** Copies of each claim: the owner's and one backup's. */
-const COPIES = 2;
 
 /** Claims sent to an instance that keeps copies of them. */
 export interface ClaimSync {
@@ -96,10 +100,10 @@
      */
     async handleBegin(claim: Claim): Promise<ClaimDecision> {
         const table = this.surroundings.agreement.getTable();
-        if (
-            table === undefined || !this.isReady(table) ||
-            this.getCopies(claim.key, table)[0] !== this.surroundings.instanceId
-        ) {
+        if (table === undefined || !this.isReady(table) || isUncovered(claim.key, table.coverage)) {
+            return { kind: "unavailable" };
+        }
+        if (this.getCopies(claim.key, table)[0] !== this.surroundings.instanceId) {
             return { kind: "unavailable" };
         }
         const decision = this.table.begin(claim);
@@ -131,8 +135,10 @@
         if (backup === undefined) {
             return;
         }
+        if (end.kind === "not-run") {
+            await this.surroundings.transport.call(backup, "claims.drop", { key, requestId }, CALL_TIMEOUT_MS);
+        }
         if (claim === undefined) {
-            await this.surroundings.transport.call(backup, "claims.drop", { key }, CALL_TIMEOUT_MS);
             return;
         }
         await this.send(backup, { from: this.surroundings.instanceId, claims: [claim] });
@@ -153,10 +159,20 @@
     }
 
     /**
-     * @param key - Key of a claim whose request certainly did not run.
+     * @param key - Key of a claim.
+     * @param requestId - The request that made it and certainly did not run.
      */
-    handleDrop(key: string): void {
-        this.table.drop(key);
+    handleDrop(key: string, requestId: string): void {
+        this.table.drop(key, requestId);
+    }
+
+    /** @returns Version of the table for which all other members have got this one's claims; 0 while they have not. */
+    getSyncedVersion(): number {
+        const table = this.surroundings.agreement.getTable();
+        const isSynced = table?.members.every(member =>
+            member === this.surroundings.instanceId || (this.syncedTo.get(member) ?? 0) >= table.version
+        );
+        return isSynced === true ? table?.version ?? 0 : 0;
     }
 
     private async findOwner(key: string): Promise<string | undefined> {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -99,12 +99,17 @@
             transport,
             {
                 getListedInstances: () => this.book.getDataCentreInstances(),
+                getSyncedVersion: () => this.claims.getSyncedVersion(),
                 getNotes: () => ({ shares: this.rates.getNotes() }),
                 onNotes: (notes, sentAtMs) => this.rates.noteShares((notes.shares ?? {}) as UsableShares, sentAtMs),
                 onTable: table => {
                     this.rates.ownership.noteTable(table);
                     this.credits.ownership.noteTable(table);
                 },
+                onSettled: version => {
+                    this.rates.ownership.noteSettled(version);
+                    this.credits.ownership.noteSettled(version);
+                },
             },
             logger,
         );
@@ -310,7 +315,10 @@
             ({ key, requestId, end }) => this.claims.handleEnd(key, requestId, end),
         );
         server.addMethod<ClaimSync, unknown>("claims.sync", sync => this.claims.handleSync(sync));
-        server.addMethod<{ key: string; }, unknown>("claims.drop", ({ key }) => this.claims.handleDrop(key));
+        server.addMethod<{ key: string; requestId: string; }, unknown>(
+            "claims.drop",
+            ({ key, requestId }) => this.claims.handleDrop(key, requestId),
+        );
         server.addMethod<SuspectNews, unknown>("suspects.note", news => this.quarantine.handleNews(news));
         server.addMethod("batch.wake", () => this.runner.wake());
         server.addMethod("status.get", () => this.getStatus());
--- a/packages/daemon/src/ownerLocator.ts
+++ b/packages/daemon/src/ownerLocator.ts
@@ -28,7 +28,7 @@
     constructor(
         private readonly dataCentre: string,
         private readonly agreement: DataCentreAgreement,
-        private readonly book: PeerBook,
+        private readonly book: Pick<PeerBook, "getPeersIn">,
         private readonly transport: PeerTransport,
     ) {}
 
--- a/packages/daemon/tests/badInput.test.ts
+++ b/packages/daemon/tests/badInput.test.ts
@@ -150,7 +150,7 @@
 
 describe("bad input gets a precise refusal, and the request is truthfully not run", () => {
     it.each(CASES)("$name", async ({ path = CHAT, changes, status, code }) => {
-        const endpoint = cluster.endpoints[0]?.port ?? 0;
+        const endpoint = cluster.endpoints[0]?.controlPort ?? 0;
         const seenBefore = (await callJson(endpoint, "/seen")).json.length;
         const reply = await callJson(daemon.port, path, newCall(changes()));
         expect([reply.status, reply.json.code, reply.json.notRun]).toEqual([status, code, true]);
--- /dev/null
+++ b/packages/daemon/tests/simulatedFleet.ts
@@ -0,0 +1,92 @@
+import { DataCentreAgreement, type Heartbeat } from "@heatherline/agreement";
+import { newLogger } from "@heatherline/common";
+import { GrantLimiter, type TokenAsk, type UsableShares } from "@heatherline/limits";
+import type { Claim, ClaimEnd } from "@heatherline/serving";
+import type { SimulatedHost, SimulatedNetwork } from "../../../standins/simulation/network";
+import { type ClaimSync, ClaimWiring } from "../src/claimWiring";
+import { OwnerLocator } from "../src/ownerLocator";
+import { type BorrowRequest, RateWiring } from "../src/rateWiring";
+
+/** The decisions of one instance on a simulated network: agreement, rates and claims. */
+export interface SimulatedInstance {
+    readonly host: SimulatedHost;
+    readonly agreement: DataCentreAgreement;
+    readonly rates: RateWiring;
+    readonly limiter: GrantLimiter;
+    readonly claims: ClaimWiring;
+}
+
+/**
+ * @param network - The network.
+ * @param dataCentres - Names of the data centres.
+ * @param perDataCentre - Instances in each.
+ * @returns The started instances.
+ */
+export function startFleet(
+    network: SimulatedNetwork,
+    dataCentres: readonly string[],
+    perDataCentre: number,
+): SimulatedInstance[] {
+    const ids = dataCentres.flatMap(dataCentre =>
+        Array.from({ length: perDataCentre }, (_, index) => ({ id: `${dataCentre}-${index}`, dataCentre }))
+    );
+    const hosts = ids.map(({ id, dataCentre }) => network.addHost(id, dataCentre));
+    return hosts.map(host => startInstance(network, host, hosts, dataCentres));
+}
+
+function startInstance(
+    network: SimulatedNetwork,
+    host: SimulatedHost,
+    hosts: readonly SimulatedHost[],
+    dataCentres: readonly string[],
+): SimulatedInstance {
+    const logger = newLogger("test", "fatal");
+    const transport = network.newTransport(host);
+    const { id: instanceId, dataCentre } = host;
+    const local = hosts.filter(other => other.dataCentre === dataCentre).map(({ id }) => id);
+    const agreement: DataCentreAgreement = new DataCentreAgreement(
+        { instanceId, incarnation: `${instanceId}-1`, dataCentre },
+        network.newStore(host),
+        transport,
+        {
+            getListedInstances: () => local,
+            getSyncedVersion: () => claims.getSyncedVersion(),
+            getNotes: () => ({ shares: rates.getNotes() }),
+            onNotes: (notes, sentAtMs) => rates.noteShares((notes.shares ?? {}) as UsableShares, sentAtMs),
+            onTable: table => rates.ownership.noteTable(table),
+            onSettled: version => rates.ownership.noteSettled(version),
+        },
+        logger,
+    );
+    const book = {
+        getPeersIn: (other: string) =>
+            hosts.filter(peer => peer.dataCentre === other && peer !== host)
+                .map(peer => ({ instanceId: peer.id, dataCentre: other, address: "", peerPort: 0 })),
+    };
+    const locator = new OwnerLocator(dataCentre, agreement, book, transport);
+    const common = { instanceId, dataCentre, agreement, locator, transport, logger, getDataCentres: () => dataCentres };
+    const rates = new RateWiring(common);
+    const claims = new ClaimWiring(common);
+    const limiter = new GrantLimiter(instanceId, rates);
+    host.handlers.set("agreement.heartbeat", (heartbeat: Heartbeat) => agreement.handleHeartbeat(heartbeat));
+    host.handlers.set("agreement.consent", ({ epoch }: { epoch: number; }) => agreement.handleConsent(epoch));
+    host.handlers.set("agreement.table", () => agreement.getTable());
+    host.handlers.set("limits.ask", (ask: TokenAsk) => rates.handleAsk(ask));
+    host.handlers.set("shares.borrow", (request: BorrowRequest) => rates.handleBorrow(request));
+    host.handlers.set("claims.begin", (claim: Claim) => claims.handleBegin(claim));
+    host.handlers.set("claims.sync", (sync: ClaimSync) => claims.handleSync(sync));
+    host.handlers.set(
+        "claims.drop",
+        ({ key, requestId }: { key: string; requestId: string; }) => claims.handleDrop(key, requestId),
+    );
+    host.handlers.set(
+        "claims.end",
+        ({ key, requestId, end }: { key: string; requestId: string; end: ClaimEnd; }) =>
+            claims.handleEnd(key, requestId, end),
+    );
+    agreement.start();
+    rates.start();
+    claims.start();
+    limiter.start();
+    return { host, agreement, rates, limiter, claims };
+}
--- a/packages/limits/src/grantLimiter.ts
+++ b/packages/limits/src/grantLimiter.ts
@@ -7,6 +7,7 @@
     type LimitSubject,
     type RateLimiter,
     type RatePermit,
+    TOKEN_TTL_MS,
     type TokenAnswer,
     type TokenAsk,
 } from "./types";
@@ -64,11 +65,18 @@
 const MIN_AHEAD_USE_PER_S = 4;
 const USE_SMOOTHING = 0.4;
 const MAX_RETRY_AFTER_MS = 60_000;
+/** Prompt tokens live for some round trips to the owner. */
+const PROMPT_TTL_FACTOR = 4;
+const MIN_PROMPT_TTL_MS = 10;
+const FIRST_ROUND_TRIP_MS = 3;
+const ROUND_TRIP_RISE = 1;
+const ROUND_TRIP_FALL = 0.1;
 
 /** Admits requests with tokens that the owners of the subjects hand out. */
 export class GrantLimiter implements RateLimiter {
     readonly name = "grants";
     private readonly accounts = new Map<string, Account>();
+    private readonly roundTripMs = new Map<string, number>();
     private stopLoop: (() => Promise<void>) | undefined;
 
     /**
@@ -154,6 +162,7 @@
         }
         this.openAccountIfNeeded(account, owner);
         const needed = account.waiters.length;
+        const promptTtlMs = this.getPromptTtlMs(owner);
         account.sequence += 1;
         const { accountId } = account;
         const sentAtMs = monotonicMs();
@@ -168,10 +177,13 @@
             returnedTotal: account.returnedTotal,
             refundedTotal: account.refundedTotal,
             needed,
+            promptTtlMs,
             ahead: account.usePerS >= MIN_AHEAD_USE_PER_S ? Math.ceil(account.usePerS * AHEAD_S) : 0,
         });
         if (answer?.kind === "granted") {
-            this.noteGrant(account, answer, sentAtMs, needed);
+            const tookMs = monotonicMs() - sentAtMs;
+            this.noteRoundTrip(owner, tookMs);
+            this.noteGrant(account, answer, sentAtMs, needed, tookMs < promptTtlMs);
             return 0;
         }
         const delayMs = answer?.kind === "not-ready" ? Math.min(answer.retryAfterMs, OWNER_RETRY_MS) : OWNER_RETRY_MS;
@@ -184,25 +196,40 @@
         answer: Extract<TokenAnswer, { kind: "granted"; }>,
         sentAtMs: number,
         needed: number,
+        isPrompt: boolean,
     ): void {
-        account.receivedTotal += answer.tokens;
-        account.tokens += answer.tokens;
+        account.receivedTotal += answer.ahead;
+        account.tokens += answer.ahead;
         account.validUntilMs = sentAtMs + answer.ttlMs;
-        let served = 0;
+        // The time to spend prompt tokens is over when the answer comes late; the requests then ask again.
+        for (const waiter of account.waiters.splice(0, isPrompt ? answer.prompt : 0)) {
+            waiter.settle(ok(newPermit(account)));
+        }
         while (account.waiters.length > 0 && this.hasToken(account)) {
             account.waiters.shift()?.settle(ok(this.spend(account)));
-            served += 1;
         }
-        if (served >= needed) {
+        const refused = isPrompt ? Math.min(account.waiters.length, needed - answer.prompt) : 0;
+        if (refused <= 0) {
             return;
         }
         account.emptyUntilMs = sentAtMs + answer.retryAfterMs;
         const perTokenMs = 1_000 / account.bounds.ratePerS;
-        for (const [position, waiter] of account.waiters.splice(0, needed - served).entries()) {
+        for (const [position, waiter] of account.waiters.splice(0, refused).entries()) {
             waiter.settle(err(newExceeded(account, answer.retryAfterMs + position * perTokenMs)));
         }
     }
 
+    private getPromptTtlMs(owner: string): number {
+        const roundTripMs = this.roundTripMs.get(owner) ?? FIRST_ROUND_TRIP_MS;
+        return Math.min(Math.max(roundTripMs * PROMPT_TTL_FACTOR, MIN_PROMPT_TTL_MS), TOKEN_TTL_MS);
+    }
+
+    private noteRoundTrip(owner: string, tookMs: number): void {
+        const before = this.roundTripMs.get(owner) ?? tookMs;
+        const smoothing = tookMs > before ? ROUND_TRIP_RISE : ROUND_TRIP_FALL;
+        this.roundTripMs.set(owner, before + smoothing * (tookMs - before));
+    }
+
     private refuseOldWaiters(account: Account): void {
         const oldestMs = monotonicMs() - MAX_OWNER_WAIT_MS;
         const refused = account.waiters.filter(({ sinceMs }) => sinceMs <= oldestMs);
@@ -217,16 +244,7 @@
         invariant("tokens-valid-when-spent", this.hasToken(account), () => account.subject);
         account.tokens -= 1;
         account.spentTotal += 1;
-        const { accountId } = account;
-        let isGivenBack = false;
-        return {
-            giveBack: () => {
-                if (!isGivenBack && account.accountId === accountId) {
-                    isGivenBack = true;
-                    account.refundedTotal += 1;
-                }
-            },
-        };
+        return newPermit(account);
     }
 
     private async maintain(): Promise<void> {
@@ -310,6 +328,19 @@
     }
 }
 
+function newPermit(account: Account): RatePermit {
+    const { accountId } = account;
+    let isGivenBack = false;
+    return {
+        giveBack: () => {
+            if (!isGivenBack && account.accountId === accountId) {
+                isGivenBack = true;
+                account.refundedTotal += 1;
+            }
+        },
+    };
+}
+
 function newExceeded(account: Account, retryAfterMs: number): LimitError {
     const { ratePerS, burst } = account.bounds;
     const message = `the rate of ${ratePerS} a second with a burst of ${burst} is used up`;
--- a/packages/limits/src/sharedBucket.ts
+++ b/packages/limits/src/sharedBucket.ts
@@ -8,8 +8,11 @@
     grantedTotal: number;
     returnedSeen: number;
     refundedSeen: number;
-    /** Tokens at the instance that may still be spent. */
+    /** Tokens in advance at the instance that may still be spent. */
     held: number;
+    /** Tokens for requests that waited, on their way or just spent. */
+    prompt: number;
+    promptUntilMs: number;
     expiresAtMs: number;
 }
 
@@ -62,17 +65,22 @@
             return undefined;
         }
         this.reconcile(account, ask);
-        const needed = Math.min(ask.needed, Math.floor(this.level + EPSILON));
-        const spare = Math.max(0, Math.floor((this.level - needed - OWNER_RESERVE_TOKENS) * AHEAD_FRACTION));
-        const tokens = needed + Math.max(0, Math.min(ask.ahead - account.held, spare));
-        this.level = Math.max(0, this.level - tokens);
-        account.held += tokens;
-        account.grantedTotal += tokens;
-        account.expiresAtMs = monotonicMs() + TOKEN_TTL_MS;
+        const prompt = Math.min(ask.needed, Math.floor(this.level + EPSILON));
+        const spare = Math.max(0, Math.floor((this.level - prompt - OWNER_RESERVE_TOKENS) * AHEAD_FRACTION));
+        const ahead = Math.max(0, Math.min(ask.ahead - account.held, spare));
+        const nowMs = monotonicMs();
+        this.level = Math.max(0, this.level - prompt - ahead);
+        account.held += ahead;
+        account.grantedTotal += ahead;
+        account.expiresAtMs = nowMs + TOKEN_TTL_MS;
+        if (prompt > 0) {
+            account.prompt += prompt;
+            account.promptUntilMs = nowMs + ask.promptTtlMs;
+        }
         this.checkBound();
         const missing = Math.max(0, 1 - this.level);
         const retryAfterMs = this.bounds.ratePerS > 0 ? Math.ceil(missing / this.bounds.ratePerS * 1_000) : Infinity;
-        return { kind: "granted", tokens, ttlMs: TOKEN_TTL_MS, retryAfterMs };
+        return { kind: "granted", prompt, ahead, ttlMs: TOKEN_TTL_MS, retryAfterMs };
     }
 
     /** @returns Tokens with the owner now. */
@@ -96,7 +104,7 @@
             account.sequence = ask.sequence;
             return account;
         }
-        if (account !== undefined && account.held > 0) {
+        if (account !== undefined && account.held + account.prompt > 0) {
             // The instance has begun a new account; tokens of the old one count as spent when they run out.
             this.accounts.set(`${ask.instanceId}/${account.accountId}`, account);
         }
@@ -108,6 +116,8 @@
             returnedSeen: ask.returnedTotal,
             refundedSeen: ask.refundedTotal,
             held: 0,
+            prompt: 0,
+            promptUntilMs: 0,
             expiresAtMs: Infinity,
         };
         this.accounts.set(ask.instanceId, opened);
@@ -130,17 +140,47 @@
         account.refundedSeen = ask.refundedTotal;
     }
 
+    /** Fills the bucket up to now. Room that held tokens take up only fills from when they have run out. */
     private refill(): void {
         const nowMs = monotonicMs();
+        for (;;) {
+            const nextMs = this.findNextExpiry();
+            if (nextMs > nowMs) {
+                break;
+            }
+            this.fillUntil(nextMs);
+            this.dropExpired(nextMs);
+        }
+        this.fillUntil(nowMs);
+    }
+
+    private fillUntil(timeMs: number): void {
+        if (timeMs <= this.updatedAtMs) {
+            return;
+        }
+        const room = Math.max(0, this.bounds.burst - this.countHeld() - this.level);
+        this.level += Math.min(room, (timeMs - this.updatedAtMs) / 1_000 * this.bounds.ratePerS);
+        this.updatedAtMs = timeMs;
+    }
+
+    private findNextExpiry(): number {
+        let nextMs = Infinity;
+        for (const account of this.accounts.values()) {
+            nextMs = Math.min(nextMs, account.expiresAtMs, account.prompt > 0 ? account.promptUntilMs : Infinity);
+        }
+        return nextMs;
+    }
+
+    private dropExpired(timeMs: number): void {
         for (const [instanceId, account] of this.accounts) {
-            if (account.expiresAtMs <= nowMs) {
+            if (account.promptUntilMs <= timeMs) {
+                account.prompt = 0;
+            }
+            if (account.expiresAtMs <= timeMs) {
                 // Whether its tokens were spent is not known: they count as spent.
                 this.accounts.delete(instanceId);
             }
         }
-        const room = Math.max(0, this.bounds.burst - this.countHeld() - this.level);
-        this.level += Math.min(room, (nowMs - this.updatedAtMs) / 1_000 * this.bounds.ratePerS);
-        this.updatedAtMs = nowMs;
     }
 
     private checkBound(): void {
@@ -153,6 +193,6 @@
     }
 
     private countHeld(): number {
-        return [...this.accounts.values()].reduce((total, { held }) => total + held, 0);
+        return [...this.accounts.values()].reduce((total, { held, prompt }) => total + held + prompt, 0);
     }
 }
--- a/packages/limits/src/types.ts
+++ b/packages/limits/src/types.ts
@@ -58,6 +58,11 @@
     readonly refundedTotal: number;
     /** Requests that wait for a token now. */
     readonly needed: number;
+    /**
+     * Validity in milliseconds, from when the ask was sent, of the tokens for requests that wait: an answer that
+     * arrives later is not used.
+     */
+    readonly promptTtlMs: number;
     /** Further tokens that the instance expects to use before its next ask. */
     readonly ahead: number;
 }
@@ -66,8 +71,11 @@
 export type TokenAnswer =
     | {
         readonly kind: "granted";
-        readonly tokens: number;
-        /** Validity in milliseconds from when the ask was sent, for all tokens of the account. */
+        /** Tokens for requests that wait; valid for the asker's own prompt validity. */
+        readonly prompt: number;
+        /** Tokens in advance. */
+        readonly ahead: number;
+        /** Validity in milliseconds from when the ask was sent, of all tokens in advance of the account. */
         readonly ttlMs: number;
         /** When the next token will be free, in milliseconds. */
         readonly retryAfterMs: number;
--- a/packages/serving/src/claims.ts
+++ b/packages/serving/src/claims.ts
@@ -47,7 +47,7 @@
 }
 
 /** How long claims are kept, in milliseconds. */
-export const CLAIM_TTL_MS = 86_400_000;
+export const CLAIM_TTL_MS = 3_600_000;
 const MAX_CLAIMS = 200_000;
 
 /** The claims that one instance knows, as their owner or as the owner's backup. */
@@ -117,10 +117,13 @@
     }
 
     /**
-     * @param key - Key of a claim whose request certainly did not run.
+     * @param key - Key of a claim.
+     * @param requestId - The request that made it and certainly did not run; later claims on the key stay.
      */
-    drop(key: string): void {
-        this.entries.delete(key);
+    drop(key: string, requestId: string): void {
+        if (this.entries.get(key)?.claim.requestId === requestId) {
+            this.entries.delete(key);
+        }
     }
 
     /** @returns All claims. */
--- a/packages/serving/src/filters/attempt.ts
+++ b/packages/serving/src/filters/attempt.ts
@@ -2,6 +2,7 @@
 import type { ConfigReplica } from "@heatherline/config";
 import { err, ok, type Result } from "neverthrow";
 import type { EndpointSlot } from "../endpoints/holder";
+import { isAlive } from "../endpoints/probe";
 import type { HealthEvent } from "../endpoints/warmth";
 import { type DispatchError, Refusal, type RoutingError } from "../errors";
 import { type Delivered, type Exchange, type Filter, getEndReason, type Next, type Outcome } from "../exchange";
@@ -85,7 +86,11 @@
         let event: HealthEvent | undefined;
         try {
             const outcome = await this.dispatcher.dispatch(exchange, slot);
-            event = getHealthEvent(outcome.isOk() ? undefined : outcome.error.kind);
+            event = outcome.isOk() ? "success" : getHealthEvent(outcome.error.kind);
+            if (event === "crashed" && await isAlive(slot.spec)) {
+                // One broken connection is no crash: whoever ran beside is not suspect.
+                event = "overloaded";
+            }
             return outcome;
         }
         finally {
@@ -106,10 +111,8 @@
     }
 }
 
-function getHealthEvent(kind: DispatchError["kind"] | undefined): HealthEvent | undefined {
+function getHealthEvent(kind: DispatchError["kind"]): HealthEvent | undefined {
     switch (kind) {
-        case undefined:
-            return "success";
         case "refused":
             return "refused";
         case "reset":
--- a/standins/cluster.ts
+++ b/standins/cluster.ts
@@ -15,6 +15,8 @@
 export interface Child {
     readonly process: ChildProcess;
     readonly port: number;
+    /** Port for the test's own questions, where the child has one. */
+    readonly controlPort?: number;
 }
 
 /** A daemon that a test has started. */
@@ -198,7 +200,7 @@
             child.stdout.once("data", (data: Buffer) => resolve(data.toString("utf8")));
             child.once("exit", code => reject(new Error(`${file} ended with ${code}`)));
         });
-        return { process: child, port: (JSON.parse(line) as { port: number; }).port };
+        return { process: child, ...JSON.parse(line) as { port: number; controlPort?: number; } };
     }
 }
 
--- a/standins/endpoint.ts
+++ b/standins/endpoint.ts
@@ -55,7 +55,11 @@
 const sockets = new Set<Socket>();
 
 const server = http.createServer((request, response) => {
-    handle(request, response).catch(() => response.destroy());
+    readBody(request).then(body => run(request, response, body)).catch(() => response.destroy());
+});
+/** Answers the test's own questions, also while the endpoint is down. */
+const controlServer = http.createServer((request, response) => {
+    readBody(request).then(body => control(request, response, body)).catch(() => response.destroy());
 });
 server.keepAliveTimeout = 30_000;
 server.on("connection", socket => {
@@ -66,12 +70,15 @@
     }
 });
 
-async function handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+async function readBody(request: http.IncomingMessage): Promise<string> {
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>) {
         chunks.push(chunk);
     }
-    const body = Buffer.concat(chunks).toString("utf8");
+    return Buffer.concat(chunks).toString("utf8");
+}
+
+function control(request: http.IncomingMessage, response: http.ServerResponse, body: string): void {
     if (request.url === "/stats") {
         response.end(
             JSON.stringify({ maxRunning, coldOverloads, crashes, prefixHits, running, isCold: isCold(), startMark }),
@@ -92,7 +99,7 @@
         response.end("{}");
         return;
     }
-    await run(request, response, body);
+    response.writeHead(404).end();
 }
 
 async function run(request: http.IncomingMessage, response: http.ServerResponse, body: string): Promise<void> {
@@ -229,6 +236,13 @@
 }
 
 server.listen(Number(values.port), "127.0.0.1", () => {
-    const address = server.address();
-    process.stdout.write(`${JSON.stringify({ port: typeof address === "object" ? address?.port : 0 })}\n`);
+    controlServer.listen(0, "127.0.0.1", () => {
+        const ports = { port: getPort(server), controlPort: getPort(controlServer) };
+        process.stdout.write(`${JSON.stringify(ports)}\n`);
+    });
 });
+
+function getPort(listening: http.Server): number {
+    const address = listening.address();
+    return typeof address === "object" && address !== null ? address.port : 0;
+}
