Ask for credits also for requests that have left the queue without one

Cause: a request that the queue had let go, but that found its credit gone (a data centre was taken out just then), was counted as neither waiting nor running, so no credit was ever asked for it: it hung until its deadline. Ruled out: the limit and the owner's table, both answered within 3 ms. Change: such requests count as waiting and ask once.

--- a/packages/serving/src/scheduler.ts
+++ b/packages/serving/src/scheduler.ts
@@ -19,6 +19,8 @@
 
 interface ServiceQueues {
     readonly lanes: Record<WorkClass, Lane>;
+    /** Requests that have left the queue but found no free credit yet. */
+    readonly choosing: WaitingCounts;
     meanHoldMs: number;
 }
 
@@ -61,7 +63,11 @@
      */
     getWaiting(service: string): WaitingCounts {
         const queues = this.services.get(service);
-        return { online: queues?.lanes.online.size ?? 0, batch: queues?.lanes.batch.size ?? 0 };
+        if (queues === undefined) {
+            return { online: 0, batch: 0 };
+        }
+        const { lanes, choosing } = queues;
+        return { online: lanes.online.size + choosing.online, batch: lanes.batch.size + choosing.batch };
     }
 
     /**
@@ -169,6 +175,9 @@
     private async choose(service: string, request: SlotRequest): Promise<EndpointSlot | undefined> {
         const { exchange } = request;
         const wished = request.isExclusive ? this.holder.wishExclusive(service, true) : undefined;
+        const { choosing } = this.getQueues(service);
+        let isAsked = false;
+        choosing[exchange.workClass] += 1;
         try {
             for (;;) {
                 if (exchange.ending.signal.aborted) {
@@ -187,10 +196,15 @@
                         this.holder.take(chosen.endpoint, exchange.workClass, request.preempt),
                     );
                 }
+                if (!isAsked) {
+                    isAsked = true;
+                    this.holder.wantRefresh();
+                }
                 await this.waitForCredits(exchange.ending.signal);
             }
         }
         finally {
+            choosing[exchange.workClass] -= 1;
             if (wished !== undefined && exchange.ending.signal.aborted) {
                 this.holder.wishExclusive(service, false, wished);
             }
@@ -242,7 +256,11 @@
     private getQueues(service: string): ServiceQueues {
         let queues = this.services.get(service);
         if (queues === undefined) {
-            queues = { lanes: { online: newLane(), batch: newLane() }, meanHoldMs: FIRST_MEAN_HOLD_MS };
+            queues = {
+                lanes: { online: newLane(), batch: newLane() },
+                choosing: { online: 0, batch: 0 },
+                meanHoldMs: FIRST_MEAN_HOLD_MS,
+            };
             this.services.set(service, queues);
         }
         return queues;
