--- a/standins/cluster.ts
+++ b/standins/cluster.ts
@@ -87,6 +87,8 @@
     readonly daemons: DaemonChild[] = [];
     readonly endpoints: Child[] = [];
     platform: Child | undefined;
+    /** Whether the user of the cluster keeps the platform's list of instances. */
+    isListManual = false;
     private readonly children: ChildProcess[] = [];
 
     /**
@@ -118,9 +120,26 @@
      * @param dataCentre - Its data centre.
      * @param flags - Further flags.
      */
-    async startDaemon(instance: string, dataCentre: string, ...flags: string[]): Promise<DaemonChild> {
-        const port = await getFreePort();
-        const peerPort = await getFreePort();
+    startDaemon(instance: string, dataCentre: string, ...flags: string[]): Promise<DaemonChild> {
+        return this.startDaemonAt(instance, dataCentre, {}, flags);
+    }
+
+    /**
+     * Starts a daemon at given ports and waits until it answers.
+     *
+     * @param instance - Its name.
+     * @param dataCentre - Its data centre.
+     * @param ports - Its ports, where they matter.
+     * @param flags - Further flags.
+     */
+    async startDaemonAt(
+        instance: string,
+        dataCentre: string,
+        ports: { readonly port?: number; readonly peerPort?: number; },
+        flags: readonly string[],
+    ): Promise<DaemonChild> {
+        const port = ports.port ?? await getFreePort();
+        const peerPort = ports.peerPort ?? await getFreePort();
         const store = this.platform === undefined ? [] : ["--store-url", `http://127.0.0.1:${this.platform.port}`];
         const child = spawn(process.execPath, [
             join(DIST, "heatherlined.mjs"),
@@ -164,6 +183,9 @@
 
     /** Tells the platform which instances there are. */
     async publishInstances(): Promise<void> {
+        if (this.isListManual) {
+            return;
+        }
         const instances: ListedInstance[] = this.daemons.map(({ instance, dataCentre, peerPort }) => ({
             instanceId: instance,
             dataCentre,
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -16,6 +16,8 @@
     cutInstances?: string[];
     /** Replaces the list of instances; shown after the lag. */
     instances?: ListedInstance[];
+    /** Lists that single instances are shown instead, so that each can reach the others by its own ways. */
+    instancesFor?: Record<string, ListedInstance[]>;
 }
 
 const STATUS: Record<StoreError["kind"], number> = {
@@ -35,6 +37,7 @@
         lostAnswerFraction: 0,
         cutInstances: [],
         instances: [],
+        instancesFor: {},
     };
     private readonly counts = { reads: 0, writes: 0, watches: 0 };
     private readonly openWatches = new Set<http.ServerResponse>();
@@ -60,7 +63,7 @@
             return;
         }
         await sleep(this.faults.delayMs);
-        const result = await this.call(request, url, body, response);
+        const result = await this.call(request, url, body, response, instance);
         const isWrite = request.method === "PUT" || request.method === "DELETE";
         const isLost = isWrite && Math.random() < this.faults.lostAnswerFraction;
         if (isLost || this.isCut(instance)) {
@@ -96,6 +99,7 @@
         url: URL,
         body: string,
         response: http.ServerResponse,
+        instance: string,
     ): Promise<Result<unknown, StoreError>> {
         const path = decodeURI(url.pathname.slice("/objects/".length));
         const expected = Number(url.searchParams.get("expected") ?? 0);
@@ -118,7 +122,7 @@
         }
         this.counts.reads += 1;
         if (url.pathname === "/instances") {
-            return (await this.store.get("")).map(() => this.listed);
+            return (await this.store.get("")).map(() => this.faults.instancesFor[instance] ?? this.listed);
         }
         return url.pathname === "/objects" ? this.store.list(prefix) : this.store.get(path);
     }
--- /dev/null
+++ b/standins/soakLoad.ts
@@ -0,0 +1,197 @@
+import { newKey } from "@heatherline/config";
+import type { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { callJson, type DaemonChild } from "./cluster";
+
+/** Random numbers of a run; its seed repeats them. */
+export class RunRandom {
+    /**
+     * @param generator - Seeded generator.
+     */
+    constructor(private readonly generator: ReturnType<typeof xoroshiro128plus>) {}
+
+    /** @returns A number from 0 up to 1. */
+    next(): number {
+        return (this.generator.next() >>> 0) / 2 ** 32;
+    }
+
+    /**
+     * @param items - Some items.
+     * @returns One of them.
+     */
+    pick<T>(items: readonly T[]): T | undefined {
+        return items[Math.floor(this.next() * items.length)];
+    }
+}
+
+/** One request as its caller saw it end. */
+export interface CallRecord {
+    readonly kind: "chat" | "post";
+    readonly mark: string;
+    readonly organisation: string;
+    readonly sentAt: number;
+    /** 0 where no complete answer came. */
+    readonly status: number;
+    readonly code: string | undefined;
+    readonly notRun: boolean | "unknown" | undefined;
+    /** Whether a successful answer carries the request's own mark. */
+    readonly isOwnAnswer: boolean;
+}
+
+/** One job as its caller knows it. */
+export interface JobRecord {
+    readonly jobId: string;
+    readonly organisation: string;
+    readonly key: string;
+    readonly marks: readonly string[];
+    readonly isRepeatable: boolean;
+    /** When a cancellation was confirmed, on the wall clock. */
+    cancelledAt?: number;
+}
+
+const ITEMS_PER_JOB = 40;
+
+/** Sends online requests and jobs to daemons picked at random, and keeps what came of them. */
+export class SoakLoad {
+    readonly calls: CallRecord[] = [];
+    readonly jobs: JobRecord[] = [];
+    private counter = 0;
+
+    /**
+     * @param random - Random numbers of the run.
+     * @param getDaemons - Daemons that may be called now.
+     * @param keys - Organisation to key.
+     */
+    constructor(
+        private readonly random: RunRandom,
+        private readonly getDaemons: () => readonly DaemonChild[],
+        private readonly keys: ReadonlyMap<string, string>,
+    ) {}
+
+    /**
+     * @param organisation - Whose request it is.
+     */
+    async sendChat(organisation: string): Promise<void> {
+        const mark = this.newMark("chat");
+        const body = {
+            model: "lm-model",
+            messages: [{ role: "user", content: `mark:${mark}` }],
+            stream: this.random.next() < 0.2,
+        };
+        await this.send("chat", mark, organisation, "/v1/chat/completions", body, {});
+    }
+
+    /**
+     * Sends a request that must not run twice, up to three times through different instances.
+     *
+     * @param organisation - Whose request it is.
+     */
+    async sendPost(organisation: string): Promise<void> {
+        const mark = this.newMark("post");
+        const copies = 1 + Math.floor(this.random.next() * 3);
+        const sends = [];
+        for (let copy = 0; copy < copies; copy += 1) {
+            sends.push(
+                this.send("post", mark, organisation, "/services/post/post", { text: `mark:${mark}` }, {
+                    "idempotency-key": mark,
+                }),
+            );
+            if (this.random.next() < 0.5) {
+                await Promise.all(sends);
+            }
+        }
+        await Promise.all(sends);
+    }
+
+    /**
+     * Submits a job, and again under the same key where the first answer is lost.
+     *
+     * @param organisation - Whose job it is.
+     */
+    async submitJob(organisation: string): Promise<void> {
+        const key = this.newMark("job");
+        const isRepeatable = this.random.next() < 0.7;
+        const marks = Array.from({ length: ITEMS_PER_JOB }, (_, index) => `${key}-${index}`);
+        const lines = marks.map(mark => JSON.stringify(newItem(mark, isRepeatable)));
+        for (let attempt = 0; attempt < 40; attempt += 1) {
+            const daemon = this.random.pick(this.getDaemons());
+            const reply = await callJson(daemon?.port ?? 0, "/v1/batches", {
+                headers: { ...this.getHeaders(organisation), "idempotency-key": key },
+                body: lines.join("\n"),
+                timeoutMs: 8_000,
+            }).catch(() => undefined);
+            if (reply?.status === 201 || reply?.status === 200) {
+                this.jobs.push({ jobId: reply.json.id, organisation, key, marks, isRepeatable });
+                return;
+            }
+            await new Promise(resolve => setTimeout(resolve, 500));
+        }
+    }
+
+    /** Cancels a job picked at random. */
+    async cancelJob(): Promise<void> {
+        const job = this.random.pick(this.jobs.filter(({ cancelledAt }) => cancelledAt === undefined));
+        const daemon = this.random.pick(this.getDaemons());
+        if (job === undefined || daemon === undefined) {
+            return;
+        }
+        const reply = await callJson(daemon.port, `/v1/batches/${job.jobId}/cancel`, {
+            method: "POST",
+            headers: this.getHeaders(job.organisation),
+            timeoutMs: 8_000,
+        }).catch(() => undefined);
+        if (reply?.status === 200 && reply.json.state === "cancelled") {
+            job.cancelledAt = Date.now();
+        }
+    }
+
+    /**
+     * @param organisation - An organisation.
+     * @returns Headers that prove it.
+     */
+    getHeaders(organisation: string): Record<string, string> {
+        return { authorization: `Bearer ${this.keys.get(organisation) ?? newKey("nobody").secretKey}` };
+    }
+
+    private async send(
+        kind: CallRecord["kind"],
+        mark: string,
+        organisation: string,
+        path: string,
+        body: object,
+        headers: Record<string, string>,
+    ): Promise<void> {
+        const sentAt = Date.now();
+        const daemon = this.random.pick(this.getDaemons());
+        const reply = await callJson(daemon?.port ?? 0, path, {
+            headers: { ...this.getHeaders(organisation), ...headers },
+            body,
+            timeoutMs: 20_000,
+        }).catch(() => undefined);
+        const isStream = String(reply?.headers["content-type"] ?? "").startsWith("text/event-stream");
+        this.calls.push({
+            kind,
+            mark,
+            organisation,
+            sentAt,
+            status: reply?.status ?? 0,
+            code: reply?.json?.code,
+            notRun: reply?.json?.notRun,
+            isOwnAnswer: isStream ? reply?.text.includes("[DONE]") === true : reply?.json?.mark === mark,
+        });
+    }
+
+    private newMark(kind: string): string {
+        this.counter += 1;
+        return `${kind}-${this.counter}`;
+    }
+}
+
+function newItem(mark: string, isRepeatable: boolean): object {
+    return isRepeatable
+        ? {
+            custom_id: mark,
+            url: "/v1/chat/completions",
+            body: { model: "lm-model", messages: [{ role: "user", content: `mark:${mark}` }] },
+        }
+        : { custom_id: mark, url: "/services/post/post", body: { text: `mark:${mark}` } };
+}
