Keep suspects out of the queues, and cold endpoints cold until they have warmed up

Change: warmUpMs in the service document; the limit stays cold that long after the first answer. A new owner goes on from the limit that instances last heard. Successes of before a failure no longer count after it. - Requests that may only run alone waited for that inside the queue's own concurrency and held up everything behind them (589 of 3,301 calls without an answer in 20 s). Change: they wait in a queue of their own, one at a time, for at most 5 s, with pauses for the others. - One crash while a suspect ran alone condemned it: 15 innocent requests. Change: two such crashes.

--- a/packages/config/src/documents.ts
+++ b/packages/config/src/documents.ts
@@ -14,6 +14,8 @@
     port,
     maxConcurrency: z.int().min(1).max(MAX_CONCURRENCY).describe("requests it carries at once when warm"),
     coldConcurrency: z.int().min(1).max(MAX_CONCURRENCY).default(1).describe("requests it carries at once when cold"),
+    warmUpMs: z.int().min(0).max(MAX_TIMEOUT_MS).default(10_000)
+        .describe("how long it carries no more than its cold concurrency after its first answer, in milliseconds"),
     state: z.enum(["in", "leaving"]).default("in"),
 });
 
--- a/packages/daemon/src/creditWiring.ts
+++ b/packages/daemon/src/creditWiring.ts
@@ -80,7 +80,7 @@
      */
     handleRequest(entries: readonly CreditEntry[]): GrantEntry[] {
         return entries.flatMap(({ endpoint, demand }) => {
-            const ledger = this.getLedger(endpoint);
+            const ledger = this.getLedger(endpoint, demand.knownLimit);
             const members = this.surroundings.agreement.getTable()?.members ?? [];
             return ledger === undefined ? [] : [{ endpoint, grant: ledger.grant(demand, members) }];
         });
@@ -113,7 +113,7 @@
         return reply.unwrapOr([]);
     }
 
-    private getLedger(endpoint: string): EndpointLedger | undefined {
+    private getLedger(endpoint: string, knownLimit: number): EndpointLedger | undefined {
         const spec = this.findSpec(endpoint);
         if (spec === undefined || this.ownership.check(getSubject(endpoint)).kind !== "ready") {
             this.ledgers.delete(endpoint);
@@ -121,15 +121,10 @@
         }
         let ledger = this.ledgers.get(endpoint);
         if (ledger === undefined) {
-            ledger = new EndpointLedger(
-                endpoint,
-                spec.coldConcurrency,
-                spec.maxConcurrency,
-                instanceId => this.hint(instanceId),
-            );
+            ledger = new EndpointLedger(endpoint, spec, knownLimit, instanceId => this.hint(instanceId));
             this.ledgers.set(endpoint, ledger);
         }
-        ledger.warmth.setBounds(spec.coldConcurrency, spec.maxConcurrency);
+        ledger.warmth.setBounds(spec);
         return ledger;
     }
 
--- a/packages/serving/src/endpoints/holder.ts
+++ b/packages/serving/src/endpoints/holder.ts
@@ -35,6 +35,8 @@
 
 const REFRESH_INTERVAL_MS = 500;
 const MAX_EVENTS = 100;
+/** How long after its end a grant still tells a new owner where to go on, in milliseconds. */
+const KNOWN_LIMIT_TTL_MS = 5_000;
 const SLOW_FACTOR = 6;
 const SLOW_FLOOR_MS = 2_000;
 const SMOOTHING = 0.1;
@@ -349,7 +351,9 @@
         // The owner decides, but this instance must not wait for it before it holds back.
         const coldShare = this.broker.getFloor(hold.endpoint, undefined);
         if (hold.grant !== undefined) {
-            hold.grant = { ...hold.grant, credits: Math.min(hold.grant.credits, coldShare), isWarm: false };
+            const { coldConcurrency } = hold.spec;
+            const limit = Math.min(hold.grant.limit, coldConcurrency);
+            hold.grant = { ...hold.grant, credits: Math.min(hold.grant.credits, coldShare), limit, isWarm: false };
         }
         this.wantRefresh();
     }
@@ -411,6 +415,7 @@
             batch: hold.outstanding.batch + part(waiting.batch),
             inUse: outstanding,
             isExclusive: hold.wantsExclusive > 0,
+            knownLimit: monotonicMs() < hold.validUntilMs + KNOWN_LIMIT_TTL_MS ? hold.grant?.limit ?? 0 : 0,
             events: [...hold.events],
         };
     }
--- a/packages/serving/src/endpoints/ledger.ts
+++ b/packages/serving/src/endpoints/ledger.ts
@@ -1,5 +1,5 @@
 import { invariant, monotonicMs, rankByRendezvous } from "@heatherline/common";
-import { type HealthEvent, WarmthTracker } from "./warmth";
+import { type HealthEvent, type WarmthBounds, WarmthTracker } from "./warmth";
 
 /** What an instance wants of one endpoint, and what it uses already. */
 export interface CreditDemand {
@@ -14,6 +14,8 @@
     readonly inUse: number;
     /** Whether the endpoint is wanted for one request alone. */
     readonly isExclusive: boolean;
+    /** Limit of the endpoint in the last valid grant; 0 where there is none. A new owner goes on from there. */
+    readonly knownLimit: number;
     /** Health events since the last demand. */
     readonly events: readonly HealthEvent[];
 }
@@ -39,6 +41,9 @@
 /** Validity of credits in milliseconds; instances ask again well before. */
 export const CREDIT_TTL_MS = 2_000;
 
+/** How long an endpoint is for all between two requests that run alone, in milliseconds. */
+const EXCLUSIVE_PAUSE_MS = 500;
+
 /** How long equal demands keep their turn, in milliseconds. */
 const TURN_MS = 100;
 
@@ -50,21 +55,23 @@
     readonly warmth: WarmthTracker;
     private readonly holdings = new Map<string, Holding>();
     private exclusiveFor: string | undefined;
+    /** Until when the endpoint is for all again after it was for one alone. */
+    private sharedUntilMs = 0;
 
     /**
      * @param endpoint - Identity of the endpoint, for messages.
-     * @param coldConcurrency - Requests at once when cold.
-     * @param maxConcurrency - Requests at once when warm.
+     * @param bounds - What the service document says of its load.
+     * @param knownLimit - Limit that the owner before had come to; 0 where it is not known.
      * @param onRebalance - Called with each instance that should ask again: it holds more than its part while another
      * lacks, or it lacks while credits are free.
      */
     constructor(
         private readonly endpoint: string,
-        coldConcurrency: number,
-        maxConcurrency: number,
+        bounds: WarmthBounds,
+        knownLimit: number,
         private readonly onRebalance: (instanceId: string) => void,
     ) {
-        this.warmth = new WarmthTracker(coldConcurrency, maxConcurrency);
+        this.warmth = new WarmthTracker(bounds, knownLimit);
     }
 
     /**
@@ -116,15 +123,17 @@
     }
 
     private updateExclusive(demand: CreditDemand): void {
-        if (this.exclusiveFor !== undefined && !this.holdings.has(this.exclusiveFor)) {
+        const holder = this.exclusiveFor;
+        if (
+            holder !== undefined &&
+            (!this.holdings.has(holder) || (holder === demand.instanceId && !demand.isExclusive))
+        ) {
             this.exclusiveFor = undefined;
+            this.sharedUntilMs = monotonicMs() + EXCLUSIVE_PAUSE_MS;
         }
-        if (demand.isExclusive) {
+        if (demand.isExclusive && monotonicMs() >= this.sharedUntilMs) {
             this.exclusiveFor ??= demand.instanceId;
         }
-        else if (this.exclusiveFor === demand.instanceId) {
-            this.exclusiveFor = undefined;
-        }
     }
 
     private computeTarget(demand: CreditDemand, limit: number): number {
--- a/packages/serving/src/endpoints/warmth.ts
+++ b/packages/serving/src/endpoints/warmth.ts
@@ -3,6 +3,16 @@
 /** How an attempt at an endpoint went, as far as the endpoint's health is concerned. */
 export type HealthEvent = "success" | "slow" | "overloaded" | "crashed" | "refused" | "restarted";
 
+/** What the service document says of an endpoint's load. */
+export interface WarmthBounds {
+    /** Requests at once that a cold endpoint carries. */
+    readonly coldConcurrency: number;
+    /** Requests at once that a warm endpoint carries. */
+    readonly maxConcurrency: number;
+    /** How long it stays cold after its first answer, in milliseconds. */
+    readonly warmUpMs: number;
+}
+
 const RAMP_STEP_MS = 300;
 const RAMP_FACTOR = 2;
 const SLOW_EVENTS_TO_COLD = 2;
@@ -11,23 +21,27 @@
 
 /**
  * Decides how many requests an endpoint may carry at once. An endpoint of unknown or cold state starts with its
- * cold concurrency; the limit grows step by step while the endpoint answers at the limit, and falls back at once
- * when it crashes, restarts, refuses connections or answers far slower than before.
+ * cold concurrency. Once it has warmed up by its own answers the limit grows step by step while it answers at the
+ * limit; it falls back at once when the endpoint crashes, restarts, refuses connections or answers far slower.
  */
 export class WarmthTracker {
     private limit: number;
     private successes = 0;
     private slowEvents = 0;
+    private firstAnswerAtMs: number | undefined;
     private steppedAtMs = monotonicMs();
     private blockedUntilMs = 0;
     private backoffMs = FIRST_BACKOFF_MS;
 
     /**
-     * @param coldConcurrency - Requests at once that a cold endpoint carries.
-     * @param maxConcurrency - Requests at once that a warm endpoint carries.
+     * @param bounds - What the service document says.
+     * @param knownLimit - Limit that the owner before had come to, where it is known.
      */
-    constructor(private coldConcurrency: number, private maxConcurrency: number) {
-        this.limit = coldConcurrency;
+    constructor(private bounds: WarmthBounds, knownLimit = 0) {
+        this.limit = Math.min(Math.max(bounds.coldConcurrency, knownLimit), bounds.maxConcurrency);
+        if (knownLimit > bounds.coldConcurrency) {
+            this.firstAnswerAtMs = -Infinity;
+        }
     }
 
     /** @returns Requests that the endpoint may carry at once now; 0 while it is left alone after a failure. */
@@ -37,24 +51,17 @@
 
     /** @returns Whether the endpoint carries its full load. */
     isWarm(): boolean {
-        return this.getLimit() >= this.maxConcurrency;
-    }
-
-    /** @returns Milliseconds until the endpoint may be tried again; 0 when it may be tried now. */
-    getBlockedMs(): number {
-        return Math.max(0, this.blockedUntilMs - monotonicMs());
+        return this.getLimit() >= this.bounds.maxConcurrency;
     }
 
     /**
-     * Takes over changed bounds from the service document.
+     * Takes over changed bounds.
      *
-     * @param coldConcurrency - See the constructor.
-     * @param maxConcurrency - See the constructor.
+     * @param bounds - What the service document says now.
      */
-    setBounds(coldConcurrency: number, maxConcurrency: number): void {
-        this.coldConcurrency = coldConcurrency;
-        this.maxConcurrency = maxConcurrency;
-        this.limit = Math.min(Math.max(this.limit, coldConcurrency), maxConcurrency);
+    setBounds(bounds: WarmthBounds): void {
+        this.bounds = bounds;
+        this.limit = Math.min(Math.max(this.limit, bounds.coldConcurrency), bounds.maxConcurrency);
     }
 
     /**
@@ -72,7 +79,10 @@
                 }
                 return;
             case "overloaded":
-                this.limit = Math.max(Math.min(this.coldConcurrency, this.limit), Math.floor(this.limit / RAMP_FACTOR));
+                this.limit = Math.max(
+                    Math.min(this.bounds.coldConcurrency, this.limit),
+                    Math.floor(this.limit / RAMP_FACTOR),
+                );
                 this.successes = 0;
                 return;
             case "restarted":
@@ -88,20 +98,29 @@
     }
 
     private noteSuccess(): void {
-        this.successes += 1;
+        const nowMs = monotonicMs();
+        if (nowMs < this.blockedUntilMs) {
+            // It ended before the failure and says nothing about the start after it.
+            return;
+        }
+        this.firstAnswerAtMs ??= nowMs;
         this.slowEvents = 0;
         this.backoffMs = FIRST_BACKOFF_MS;
-        const nowMs = monotonicMs();
+        if (nowMs - this.firstAnswerAtMs < this.bounds.warmUpMs) {
+            return;
+        }
+        this.successes += 1;
         if (this.successes < this.limit || nowMs - this.steppedAtMs < RAMP_STEP_MS) {
             return;
         }
-        this.limit = Math.min(this.limit * RAMP_FACTOR, this.maxConcurrency);
+        this.limit = Math.min(this.limit * RAMP_FACTOR, this.bounds.maxConcurrency);
         this.successes = 0;
         this.steppedAtMs = nowMs;
     }
 
     private turnCold(): void {
-        this.limit = this.coldConcurrency;
+        this.limit = this.bounds.coldConcurrency;
+        this.firstAnswerAtMs = undefined;
         this.successes = 0;
         this.slowEvents = 0;
         this.steppedAtMs = monotonicMs();
--- a/packages/serving/src/scheduler.ts
+++ b/packages/serving/src/scheduler.ts
@@ -12,6 +12,9 @@
 const NO_ENDPOINT_RETRY_MS = 2_000;
 const FIRST_MEAN_HOLD_MS = 100;
 const SMOOTHING = 0.05;
+/** Longest wait for an endpoint alone, in milliseconds: one that is down must not hold up the others. */
+const MAX_WAIT_ALONE_MS = 5_000;
+const ALONE_POLL_MS = 100;
 /** Credits that batch leaves free for online requests to come, as a part of all credits of this instance. */
 const BATCH_RESERVE_FRACTION = 0.1;
 
@@ -21,6 +24,8 @@
     readonly lanes: Record<WorkClass, Lane>;
     /** Requests that have left the queue but found no free credit yet. */
     readonly choosing: WaitingCounts;
+    /** Requests that may only run alone. */
+    readonly alone: PQueue;
     meanHoldMs: number;
 }
 
@@ -95,6 +100,9 @@
         if (refusal !== undefined) {
             return err(refusal);
         }
+        if (request.isExclusive) {
+            return this.acquireAlone(service, request);
+        }
         if (exchange.workClass === "online" && this.holder.getCandidates(service).length <= lane.size) {
             this.holder.preemptOne(service);
             this.holder.wantRefresh();
@@ -174,27 +182,17 @@
 
     private async choose(service: string, request: SlotRequest): Promise<EndpointSlot | undefined> {
         const { exchange } = request;
-        const wished = request.isExclusive ? this.holder.wishExclusive(service, true) : undefined;
         const { choosing } = this.getQueues(service);
         let isAsked = false;
         choosing[exchange.workClass] += 1;
         try {
-            for (;;) {
-                if (exchange.ending.signal.aborted) {
-                    return undefined;
-                }
-                const candidates = this.holder.getCandidates(service).filter(candidate =>
-                    wished === undefined || (candidate.endpoint === wished && candidate.isExclusive)
-                );
+            while (!exchange.ending.signal.aborted) {
+                const candidates = this.holder.getCandidates(service);
                 const fresh = candidates.filter(({ endpoint }) => !request.excluded.has(endpoint));
                 const [first, ...rest] = fresh.length > 0 ? fresh : candidates;
                 if (first !== undefined) {
                     const chosen = this.policy.choose([first, ...rest], exchange.affinityKey);
-                    return this.withWish(
-                        service,
-                        wished,
-                        this.holder.take(chosen.endpoint, exchange.workClass, request.preempt),
-                    );
+                    return this.holder.take(chosen.endpoint, exchange.workClass, request.preempt);
                 }
                 if (!isAsked) {
                     isAsked = true;
@@ -202,26 +200,58 @@
                 }
                 await this.waitForCredits(exchange.ending.signal);
             }
+            return undefined;
         }
         finally {
             choosing[exchange.workClass] -= 1;
-            if (wished !== undefined && exchange.ending.signal.aborted) {
-                this.holder.wishExclusive(service, false, wished);
-            }
         }
     }
 
-    private withWish(service: string, wished: string | undefined, slot: EndpointSlot): EndpointSlot {
-        if (wished === undefined) {
-            return slot;
+    /** Waits until an endpoint is free of everything else. One request at a time waits so; the others' queues go on. */
+    private async acquireAlone(service: string, request: SlotRequest): Promise<Result<EndpointSlot, RoutingError>> {
+        const { alone } = this.getQueues(service);
+        const { signal } = request.exchange.ending;
+        return new Promise(resolve => {
+            void alone.add(async () => {
+                const wished = this.holder.wishExclusive(service, true);
+                const slot = wished === undefined ? undefined : await this.waitForEndpoint(service, wished, request);
+                if (wished === undefined || slot === undefined) {
+                    if (wished !== undefined) {
+                        this.holder.wishExclusive(service, false, wished);
+                    }
+                    const kind = signal.aborted ? "aborted" : "no-endpoint";
+                    resolve(err(new RoutingError(kind, "no endpoint could be had alone", NO_ENDPOINT_RETRY_MS)));
+                    return;
+                }
+                await new Promise<void>(release =>
+                    resolve(ok({
+                        ...slot,
+                        release: event => {
+                            slot.release(event);
+                            this.holder.wishExclusive(service, false, wished);
+                            release();
+                        },
+                    }))
+                );
+            });
+        });
+    }
+
+    private async waitForEndpoint(
+        service: string,
+        endpoint: string,
+        request: SlotRequest,
+    ): Promise<EndpointSlot | undefined> {
+        const { ending, workClass } = request.exchange;
+        const untilMs = monotonicMs() + MAX_WAIT_ALONE_MS;
+        while (!ending.signal.aborted && monotonicMs() < untilMs) {
+            const candidate = this.holder.getCandidates(service).find(other => other.endpoint === endpoint);
+            if (candidate?.isExclusive === true) {
+                return this.holder.take(endpoint, workClass, request.preempt);
+            }
+            await this.waitForCredits(AbortSignal.any([ending.signal, AbortSignal.timeout(ALONE_POLL_MS)]));
         }
-        return {
-            ...slot,
-            release: event => {
-                slot.release(event);
-                this.holder.wishExclusive(service, false, wished);
-            },
-        };
+        return undefined;
     }
 
     private waitForCredits(signal: AbortSignal): Promise<void> {
@@ -259,6 +289,7 @@
             queues = {
                 lanes: { online: newLane(), batch: newLane() },
                 choosing: { online: 0, batch: 0 },
+                alone: new PQueue({ concurrency: 1 }),
                 meanHoldMs: FIRST_MEAN_HOLD_MS,
             };
             this.services.set(service, queues);
--- a/packages/serving/src/suspects.ts
+++ b/packages/serving/src/suspects.ts
@@ -12,13 +12,17 @@
 /** How long a request that was present at a crash stays suspect, in milliseconds. */
 const SUSPECT_TTL_MS = 600_000;
 const MAX_SUSPECTS = 10_000;
+/** An endpoint may die of something else just while a suspect runs alone; twice is no accident. */
+const CRASHES_ALONE_TO_CONDEMN = 2;
 
 /**
  * Requests that were running when an endpoint crashed. A suspect runs again only alone: if it then ends well it is
- * cleared, and if the endpoint crashes again it is the cause. Requests that merely stood beside are never blamed.
+ * cleared, and if endpoints crash again and again under it alone it is the cause. Requests that merely stood beside
+ * are never blamed.
  */
 export class SuspectRegistry {
     private readonly suspects = new Map<string, number>();
+    private readonly crashesAlone = new Map<string, number>();
     private readonly condemned = new Set<string>();
     private readonly present = new Map<string, Map<symbol, string>>();
 
@@ -53,7 +57,7 @@
      */
     condemn(fingerprint: string): void {
         this.condemned.add(fingerprint);
-        this.suspects.delete(fingerprint);
+        this.clear(fingerprint);
     }
 
     /**
@@ -81,12 +85,13 @@
             here.delete(token);
             if (event === "crashed") {
                 this.add(fingerprints);
-                if (isAlone) {
+                const isCulprit = isAlone && this.countCrashAlone(fingerprint) >= CRASHES_ALONE_TO_CONDEMN;
+                if (isCulprit) {
                     this.condemn(fingerprint);
                 }
-                this.onCrash({ endpoint, fingerprints, culprit: isAlone ? fingerprint : undefined });
+                this.onCrash({ endpoint, fingerprints, culprit: isCulprit ? fingerprint : undefined });
             }
-            else if (event === "success" && this.suspects.delete(fingerprint)) {
+            else if (event === "success" && this.clear(fingerprint)) {
                 this.onCleared(fingerprint);
             }
         };
@@ -104,14 +109,22 @@
             if (oldest === undefined) {
                 return;
             }
-            this.suspects.delete(oldest);
+            this.clear(oldest);
         }
     }
 
     /**
-     * @param fingerprint - A request that a peer saw end well.
+     * @param fingerprint - A request that ended well, here or at a peer.
+     * @returns Whether it was suspect.
      */
-    clear(fingerprint: string): void {
-        this.suspects.delete(fingerprint);
+    clear(fingerprint: string): boolean {
+        this.crashesAlone.delete(fingerprint);
+        return this.suspects.delete(fingerprint);
+    }
+
+    private countCrashAlone(fingerprint: string): number {
+        const count = (this.crashesAlone.get(fingerprint) ?? 0) + 1;
+        this.crashesAlone.set(fingerprint, count);
+        return count;
     }
 }
--- a/standins/demo.ts
+++ b/standins/demo.ts
@@ -25,12 +25,12 @@
             ...places.map(dataCentre => ({ kind: "data-centre", dataCentre, state: "in" })),
             newModelService(
                 "assist",
-                models.map((child, at) => ({ child, dataCentre: places[at] ?? "" })),
+                models.map((child, at) => ({ child, dataCentre: places[at] ?? "", warmUpMs: 600 })),
                 organisations,
             ),
             newPlainService(
                 "calendar",
-                plain.map((child, at) => ({ child, dataCentre: places[at] ?? "" })),
+                plain.map((child, at) => ({ child, dataCentre: places[at] ?? "", warmUpMs: 600 })),
                 organisations,
             ),
         );
--- a/standins/documents.ts
+++ b/standins/documents.ts
@@ -8,6 +8,7 @@
     readonly dataCentre: string;
     readonly maxConcurrency?: number;
     readonly coldConcurrency?: number;
+    readonly warmUpMs?: number;
 }
 
 /** An organisation of a test's service document. */
@@ -103,7 +104,10 @@
     return issued;
 }
 
-function newEndpoint({ child, dataCentre, maxConcurrency, coldConcurrency }: TestEndpoint, index: number): object {
+function newEndpoint(
+    { child, dataCentre, maxConcurrency, coldConcurrency, warmUpMs }: TestEndpoint,
+    index: number,
+): object {
     return {
         endpoint: `endpoint-${index}`,
         dataCentre,
@@ -111,5 +115,6 @@
         port: child.port,
         maxConcurrency: maxConcurrency ?? 8,
         coldConcurrency: coldConcurrency ?? 1,
+        warmUpMs: warmUpMs ?? 0,
     };
 }
--- a/standins/soak.ts
+++ b/standins/soak.ts
@@ -182,7 +182,7 @@
     const endpoints = [];
     for (const dataCentre of [...DATA_CENTRES, ...DATA_CENTRES]) {
         const child = await cluster.startEndpoint("--coldMs", "1500", "--coldSlots", "2", "--restartMs", "2500");
-        endpoints.push({ child, dataCentre, coldConcurrency: 2 });
+        endpoints.push({ child, dataCentre, coldConcurrency: 2, warmUpMs: 1_600 });
     }
     await startInstances();
     const first = cluster.daemons[0] as DaemonChild;
