Never give up a batch item that must not run twice once it runs; audit record and burn report

Ruled out: intents in the store (no chunk had two runners). Change: only idempotent items are given up for online requests. Also new: the audit record in the store (segments, read page by page), burn rates with alert lines, heatherline audit and report slo-burn.

--- /dev/null
+++ b/bench/limits.ts
@@ -0,0 +1,237 @@
+import { sleep } from "@heatherline/common";
+import { mkdtempSync, readdirSync, readFileSync, rmSync } from "node:fs";
+import http from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { callJson, Cluster, type DaemonChild } from "../standins/cluster";
+import { applyDocuments, issueKey, newModelService } from "../standins/documents";
+import { type DecidedRequest, judgeByIdealBucket } from "../standins/idealBucket";
+import { runOpenLoop } from "../standins/openLoop";
+import { printTable } from "./output";
+
+const DATA_CENTRES = ["east", "mid", "west"];
+const RUN_MS = 20_000;
+const SETTLE_MS = 9_000;
+const SKEWED_FRACTION = 0.8;
+const LOAD_FACTOR = 0.8;
+const GREEDY_FACTOR = 4;
+
+const ORGANISATIONS = [
+    { organisation: "greedy", ratePerS: 20, burst: 20 },
+    { organisation: "large-1", ratePerS: 40, burst: 40 },
+    { organisation: "large-2", ratePerS: 30, burst: 30 },
+    { organisation: "middle-1", ratePerS: 10, burst: 10 },
+    { organisation: "middle-2", ratePerS: 8, burst: 8 },
+    { organisation: "small-1", ratePerS: 4, burst: 4 },
+    { organisation: "small-2", ratePerS: 2, burst: 2 },
+    { organisation: "tiny", ratePerS: 1, burst: 1 },
+];
+
+interface Scenario {
+    readonly name: string;
+    readonly policy: "grants" | "static-split";
+    readonly perDataCentre: number;
+    readonly dataCentres: readonly string[];
+    readonly arrivals: "even" | "skewed";
+    /** Whether one data centre is taken out for the middle third of the run. */
+    readonly isLeaving: boolean;
+}
+
+const SCENARIOS: Scenario[] = [
+    {
+        name: "one instance",
+        policy: "grants",
+        perDataCentre: 1,
+        dataCentres: ["east"],
+        arrivals: "even",
+        isLeaving: false,
+    },
+    ...(["grants", "static-split"] as const).flatMap(policy =>
+        (["even", "skewed"] as const).map(arrivals => ({
+            name: policy,
+            policy,
+            perDataCentre: 3,
+            dataCentres: DATA_CENTRES,
+            arrivals,
+            isLeaving: false,
+        }))
+    ),
+    {
+        name: "grants, data centre out and in",
+        policy: "grants",
+        perDataCentre: 3,
+        dataCentres: DATA_CENTRES,
+        arrivals: "even",
+        isLeaving: true,
+    },
+];
+
+/** Over-admission and wrongful refusals, against an ideal token bucket over the whole fleet. */
+export async function benchLimits(): Promise<void> {
+    const rows = [];
+    for (const scenario of SCENARIOS) {
+        rows.push(await runScenario(scenario));
+    }
+    printTable(
+        `rates: ${ORGANISATIONS.length} organisations, one at ${GREEDY_FACTOR} times its rate, the others at ${LOAD_FACTOR}, ${
+            RUN_MS / 1_000
+        } s`,
+        rows,
+    );
+}
+
+async function runScenario(scenario: Scenario) {
+    const logFolder = mkdtempSync(join(tmpdir(), "heatherline-limits-"));
+    const cluster = new Cluster(logFolder);
+    try {
+        await cluster.startPlatform();
+        const endpoints = [];
+        for (const dataCentre of scenario.dataCentres) {
+            const child = await cluster.startEndpoint(
+                "--warm",
+                "--slots",
+                "64",
+                "--firstTokenMs",
+                "5",
+                "--tokenMs",
+                "0",
+            );
+            endpoints.push({ child, dataCentre, maxConcurrency: 64, coldConcurrency: 64 });
+        }
+        for (const dataCentre of scenario.dataCentres) {
+            for (let index = 0; index < scenario.perDataCentre; index += 1) {
+                await cluster.startDaemon(`${dataCentre}-${index}`, dataCentre, "--limit-policy", scenario.policy);
+            }
+        }
+        const first = cluster.daemons[0] as DaemonChild;
+        await applyDocuments(
+            first,
+            ...scenario.dataCentres.map(dataCentre => ({ kind: "data-centre", dataCentre, state: "in" })),
+            newModelService("lm", endpoints, ORGANISATIONS),
+        );
+        const keys = new Map<string, string>();
+        for (const { organisation } of ORGANISATIONS) {
+            keys.set(organisation, (await issueKey(first, organisation)).secretKey);
+        }
+        await sleep(SETTLE_MS);
+        const calls = await runLoad(scenario, cluster, keys);
+        await sleep(500);
+        return summarise(scenario, calls, readAdmissions(logFolder));
+    }
+    finally {
+        await cluster.stop();
+        rmSync(logFolder, { recursive: true });
+    }
+}
+
+interface Call {
+    readonly organisation: string;
+    readonly requestId: string;
+    readonly arrivedAtMs: number;
+    readonly status: number;
+}
+
+async function runLoad(scenario: Scenario, cluster: Cluster, keys: ReadonlyMap<string, string>): Promise<Call[]> {
+    const calls: Call[] = [];
+    const agent = new http.Agent({ keepAlive: true });
+    let out: string | undefined;
+    const operate = async () => {
+        if (!scenario.isLeaving) {
+            return;
+        }
+        const setState = (state: string) =>
+            applyDocuments(cluster.daemons[0] as DaemonChild, { kind: "data-centre", dataCentre: "west", state });
+        await sleep(RUN_MS / 3);
+        await setState("out");
+        // The platform's balancer follows the readiness check.
+        out = "west";
+        await sleep(RUN_MS / 3);
+        await setState("in");
+        out = undefined;
+    };
+    const loads = ORGANISATIONS.map(async ({ organisation, ratePerS }, number) => {
+        const generator = xoroshiro128plus(number + 100);
+        const random = () => (generator.next() >>> 0) / 2 ** 32;
+        await runOpenLoop({
+            ratePerS: ratePerS * (organisation === "greedy" ? GREEDY_FACTOR : LOAD_FACTOR),
+            durationMs: RUN_MS,
+            seed: number + 1,
+            send: async () => {
+                const inService = cluster.daemons.filter(({ dataCentre }) => dataCentre !== out);
+                const favourite = inService[number % inService.length];
+                const isSkewed = scenario.arrivals === "skewed" && random() < SKEWED_FRACTION;
+                const daemon = isSkewed ? favourite : inService[Math.floor(random() * inService.length)];
+                const arrivedAtMs = performance.timeOrigin + performance.now();
+                const reply = await callJson(daemon?.port ?? 0, "/v1/chat/completions", {
+                    headers: { authorization: `Bearer ${keys.get(organisation) ?? ""}` },
+                    body: { model: "lm-model", max_tokens: 1, messages: [{ role: "user", content: "x" }] },
+                    agent,
+                });
+                calls.push({
+                    organisation,
+                    arrivedAtMs,
+                    requestId: String(reply.headers["x-request-id"]),
+                    status: reply.status,
+                });
+                return true;
+            },
+        });
+    });
+    await Promise.all([...loads, operate()]);
+    agent.destroy();
+    return calls;
+}
+
+/** The daemons' own records say when each request was admitted. */
+function readAdmissions(logFolder: string): Map<string, number> {
+    const admissions = new Map<string, number>();
+    for (const file of readdirSync(logFolder)) {
+        for (const line of readFileSync(join(logFolder, file), "utf8").split("\n")) {
+            if (line.includes('"admittedAt"')) {
+                const { requestId, admittedAt } = JSON.parse(line) as { requestId: string; admittedAt: number; };
+                admissions.set(requestId, admittedAt);
+            }
+        }
+    }
+    return admissions;
+}
+
+function summarise(scenario: Scenario, calls: readonly Call[], admissions: ReadonlyMap<string, number>) {
+    let overAdmitted = 0;
+    let wronglyRefused = 0;
+    let inRate = 0;
+    let worstShare = 1;
+    let worst = "-";
+    let otherFailures = 0;
+    for (const bounds of ORGANISATIONS) {
+        const own = calls.filter(({ organisation }) => organisation === bounds.organisation);
+        const requests = own.map(({ arrivedAtMs, requestId, status }): DecidedRequest => ({
+            arrivedAtMs,
+            decidedAtMs: admissions.get(requestId) ?? arrivedAtMs,
+            isAdmitted: status !== 429 && admissions.has(requestId),
+        }));
+        otherFailures += own.filter(({ status }) => status !== 200 && status !== 429).length;
+        const verdict = judgeByIdealBucket(bounds, requests);
+        overAdmitted = Math.max(overAdmitted, verdict.overdrawn);
+        wronglyRefused += verdict.wronglyRefused;
+        inRate += verdict.admitted + verdict.wronglyRefused;
+        const share = verdict.admitted / Math.max(1, verdict.admitted + verdict.wronglyRefused);
+        if (share < worstShare) {
+            worstShare = share;
+            worst = bounds.organisation;
+        }
+    }
+    return {
+        limiter: scenario.name,
+        instances: scenario.perDataCentre * scenario.dataCentres.length,
+        arrivals: scenario.arrivals,
+        requests: calls.length,
+        "over-admitted tokens": Number(overAdmitted.toFixed(3)),
+        "wrongly refused": wronglyRefused,
+        "of in-rate %": (wronglyRefused / Math.max(1, inRate) * 100).toFixed(3),
+        "worst served %": (worstShare * 100).toFixed(2),
+        worst,
+        "other failures": otherFailures,
+    };
+}
--- /dev/null
+++ b/bench/output.ts
@@ -0,0 +1,18 @@
+/** A row of figures. */
+export type FigureRow = Record<string, string | number>;
+
+/**
+ * Prints figures as a table.
+ *
+ * @param title - What they are, with units.
+ * @param rows - Rows with the same columns.
+ */
+export function printTable(title: string, rows: readonly FigureRow[]): void {
+    const columns = Object.keys(rows[0] ?? {});
+    const format = (value: string | number | undefined) =>
+        typeof value === "number" && !Number.isInteger(value) ? value.toFixed(3) : String(value ?? "");
+    const cells = [columns, ...rows.map(row => columns.map(column => format(row[column])))];
+    const widths = columns.map((_, at) => Math.max(...cells.map(line => line[at]?.length ?? 0)));
+    const lines = cells.map(line => `  ${line.map((cell, at) => cell.padEnd(widths[at] ?? 0)).join("  ").trimEnd()}`);
+    process.stdout.write(`\n${title}\n${lines.join("\n")}\n`);
+}
--- /dev/null
+++ b/bench/tail.ts
@@ -0,0 +1,95 @@
+import { sleep } from "@heatherline/common";
+import http from "node:http";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { callJson, Cluster, type DaemonChild } from "../standins/cluster";
+import { applyDocuments, issueKey, newModelService } from "../standins/documents";
+import { getPercentileMs, runOpenLoop } from "../standins/openLoop";
+import { printTable } from "./output";
+
+const RATE_PER_S = 60;
+const RUN_MS = 15_000;
+const PREFIXES = 120;
+const PREFIX_CHARACTERS = 400;
+const POLICIES = ["round-robin", "least-outstanding", "prefix-affinity"];
+
+/** Endpoints of one data centre: two fast, one slow, one that is cold throughout the first part of the run. */
+const ENDPOINTS = [
+    { flags: ["--warm", "--firstTokenMs", "60", "--tokenMs", "3"], warmUpMs: 0, coldConcurrency: 8 },
+    { flags: ["--warm", "--firstTokenMs", "60", "--tokenMs", "3"], warmUpMs: 0, coldConcurrency: 8 },
+    { flags: ["--warm", "--firstTokenMs", "150", "--tokenMs", "9"], warmUpMs: 0, coldConcurrency: 8 },
+    {
+        flags: ["--coldMs", "4000", "--coldSlots", "1", "--firstTokenMs", "60", "--tokenMs", "3"],
+        warmUpMs: 4_500,
+        coldConcurrency: 1,
+    },
+];
+
+/** Online tail latency by route policy, with uneven endpoints, one cold, with and without shared prompt prefixes. */
+export async function benchTail(): Promise<void> {
+    const rows = [];
+    for (const isSharing of [true, false]) {
+        for (const policy of POLICIES) {
+            rows.push(await runPolicy(policy, isSharing));
+        }
+    }
+    printTable(
+        `latency of ${RATE_PER_S} requests/s over 3 instances and 4 endpoints (1 slow, 1 cold), ${
+            RUN_MS / 1_000
+        } s, ms`,
+        rows,
+    );
+}
+
+async function runPolicy(policy: string, isSharing: boolean) {
+    const cluster = new Cluster();
+    try {
+        await cluster.startPlatform();
+        const endpoints = [];
+        for (const { flags, ...bounds } of ENDPOINTS) {
+            endpoints.push({ child: await cluster.startEndpoint(...flags), dataCentre: "east", ...bounds });
+        }
+        for (let index = 0; index < 3; index += 1) {
+            await cluster.startDaemon(`east-${index}`, "east", "--route-policy", policy);
+        }
+        const first = cluster.daemons[0] as DaemonChild;
+        const organisation = { organisation: "alpha", ratePerS: 10_000, burst: 10_000 };
+        await applyDocuments(first, newModelService("lm", endpoints, [organisation]));
+        const { secretKey } = await issueKey(first, "alpha");
+        await sleep(4_000);
+        const agent = new http.Agent({ keepAlive: true });
+        const generator = xoroshiro128plus(1);
+        const pick = (count: number) => Math.floor((generator.next() >>> 0) / 2 ** 32 * count);
+        const result = await runOpenLoop({
+            ratePerS: RATE_PER_S,
+            durationMs: RUN_MS,
+            seed: 5,
+            send: async index => {
+                const prefix = `conversation ${isSharing ? pick(PREFIXES) : index} `.padEnd(PREFIX_CHARACTERS, ".");
+                const reply = await callJson(cluster.daemons[pick(3)]?.port ?? 0, "/v1/chat/completions", {
+                    headers: { authorization: `Bearer ${secretKey}` },
+                    body: { model: "lm-model", max_tokens: 20, messages: [{ role: "user", content: prefix }] },
+                    agent,
+                });
+                return reply.status === 200;
+            },
+        });
+        agent.destroy();
+        const stats = await Promise.all(
+            cluster.endpoints.map(async ({ controlPort = 0 }) => (await callJson(controlPort, "/stats")).json),
+        );
+        const total = (field: string) => stats.reduce((sum, entry) => sum + entry[field], 0);
+        return {
+            policy,
+            prefixes: isSharing ? `${PREFIXES} shared` : "none shared",
+            answered: `${result.counted} of ${result.sent}`,
+            p50: getPercentileMs(result.latencyUs, 50),
+            p99: getPercentileMs(result.latencyUs, 99),
+            "p99.9": getPercentileMs(result.latencyUs, 99.9),
+            "prefix hits": total("prefixHits"),
+            "cold overloads": total("coldOverloads"),
+        };
+    }
+    finally {
+        await cluster.stop();
+    }
+}
--- /dev/null
+++ b/packages/batch/src/batch.test.ts
@@ -0,0 +1,206 @@
+import { newLogger } from "@heatherline/common";
+import fc from "fast-check";
+import { ok } from "neverthrow";
+import { Readable } from "node:stream";
+import { afterEach, describe, expect, it, vi } from "vitest";
+import { arbitraryFaults, scheduleFaults } from "../../../standins/simulation/faults";
+import { type SimulatedHost, SimulatedNetwork } from "../../../standins/simulation/network";
+import { passTime, useRealTime, useSimulatedTime } from "../../../standins/simulation/time";
+import { JobIntake, type Submission } from "./intake";
+import { type ItemOutcome, MAX_ITEM_ATTEMPTS, runItem } from "./itemRunner";
+import { JobReader } from "./reader";
+import { JobRunner } from "./runner";
+
+const SEED = 20_261_204;
+const ITEMS = 30;
+const RUN_MS = 30_000;
+/** A runner that is lost with items that must not run twice is waited for this long. */
+const SETTLE_MS = 600_000;
+const HOSTS = ["one", "two"];
+
+function newSubmission(key: string, isIdempotent: boolean, content = ""): Submission {
+    const lines = Array.from(
+        { length: ITEMS },
+        (_, index) => JSON.stringify({ custom_id: `${key}-${index}`, url: "/x", body: content }),
+    );
+    return {
+        organisation: "alpha",
+        idempotencyKey: key,
+        dueAt: new Date(Date.now() + 60_000),
+        lines: Readable.from([lines.join("\n")]),
+        resolve: () => ok({ service: "s", isIdempotent }),
+    };
+}
+
+/** Runs each job on one of two instances that take turns, frozen and cut off as the faults will. */
+class Fleet {
+    readonly runs = new Map<string, number>();
+    readonly network: SimulatedNetwork;
+    readonly intakes: JobIntake[];
+    readonly reader: JobReader;
+    runnerId = HOSTS[0];
+    startedAfterCancelMs = 0;
+
+    constructor(seed: number) {
+        this.network = new SimulatedNetwork(seed);
+        const hosts = HOSTS.map(id => this.network.addHost(id, id));
+        this.intakes = hosts.map(host => new JobIntake(this.network.newStore(host)));
+        this.reader = new JobReader(this.network.store);
+        for (const host of hosts) {
+            const executor = { execute: (item: { customId: string; }) => this.execute(host, item.customId) };
+            const placement = { isRunner: () => this.runnerId === host.id };
+            new JobRunner(this.network.newStore(host), executor, placement, newLogger("test", "fatal")).start();
+        }
+        setInterval(() => {
+            this.runnerId = HOSTS[Math.floor(this.network.random() * HOSTS.length)];
+        }, 4_000);
+    }
+
+    private async execute(host: SimulatedHost, customId: string): Promise<ItemOutcome> {
+        if (host.isFrozen) {
+            await new Promise<void>(resolve => host.thawers.push(resolve));
+        }
+        this.runs.set(customId, (this.runs.get(customId) ?? 0) + 1);
+        await new Promise(resolve => setTimeout(resolve, this.network.random() * 800));
+        return { kind: "answered", status: 200, body: customId };
+    }
+}
+
+describe("batch jobs under faults", () => {
+    afterEach(useRealTime);
+
+    it("every accepted item ends with one result, and items that must not run twice run at most once", async () => {
+        await fc.assert(
+            fc.asyncProperty(
+                fc.integer(),
+                arbitraryFaults(RUN_MS, 5),
+                fc.boolean(),
+                async (seed, faults, isIdempotent) => {
+                    useSimulatedTime(seed);
+                    try {
+                        const fleet = new Fleet(seed);
+                        const accepted = Promise.all(
+                            [0, 1].map(index => fleet.intakes[index]?.submit(newSubmission("job", isIdempotent))),
+                        );
+                        await passTime(3_000, 100, () => undefined);
+                        const jobIds = (await accepted).flatMap(result =>
+                            result?.isOk() ? [result.value.manifest.jobId] : []
+                        );
+                        expect(new Set(jobIds).size).toBe(1);
+                        scheduleFaults(fleet.network, faults);
+                        await passTime(RUN_MS, 100, () => undefined);
+                        fleet.network.heal();
+                        await vi.advanceTimersByTimeAsync(SETTLE_MS);
+                        const status = (await fleet.reader.getStatus("alpha", jobIds[0] ?? ""))._unsafeUnwrap();
+                        expect([status.state, status.completed + status.failed]).toEqual(["done", ITEMS]);
+                        const page = (await fleet.reader.getResults("alpha", jobIds[0] ?? "", 0))._unsafeUnwrap();
+                        expect(new Set(page.results.map(({ customId }) => customId)).size).toBe(ITEMS);
+                        expect([...fleet.runs.values()].filter(count => !isIdempotent && count > 1)).toEqual([]);
+                    }
+                    finally {
+                        useRealTime();
+                    }
+                },
+            ),
+            { seed: SEED, numRuns: Number(process.env.PROPERTY_RUNS ?? 15), endOnFailure: true },
+        );
+    }, 120_000);
+
+    it("a cancelled job stops, and keeps the results it has", async () => {
+        useSimulatedTime(SEED);
+        const fleet = new Fleet(SEED);
+        const submitted = fleet.intakes[0]?.submit(newSubmission("job", true));
+        await vi.advanceTimersByTimeAsync(200);
+        const { jobId } = (await submitted)?._unsafeUnwrap().manifest ?? { jobId: "" };
+        await vi.advanceTimersByTimeAsync(300);
+        expect((await fleet.reader.cancel("alpha", jobId))._unsafeUnwrap().state).toBe("cancelled");
+        await vi.advanceTimersByTimeAsync(3_000);
+        const before = new Map(fleet.runs);
+        await vi.advanceTimersByTimeAsync(30_000);
+        expect(fleet.runs).toEqual(before);
+        expect((await fleet.reader.getStatus("alpha", jobId))._unsafeUnwrap().state).toBe("cancelled");
+    });
+
+    it.each([
+        { name: "the same content is the same job", content: "", expected: true },
+        { name: "other content is refused", content: "other", expected: "conflict" },
+    ])("a job sent again under its key: $name", async ({ content, expected }) => {
+        const network = new SimulatedNetwork(SEED);
+        const intake = new JobIntake(network.store);
+        expect((await intake.submit(newSubmission("job", true)))._unsafeUnwrap().isRepeated).toBe(false);
+        const again = await intake.submit(newSubmission("job", true, content));
+        expect(again.isOk() ? again.value.isRepeated : again.error.kind).toBe(expected);
+    });
+});
+
+const ITEM_CASES: {
+    name: string;
+    outcomes: ItemOutcome[];
+    isIdempotent: boolean;
+    outcome: string;
+    attempts: number;
+}[] = [
+    {
+        name: "an answer completes it",
+        outcomes: [{ kind: "answered", status: 200, body: 1 }],
+        isIdempotent: true,
+        outcome: "completed",
+        attempts: 1,
+    },
+    {
+        name: "one that always fails is given up",
+        outcomes: [{ kind: "answered", status: 500, body: 1 }],
+        isIdempotent: true,
+        outcome: "failed",
+        attempts: MAX_ITEM_ATTEMPTS,
+    },
+    {
+        name: "a caller's error is final",
+        outcomes: [{ kind: "answered", status: 422, body: 1 }],
+        isIdempotent: true,
+        outcome: "failed",
+        attempts: 1,
+    },
+    {
+        name: "what must not run twice is not tried again",
+        outcomes: [{ kind: "failed", reason: "reset" }],
+        isIdempotent: false,
+        outcome: "failed",
+        attempts: 1,
+    },
+    {
+        name: "giving way to online requests costs no attempt",
+        outcomes: [{ kind: "preempted" }, { kind: "preempted" }, { kind: "not-run", retryAfterMs: 1 }, {
+            kind: "answered",
+            status: 200,
+            body: 1,
+        }],
+        isIdempotent: true,
+        outcome: "completed",
+        attempts: 1,
+    },
+    {
+        name: "an impossible one ends at once",
+        outcomes: [{ kind: "impossible", reason: "no model" }],
+        isIdempotent: true,
+        outcome: "failed",
+        attempts: 0,
+    },
+];
+
+describe("runItem", () => {
+    it.each(ITEM_CASES)("$name", async ({ outcomes, isIdempotent, outcome, attempts }) => {
+        useSimulatedTime(SEED);
+        let index = 0;
+        const execute = async () => outcomes[Math.min(index++, outcomes.length - 1)] ?? { kind: "cancelled" as const };
+        const running = runItem({ execute }, { customId: "i", method: "POST", path: "/", body: 1 }, {
+            organisation: "a",
+            service: "s",
+            isIdempotent,
+        }, new AbortController().signal);
+        await vi.advanceTimersByTimeAsync(60_000);
+        const result = await running;
+        expect([result.outcome, result.attempts]).toEqual([outcome, attempts]);
+        useRealTime();
+    });
+});
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -3,6 +3,7 @@
 import { DaemonClient } from "./client";
 import { BatchCommands } from "./commands/batch";
 import { DocumentCommands } from "./commands/documents";
+import { ReportCommands } from "./commands/reports";
 import { StatusCommand } from "./commands/status";
 import { CliError, EXIT_CODES } from "./errors";
 import { DocumentKindNames } from "./kinds";
@@ -23,6 +24,11 @@
     readonly idempotencyKey?: string;
     readonly dueAt?: string;
     readonly follow?: boolean;
+    readonly from?: string;
+    readonly to?: string;
+    readonly organisation?: string;
+    readonly service?: string;
+    readonly svg?: string;
 }
 
 function newCommands(options: CommonOptions) {
@@ -40,6 +46,7 @@
         documents: new DocumentCommands(client, printer),
         batch: new BatchCommands(client, printer),
         status: new StatusCommand(client, printer),
+        reports: new ReportCommands(client, printer),
     };
 }
 
@@ -111,6 +118,20 @@
         .option("--due-at <time>", "when the job is due, ISO 8601 (in a day)")
         .option("--follow", "show progress until the job is done")
         .action((action: string, subject: string, options: CommonOptions) => runBatch(action, subject, options));
+    program.command("audit", "print the record of all requests, one JSON line each")
+        .option("--from <minute>", "first minute, YYYY-MM-DDTHH:MM in UTC (an hour ago)")
+        .option("--to <minute>", "last minute (now)")
+        .option("--organisation <name>", "only this organisation")
+        .option("--service <name>", "only this service")
+        .action((options: CommonOptions) => newCommands(options).reports.audit(options));
+    program.command("report <name>", "slo-burn: burn rates of the services' objectives")
+        .option("--svg <file>", "also draw a picture")
+        .action((name: string, options: CommonOptions) => {
+            if (name !== "slo-burn") {
+                throw new CliError("usage", `${name} is not one of slo-burn`);
+            }
+            return newCommands(options).reports.sloBurn(options.svg);
+        });
     program.help();
     program.version(VERSION);
     return program;
--- /dev/null
+++ b/packages/config/src/replica.test.ts
@@ -0,0 +1,62 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { ConfigReplica, type VersionedDocument } from "./replica";
+
+const SEED = 20_261_204;
+
+const arbitraryDocument: fc.Arbitrary<VersionedDocument> = fc.record({
+    name: fc.constantFrom("east", "mid", "west"),
+    version: fc.integer({ min: 1, max: 6 }),
+    kind: fc.constantFrom("in", "out", "tombstone", "invalid"),
+}).map(({ name, version, kind }) => ({
+    path: `config/data-centre/${name}`,
+    // The store gives each version one value.
+    version: version * 4 + ["in", "out", "tombstone", "invalid"].indexOf(kind),
+    value: kind === "tombstone"
+        ? undefined
+        : { kind: "data-centre", dataCentre: name, state: kind === "invalid" ? "maybe" : kind },
+}));
+
+describe("ConfigReplica", () => {
+    it("never goes back to a lower version, and an invalid document never replaces a valid one", () => {
+        fc.assert(
+            fc.property(fc.array(arbitraryDocument, { maxLength: 40 }), documents => {
+                const replica = new ConfigReplica();
+                for (const document of documents) {
+                    const before = replica.getVersion(document.path);
+                    const outcome = replica.merge(document);
+                    const after = replica.getVersion(document.path);
+                    expect(after).toBeGreaterThanOrEqual(before);
+                    expect(outcome === "applied" ? after : before).toBe(
+                        outcome === "applied" ? document.version : after,
+                    );
+                }
+                expect(
+                    replica.getAll("data-centre").every(document =>
+                        "state" in document && ["in", "out"].includes(document.state)
+                    ),
+                ).toBe(true);
+            }),
+            { seed: SEED },
+        );
+    });
+
+    it("comes to the same state in whatever order documents arrive", () => {
+        fc.assert(
+            fc.property(
+                fc.array(arbitraryDocument, { maxLength: 30 }).chain(documents =>
+                    fc.tuple(fc.constant(documents), fc.shuffledSubarray(documents, { minLength: documents.length }))
+                ),
+                ([documents, shuffled]) => {
+                    const [one, other] = [documents, shuffled].map(order => {
+                        const replica = new ConfigReplica();
+                        order.forEach(document => replica.merge(document));
+                        return replica.getDigest();
+                    });
+                    expect(one).toBe(other);
+                },
+            ),
+            { seed: SEED },
+        );
+    });
+});
--- a/packages/daemon/src/adminApi.ts
+++ b/packages/daemon/src/adminApi.ts
@@ -5,11 +5,15 @@
     type DocumentKind,
     getDocumentPath,
 } from "@heatherline/config";
+import type { AuditPage, BurnRow } from "@heatherline/reports";
+import type { StoreError } from "@heatherline/store";
+import type { Result } from "neverthrow";
 import type http from "node:http";
 import { readBody, sendJson } from "./http";
 
 const PREFIX = "/admin/";
 const MAX_DOCUMENT_BYTES = 900_000;
+const MINUTE = /^\d{4}-\d{2}-\d{2}T\d{2}:\d{2}$/;
 const LOOPBACK = new Set(["127.0.0.1", "::1", "::ffff:127.0.0.1"]);
 
 const ERROR_STATUS: Record<ConfigError["kind"], number> = {
@@ -62,6 +66,14 @@
     readonly pushDocument: (path: string) => void;
     /** @returns The state of this instance and of all others that can be heard. */
     readonly collectStatus: () => Promise<{ heard: InstanceStatus[]; silent: string[]; }>;
+    /**
+     * @param from - First minute.
+     * @param to - Last minute.
+     * @returns A page of the audit record.
+     */
+    readonly readAudit: (from: string, to: string) => Promise<Result<AuditPage, StoreError>>;
+    /** @returns Burn of all objectives, over all instances that can be heard. */
+    readonly collectBurn: () => Promise<{ rows: BurnRow[]; silent: string[]; }>;
     /** @returns Where a document is in force. */
     readonly collectInForce: (path: string) => Promise<InForceEntry[]>;
 }
@@ -104,6 +116,10 @@
                 const path = url.searchParams.get("path") ?? "";
                 return sendJson(response, 200, { path, instances: await this.surroundings.collectInForce(path) });
             }
+            case "GET slo-burn":
+                return sendJson(response, 200, await this.surroundings.collectBurn());
+            case "GET audit":
+                return this.getAudit(response, url.searchParams.get("from") ?? "", url.searchParams.get("to") ?? "");
             default:
                 return sendJson(response, 404, { error: "not-found", message: `there is no route ${url.pathname}` });
         }
@@ -147,6 +163,22 @@
         sendJson(response, 200, written.value);
     }
 
+    private async getAudit(response: http.ServerResponse, from: string, to: string): Promise<void> {
+        if (!MINUTE.test(from) || !MINUTE.test(to)) {
+            sendJson(response, 400, {
+                error: "invalid",
+                message: "from and to must be minutes, YYYY-MM-DDTHH:MM, in UTC",
+            });
+            return;
+        }
+        const page = await this.surroundings.readAudit(from, to);
+        if (page.isErr()) {
+            sendJson(response, 503, { error: "unavailable", message: "the store can't be reached" });
+            return;
+        }
+        sendJson(response, 200, page.value);
+    }
+
     private getDocuments(response: http.ServerResponse, kind: DocumentKind, id: string): void {
         const { replica } = this.surroundings;
         if (id === "") {
--- a/packages/daemon/src/batchApi.ts
+++ b/packages/daemon/src/batchApi.ts
@@ -53,8 +53,13 @@
      * @param request - The caller's request.
      * @param response - The caller's response.
      * @param requestId - Identity of the request.
+     * @returns The refusal, where there is one.
      */
-    async serve(request: http.IncomingMessage, response: http.ServerResponse, requestId: string): Promise<void> {
+    async serve(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        requestId: string,
+    ): Promise<Refusal | undefined> {
         const organisation = this.identify(request);
         const refusal = organisation.isErr()
             ? organisation.error
@@ -63,6 +68,7 @@
             sendRefusal(response, refusal, requestId);
             request.resume();
         }
+        return refusal;
     }
 
     private async route(
--- a/packages/daemon/src/callerServer.ts
+++ b/packages/daemon/src/callerServer.ts
@@ -1,6 +1,6 @@
 import { describeError, type Logger, newId } from "@heatherline/common";
 import type { ConfigReplica } from "@heatherline/config";
-import { type Pipeline, Refusal } from "@heatherline/serving";
+import { type NotRun, type Pipeline, Refusal } from "@heatherline/serving";
 import http from "node:http";
 import { AdminApi } from "./adminApi";
 import { BatchApi } from "./batchApi";
@@ -21,9 +21,22 @@
     readonly maxBodyBytes: number;
     readonly isReady: () => boolean;
     readonly isDraining: () => boolean;
+    /** Told of each answer that did not come through the pipeline: jobs, and requests refused at the door. */
+    readonly onAnswered: (answer: DoorAnswer) => void;
     readonly logger: Logger;
 }
 
+/** An answer that did not come through the pipeline. */
+export interface DoorAnswer {
+    readonly requestId: string;
+    readonly method: string;
+    readonly path: string;
+    readonly status: number;
+    /** Code of the refusal, absent for an answer. */
+    readonly code: string | undefined;
+    readonly notRun: NotRun | undefined;
+}
+
 /** HTTP towards callers and operators. */
 export class CallerServer {
     private readonly server: http.Server;
@@ -114,14 +127,30 @@
             return this.surroundings.admin.serve(request, response);
         }
         if (BatchApi.isMine(path)) {
-            return this.surroundings.batch.serve(request, response, requestId);
+            const refusal = await this.surroundings.batch.serve(request, response, requestId);
+            this.noteAnswer(request, requestId, refusal?.status ?? response.statusCode, refusal);
+            return;
         }
         if (path === "/v1/models" && request.method === "GET") {
             this.sendModels(response);
             return;
         }
         const { pipeline, maxBodyBytes } = this.surroundings;
-        await serveOnline(request, response, requestId, pipeline, maxBodyBytes);
+        const refusal = await serveOnline(request, response, requestId, pipeline, maxBodyBytes);
+        if (refusal !== undefined) {
+            this.noteAnswer(request, requestId, refusal.status, refusal);
+        }
+    }
+
+    private noteAnswer(
+        request: http.IncomingMessage,
+        requestId: string,
+        status: number,
+        refusal: Refusal | undefined,
+    ): void {
+        const { method = "", url = "/" } = request;
+        const path = url.split("?")[0] ?? url;
+        this.surroundings.onAnswered({ requestId, method, path, status, code: refusal?.kind, notRun: refusal?.notRun });
     }
 
     private sendModels(response: http.ServerResponse): void {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -11,6 +11,16 @@
     parseDocuments,
 } from "@heatherline/config";
 import { GrantLimiter, type RateLimiter, StaticSplitLimiter, type UsableShares } from "@heatherline/limits";
+import {
+    AuditLog,
+    AuditReader,
+    type BurnRow,
+    computeBurn,
+    type Objective,
+    type SloBucket,
+    type SloThresholds,
+    SloTracker,
+} from "@heatherline/reports";
 import {
     AttemptFilter,
     type Claim,
@@ -76,6 +86,8 @@
     private readonly inFlight = new InFlightRegistry();
     private readonly runner: JobRunner;
     private readonly metrics: DaemonMetrics;
+    private readonly audit: AuditLog;
+    private readonly slo = new SloTracker(service => this.getThresholds(service));
     private readonly callers: CallerServer;
     private peerPort = 0;
     private isDraining = false;
@@ -138,8 +150,9 @@
         this.scheduler.attach(this.holder);
         this.limiter = settings.limitPolicy === "grants"
             ? new GrantLimiter(instance, this.rates)
-            : new StaticSplitLimiter(this.book.getPeers().length + 1);
+            : new StaticSplitLimiter(() => this.book.getPeers().length + 1);
         this.metrics = this.newMetrics();
+        this.audit = new AuditLog(this.store, instance, logger);
         const { online, batch } = this.newPipelines();
         this.runner = new JobRunner(
             this.store,
@@ -156,6 +169,7 @@
             maxBodyBytes: settings.maxBodyBytes,
             isReady: () => this.isReady(),
             isDraining: () => this.isDraining,
+            onAnswered: answer => this.audit.note({ at: new Date().toISOString(), ...answer }),
             logger,
         });
     }
@@ -187,6 +201,7 @@
         this.agreement.start();
         this.rates.start();
         this.claims.start();
+        this.audit.start();
         this.holder.start();
         if (this.limiter instanceof GrantLimiter) {
             this.limiter.start();
@@ -218,6 +233,7 @@
         this.spreader.stop();
         this.rates.stop();
         this.claims.stop();
+        await this.audit.stop();
         await this.agreement.stop();
         this.book.stop();
         this.peerServer.close();
@@ -227,6 +243,10 @@
     private newPipelines(): { online: Pipeline; batch: Pipeline; } {
         const record = new RecordFilter((entry, outcome) => {
             this.metrics.note(entry);
+            this.audit.note({ at: new Date().toISOString(), ...entry });
+            if (entry.workClass === "online" && entry.service !== undefined) {
+                this.slo.note({ ...entry, service: entry.service, organisation: entry.organisation ?? "" });
+            }
             const cause = outcome.isErr() && outcome.error.cause !== undefined
                 ? String(outcome.error.cause)
                 : undefined;
@@ -277,6 +297,8 @@
             operatorToken: this.settings.operatorToken,
             pushDocument: path => this.spreader.push(this.replica.export([path])),
             collectStatus: () => this.collectStatus(),
+            readAudit: (from, to) => new AuditReader(this.store).read(from, to),
+            collectBurn: () => this.collectBurn(),
             collectInForce: path => this.collectInForce(path),
         });
     }
@@ -321,6 +343,7 @@
         );
         server.addMethod<SuspectNews, unknown>("suspects.note", news => this.quarantine.handleNews(news));
         server.addMethod("batch.wake", () => this.runner.wake());
+        server.addMethod("report.slo", () => this.slo.export());
         server.addMethod("status.get", () => this.getStatus());
         server.addMethod<{ path: string; }, number>("status.version", ({ path }) => this.replica.getVersion(path));
     }
@@ -442,6 +465,32 @@
         return { heard, silent: silent.sort() };
     }
 
+    private async collectBurn(): Promise<{ rows: BurnRow[]; silent: string[]; }> {
+        const buckets = this.slo.export();
+        const silent: string[] = [];
+        await Promise.all(
+            this.book.getPeers().map(async ({ instanceId }) => {
+                const reply = await this.transport.call<SloBucket[]>(instanceId, "report.slo", {}, STATUS_TIMEOUT_MS);
+                if (reply.isOk()) {
+                    buckets.push(...reply.value);
+                }
+                else {
+                    silent.push(instanceId);
+                }
+            }),
+        );
+        const objectives = new Map<string, readonly Objective[]>(
+            this.replica.getServices().map(service => [service.service, service.objectives]),
+        );
+        return { rows: computeBurn(buckets, objectives), silent };
+    }
+
+    private getThresholds(name: string): SloThresholds {
+        const objectives = this.replica.getServices().find(({ service }) => service === name)?.objectives ?? [];
+        const find = (kind: string) => objectives.find(({ objective }) => objective === kind)?.thresholdMs ?? Infinity;
+        return { firstByteMs: find("first-byte"), durationMs: find("duration") };
+    }
+
     private async collectInForce(path: string): Promise<InForceEntry[]> {
         const { instance, dataCentre } = this.settings;
         const own: InForceEntry = { instanceId: instance, dataCentre, version: this.replica.getVersion(path) };
--- a/packages/daemon/src/onlineApi.ts
+++ b/packages/daemon/src/onlineApi.ts
@@ -18,6 +18,7 @@
  * @param requestId - Identity of the request.
  * @param pipeline - The filters.
  * @param maxBodyBytes - Largest body, in bytes.
+ * @returns The refusal, where the request did not come as far as the filters.
  */
 export async function serveOnline(
     request: http.IncomingMessage,
@@ -25,11 +26,11 @@
     requestId: string,
     pipeline: Pipeline,
     maxBodyBytes: number,
-): Promise<void> {
+): Promise<Refusal | undefined> {
     const timeoutMs = readTimeoutMs(request.headers);
     if (timeoutMs.isErr()) {
         sendRefusal(response, timeoutMs.error, requestId);
-        return;
+        return timeoutMs.error;
     }
     const ending = new AbortController();
     const deadline = setTimeout(() => ending.abort("deadline"), timeoutMs.value);
@@ -43,7 +44,7 @@
     const body = await readBody(request, maxBodyBytes);
     if (body.isErr()) {
         sendRefusal(response, body.error, requestId);
-        return;
+        return body.error;
     }
     const sink = new HttpSink(response);
     const outcome = await pipeline(newExchange({
@@ -58,14 +59,15 @@
         deadlineAtMs,
     }));
     if (outcome.isOk()) {
-        return;
+        return undefined;
     }
     if (sink.hasBegun) {
         // An error status can't be sent any more. A cut connection tells the caller that the answer is not whole.
         sink.breakOff();
-        return;
+        return undefined;
     }
     sendRefusal(response, outcome.error, requestId);
+    return undefined;
 }
 
 /**
--- a/packages/limits/src/staticSplitLimiter.ts
+++ b/packages/limits/src/staticSplitLimiter.ts
@@ -14,14 +14,14 @@
     private readonly buckets = new Map<string, Bucket>();
 
     /**
-     * @param instanceCount - Number of instances over which rates are divided.
+     * @param countInstances - Number of instances over which rates are divided.
      */
-    constructor(private readonly instanceCount: number) {}
+    constructor(private readonly countInstances: () => number) {}
 
     async acquire(subject: LimitSubject, bounds: LimitBounds): Promise<Result<RatePermit, LimitError>> {
         const key = getSubjectKey(subject);
-        const burst = bounds.burst / this.instanceCount;
-        const ratePerS = bounds.ratePerS / this.instanceCount;
+        const burst = bounds.burst / this.countInstances();
+        const ratePerS = bounds.ratePerS / this.countInstances();
         const nowMs = monotonicMs();
         const bucket = this.buckets.get(key) ?? { level: burst, updatedAtMs: nowMs };
         this.buckets.set(key, bucket);
--- /dev/null
+++ b/packages/reports/src/reports.test.ts
@@ -0,0 +1,114 @@
+import { newLogger } from "@heatherline/common";
+import { MemoryStore, type StoredValue, StoreError } from "@heatherline/store";
+import { err } from "neverthrow";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { useRealTime, useSimulatedTime } from "../../../standins/simulation/time";
+import { AuditLog } from "./auditLog";
+import { AuditReader } from "./auditReader";
+import { computeBurn, findWorstServed } from "./burnRate";
+import { type SloEvent, SloTracker } from "./sloTracker";
+
+beforeEach(() => useSimulatedTime(1));
+afterEach(useRealTime);
+
+class FailingStore extends MemoryStore {
+    isDown = false;
+
+    override async put(path: string, value: StoredValue, expected: number) {
+        return this.isDown ? err(new StoreError("unavailable", "down")) : super.put(path, value, expected);
+    }
+}
+
+async function readAll(store: MemoryStore): Promise<string[]> {
+    const lines: string[] = [];
+    for (let from: string | undefined = "2000-01-01T00:00"; from !== undefined;) {
+        const page: { lines: readonly string[]; next?: string; } =
+            (await new AuditReader(store).read(from, "2100-01-01T00:00"))._unsafeUnwrap();
+        lines.push(...page.lines);
+        from = page.next;
+    }
+    return lines;
+}
+
+describe("the audit record", () => {
+    it("keeps every entry through a store outage, and can be read over any span", async () => {
+        const store = new FailingStore();
+        const audit = new AuditLog(store, "one", newLogger("test", "fatal"));
+        audit.start();
+        for (let number = 0; number < 300; number += 1) {
+            store.isDown = number > 100 && number < 200;
+            audit.note({ at: new Date().toISOString(), number });
+            await vi.advanceTimersByTimeAsync(1_000);
+        }
+        await audit.stop();
+        const numbers = (await readAll(store)).map(line => (JSON.parse(line) as { number: number; }).number);
+        expect(numbers.sort((left, right) => left - right)).toEqual(Array.from({ length: 300 }, (_, index) => index));
+        expect(audit.counts).toEqual({ noted: 300, written: 300, lost: 0 });
+    });
+
+    it("says how many entries are missing when an outage outlasts its memory", async () => {
+        const store = new FailingStore();
+        store.isDown = true;
+        const audit = new AuditLog(store, "one", newLogger("test", "fatal"));
+        for (let number = 0; number < 2_000; number += 1) {
+            audit.note({ at: "", text: "x".repeat(10_000) });
+        }
+        store.isDown = false;
+        await audit.stop();
+        const gaps = (await readAll(store)).flatMap(line =>
+            (JSON.parse(line) as { lostEntries?: number; }).lostEntries ?? []
+        );
+        expect(audit.counts.lost).toBeGreaterThan(0);
+        expect(gaps.reduce((total, gap) => total + gap, 0)).toBe(audit.counts.lost);
+        expect(audit.counts.written + audit.counts.lost).toBe(2_000);
+    });
+});
+
+const good: SloEvent = {
+    service: "lm",
+    organisation: "alpha",
+    firstByteMs: 10,
+    durationMs: 20,
+    status: 200,
+    code: undefined,
+};
+const CASES: { name: string; events: SloEvent[]; burn: number; alert: string; wronglyRefused: number; }[] = [
+    { name: "all good", events: Array.from({ length: 100 }, () => good), burn: 0, alert: "none", wronglyRefused: 0 },
+    {
+        name: "one in a hundred failed, of a target of 99 in 100",
+        events: [...Array.from({ length: 99 }, () => good), { ...good, status: 502, code: "endpoint-failed" }],
+        burn: 1,
+        alert: "none",
+        wronglyRefused: 0,
+    },
+    {
+        name: "all refused wrongly",
+        events: Array.from({ length: 10 }, () => ({ ...good, status: 503, code: "no-endpoint" })),
+        burn: 100,
+        alert: "page",
+        wronglyRefused: 10,
+    },
+    {
+        name: "refusals for the rate do not count",
+        events: [good, { ...good, status: 429, code: "rate-limited" }],
+        burn: 0,
+        alert: "none",
+        wronglyRefused: 0,
+    },
+];
+
+describe("service-level burn", () => {
+    it.each(CASES)("$name", ({ events, burn, alert, wronglyRefused }) => {
+        const tracker = new SloTracker(() => ({ firstByteMs: 100, durationMs: 100 }));
+        events.forEach(event => tracker.note(event));
+        const objectives = new Map([["lm", [{
+            objective: "availability" as const,
+            targetFraction: 0.99,
+            windowDays: 28,
+        }]]]);
+        const rows = computeBurn(tracker.export(), objectives);
+        const worst = findWorstServed(rows);
+        expect(worst?.burnRates[60]).toBeCloseTo(burn, 6);
+        expect([worst?.alert, worst?.wronglyRefused]).toEqual([alert, wronglyRefused]);
+    });
+});
--- a/packages/serving/src/exchange.ts
+++ b/packages/serving/src/exchange.ts
@@ -59,6 +59,8 @@
     fingerprint?: string;
     /** Whether bytes of this request may have reached an endpoint. */
     isSent: boolean;
+    /** When the request was found to be within its organisation's rate, in milliseconds since the epoch. */
+    admittedAt?: number;
     endpoint?: string;
     attempts: number;
     queuedMs?: number;
--- a/packages/serving/src/filters/attempt.ts
+++ b/packages/serving/src/filters/attempt.ts
@@ -58,7 +58,7 @@
                 exchange,
                 excluded,
                 isExclusive: this.suspects.isSuspect(exchange.fingerprint),
-                preempt: exchange.workClass === "batch" ? () => exchange.ending.abort("preempted") : undefined,
+                preempt: isPreemptible(exchange) ? () => exchange.ending.abort("preempted") : undefined,
             });
             if (slot.isErr()) {
                 return err(toRoutingRefusal(slot.error, exchange));
@@ -111,6 +111,11 @@
     }
 }
 
+/** What must not run twice is run to its end once it has begun. */
+function isPreemptible(exchange: Exchange): boolean {
+    return exchange.workClass === "batch" && exchange.route?.idempotent === true;
+}
+
 function getHealthEvent(kind: DispatchError["kind"]): HealthEvent | undefined {
     switch (kind) {
         case "refused":
--- a/packages/serving/src/filters/limit.ts
+++ b/packages/serving/src/filters/limit.ts
@@ -22,6 +22,7 @@
         if (permit.isErr()) {
             return err(toRefusal(permit.error, exchange));
         }
+        exchange.admittedAt = performance.timeOrigin + performance.now();
         const outcome = await next(exchange);
         if (outcome.isErr() && outcome.error.notRun === true) {
             permit.value.giveBack();
--- a/packages/serving/src/filters/record.ts
+++ b/packages/serving/src/filters/record.ts
@@ -20,6 +20,7 @@
     readonly code: string | undefined;
     readonly notRun: boolean | "unknown" | undefined;
     readonly endReason: string | undefined;
+    readonly admittedAt: number | undefined;
     readonly durationMs: number;
     readonly queuedMs: number | undefined;
     readonly firstByteMs: number | undefined;
@@ -63,6 +64,7 @@
         code: refusal?.kind,
         notRun: refusal?.notRun,
         endReason: getEndReason(exchange),
+        admittedAt: exchange.admittedAt,
         durationMs: monotonicMs() - exchange.startedAtMs,
         queuedMs: exchange.queuedMs,
         firstByteMs: exchange.firstByteMs,
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -13,6 +13,7 @@
         demo: "standins/demo.ts",
         soak: "standins/soak.ts",
         bench: "bench/main.ts",
+        bareServers: "bench/bareServers.ts",
     },
     outdir: "dist",
     outExtension: { ".js": ".mjs" },
