--- a/bench/harvest.ts
+++ b/bench/harvest.ts
@@ -137,7 +137,7 @@
         const reply = await callJson(daemon?.port ?? 0, "/v1/chat/completions", {
             headers,
             agent,
-            body: newBody("online"),
+            body: newBody(`online ${index} ${sentMs}`),
         });
         if (reply.status === 200) {
             const tookUs = Math.max(1, Math.round((performance.now() - sentMs) * 1_000));
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,9 +1,17 @@
+import { benchBatch } from "./batch";
+import { benchControl } from "./control";
+import { benchHarvest } from "./harvest";
 import { benchLimits } from "./limits";
 import { benchOverhead } from "./overhead";
+import { benchTail } from "./tail";
 
 const BENCHES: Record<string, () => Promise<void>> = {
     overhead: benchOverhead,
     limits: benchLimits,
+    tail: benchTail,
+    control: benchControl,
+    harvest: benchHarvest,
+    batch: benchBatch,
 };
 
 async function main(): Promise<void> {
@@ -17,4 +25,7 @@
     process.exit(0);
 }
 
-void main();
+main().catch((error: unknown) => {
+    process.stderr.write(`${String(error)}\n`);
+    process.exit(1);
+});
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -23,12 +23,16 @@
 } from "@heatherline/reports";
 import {
     AttemptFilter,
+    type BatchAdmission,
     type Claim,
+    CreditAdmission,
     CreditHolder,
     DeduplicateFilter,
+    FixedAdmission,
     HttpDispatcher,
     IdentifyFilter,
     InFlightRegistry,
+    LatencyAdmission,
     LeastOutstandingPolicy,
     LimitFilter,
     newPipeline,
@@ -138,7 +142,7 @@
             getPeerIds: () => this.book.getPeers().map(({ instanceId }) => instanceId),
             sync: (peerId, request) => this.syncWith(peerId, request),
         }, logger);
-        this.scheduler = new Scheduler(newRoutePolicy(settings.routePolicy));
+        this.scheduler = new Scheduler(newRoutePolicy(settings.routePolicy), newBatchAdmission(settings));
         this.holder = new CreditHolder(
             instance,
             dataCentre,
@@ -513,6 +517,17 @@
     }
 }
 
+function newBatchAdmission(settings: DaemonSettings): BatchAdmission {
+    switch (settings.batchAdmission) {
+        case "credits":
+            return new CreditAdmission();
+        case "fixed":
+            return new FixedAdmission(settings.batchFixedConcurrency);
+        case "latency":
+            return new LatencyAdmission();
+    }
+}
+
 function newRoutePolicy(name: DaemonSettings["routePolicy"]): RoutePolicy {
     switch (name) {
         case "prefix-affinity":
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -87,6 +87,16 @@
         description: "how an endpoint is chosen: prefix-affinity, least-outstanding or round-robin",
         unit: "",
     },
+    batchAdmission: {
+        schema: z.enum(["credits", "fixed", "latency"]).default("credits"),
+        description: "how batch shares endpoints with online: credits, fixed or latency",
+        unit: "",
+    },
+    batchFixedConcurrency: {
+        schema: integer(1, 10_000, 3),
+        description: "batch items at once of this instance, with the fixed admission",
+        unit: "items",
+    },
     limitPolicy: {
         schema: z.enum(["grants", "static-split"]).default("grants"),
         description: "how rates are divided: grants from owners, or a static split over the listed instances",
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./batchAdmission";
 export * from "./claims";
 export * from "./dispatch";
 export * from "./endpoints/holder";
--- a/packages/serving/src/scheduler.ts
+++ b/packages/serving/src/scheduler.ts
@@ -1,6 +1,7 @@
 import { monotonicMs, newId } from "@heatherline/common";
 import { err, ok, type Result } from "neverthrow";
 import PQueue from "p-queue";
+import type { BatchAdmission } from "./batchAdmission";
 import type { CreditHolder, EndpointSlot, WaitingCounts } from "./endpoints/holder";
 import type { RoutePolicy } from "./endpoints/routePolicy";
 import { RoutingError } from "./errors";
@@ -15,8 +16,6 @@
 /** Longest wait for an endpoint alone, in milliseconds: one that is down must not hold up the others. */
 const MAX_WAIT_ALONE_MS = 5_000;
 const ALONE_POLL_MS = 100;
-/** Credits that batch leaves free for online requests to come, as a part of all credits of this instance. */
-const BATCH_RESERVE_FRACTION = 0.1;
 
 type Lane = PQueue<FairQueue, FairQueueOptions>;
 
@@ -51,8 +50,9 @@
 
     /**
      * @param policy - Chooses among endpoints with a free credit.
+     * @param admission - Decides how many batch items may run.
      */
-    constructor(private readonly policy: RoutePolicy) {}
+    constructor(private readonly policy: RoutePolicy, private readonly admission: BatchAdmission) {}
 
     /**
      * @param holder - Credits of this instance.
@@ -80,9 +80,12 @@
      * @returns Batch items that could start now.
      */
     countIdle(service: string): number {
-        const reserve = Math.floor(this.holder.countCredits(service) * BATCH_RESERVE_FRACTION);
-        const running = this.holder.countRunning(service, "online") + this.holder.countRunning(service, "batch");
-        return Math.max(0, this.holder.countCredits(service) - running - reserve - this.getWaiting(service).online);
+        const online = this.holder.countRunning(service, "online") + this.getWaiting(service).online;
+        return this.admission.countAllowed(
+            this.holder.countCredits(service),
+            online,
+            this.holder.countRunning(service, "batch"),
+        );
     }
 
     /**
@@ -104,7 +107,9 @@
             return this.acquireAlone(service, request);
         }
         if (exchange.workClass === "online" && this.holder.getCandidates(service).length <= lane.size) {
-            this.holder.preemptOne(service);
+            if (this.admission.isPreempting) {
+                this.holder.preemptOne(service);
+            }
             this.holder.wantRefresh();
         }
         const enqueuedAtMs = monotonicMs();
@@ -156,7 +161,9 @@
                     resolve(err(new RoutingError("aborted", "given up while waiting", 0)));
                     return;
                 }
-                await new Promise<void>(release => resolve(ok(this.wrapSlot(slot, queues, release))));
+                await new Promise<void>(release =>
+                    resolve(ok(this.wrapSlot(slot, queues, exchange.workClass, release)))
+                );
             };
             lane.add(run, {
                 id: newId(),
@@ -168,13 +175,22 @@
         });
     }
 
-    private wrapSlot(slot: EndpointSlot, queues: ServiceQueues, onReleased: () => void): EndpointSlot {
+    private wrapSlot(
+        slot: EndpointSlot,
+        queues: ServiceQueues,
+        workClass: WorkClass,
+        onReleased: () => void,
+    ): EndpointSlot {
         const startedAtMs = monotonicMs();
         return {
             ...slot,
             release: event => {
                 slot.release(event);
-                queues.meanHoldMs += SMOOTHING * (monotonicMs() - startedAtMs - queues.meanHoldMs);
+                const heldMs = monotonicMs() - startedAtMs;
+                queues.meanHoldMs += SMOOTHING * (heldMs - queues.meanHoldMs);
+                if (workClass === "online") {
+                    this.admission.noteOnline(heldMs);
+                }
                 onReleased();
             },
         };
--- a/standins/endpoint.ts
+++ b/standins/endpoint.ts
@@ -50,6 +50,7 @@
 let crashes = 0;
 let isDown = false;
 let prefixHits = 0;
+let batchDone = 0;
 const seen: SeenRequest[] = [];
 const prefixes = new Set<string>();
 const sockets = new Set<Socket>();
@@ -81,7 +82,16 @@
 function control(request: http.IncomingMessage, response: http.ServerResponse, body: string): void {
     if (request.url === "/stats") {
         response.end(
-            JSON.stringify({ maxRunning, coldOverloads, crashes, prefixHits, running, isCold: isCold(), startMark }),
+            JSON.stringify({
+                maxRunning,
+                coldOverloads,
+                crashes,
+                prefixHits,
+                batchDone,
+                running,
+                isCold: isCold(),
+                startMark,
+            }),
         );
         return;
     }
@@ -175,6 +185,7 @@
         response.end(text);
     }
     entry.isComplete = !gone.aborted;
+    batchDone += entry.isComplete && entry.mark?.startsWith("batch-") === true ? 1 : 0;
 }
 
 async function stream(
