--- a/bench/limits.ts
+++ b/bench/limits.ts
@@ -3,11 +3,11 @@
 import http from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { callJson, Cluster, type DaemonChild } from "../standins/cluster";
 import { applyDocuments, issueKey, newModelService } from "../standins/documents";
 import { type DecidedRequest, judgeByIdealBucket } from "../standins/idealBucket";
 import { runOpenLoop } from "../standins/openLoop";
+import { newSeededRandom } from "../standins/random";
 import { printTable } from "./output";
 
 const DATA_CENTRES = ["east", "mid", "west"];
@@ -151,8 +151,7 @@
         out = undefined;
     };
     const loads = ORGANISATIONS.map(async ({ organisation, ratePerS }, number) => {
-        const generator = xoroshiro128plus(number + 100);
-        const random = () => (generator.next() >>> 0) / 2 ** 32;
+        const random = newSeededRandom(number + 100);
         await runOpenLoop({
             ratePerS: ratePerS * (organisation === "greedy" ? GREEDY_FACTOR : LOAD_FACTOR),
             durationMs: RUN_MS,
--- a/bench/tail.ts
+++ b/bench/tail.ts
@@ -1,9 +1,9 @@
 import { sleep } from "@heatherline/common";
 import http from "node:http";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { callJson, Cluster, type DaemonChild } from "../standins/cluster";
 import { applyDocuments, issueKey, newModelService } from "../standins/documents";
 import { getPercentileMs, runOpenLoop } from "../standins/openLoop";
+import { newSeededRandom } from "../standins/random";
 import { printTable } from "./output";
 
 const RATE_PER_S = 60;
@@ -57,8 +57,8 @@
         const { secretKey } = await issueKey(first, "alpha");
         await sleep(4_000);
         const agent = new http.Agent({ keepAlive: true });
-        const generator = xoroshiro128plus(1);
-        const pick = (count: number) => Math.floor((generator.next() >>> 0) / 2 ** 32 * count);
+        const random = newSeededRandom(1);
+        const pick = (count: number) => Math.floor(random() * count);
         const result = await runOpenLoop({
             ratePerS: RATE_PER_S,
             durationMs: RUN_MS,
--- a/packages/agreement/src/agreement.test.ts
+++ b/packages/agreement/src/agreement.test.ts
@@ -32,6 +32,7 @@
         {
             getListedInstances: () => HOSTS,
             getSyncedVersion: () => 0,
+            getDurable: before => before,
             getNotes: () => ({}),
             onNotes: () => undefined,
             onTable: table => ownership.noteTable(table),
--- a/packages/agreement/src/agreement.ts
+++ b/packages/agreement/src/agreement.ts
@@ -33,6 +33,11 @@
     getListedInstances(): readonly string[];
     /** @returns Version of the table for which this instance has brought all others up to date; 0 while it has not. */
     getSyncedVersion(): number;
+    /**
+     * @param before - Facts in the lease until now.
+     * @returns Facts to be kept in the lease from the next renewal on.
+     */
+    getDurable(before: Record<string, unknown>): Record<string, unknown>;
     /** @returns Facts that this instance, as holder, spreads in its data centre. */
     getNotes(): Record<string, unknown>;
     /**
@@ -140,6 +145,11 @@
         return monotonicMs() < this.partValidUntilMs ? this.table : undefined;
     }
 
+    /** @returns The table of the lease that this instance holds now. */
+    getLeaseTable(): MemberTable | undefined {
+        return this.isHolder() && this.lease !== undefined ? getTableOf(this.lease.record) : undefined;
+    }
+
     /** @returns The last table known, valid or not. */
     getLastTable(): MemberTable | undefined {
         return this.table;
@@ -150,6 +160,11 @@
         return this.getLeaseRemainingMs() > 0;
     }
 
+    /** @returns Facts that are kept in the lease for certain; none where this instance does not hold it. */
+    getDurable(): Record<string, unknown> {
+        return this.isHolder() ? this.lease?.record.durable ?? {} : {};
+    }
+
     /** @returns Milliseconds that this instance's own lease is still valid; 0 when it holds none. */
     getLeaseRemainingMs(): number {
         return this.lease?.getRemainingMs() ?? 0;
@@ -334,6 +349,7 @@
             members,
             coverage: this.computeCoverage(before, members, false, renewal),
             renewal,
+            durable: observation?.record.durable ?? {},
             isReleased: false,
         };
         const sentAtMs = monotonicMs();
@@ -415,6 +431,7 @@
             members,
             version: lease.record.version + (isChanged ? 1 : 0),
             coverage: this.computeCoverage(lease.record.coverage, members, areSynced, renewal),
+            durable: this.surroundings.getDurable(lease.record.durable),
             renewal,
         };
         const sentAtMs = monotonicMs();
--- a/packages/agreement/src/types.ts
+++ b/packages/agreement/src/types.ts
@@ -39,6 +39,8 @@
     readonly incarnation: string;
     /** Counts renewals, so that each write changes the object. */
     readonly renewal: number;
+    /** Facts that outlive the holder, such as which rights its data centre has been granted. */
+    readonly durable: Record<string, unknown>;
     /** Whether the holder has given the lease up, so that nobody needs to wait for it to run out. */
     readonly isReleased: boolean;
 }
--- a/packages/cli/src/commands/documents.ts
+++ b/packages/cli/src/commands/documents.ts
@@ -24,6 +24,9 @@
     readonly instances: readonly { instanceId: string; dataCentre: string; version?: number; }[];
 }
 
+/** Place in service of a data centre or an instance; only a data centre can be declared ended. */
+export type PlaceState = "in" | "out" | "ended";
+
 /** Options of `apply`. */
 export interface ApplyOptions {
     readonly isDryRun: boolean;
@@ -161,9 +164,20 @@
      * @param state - The state it gets.
      * @param waitS - How long to wait for all instances, in seconds.
      */
-    async setState(kind: "data-centre" | "instance", id: string, state: "in" | "out", waitS: number): Promise<void> {
-        const document = kind === "data-centre" ? { kind, dataCentre: id, state } : { kind, instance: id, state };
-        await this.applyAndReport(document, waitS);
+    async setState(kind: "data-centre" | "instance", id: string, state: PlaceState, waitS: number): Promise<void> {
+        if (kind === "instance") {
+            await this.applyAndReport({ kind, instance: id, state }, waitS);
+            return;
+        }
+        const current = (await this.fetch(kind, id))?.document;
+        const generation = Number(current?.generation ?? 0);
+        const isReturning = current?.state === "ended" && state !== "ended";
+        await this.applyAndReport({
+            kind,
+            dataCentre: id,
+            state,
+            generation: isReturning ? generation + 1 : generation,
+        }, waitS);
     }
 
     private async applyAndReport(input: unknown, waitS: number): Promise<void> {
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -105,10 +105,19 @@
     program.command("key <action> [name]", "issue ORGANISATION, list, or withdraw KEY-ID")
         .action((action: string, name: string | undefined, options: CommonOptions) => runKey(action, name, options));
     for (const kind of ["data-centre", "instance"] as const) {
-        program.command(`${kind} <action> <name>`, `take ${kind} NAME out of service, or in`)
+        program.command(
+            `${kind} <action> <name>`,
+            `take ${kind} NAME out of service, or in${
+                kind === "data-centre" ? "; ended: all its instances have ended" : ""
+            }`,
+        )
             .action((action: string, name: string, options: CommonOptions) => {
-                if (action !== "in" && action !== "out") {
-                    throw new CliError("usage", `${action} is not one of in, out`);
+                const isEnded = action === "ended" && kind === "data-centre";
+                if (action !== "in" && action !== "out" && !isEnded) {
+                    throw new CliError(
+                        "usage",
+                        `${action} is not one of in, out${kind === "data-centre" ? ", ended" : ""}`,
+                    );
                 }
                 return newCommands(options).documents.setState(kind, name, action, getWaitS(options));
             });
--- a/packages/common/src/ids.ts
+++ b/packages/common/src/ids.ts
@@ -7,6 +7,15 @@
     return randomBytes(SHORT_ID_BYTES).toString("hex");
 }
 
+const processPrefix = newId().slice(0, SHORT_ID_BYTES);
+let requestCount = 0;
+
+/** @returns A fresh identifier for one request, cheaper than {@link newId}. */
+export function newRequestId(): string {
+    requestCount += 1;
+    return `${processPrefix}-${requestCount.toString(36)}`;
+}
+
 /**
  * @param text - Any text.
  * @returns Its SHA-256 digest in hex.
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -9,6 +9,32 @@
 /** One of {@link LOG_LEVELS}. */
 export type LogLevel = (typeof LOG_LEVELS)[number];
 
+const FLUSH_INTERVAL_MS = 20;
+
+/** Collects lines and writes them together: a write to a pipe blocks the process, so there should be few. */
+class LineBuffer {
+    private lines = "";
+    private timer: NodeJS.Timeout | undefined;
+
+    constructor() {
+        process.on("exit", () => this.flush());
+    }
+
+    write(line: string): void {
+        this.lines += line;
+        this.timer ??= setTimeout(() => this.flush(), FLUSH_INTERVAL_MS).unref();
+    }
+
+    private flush(): void {
+        clearTimeout(this.timer);
+        this.timer = undefined;
+        process.stdout.write(this.lines);
+        this.lines = "";
+    }
+}
+
+let buffer: LineBuffer | undefined;
+
 /**
  * @param name - Program name, on every line.
  * @param level - Lowest level that is written.
@@ -16,5 +42,10 @@
  * @returns A logger that writes JSON lines to standard output.
  */
 export function newLogger(name: string, level: LogLevel, fields: Record<string, unknown> = {}): Logger {
-    return bunyan.createLogger({ name, level, ...fields });
+    buffer ??= new LineBuffer();
+    return bunyan.createLogger({
+        name,
+        streams: [{ level, stream: buffer as unknown as NodeJS.WritableStream }],
+        ...fields,
+    });
 }
--- a/packages/config/src/documents.ts
+++ b/packages/config/src/documents.ts
@@ -17,6 +17,9 @@
     warmUpMs: z.int().min(0).max(MAX_TIMEOUT_MS).default(10_000)
         .describe("how long it carries no more than its cold concurrency after its first answer, in milliseconds"),
     state: z.enum(["in", "leaving"]).default("in"),
+    orders: z.enum(["none", "fenced", "unfenced"]).default("none")
+        .describe("whether it takes orders, and whether it checks their fencing numbers"),
+    role: name.optional().describe("role that it is ordered to take"),
 });
 
 const modelSchema = z.strictObject({
@@ -56,6 +59,7 @@
     organisations: z.array(organisationSchema).default([]),
     routes: z.array(routeSchema).min(1),
     objectives: z.array(objectiveSchema).default([]),
+    weightLoadsPerMinute: positive.default(6).describe("loads of weights a minute over the whole fleet"),
     keyListMaxAgeS: positive.default(86_400).describe("how long keys are trusted without news of withdrawals, seconds"),
 }).superRefine((document, context) => {
     reportRepeats(document.endpoints.map(({ endpoint }) => endpoint), "endpoints", "endpoint", context);
@@ -91,7 +95,10 @@
 export const dataCentreSchema = z.strictObject({
     kind: z.literal("data-centre"),
     dataCentre: name,
-    state: z.enum(["in", "out"]),
+    state: z.enum(["in", "out", "ended"]).describe(
+        "ended: every instance there has ended, so its shares of rates may be used",
+    ),
+    generation: z.int().min(0).default(0).describe("must rise when a data centre comes back that had ended"),
 });
 
 /** Schema of an instance's place in service. */
--- a/packages/config/src/replica.ts
+++ b/packages/config/src/replica.ts
@@ -34,6 +34,9 @@
     private readonly invalid = new Map<string, number>();
     private readonly listeners = new Set<(path: string, document: ConfigDocument | undefined) => void>();
     private digestCache: string | undefined;
+    private quarantineCache: boolean | undefined;
+    private servicesCache: ServiceDocument[] | undefined;
+    private readonly byModel = new Map<string, ServiceDocument>();
 
     /**
      * Merges one document.
@@ -107,8 +110,26 @@
     }
 
     /** @returns All service documents in force. */
-    getServices(): ServiceDocument[] {
-        return this.getAll("service") as ServiceDocument[];
+    getServices(): readonly ServiceDocument[] {
+        this.servicesCache ??= this.getAll("service") as ServiceDocument[];
+        return this.servicesCache;
+    }
+
+    /**
+     * @param model - Name of a model, as callers give it.
+     * @returns The service that serves it.
+     */
+    findServiceByModel(model: string): ServiceDocument | undefined {
+        let service = this.byModel.get(model);
+        if (service === undefined) {
+            service = this.getServices().find(other =>
+                other.interface === "openai" && other.models.some(entry => entry.model === model)
+            );
+            if (service !== undefined) {
+                this.byModel.set(model, service);
+            }
+        }
+        return service;
     }
 
     /**
@@ -135,6 +156,12 @@
         return this.isOut("instance", instance);
     }
 
+    /** @returns Whether any request is known to crash endpoints. */
+    hasQuarantine(): boolean {
+        this.quarantineCache ??= this.getAll("quarantine").length > 0;
+        return this.quarantineCache;
+    }
+
     /**
      * @param fingerprint - Fingerprint of a request.
      * @returns Whether it is known to crash endpoints.
@@ -146,7 +173,7 @@
 
     private isOut(kind: "data-centre" | "instance", id: string): boolean {
         const document = this.applied.get(getDocumentPath(kind, id))?.document;
-        return document !== undefined && "state" in document && document.state === "out";
+        return document !== undefined && "state" in document && document.state !== "in";
     }
 
     /**
@@ -168,6 +195,9 @@
             this.invalid.delete(path);
         }
         this.digestCache = undefined;
+        this.servicesCache = undefined;
+        this.quarantineCache = undefined;
+        this.byModel.clear();
         for (const listener of this.listeners) {
             listener(path, entry.document);
         }
--- a/packages/config/src/writer.ts
+++ b/packages/config/src/writer.ts
@@ -1,6 +1,6 @@
 import { type ObjectStore, type StoreError, writeDurably } from "@heatherline/store";
 import { err, ok, type Result } from "neverthrow";
-import { getDocumentId, getDocumentPath } from "./documents";
+import { type ConfigDocument, getDocumentId, getDocumentPath } from "./documents";
 import { ConfigError } from "./errors";
 import type { ConfigReplica } from "./replica";
 import { validateDocument } from "./validate";
@@ -41,6 +41,10 @@
             const message = `${path} is at version ${newest}; the edit was based on ${expectedVersion}`;
             return err(new ConfigError("conflict", message));
         }
+        const fault = checkReturn(current.value?.value, document);
+        if (fault !== undefined) {
+            return err(fault);
+        }
         const written = await writeDurably(this.store, path, { ...document }, current.value);
         if (written.isErr()) {
             return err(toConfigError(written.error, path));
@@ -50,6 +54,18 @@
     }
 }
 
+/** A data centre that had ended comes back as a new one: others may be using its shares until they have heard. */
+function checkReturn(before: Record<string, unknown> | undefined, document: ConfigDocument): ConfigError | undefined {
+    if (document.kind !== "data-centre" || document.state === "ended" || before?.state !== "ended") {
+        return undefined;
+    }
+    return document.generation > Number(before.generation ?? 0)
+        ? undefined
+        : new ConfigError("invalid", "a data centre that had ended comes back", [
+            "generation: must be higher than before",
+        ]);
+}
+
 function toConfigError(error: StoreError, path: string): ConfigError {
     switch (error.kind) {
         case "conflict":
--- a/packages/daemon/src/batchExecutor.ts
+++ b/packages/daemon/src/batchExecutor.ts
@@ -1,5 +1,5 @@
 import type { BatchItem, ItemExecutor, ItemOutcome, ItemOwner } from "@heatherline/batch";
-import { monotonicMs, newId, sha256Hex } from "@heatherline/common";
+import { monotonicMs, newRequestId } from "@heatherline/common";
 import type { ConfigReplica } from "@heatherline/config";
 import { type AnswerSink, getEndReason, newExchange, type Pipeline, type Refusal } from "@heatherline/serving";
 
@@ -27,7 +27,7 @@
         const sink = new MemorySink();
         const body = Buffer.from(JSON.stringify(item.body ?? {}));
         const exchange = newExchange({
-            requestId: newId(),
+            requestId: newRequestId(),
             workClass: "batch",
             method: item.method,
             path: item.path,
@@ -38,7 +38,6 @@
             deadlineAtMs: monotonicMs() + DEFAULT_TIMEOUT_MS,
         });
         exchange.organisation = this.findOrganisation(job);
-        exchange.fingerprint = sha256Hex(`${job.organisation}\0${item.path}\0${sha256Hex(body)}`);
         try {
             const outcome = await this.pipeline(exchange);
             if (outcome.isOk()) {
--- a/packages/daemon/src/callerServer.ts
+++ b/packages/daemon/src/callerServer.ts
@@ -1,4 +1,4 @@
-import { describeError, type Logger, newId } from "@heatherline/common";
+import { describeError, type Logger, newRequestId } from "@heatherline/common";
 import type { ConfigReplica } from "@heatherline/config";
 import { type NotRun, type Pipeline, Refusal } from "@heatherline/serving";
 import http from "node:http";
@@ -96,7 +96,7 @@
             // The answer is given; the connection then closes, so that the caller comes back to another instance.
             response.shouldKeepAlive = false;
         }
-        const requestId = newId();
+        const requestId = newRequestId();
         this.route(request, response, requestId).catch((error: unknown) => {
             this.surroundings.logger.error({ requestId, error: describeError(error) }, "request failed");
             sendRefusal(response, new Refusal("internal", 500, "internal error", "unknown"), requestId);
--- a/packages/daemon/src/creditWiring.ts
+++ b/packages/daemon/src/creditWiring.ts
@@ -1,4 +1,10 @@
-import { type DataCentreAgreement, Ownership, type PeerTransport } from "@heatherline/agreement";
+import {
+    type DataCentreAgreement,
+    LEASE_TERM_MS,
+    type MemberTable,
+    Ownership,
+    type PeerTransport,
+} from "@heatherline/agreement";
 import type { ConfigReplica, EndpointSpec } from "@heatherline/config";
 import {
     CREDIT_TTL_MS,
@@ -40,7 +46,8 @@
 
 /** Connects the owners of endpoints with the instances that use them. */
 export class CreditWiring implements CreditBroker {
-    readonly ownership: Ownership;
+    private readonly ownership: Ownership;
+    private readonly orderOwnership: Ownership;
     private readonly ledgers = new Map<string, EndpointLedger>();
     private readonly hinted = new Set<string>();
 
@@ -49,6 +56,35 @@
      */
     constructor(private readonly surroundings: CreditSurroundings) {
         this.ownership = new Ownership(surroundings.agreement, surroundings.instanceId, CREDIT_TTL_MS);
+        this.orderOwnership = new Ownership(surroundings.agreement, surroundings.instanceId, LEASE_TERM_MS);
+    }
+
+    /**
+     * @param table - A new table, before it is acted on.
+     */
+    noteTable(table: MemberTable): void {
+        this.ownership.noteTable(table);
+        this.orderOwnership.noteTable(table);
+    }
+
+    /**
+     * @param version - Version of the table that all members act on.
+     */
+    noteSettled(version: number): void {
+        this.ownership.noteSettled(version);
+        this.orderOwnership.noteSettled(version);
+    }
+
+    /**
+     * @param endpoint - An endpoint.
+     * @returns Fencing number for orders to it, once no earlier owner can give any; `undefined` until then.
+     */
+    getFence(endpoint: string): number | undefined {
+        if (this.findSpec(endpoint)?.dataCentre !== this.surroundings.dataCentre) {
+            return undefined;
+        }
+        const isReady = this.orderOwnership.check(getSubject(endpoint)).kind === "ready";
+        return isReady ? this.surroundings.agreement.getTable()?.version : undefined;
     }
 
     async request(demands: ReadonlyMap<string, CreditDemand>): Promise<ReadonlyMap<string, CreditGrant>> {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -9,8 +9,9 @@
     type ConfigSyncRequest,
     ConfigWriter,
     parseDocuments,
+    type ServiceDocument,
 } from "@heatherline/config";
-import { GrantLimiter, type RateLimiter, StaticSplitLimiter, type UsableShares } from "@heatherline/limits";
+import { GrantLimiter, newShareEntry, type RateLimiter, StaticSplitLimiter } from "@heatherline/limits";
 import {
     AuditLog,
     AuditReader,
@@ -29,13 +30,16 @@
     CreditHolder,
     DeduplicateFilter,
     FixedAdmission,
+    getEndpointKey,
     HttpDispatcher,
+    HttpOrderTransport,
     IdentifyFilter,
     InFlightRegistry,
     LatencyAdmission,
     LeastOutstandingPolicy,
     LimitFilter,
     newPipeline,
+    OrderKeeper,
     type Pipeline,
     PrefixAffinityPolicy,
     RecordFilter,
@@ -60,12 +64,15 @@
 import { OwnerLocator } from "./ownerLocator";
 import { type Hello, PeerBook } from "./peerBook";
 import { QuarantineWiring, type SuspectNews } from "./quarantineWiring";
-import { type BorrowRequest, RateWiring } from "./rateWiring";
+import { type BorrowRequest, type RateNotes, RateWiring } from "./rateWiring";
 import type { DaemonSettings } from "./settings";
 
 const STATUS_TIMEOUT_MS = 1_500;
 const SYNC_TIMEOUT_MS = 1_500;
 const DRAIN_POLL_MS = 20;
+const SECONDS_PER_MINUTE = 60;
+/** No organisation's name has capitals, so this is none. */
+const WEIGHT_STORE_SUBJECT = "WEIGHT-STORE";
 
 /** One instance of the system: everything that runs in one process, wired together. */
 export class Daemon {
@@ -89,6 +96,7 @@
     private readonly holder: CreditHolder;
     private readonly inFlight = new InFlightRegistry();
     private readonly runner: JobRunner;
+    private readonly orders: OrderKeeper;
     private readonly metrics: DaemonMetrics;
     private readonly audit: AuditLog;
     private readonly slo = new SloTracker(service => this.getThresholds(service));
@@ -116,15 +124,16 @@
             {
                 getListedInstances: () => this.book.getDataCentreInstances(),
                 getSyncedVersion: () => this.claims.getSyncedVersion(),
-                getNotes: () => ({ shares: this.rates.getNotes() }),
-                onNotes: (notes, sentAtMs) => this.rates.noteShares((notes.shares ?? {}) as UsableShares, sentAtMs),
+                getDurable: before => this.rates.getDurable(before),
+                getNotes: () => ({ rates: this.rates.getNotes() }),
+                onNotes: (notes, sentAtMs) => this.rates.noteNotes(notes.rates as RateNotes, sentAtMs),
                 onTable: table => {
                     this.rates.ownership.noteTable(table);
-                    this.credits.ownership.noteTable(table);
+                    this.credits.noteTable(table);
                 },
                 onSettled: version => {
                     this.rates.ownership.noteSettled(version);
-                    this.credits.ownership.noteSettled(version);
+                    this.credits.noteSettled(version);
                 },
             },
             logger,
@@ -134,7 +143,7 @@
         const { locator } = this;
         const getDataCentres = () => this.getDataCentres();
         const common = { instanceId: instance, dataCentre, agreement, locator, transport, logger, getDataCentres };
-        this.rates = new RateWiring(common);
+        this.rates = new RateWiring({ ...common, getShareEntries: () => this.getShareEntries() });
         this.claims = new ClaimWiring(common);
         this.credits = new CreditWiring({ ...common, replica: this.replica, onHint: () => this.holder.wantRefresh() });
         this.quarantine = new QuarantineWiring(this.writer, this.book, transport, logger);
@@ -164,6 +173,11 @@
             { isRunner: jobId => this.isJobRunner(jobId) },
             logger,
         );
+        this.orders = new OrderKeeper(new HttpOrderTransport(), {
+            getServices: () => this.replica.getServices(),
+            getFence: (service, spec) => this.credits.getFence(getEndpointKey(service.service, spec)),
+            takeLoad: service => this.takeLoad(service),
+        }, logger);
         this.callers = new CallerServer({
             pipeline: online,
             batch: new BatchApi(this.store, this.replica, jobId => this.onJobSubmitted(jobId)),
@@ -213,6 +227,7 @@
         await this.applyInitialDocuments();
         this.holder.setServices(this.replica.getServices());
         this.runner.start();
+        this.orders.start();
         const port = await this.callers.listen(settings.listenAddress, settings.port);
         this.logger.info({ port, peerPort: this.peerPort, incarnation: this.incarnation }, "started");
         return { port, peerPort: this.peerPort };
@@ -224,6 +239,7 @@
         this.logger.info({ inFlight: this.inFlight.size }, "draining");
         await sleep(this.settings.drainDelayMs);
         this.runner.stop();
+        this.orders.stop();
         const closed = this.callers.close();
         const untilMs = performance.now() + this.settings.drainTimeoutMs;
         while (this.callers.countOpen() > 0 && performance.now() < untilMs) {
@@ -372,6 +388,13 @@
         return reply.isOk() ? reply.value : undefined;
     }
 
+    /** Loads of weights have a rate like any organisation's, with a burst of one. */
+    private async takeLoad({ service, weightLoadsPerMinute }: ServiceDocument): Promise<boolean> {
+        const bounds = { ratePerS: weightLoadsPerMinute / SECONDS_PER_MINUTE, burst: 1 };
+        const subject = { service, organisation: WEIGHT_STORE_SUBJECT };
+        return (await this.limiter.acquire(subject, bounds, new AbortController().signal)).isOk();
+    }
+
     private onJobSubmitted(jobId: string): void {
         if (this.isJobRunner(jobId)) {
             this.runner.wake();
@@ -402,6 +425,15 @@
         return named.length > 0 ? named.sort() : [this.settings.dataCentre];
     }
 
+    /** A data centre that has ended has no share; the others then use the whole. */
+    private getShareEntries(): readonly string[] {
+        const documents = this.replica.getAll("data-centre").filter(document => document.kind === "data-centre");
+        const entries = documents
+            .filter(({ state }) => state !== "ended")
+            .map(({ dataCentre, generation }) => newShareEntry(dataCentre, generation));
+        return documents.length > 0 ? entries.sort() : [newShareEntry(this.settings.dataCentre, 0)];
+    }
+
     private getConfigAgeMs(): number {
         return this.platform === undefined ? 0 : this.spreader.getStoreAgeMs();
     }
--- a/packages/daemon/src/rateWiring.ts
+++ b/packages/daemon/src/rateWiring.ts
@@ -1,11 +1,14 @@
-import { type DataCentreAgreement, Ownership, type PeerTransport } from "@heatherline/agreement";
+import { type DataCentreAgreement, LEASE_TERM_MS, Ownership, type PeerTransport } from "@heatherline/agreement";
 import { type Logger, monotonicMs, rankByRendezvous, startLoop } from "@heatherline/common";
 import {
     getGroup,
+    getShareDataCentre,
     getSuccession,
     LimitOwner,
     type OwnerDirectory,
+    type ShareList,
     ShareLoans,
+    ShareRoll,
     TOKEN_TTL_MS,
     type TokenAnswer,
     type TokenAsk,
@@ -24,6 +27,21 @@
 export interface BorrowRequest {
     readonly borrower: string;
     readonly groups: readonly string[];
+    readonly list: ShareList;
+}
+
+/** The answer to a wish. */
+export interface BorrowReply {
+    /** Groups lent. */
+    readonly groups: readonly string[];
+    readonly list: ShareList;
+}
+
+/** What a holder spreads about rates in its data centre. */
+export interface RateNotes {
+    readonly shares: UsableShares;
+    /** Data centres that have a share. */
+    readonly dataCentres: readonly string[];
 }
 
 /** What the wiring of rates needs to know. */
@@ -34,10 +52,20 @@
     readonly locator: OwnerLocator;
     readonly transport: PeerTransport;
     readonly logger: Logger;
-    /** @returns All data centres that have a share. */
-    readonly getDataCentres: () => readonly string[];
+    /** @returns Entries of all data centres that have a share by the documents in force, sorted. */
+    readonly getShareEntries: () => readonly string[];
+}
+
+/** What this instance keeps while it holds the lease. */
+interface Holding {
+    readonly epoch: number;
+    readonly roll: ShareRoll;
+    readonly loans: ShareLoans;
 }
 
+/** Fact in the lease: the entry under which this data centre has its share. */
+const SHARE_FACT = "share";
+
 /** Connects owners, loans of shares and askers of rates between instances. */
 export class RateWiring implements OwnerDirectory {
     readonly ownership: Ownership;
@@ -45,21 +73,22 @@
     private readonly shares = new UsableShareTable();
     private readonly avoidedUntilMs = new Map<string, number>();
     private readonly dataCentreOfOwner = new Map<string, string>();
-    private loans: { readonly epoch: number; readonly loans: ShareLoans; } | undefined;
+    private holding: Holding | undefined;
+    private spreadDataCentres: readonly string[] = [];
     private readonly stops: (() => Promise<void>)[] = [];
 
     /**
      * @param surroundings - The rest of the daemon.
      */
     constructor(private readonly surroundings: RateSurroundings) {
-        const { agreement, instanceId, getDataCentres } = surroundings;
+        const { agreement, instanceId } = surroundings;
         this.ownership = new Ownership(agreement, instanceId, TOKEN_TTL_MS);
         this.owner = new LimitOwner({
             checkOwnership: subject => this.ownership.check(subject),
-            getDataCentres,
+            getDataCentres: () => this.getDataCentres(),
             getUsableShares: group => this.shares.get(group),
             getClearSinceMs: subject => this.ownership.getOwnedSinceMs(subject) + TOKEN_TTL_MS,
-            getBorrower: group => this.getLoans()?.getBorrower(group),
+            getBorrower: group => this.getHolding()?.loans.getBorrower(group),
         });
     }
 
@@ -76,17 +105,36 @@
         }
     }
 
-    /** @returns What may be used in this data centre, as its holder says. */
-    getNotes(): UsableShares {
-        return this.getLoans()?.allowUse(this.surroundings.getDataCentres()) ?? {};
+    /** @returns What this instance, as holder, spreads about rates. */
+    getNotes(): RateNotes {
+        const holding = this.getHolding();
+        const dataCentres = holding?.roll.getList().entries.map(getShareDataCentre) ?? [];
+        return { shares: holding?.loans.allowUse(dataCentres) ?? {}, dataCentres };
     }
 
     /**
-     * @param shares - The holder's word on shares.
+     * @param notes - The holder's word.
      * @param sentAtMs - Time from which validities count.
      */
-    noteShares(shares: UsableShares, sentAtMs: number): void {
-        this.shares.note(shares, sentAtMs);
+    noteNotes(notes: RateNotes, sentAtMs: number): void {
+        this.shares.note(notes.shares, sentAtMs);
+        this.spreadDataCentres = notes.dataCentres;
+    }
+
+    /**
+     * @param before - Facts in the lease until now.
+     * @returns The facts with this data centre's right to its share, once all others leave it.
+     */
+    getDurable(before: Record<string, unknown>): Record<string, unknown> {
+        const roll = this.getHolding()?.roll;
+        return roll?.isLeftByAll() === true ? { ...before, [SHARE_FACT]: roll.getOwnEntry() } : before;
+    }
+
+    /** @returns The data centres that have a share, as the holder of this one says. */
+    getDataCentres(): readonly string[] {
+        return this.spreadDataCentres.length > 0
+            ? this.spreadDataCentres
+            : this.surroundings.getShareEntries().map(getShareDataCentre);
     }
 
     /**
@@ -103,10 +151,15 @@
      * Handles another data centre's wish as holder.
      *
      * @param request - The wish.
-     * @returns Groups lent; `undefined` where this instance does not hold the lease.
+     * @returns The answer; `undefined` where this instance does not hold the lease.
      */
-    handleBorrow(request: BorrowRequest): string[] | undefined {
-        return this.getLoans()?.lend(request.borrower, request.groups);
+    handleBorrow(request: BorrowRequest): BorrowReply | undefined {
+        const holding = this.getHolding();
+        if (holding === undefined) {
+            return undefined;
+        }
+        holding.roll.noteList(request.borrower, request.list);
+        return { groups: holding.loans.lend(request.borrower, request.groups), list: holding.roll.getList() };
     }
 
     /**
@@ -121,7 +174,7 @@
     }
 
     async resolve(subject: string): Promise<string | undefined> {
-        const dataCentres = this.surroundings.getDataCentres();
+        const dataCentres = this.getDataCentres();
         const succession = getSuccession(getGroup(subject, dataCentres), dataCentres);
         const usable = succession.filter(dataCentre => !this.isAvoided(dataCentre, subject));
         for (const dataCentre of usable) {
@@ -170,46 +223,57 @@
     }
 
     /** Loans belong to one epoch of holding: a new holder knows nothing of the loans before. */
-    private getLoans(): ShareLoans | undefined {
+    private getHolding(): Holding | undefined {
         const { agreement, dataCentre } = this.surroundings;
-        const table = agreement.getTable();
-        if (table === undefined || !agreement.isHolder()) {
-            this.loans = undefined;
+        const table = agreement.getLeaseTable();
+        if (table === undefined) {
+            this.holding = undefined;
             return undefined;
         }
-        if (this.loans?.epoch !== table.epoch) {
-            this.loans = { epoch: table.epoch, loans: new ShareLoans(dataCentre, table.epoch === 1) };
+        if (this.holding?.epoch !== table.epoch) {
+            const roll = new ShareRoll(dataCentre, LEASE_TERM_MS + TOKEN_TTL_MS);
+            const hasShare = () =>
+                roll.getOwnEntry() !== undefined && agreement.getDurable()[SHARE_FACT] === roll.getOwnEntry();
+            this.holding = { epoch: table.epoch, roll, loans: new ShareLoans(dataCentre, table.epoch === 1, hasShare) };
         }
-        return this.loans.loans;
+        this.holding.roll.update(this.surroundings.getShareEntries());
+        return this.holding;
     }
 
     private async borrow(): Promise<void> {
-        const loans = this.getLoans();
-        if (loans === undefined) {
+        const holding = this.getHolding();
+        if (holding === undefined) {
             return;
         }
-        const { dataCentre, locator, transport, getDataCentres } = this.surroundings;
-        const groups = loans.getGroupsToBorrow(getDataCentres());
-        const others = getDataCentres().filter(other => other !== dataCentre);
-        await Promise.all(others.map(async other => {
-            const holder = (await locator.getTable(other))?.holder;
-            if (holder === undefined) {
-                return;
-            }
-            const sentAtMs = monotonicMs();
-            const request: BorrowRequest = { borrower: dataCentre, groups };
-            const reply = await transport.call<string[] | undefined>(
-                holder,
-                "shares.borrow",
-                request,
-                BORROW_TIMEOUT_MS,
-            );
-            if (reply.isOk() && reply.value) {
-                loans.noteBorrowed(other, reply.value, sentAtMs);
-            }
-            else {
-                locator.forget(other);
-            }
-        }));
+        const list = holding.roll.getList();
+        const dataCentres = list.entries.map(getShareDataCentre);
+        const groups = holding.loans.getGroupsToBorrow(dataCentres);
+        const others = dataCentres.filter(other => other !== this.surroundings.dataCentre);
+        await Promise.all(
+            others.map(other =>
+                this.borrowFrom(other, holding, { borrower: this.surroundings.dataCentre, groups, list })
+            ),
+        );
+    }
+
+    private async borrowFrom(other: string, { loans, roll }: Holding, request: BorrowRequest): Promise<void> {
+        const { locator, transport } = this.surroundings;
+        const holder = (await locator.getTable(other))?.holder;
+        if (holder === undefined) {
+            return;
+        }
+        const sentAtMs = monotonicMs();
+        const reply = await transport.call<BorrowReply | undefined>(
+            holder,
+            "shares.borrow",
+            request,
+            BORROW_TIMEOUT_MS,
+        );
+        if (reply.isErr() || !reply.value) {
+            locator.forget(other);
+            return;
+        }
+        loans.noteBorrowed(other, reply.value.groups, sentAtMs);
+        roll.noteList(other, reply.value.list);
     }
 }
--- a/packages/daemon/tests/rates.property.test.ts
+++ b/packages/daemon/tests/rates.property.test.ts
@@ -95,6 +95,71 @@
     });
 });
 
+describe("shares of a data centre that has ended", () => {
+    afterEach(useRealTime);
+
+    it("are used by the others, and by itself again only once all others have left them to it", async () => {
+        await fc.assert(
+            fc.asyncProperty(
+                fc.integer(),
+                fc.array(fc.integer({ min: 0, max: 4_000 }), { minLength: 6, maxLength: 6 }),
+                async (seed, lagsMs) => {
+                    const { decisions, lateAdmitted } = await playEnded(seed, lagsMs);
+                    for (const [bounds, requests] of decisions) {
+                        expect(judgeByIdealBucket(bounds, requests).overdrawn, bounds.organisation).toBeLessThanOrEqual(
+                            EPSILON,
+                        );
+                    }
+                    // Of the large organisation's rate, more than the two thirds that two of three data centres have.
+                    expect(lateAdmitted).toBeGreaterThan(0.9 * 40 * (RETURN_MS - LATE_MS) / 1_000);
+                },
+            ),
+            { seed: SEED, numRuns: RUNS, endOnFailure: true },
+        );
+    }, 300_000);
+});
+
+const END_MS = 2_000;
+const DECLARE_MS = 5_000;
+const LATE_MS = 15_000;
+const RETURN_MS = 20_000;
+const OVER_MS = 32_000;
+
+/** One data centre ends, is declared ended, and comes back; each instance hears of either some time later. */
+async function playEnded(
+    seed: number,
+    lagsMs: readonly number[],
+): Promise<{ decisions: Decisions; lateAdmitted: number; }> {
+    useSimulatedTime(seed);
+    try {
+        const network = new SimulatedNetwork(seed);
+        let startMs = Infinity;
+        const names = DATA_CENTRES.flatMap(dataCentre => [`${dataCentre}-0`, `${dataCentre}-1`]);
+        const getEntries = (instanceId: string) => {
+            const heardMs = performance.now() - startMs - (lagsMs[names.indexOf(instanceId)] ?? 0);
+            const west = instanceId.startsWith("west") || heardMs >= RETURN_MS ? "west#1" : "west#0";
+            const isEnded = heardMs >= DECLARE_MS && heardMs < RETURN_MS && !instanceId.startsWith("west");
+            const hasReturned = performance.now() - startMs >= END_MS;
+            return ["east#0", "mid#0", ...isEnded ? [] : [hasReturned ? west : "west#0"]];
+        };
+        const fleet = startFleet(network, DATA_CENTRES, 2, getEntries);
+        await passTime(WARM_UP_MS, STEP_MS, () => undefined);
+        startMs = performance.now();
+        const decisions = startLoad(network, fleet, 3);
+        const western = fleet.filter(({ host }) => host.dataCentre === "west").map(({ host }) => host);
+        setTimeout(() => western.forEach(host => network.setFrozen(host, true)), END_MS);
+        setTimeout(() => western.forEach(host => network.setFrozen(host, false)), RETURN_MS);
+        await passTime(OVER_MS, STEP_MS, () => undefined);
+        const large = [...decisions].find(([{ organisation }]) => organisation === "large")?.[1] ?? [];
+        const isLate = ({ decidedAtMs }: DecidedRequest) =>
+            decidedAtMs - startMs >= LATE_MS && decidedAtMs - startMs < RETURN_MS;
+        return { decisions, lateAdmitted: large.filter(request => request.isAdmitted && isLate(request)).length };
+    }
+    finally {
+        useRealTime();
+    }
+}
+
 describe("claims on requests that must not run twice", () => {
     afterEach(useRealTime);
 
--- a/packages/daemon/tests/simulatedFleet.ts
+++ b/packages/daemon/tests/simulatedFleet.ts
@@ -1,11 +1,11 @@
 import { DataCentreAgreement, type Heartbeat } from "@heatherline/agreement";
 import { newLogger } from "@heatherline/common";
-import { GrantLimiter, type TokenAsk, type UsableShares } from "@heatherline/limits";
+import { GrantLimiter, newShareEntry, type TokenAsk } from "@heatherline/limits";
 import type { Claim, ClaimEnd } from "@heatherline/serving";
 import type { SimulatedHost, SimulatedNetwork } from "../../../standins/simulation/network";
 import { type ClaimSync, ClaimWiring } from "../src/claimWiring";
 import { OwnerLocator } from "../src/ownerLocator";
-import { type BorrowRequest, RateWiring } from "../src/rateWiring";
+import { type BorrowRequest, type RateNotes, RateWiring } from "../src/rateWiring";
 
 /** The decisions of one instance on a simulated network: agreement, rates and claims. */
 export interface SimulatedInstance {
@@ -20,18 +20,21 @@
  * @param network - The network.
  * @param dataCentres - Names of the data centres.
  * @param perDataCentre - Instances in each.
+ * @param getShareEntries - Entries of the data centres that have a share, as an instance knows them.
  * @returns The started instances.
  */
 export function startFleet(
     network: SimulatedNetwork,
     dataCentres: readonly string[],
     perDataCentre: number,
+    getShareEntries = (unusedInstanceId: string): readonly string[] =>
+        dataCentres.map(dataCentre => newShareEntry(dataCentre, 0)),
 ): SimulatedInstance[] {
     const ids = dataCentres.flatMap(dataCentre =>
         Array.from({ length: perDataCentre }, (_, index) => ({ id: `${dataCentre}-${index}`, dataCentre }))
     );
     const hosts = ids.map(({ id, dataCentre }) => network.addHost(id, dataCentre));
-    return hosts.map(host => startInstance(network, host, hosts, dataCentres));
+    return hosts.map(host => startInstance(network, host, hosts, dataCentres, () => getShareEntries(host.id)));
 }
 
 function startInstance(
@@ -39,6 +42,7 @@
     host: SimulatedHost,
     hosts: readonly SimulatedHost[],
     dataCentres: readonly string[],
+    getShareEntries: () => readonly string[],
 ): SimulatedInstance {
     const logger = newLogger("test", "fatal");
     const transport = network.newTransport(host);
@@ -51,8 +55,9 @@
         {
             getListedInstances: () => local,
             getSyncedVersion: () => claims.getSyncedVersion(),
-            getNotes: () => ({ shares: rates.getNotes() }),
-            onNotes: (notes, sentAtMs) => rates.noteShares((notes.shares ?? {}) as UsableShares, sentAtMs),
+            getDurable: before => rates.getDurable(before),
+            getNotes: () => ({ rates: rates.getNotes() }),
+            onNotes: (notes, sentAtMs) => rates.noteNotes(notes.rates as RateNotes, sentAtMs),
             onTable: table => rates.ownership.noteTable(table),
             onSettled: version => rates.ownership.noteSettled(version),
         },
@@ -65,7 +70,7 @@
     };
     const locator = new OwnerLocator(dataCentre, agreement, book, transport);
     const common = { instanceId, dataCentre, agreement, locator, transport, logger, getDataCentres: () => dataCentres };
-    const rates = new RateWiring(common);
+    const rates = new RateWiring({ ...common, getShareEntries });
     const claims = new ClaimWiring(common);
     const limiter = new GrantLimiter(instanceId, rates);
     host.handlers.set("agreement.heartbeat", (heartbeat: Heartbeat) => agreement.handleHeartbeat(heartbeat));
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./limitOwner";
 export * from "./loans";
 export * from "./sharedBucket";
+export * from "./shareRoll";
 export * from "./shares";
 export * from "./staticSplitLimiter";
 export * from "./types";
--- a/packages/limits/src/loans.ts
+++ b/packages/limits/src/loans.ts
@@ -39,8 +39,13 @@
      *
      * @param dataCentre - This data centre.
      * @param isFirstHolder - Whether there was no holder before, so that there is nothing to wait for.
+     * @param hasShare - Whether all other data centres are known to leave this one its share.
      */
-    constructor(private readonly dataCentre: string, private readonly isFirstHolder: boolean) {}
+    constructor(
+        private readonly dataCentre: string,
+        private readonly isFirstHolder: boolean,
+        private readonly hasShare: () => boolean,
+    ) {}
 
     /**
      * Handles another data centre's wish for this one's shares.
@@ -127,6 +132,9 @@
     }
 
     private lendOne(group: string, borrower: string): boolean {
+        if (!this.hasShare()) {
+            return false;
+        }
         const nowMs = monotonicMs();
         const share = this.getOwn(group);
         const isOthers = share.lentTo !== borrower && nowMs < share.lentUntilMs + TOKEN_TTL_MS;
@@ -148,6 +156,9 @@
     }
 
     private mayUseOwn(group: string, nowMs: number): boolean {
+        if (!this.hasShare()) {
+            return false;
+        }
         if (group === this.dataCentre) {
             return true;
         }
--- a/packages/reports/src/auditLog.ts
+++ b/packages/reports/src/auditLog.ts
@@ -1,6 +1,7 @@
 import { type Logger, newId, startLoop } from "@heatherline/common";
 import { type ObjectStore, writeDurably } from "@heatherline/store";
-import { gzipSync } from "node:zlib";
+import { promisify } from "node:util";
+import { gzip } from "node:zlib";
 
 /** One line of the audit record: how one request ended. */
 export type AuditEntry = Record<string, unknown> & { readonly at: string; };
@@ -18,8 +19,9 @@
 /** Prefix of the marks of hours that have segments. */
 export const AUDIT_HOURS_PREFIX = "audit/hours/";
 
+const compress = promisify(gzip);
 const FLUSH_INTERVAL_MS = 5_000;
-const MAX_SEGMENT_BYTES = 4_000_000;
+const MAX_SEGMENT_BYTES = 1_000_000;
 /** Entries kept in memory while the store is down; beyond it the oldest are dropped and counted. */
 const MAX_BUFFERED_BYTES = 16_000_000;
 
@@ -124,7 +126,7 @@
         const segment: AuditSegment = {
             instance: this.instance,
             entryCount: taken.length,
-            gzipBase64: gzipSync([...gap, ...taken].join("\n")).toString("base64"),
+            gzipBase64: (await compress([...gap, ...taken].join("\n"))).toString("base64"),
         };
         const minute = now.toISOString().slice(14, 16);
         const path = `${AUDIT_PREFIX}${hour}/${minute}/${this.instance}-${this.incarnation}-${this.sequence}`;
--- a/packages/serving/src/dispatch.ts
+++ b/packages/serving/src/dispatch.ts
@@ -92,8 +92,10 @@
                 // A connection that was idle may be closed by the other side just as the request goes out, and then
                 // nobody knows whether it ran. What must not run twice gets a connection of its own.
                 agent: isIdempotent ? this.agents[exchange.workClass] : false,
-                signal,
             });
+            const onAbort = () => request.destroy(new Error("given up"));
+            signal.addEventListener("abort", onAbort, { once: true });
+            request.on("close", () => signal.removeEventListener("abort", onAbort));
             request.on("socket", socket => {
                 socket.setNoDelay(true);
                 if (socket.connecting) {
--- a/packages/serving/src/endpoints/holder.ts
+++ b/packages/serving/src/endpoints/holder.ts
@@ -335,7 +335,9 @@
         if (event !== undefined) {
             this.noteEvent(hold, event);
         }
-        if (countOutstanding(hold) >= this.getCredits(hold) || (event !== undefined && event !== "success")) {
+        const waiting = this.getWaiting(hold.service);
+        const isWanted = countOutstanding(hold) >= this.getCredits(hold) && waiting.online + waiting.batch > 0;
+        if (isWanted || (event !== undefined && event !== "success")) {
             this.wantRefresh();
         }
         this.notify();
--- a/packages/serving/src/exchange.ts
+++ b/packages/serving/src/exchange.ts
@@ -1,4 +1,4 @@
-import { monotonicMs } from "@heatherline/common";
+import { monotonicMs, sha256Hex } from "@heatherline/common";
 import type { OrganisationSpec, RouteSpec, ServiceDocument } from "@heatherline/config";
 import type { Result } from "neverthrow";
 import type { IncomingHttpHeaders } from "node:http";
@@ -56,7 +56,8 @@
     isStream?: boolean;
     /** Requests with equal keys share a prompt prefix. */
     affinityKey?: string;
-    fingerprint?: string;
+    /** Identity of the request's content; equal requests of one organisation have equal fingerprints. */
+    readonly getFingerprint: () => string;
     /** Whether bytes of this request may have reached an endpoint. */
     isSent: boolean;
     /** When the request was found to be within its organisation's rate, in milliseconds since the epoch. */
@@ -101,7 +102,24 @@
  * @returns A new exchange.
  */
 export function newExchange(start: ExchangeStart): Exchange {
-    return { ...start, startedAtMs: monotonicMs(), isSent: false, attempts: 0, answerBytes: 0 };
+    let fingerprint: string | undefined;
+    const exchange: Exchange = {
+        ...start,
+        startedAtMs: monotonicMs(),
+        isSent: false,
+        attempts: 0,
+        answerBytes: 0,
+        getFingerprint: () => {
+            fingerprint ??= computeFingerprint(exchange);
+            return fingerprint;
+        },
+    };
+    return exchange;
+}
+
+function computeFingerprint({ organisation, service, upstreamPath, body }: Exchange): string {
+    const who = `${organisation?.organisation ?? ""}\0${service?.service ?? ""}\0${upstreamPath ?? ""}`;
+    return sha256Hex(`${who}\0${sha256Hex(body)}`);
 }
 
 /**
--- a/packages/serving/src/filters/attempt.ts
+++ b/packages/serving/src/filters/attempt.ts
@@ -51,13 +51,13 @@
         this.retries.noteRequest(service.service);
         const excluded = new Set<string>();
         for (;;) {
-            if (this.isQuarantined(exchange.fingerprint)) {
+            if (this.isQuarantined(exchange)) {
                 return err(newQuarantined(exchange));
             }
             const slot = await this.scheduler.acquire(service.service, {
                 exchange,
                 excluded,
-                isExclusive: this.suspects.isSuspect(exchange.fingerprint),
+                isExclusive: this.suspects.isSuspect(exchange.getFingerprint),
                 preempt: isPreemptible(exchange) ? () => exchange.ending.abort("preempted") : undefined,
             });
             if (slot.isErr()) {
@@ -74,15 +74,15 @@
         }
     }
 
-    private isQuarantined(fingerprint: string | undefined): boolean {
-        return fingerprint !== undefined &&
-            (this.replica.isQuarantined(fingerprint) || this.suspects.isCondemned(fingerprint));
+    private isQuarantined({ getFingerprint }: Exchange): boolean {
+        return this.suspects.isCondemned(getFingerprint) ||
+            (this.replica.hasQuarantine() && this.replica.isQuarantined(getFingerprint()));
     }
 
     private async attempt(exchange: Exchange, slot: EndpointSlot): Promise<Result<Delivered, DispatchError>> {
         exchange.attempts += 1;
         exchange.endpoint = slot.endpoint;
-        const leave = this.suspects.enter(slot.endpoint, exchange.fingerprint, slot.isExclusive);
+        const leave = this.suspects.enter(slot.endpoint, exchange.getFingerprint, slot.isExclusive);
         let event: HealthEvent | undefined;
         try {
             const outcome = await this.dispatcher.dispatch(exchange, slot);
--- a/packages/serving/src/filters/identify.ts
+++ b/packages/serving/src/filters/identify.ts
@@ -1,4 +1,3 @@
-import { sha256Hex } from "@heatherline/common";
 import { authenticateKey, type ConfigReplica } from "@heatherline/config";
 import { err } from "neverthrow";
 import { Refusal } from "../errors";
@@ -115,9 +114,6 @@
         }
         exchange.keyId = key.keyId;
         exchange.organisation = organisation;
-        exchange.fingerprint = sha256Hex(
-            `${key.organisation}\0${exchange.upstreamPath ?? ""}\0${sha256Hex(exchange.body)}`,
-        );
         return undefined;
     }
 }
--- a/packages/serving/src/filters/resolve.ts
+++ b/packages/serving/src/filters/resolve.ts
@@ -1,4 +1,3 @@
-import { sha256Hex } from "@heatherline/common";
 import type { ConfigReplica, RouteSpec, ServiceDocument } from "@heatherline/config";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
@@ -69,9 +68,7 @@
             return err(body.error);
         }
         const { model } = body.value;
-        const service = this.replica.getServices().find(other =>
-            other.interface === "openai" && other.models.some(entry => entry.model === model)
-        );
+        const service = this.replica.findServiceByModel(model);
         if (service === undefined) {
             return err(new Refusal("model-not-found", 404, `there is no model ${JSON.stringify(model)}`, true));
         }
@@ -120,5 +117,5 @@
         return undefined;
     }
     const text = typeof prompt === "string" ? prompt : JSON.stringify(prompt);
-    return sha256Hex(`${body.model}\0${text.slice(0, PREFIX_CHARACTERS)}`);
+    return `${body.model}\0${text.slice(0, PREFIX_CHARACTERS)}`;
 }
--- /dev/null
+++ b/packages/serving/src/orders/httpOrders.ts
@@ -0,0 +1,38 @@
+import type { EndpointSpec } from "@heatherline/config";
+import { callHttp, type HttpReply } from "@heatherline/store";
+import { err, ok, type Result } from "neverthrow";
+import http from "node:http";
+import { type EndpointInventory, type EndpointOrder, OrderError, type OrderTransport } from "./types";
+
+const TIMEOUT_MS = 1_000;
+const STALE_STATUS = 409;
+const FIRST_ERROR_STATUS = 400;
+
+/** Orders as JSON over HTTP: `GET /orders` for the inventory, `POST /orders` for an order. */
+export class HttpOrderTransport implements OrderTransport {
+    private readonly agent = new http.Agent({ keepAlive: true });
+
+    async getInventory(spec: EndpointSpec): Promise<Result<EndpointInventory, OrderError>> {
+        const reply = await this.call(spec, "GET");
+        return reply.map(({ body }) => JSON.parse(body.toString("utf8")) as EndpointInventory);
+    }
+
+    async give(spec: EndpointSpec, order: EndpointOrder): Promise<Result<void, OrderError>> {
+        return (await this.call(spec, "POST", JSON.stringify(order))).map(() => undefined);
+    }
+
+    private async call(spec: EndpointSpec, method: string, body?: string): Promise<Result<HttpReply, OrderError>> {
+        const host = spec.address.includes(":") ? `[${spec.address}]` : spec.address;
+        const url = new URL(`http://${host}:${spec.port}/orders`);
+        const reply = await callHttp({ url, method, body, timeoutMs: TIMEOUT_MS, agent: this.agent });
+        if (reply.isErr()) {
+            return err(new OrderError("unreachable", reply.error.message));
+        }
+        if (reply.value.status === STALE_STATUS) {
+            return err(new OrderError("stale", "a higher fencing number has been seen"));
+        }
+        return reply.value.status >= FIRST_ERROR_STATUS
+            ? err(new OrderError("refused", `status ${reply.value.status}`))
+            : ok(reply.value);
+    }
+}
--- a/packages/serving/src/relay.ts
+++ b/packages/serving/src/relay.ts
@@ -31,13 +31,9 @@
     async run(): Promise<Result<Delivered, DispatchError>> {
         const { sink } = this.exchange;
         const status = this.incoming.statusCode ?? 502;
-        try {
-            for await (const chunk of this.incoming as AsyncIterable<Buffer>) {
-                await this.take(chunk, status);
-            }
-        }
-        catch (error) {
-            return this.fail(this.exchange.ending.signal.aborted ? "aborted" : "truncated", error);
+        const failure = this.isEventStream || isLarge(this.incoming) ? await this.pass(status) : await this.collect();
+        if (failure !== undefined) {
+            return this.fail(this.exchange.ending.signal.aborted ? "aborted" : "truncated", failure);
         }
         if (!this.incoming.complete) {
             return this.fail("truncated", undefined);
@@ -52,6 +48,33 @@
         return ok({ status });
     }
 
+    /** Takes a short answer as a whole. */
+    private collect(): Promise<unknown> {
+        return new Promise(resolve => {
+            this.incoming.on("data", (chunk: Buffer) => {
+                this.buffered.push(chunk);
+                this.bufferedBytes += chunk.length;
+                this.exchange.answerBytes += chunk.length;
+            });
+            this.incoming.on("end", () => resolve(undefined));
+            this.incoming.on("error", resolve);
+            this.incoming.on("close", () => resolve(this.incoming.complete ? undefined : new Error("closed early")));
+        });
+    }
+
+    /** Passes a stream or a long answer on piece by piece, no faster than the caller takes it. */
+    private async pass(status: number): Promise<unknown> {
+        try {
+            for await (const chunk of this.incoming as AsyncIterable<Buffer>) {
+                await this.take(chunk, status);
+            }
+            return undefined;
+        }
+        catch (error) {
+            return error;
+        }
+    }
+
     private async take(chunk: Buffer, status: number): Promise<void> {
         this.exchange.answerBytes += chunk.length;
         if (this.isEventStream) {
@@ -94,3 +117,9 @@
         return err(new DispatchError(kind, "the answer ended before it was whole", true, cause));
     }
 }
+
+/** An answer of unknown length may be long. */
+function isLarge(incoming: http.IncomingMessage): boolean {
+    const lengthBytes = incoming.headers["content-length"];
+    return lengthBytes === undefined || Number(lengthBytes) > MAX_BUFFERED_BYTES;
+}
--- a/packages/serving/src/scheduler.ts
+++ b/packages/serving/src/scheduler.ts
@@ -97,9 +97,8 @@
      */
     async acquire(service: string, request: SlotRequest): Promise<Result<EndpointSlot, RoutingError>> {
         const { exchange } = request;
-        const queues = this.getQueues(service);
-        const lane = queues.lanes[exchange.workClass];
-        const refusal = this.checkAdmission(service, queues, exchange);
+        const lane = this.getQueues(service).lanes[exchange.workClass];
+        const refusal = this.checkAdmission(service, this.getQueues(service), exchange);
         if (refusal !== undefined) {
             return err(refusal);
         }
@@ -112,12 +111,33 @@
             }
             this.holder.wantRefresh();
         }
+        const queues = this.getQueues(service);
+        const free = this.takeFree(service, queues, request);
+        if (free !== undefined) {
+            return ok(free);
+        }
         const enqueuedAtMs = monotonicMs();
         const slot = await this.waitInLane(service, lane, queues, request);
         exchange.queuedMs = (exchange.queuedMs ?? 0) + monotonicMs() - enqueuedAtMs;
         return slot;
     }
 
+    /** Nobody waits and a credit is free: there is nothing to queue for. */
+    private takeFree(service: string, queues: ServiceQueues, request: SlotRequest): EndpointSlot | undefined {
+        const { exchange, excluded, preempt } = request;
+        const { lanes, choosing } = queues;
+        if (exchange.workClass !== "online" || lanes.online.size > 0 || choosing.online > 0) {
+            return undefined;
+        }
+        const [first, ...rest] = this.holder.getCandidates(service).filter(({ endpoint }) => !excluded.has(endpoint));
+        if (first === undefined) {
+            return undefined;
+        }
+        const chosen = this.policy.choose([first, ...rest], exchange.affinityKey);
+        const slot = this.holder.take(chosen.endpoint, exchange.workClass, preempt);
+        return this.wrapSlot(slot, queues, exchange.workClass, () => undefined);
+    }
+
     private checkAdmission(service: string, queues: ServiceQueues, exchange: Exchange): RoutingError | undefined {
         const lane = queues.lanes[exchange.workClass];
         if (!this.holder.hasEligible(service)) {
@@ -283,8 +303,10 @@
     }
 
     private onCreditsChanged(): void {
-        for (const service of this.services.keys()) {
-            this.updateLanes(service);
+        for (const [service, { lanes }] of this.services) {
+            if (lanes.online.size + lanes.batch.size > 0) {
+                this.updateLanes(service);
+            }
         }
         for (const wake of [...this.wakers]) {
             wake();
--- a/packages/serving/src/suspects.test.ts
+++ b/packages/serving/src/suspects.test.ts
@@ -51,14 +51,14 @@
         const registry = new SuspectRegistry(report => reports.push(report), () => undefined);
         for (const { running, ends, isAlone } of steps) {
             const leave = new Map(
-                running.map(fingerprint => [fingerprint, registry.enter("e", fingerprint, isAlone ?? false)]),
+                running.map(fingerprint => [fingerprint, registry.enter("e", () => fingerprint, isAlone ?? false)]),
             );
             for (const [fingerprint, event] of ends) {
                 leave.get(fingerprint)?.(event);
             }
         }
-        expect(["a", "b"].filter(fingerprint => registry.isSuspect(fingerprint))).toEqual(suspects);
-        expect(["a", "b"].filter(fingerprint => registry.isCondemned(fingerprint))).toEqual(condemned);
+        expect(["a", "b"].filter(fingerprint => registry.isSuspect(() => fingerprint))).toEqual(suspects);
+        expect(["a", "b"].filter(fingerprint => registry.isCondemned(() => fingerprint))).toEqual(condemned);
         expect(reports.flatMap(({ culprit }) => culprit ?? [])).toEqual(condemned);
     });
 });
--- a/packages/serving/src/suspects.ts
+++ b/packages/serving/src/suspects.ts
@@ -24,7 +24,7 @@
     private readonly suspects = new Map<string, number>();
     private readonly crashesAlone = new Map<string, number>();
     private readonly condemned = new Set<string>();
-    private readonly present = new Map<string, Map<symbol, string>>();
+    private readonly present = new Map<string, Set<() => string>>();
 
     /**
      * @param onCrash - Told of each crash seen here.
@@ -36,20 +36,20 @@
     ) {}
 
     /**
-     * @param fingerprint - Fingerprint of a request, where it has one.
+     * @param getFingerprint - Fingerprint of a request, worked out only where there are suspects.
      * @returns Whether the request may only run alone.
      */
-    isSuspect(fingerprint: string | undefined): boolean {
-        const untilMs = fingerprint === undefined ? undefined : this.suspects.get(fingerprint);
+    isSuspect(getFingerprint: () => string): boolean {
+        const untilMs = this.suspects.size === 0 ? undefined : this.suspects.get(getFingerprint());
         return untilMs !== undefined && monotonicMs() < untilMs;
     }
 
     /**
-     * @param fingerprint - Fingerprint of a request, where it has one.
+     * @param getFingerprint - Fingerprint of a request, worked out only where there are condemned ones.
      * @returns Whether the request is known to crash endpoints, though the configuration may not say so yet.
      */
-    isCondemned(fingerprint: string | undefined): boolean {
-        return fingerprint !== undefined && this.condemned.has(fingerprint);
+    isCondemned(getFingerprint: () => string): boolean {
+        return this.condemned.size > 0 && this.condemned.has(getFingerprint());
     }
 
     /**
@@ -64,26 +64,20 @@
      * Notes that a request begins at an endpoint.
      *
      * @param endpoint - The endpoint.
-     * @param fingerprint - Fingerprint of the request.
+     * @param getFingerprint - Fingerprint of the request.
      * @param isAlone - Whether nothing else runs there.
      * @returns To be called once with how the attempt went.
      */
-    enter(
-        endpoint: string,
-        fingerprint: string | undefined,
-        isAlone: boolean,
-    ): (event: HealthEvent | undefined) => void {
-        if (fingerprint === undefined) {
-            return () => undefined;
-        }
-        const token = Symbol(endpoint);
-        const here = this.present.get(endpoint) ?? new Map<symbol, string>();
-        here.set(token, fingerprint);
+    enter(endpoint: string, getFingerprint: () => string, isAlone: boolean): (event: HealthEvent | undefined) => void {
+        const here = this.present.get(endpoint) ?? new Set<() => string>();
+        here.add(getFingerprint);
         this.present.set(endpoint, here);
         return event => {
-            const fingerprints = [...new Set(here.values())];
-            here.delete(token);
+            const present = [...here];
+            here.delete(getFingerprint);
             if (event === "crashed") {
+                const fingerprint = getFingerprint();
+                const fingerprints = [...new Set(present.map(getOther => getOther()))];
                 this.add(fingerprints);
                 const isCulprit = isAlone && this.countCrashAlone(fingerprint) >= CRASHES_ALONE_TO_CONDEMN;
                 if (isCulprit) {
@@ -91,8 +85,8 @@
                 }
                 this.onCrash({ endpoint, fingerprints, culprit: isCulprit ? fingerprint : undefined });
             }
-            else if (event === "success" && this.clear(fingerprint)) {
-                this.onCleared(fingerprint);
+            else if (event === "success" && this.suspects.size > 0 && this.clear(getFingerprint())) {
+                this.onCleared(getFingerprint());
             }
         };
     }
--- a/standins/openLoop.ts
+++ b/standins/openLoop.ts
@@ -1,5 +1,5 @@
 import { build, type Histogram } from "hdr-histogram-js";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { newSeededRandom } from "./random";
 
 /** Requests that arrive on their own, whatever becomes of those before. */
 export interface OpenLoop {
@@ -31,8 +31,8 @@
  * @returns The latencies in microseconds.
  */
 export async function runOpenLoop(loop: OpenLoop): Promise<OpenLoopResult> {
-    const generator = xoroshiro128plus(loop.seed);
-    const nextGapMs = () => -Math.log(1 - (generator.next() >>> 0) / 2 ** 32) / loop.ratePerS * 1_000;
+    const random = newSeededRandom(loop.seed);
+    const nextGapMs = () => -Math.log(1 - random()) / loop.ratePerS * 1_000;
     const latencyUs = newHistogram();
     const pending = new Set<Promise<void>>();
     const startMs = performance.now();
--- a/standins/soak.ts
+++ b/standins/soak.ts
@@ -2,7 +2,6 @@
 import type { ListedInstance } from "@heatherline/store";
 import { mkdirSync } from "node:fs";
 import { parseArgs } from "node:util";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { callJson, Cluster, type DaemonChild, getFreePort, waitFor } from "./cluster";
 import { applyDocuments, issueKey, newModelService, newPlainService } from "./documents";
 import { Relay } from "./relays";
@@ -37,7 +36,7 @@
 const SETTLE_TIMEOUT_MS = 150_000;
 
 const seed = Number(values.seed);
-const random = new RunRandom(xoroshiro128plus(seed));
+const random = new RunRandom(seed);
 const cluster = new Cluster(values.logs);
 const relays = new Map<string, Relay>();
 const places = new Map<string, { dataCentre: string; port: number; peerPort: number; }>();
--- a/standins/soakLoad.ts
+++ b/standins/soakLoad.ts
@@ -1,17 +1,17 @@
 import { newKey } from "@heatherline/config";
-import type { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { callJson, type DaemonChild } from "./cluster";
+import { newSeededRandom } from "./random";
 
 /** Random numbers of a run; its seed repeats them. */
 export class RunRandom {
+    /** Gives numbers from 0 up to 1. */
+    readonly next: () => number;
+
     /**
-     * @param generator - Seeded generator.
+     * @param seed - Repeats the numbers.
      */
-    constructor(private readonly generator: ReturnType<typeof xoroshiro128plus>) {}
-
-    /** @returns A number from 0 up to 1. */
-    next(): number {
-        return (this.generator.next() >>> 0) / 2 ** 32;
+    constructor(seed: number) {
+        this.next = newSeededRandom(seed);
     }
 
     /**
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -14,6 +14,7 @@
         soak: "standins/soak.ts",
         bench: "bench/main.ts",
         bareServers: "bench/bareServers.ts",
+        settings: "tools/writeSettings.ts",
     },
     outdir: "dist",
     outExtension: { ".js": ".mjs" },
--- a/tools/mechanisms.mjs
+++ b/tools/mechanisms.mjs
@@ -66,6 +66,14 @@
         test: "packages/daemon/tests/rates.property.test.ts",
         pattern: "available to the full",
     },
+    {
+        name: "share-roll",
+        file: "packages/limits/src/shareRoll.ts",
+        find: "every(other => other === this.dataCentre || this.leftBy.has(other))",
+        replace: "every(other => other !== \"\")",
+        test: "packages/daemon/tests/rates.property.test.ts",
+        pattern: "used by the others",
+    },
     {
         name: "claim-backup",
         file: "packages/daemon/src/claimWiring.ts",
