Let an instance that starts without the store serve by the word of its peers

Cause: a newcomer knew no holder without reading the lease, asked no owner for rates or credits, and counted its configuration as of unknown age, so that it refused every key. Change: it learns the table from a member and asks likely owners, who check for themselves; peers and the disk tell how old a copy is. Floors of endpoints not known to be warm now need a valid part in the table, since others may have given them away.

--- a/packages/agreement/src/agreement.ts
+++ b/packages/agreement/src/agreement.ts
@@ -18,6 +18,7 @@
 /** Renewals that certainly take longer than claims are kept. */
 const COVERAGE_GAP_RENEWALS = 14_400;
 const CONSENT_METHOD = "agreement.consent";
+const TABLE_METHOD = "agreement.table";
 const HEARTBEAT_METHOD = "agreement.heartbeat";
 
 /** Who this process is. */
@@ -89,6 +90,8 @@
     private lease: HolderLease | undefined;
     private readonly memberStates = new Map<string, MemberState>();
     private table: MemberTable | undefined;
+    /** The newest table heard of, also while this instance has no part in it. */
+    private knownTable: MemberTable | undefined;
     private partValidUntilMs = 0;
     private acknowledged: Heartbeat["acknowledged"];
     private promise = { epoch: 0, untilMs: 0 };
@@ -150,9 +153,19 @@
         return this.isHolder() && this.lease !== undefined ? getTableOf(this.lease.record) : undefined;
     }
 
-    /** @returns The last table known, valid or not. */
+    /** @returns The newest table known, whether or not this instance has a valid part in it. */
     getLastTable(): MemberTable | undefined {
-        return this.table;
+        return this.knownTable ?? this.table;
+    }
+
+    /**
+     * @param subject - What has to be decided about.
+     * @returns The owner by the newest table known: whom to ask, though not who decides.
+     */
+    getLikelyOwner(subject: string): string | undefined {
+        const table = this.getLastTable();
+        return this.getOwner(subject) ??
+            (table === undefined ? undefined : rankByRendezvous(subject, table.members)[0]);
     }
 
     /** @returns Whether this instance holds the lease now. */
@@ -491,14 +504,15 @@
             this.adoptOwnTable();
             return;
         }
-        const holder = this.observation?.record.holder ?? this.table?.holder;
+        const holder = this.findHolder();
         if (holder === undefined || holder === this.identity.instanceId) {
+            await this.learnTable();
             return;
         }
         const heartbeat: Heartbeat = {
             from: this.identity.instanceId,
             incarnation: this.identity.incarnation,
-            epoch: Math.max(this.table?.epoch ?? 0, this.renouncedEpoch),
+            epoch: Math.max(this.table?.epoch ?? 0, this.knownTable?.epoch ?? 0, this.renouncedEpoch),
             tableVersion: this.table?.version ?? 0,
             syncedVersion: this.surroundings.getSyncedVersion(),
             acknowledged: (this.acknowledged?.epoch ?? 0) > this.renouncedEpoch ? this.acknowledged : undefined,
@@ -516,6 +530,27 @@
         }
     }
 
+    /** By what was heard last: the store's word or a member's. */
+    private findHolder(): string | undefined {
+        const observed = this.observation?.record;
+        const known = this.getLastTable();
+        return (known?.epoch ?? 0) > (observed?.epoch ?? 0) ? known?.holder : observed?.holder;
+    }
+
+    /** An instance that starts while the store can't be reached learns the table from a member. */
+    private async learnTable(): Promise<void> {
+        for (const peer of this.surroundings.getListedInstances()) {
+            if (peer === this.identity.instanceId) {
+                continue;
+            }
+            const reply = await this.transport.call<MemberTable | undefined>(peer, TABLE_METHOD, {}, CALL_TIMEOUT_MS);
+            if (reply.isOk() && reply.value && reply.value.epoch > (this.getLastTable()?.epoch ?? 0)) {
+                this.knownTable = reply.value;
+                return;
+            }
+        }
+    }
+
     private noteReply(reply: HeartbeatReply, sentAtMs: number): void {
         const { table } = reply;
         if (table.epoch <= this.renouncedEpoch || table.epoch < (this.table?.epoch ?? 0)) {
@@ -523,6 +558,7 @@
         }
         // The promise starts now, later than the stamp that the holder will count it from.
         this.promise = { epoch: table.epoch, untilMs: monotonicMs() + LEASE_TERM_MS };
+        this.knownTable = table;
         this.acknowledged = { epoch: table.epoch, stamp: reply.stamp };
         this.lastReplyAtMs = monotonicMs();
         if (reply.remainingMs > 0 && !this.isLeaving) {
@@ -532,9 +568,6 @@
             }
             this.surroundings.onNotes(reply.notes, sentAtMs);
         }
-        else {
-            this.table ??= table;
-        }
     }
 
     private adoptOwnTable(): void {
@@ -556,6 +589,7 @@
             this.ownerCache.clear();
         }
         this.table = table;
+        this.knownTable = table;
         this.partValidUntilMs = validUntilMs;
     }
 }
--- a/packages/config/src/spreader.ts
+++ b/packages/config/src/spreader.ts
@@ -22,6 +22,8 @@
     readonly documents: readonly VersionedDocument[];
     /** Paths that the peer wants from the asker. */
     readonly wanted: readonly string[];
+    /** Milliseconds since the store last confirmed the peer's copy; absent where it never has. */
+    readonly ageMs?: number;
 }
 
 /** Reaches peers for the exchange of configuration. */
@@ -100,13 +102,27 @@
         this.mergeAll(request.documents, "peer");
         const digest = this.replica.getDigest();
         if (request.versions === undefined) {
-            return { digest, documents: [], wanted: [] };
+            return { digest, documents: [], wanted: [], ageMs: this.getFiniteAgeMs() };
         }
         const theirs = request.versions;
         const ours = this.replica.getVersions();
         const newerHere = Object.keys(ours).filter(path => (ours[path] ?? 0) > (theirs[path] ?? 0));
         const wanted = Object.keys(theirs).filter(path => (theirs[path] ?? 0) > (ours[path] ?? 0));
-        return { digest, documents: this.replica.export(newerHere), wanted };
+        return { digest, documents: this.replica.export(newerHere), wanted, ageMs: this.getFiniteAgeMs() };
+    }
+
+    /**
+     * Notes that this copy is known to have been current some time ago, by a peer's word or from the disk.
+     *
+     * @param ageMs - How long ago, in milliseconds.
+     */
+    noteAge(ageMs: number): void {
+        this.lastNewsMs = Math.max(this.lastNewsMs, monotonicMs() - ageMs);
+    }
+
+    private getFiniteAgeMs(): number | undefined {
+        const ageMs = this.getStoreAgeMs();
+        return Number.isFinite(ageMs) ? ageMs : undefined;
     }
 
     private async watchOnce(): Promise<void> {
@@ -143,8 +159,15 @@
         if (peerId === undefined) {
             return;
         }
+        const sentAtMs = monotonicMs();
         const greeting = await this.peers.sync(peerId, { digest: this.replica.getDigest(), documents: [] });
-        if (greeting === undefined || greeting.digest === this.replica.getDigest()) {
+        if (greeting === undefined) {
+            return;
+        }
+        if (greeting.digest === this.replica.getDigest()) {
+            if (greeting.ageMs !== undefined) {
+                this.noteAge(greeting.ageMs + monotonicMs() - sentAtMs);
+            }
             return;
         }
         const digest = this.replica.getDigest();
--- a/packages/daemon/src/creditWiring.ts
+++ b/packages/daemon/src/creditWiring.ts
@@ -104,7 +104,12 @@
         if (spec === undefined || table === undefined || spec.dataCentre !== this.surroundings.dataCentre) {
             return 0;
         }
-        const limit = lastGrant?.isWarm === true ? lastGrant.limit : spec.coldConcurrency;
+        const isWarm = lastGrant?.isWarm === true;
+        if (!isWarm && this.surroundings.agreement.getTable() === undefined) {
+            // Others may have left this instance out of the table, and given its floor away.
+            return 0;
+        }
+        const limit = isWarm ? lastGrant.limit : spec.coldConcurrency;
         return getFloorCredits(endpoint, limit, table.members, this.surroundings.instanceId);
     }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -203,7 +203,8 @@
         this.addRpcMethods();
         this.peerPort = await this.peerServer.listen(settings.listenAddress, settings.peerPort);
         if (settings.dataDir !== undefined) {
-            await new ConfigDisk(settings.dataDir, this.replica, this.logger).start();
+            await new ConfigDisk(settings.dataDir, this.replica, ageMs => this.spreader.noteAge(ageMs), this.logger)
+                .start();
         }
         this.replica.onChange((path, document) => {
             if (document?.kind === "key" && document.state === "withdrawn") {
--- a/packages/daemon/src/ownerLocator.ts
+++ b/packages/daemon/src/ownerLocator.ts
@@ -39,7 +39,7 @@
      */
     async getOwner(dataCentre: string, subject: string): Promise<string | undefined> {
         if (dataCentre === this.dataCentre) {
-            return this.agreement.getOwner(subject);
+            return this.agreement.getLikelyOwner(subject);
         }
         const table = await this.getTable(dataCentre);
         return table === undefined ? undefined : rankByRendezvous(subject, table.members)[0];
--- a/packages/daemon/tests/failures.test.ts
+++ b/packages/daemon/tests/failures.test.ts
@@ -116,6 +116,18 @@
         expect([refused.status, refused.json.error]).toEqual([503, "unavailable"]);
     });
 
+    it("an instance that starts while the store is down serves by the word of its peers", async () => {
+        const { daemons, headers } = await startFleet(["east", "east"], ["--warm"]);
+        await cluster.setFaults({ isDown: true });
+        const seeds = daemons.map(({ peerPort }) => `127.0.0.1:${peerPort}`).join();
+        const third = await cluster.startDaemon("east-2", "east", "--peers", seeds);
+        await waitFor(
+            "an answer of the new instance",
+            async () => (await callJson(third.port, CHAT, { headers, body: newChat("hello") })).status === 200,
+            FEW_SECONDS_MS * 2,
+        );
+    });
+
     it("operators that race on one document: one wins, the others hear of the newer version", async () => {
         const { daemons } = await startFleet(["east", "west"], ["--warm"]);
         const current = await callJson(daemons[0]?.port ?? 0, "/admin/documents/service/lm");
