Begin no takeover that can't be written; split the holder's roster and the fleet's reports out

Cause of a data centre without owners through a store outage: a member with an old sight of the lease tried to take over while the store was down, and after a write of unknown outcome it could not vouch for the holder again.

--- a/bench/control.ts
+++ b/bench/control.ts
@@ -8,6 +8,7 @@
 const ENDPOINTS_PER_DATA_CENTRE = 4;
 const MEASURE_MS = 15_000;
 const SETTLE_MS = 8_000;
+const STARTS_AT_ONCE = 6;
 const REQUESTS_PER_S_PER_INSTANCE = 2;
 
 interface Usage {
@@ -44,15 +45,22 @@
                 endpoints.push({ child, dataCentre, maxConcurrency: 8, coldConcurrency: 8 });
             }
         }
-        await Promise.all(
-            Array.from({ length: size }, (_, index) =>
-                cluster.startDaemon(
-                    `i-${index}`,
-                    DATA_CENTRES[index % DATA_CENTRES.length] ?? "",
-                    "--log-level",
-                    "warn",
-                )),
-        );
+        for (let begun = 0; begun < size; begun += STARTS_AT_ONCE) {
+            const indexes = Array.from(
+                { length: Math.min(STARTS_AT_ONCE, size - begun) },
+                (_, offset) => begun + offset,
+            );
+            await Promise.all(
+                indexes.map(index =>
+                    cluster.startDaemon(
+                        `i-${index}`,
+                        DATA_CENTRES[index % DATA_CENTRES.length] ?? "",
+                        "--log-level",
+                        "warn",
+                    )
+                ),
+            );
+        }
         const first = cluster.daemons[0] as DaemonChild;
         const organisations = Array.from(
             { length: 20 },
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,5 @@
 import { benchBatch } from "./batch";
+import { printCapacity } from "./capacity";
 import { benchControl } from "./control";
 import { benchHarvest } from "./harvest";
 import { benchLimits } from "./limits";
@@ -12,6 +13,7 @@
     control: benchControl,
     harvest: benchHarvest,
     batch: benchBatch,
+    capacity: printCapacity,
 };
 
 async function main(): Promise<void> {
--- a/packages/agreement/src/agreement.test.ts
+++ b/packages/agreement/src/agreement.test.ts
@@ -152,6 +152,17 @@
         );
     }, 300_000);
 
+    it("keeps its holder through a long outage of the store, though members are silent now and then", async () => {
+        const silences = [8_000, 13_000, 18_000].map(atMs => ({
+            kind: "cut-data-centres" as const,
+            atMs,
+            lengthMs: 1_500,
+            pick: 0,
+        }));
+        const members = await play(1, [{ kind: "store-down", atMs: 5_000, lengthMs: 20_000, pick: 0 }, ...silences]);
+        expect(members.map(({ agreement }) => agreement.getTable()?.epoch)).toEqual([1, 1, 1]);
+    });
+
     it("keeps its holder through a long outage of the store while all members vouch for it", async () => {
         const members = await play(1, [{ kind: "store-down", atMs: 5_000, lengthMs: 20_000, pick: 0 }]);
         expect(members.map(({ agreement }) => agreement.getTable()?.epoch)).toEqual([1, 1, 1]);
--- a/packages/agreement/src/agreement.ts
+++ b/packages/agreement/src/agreement.ts
@@ -1,8 +1,9 @@
 import { type Logger, monotonicMs, rankByRendezvous, startLoop, withJitter } from "@heatherline/common";
 import type { ObjectStore, StoredObject } from "@heatherline/store";
-import { type Coverage, updateCoverage } from "./coverage";
 import { HolderLease } from "./holderLease";
+import { MemberRoster } from "./memberRoster";
 import {
+    type AgreementIdentity,
     type Heartbeat,
     HEARTBEAT_INTERVAL_MS,
     type HeartbeatReply,
@@ -15,19 +16,10 @@
 
 const CALL_TIMEOUT_MS = 700;
 const SILENCE_MS = HEARTBEAT_INTERVAL_MS * 1.6;
-/** Renewals that certainly take longer than claims are kept. */
-const COVERAGE_GAP_RENEWALS = 14_400;
 const CONSENT_METHOD = "agreement.consent";
 const TABLE_METHOD = "agreement.table";
 const HEARTBEAT_METHOD = "agreement.heartbeat";
 
-/** Who this process is. */
-export interface AgreementIdentity {
-    readonly instanceId: string;
-    readonly incarnation: string;
-    readonly dataCentre: string;
-}
-
 /** What the agreement needs from the rest of the instance. */
 export interface AgreementSurroundings {
     /** @returns Instances of this data centre that the platform lists, this one included. */
@@ -70,16 +62,6 @@
     lastSeenAtMs: number;
 }
 
-interface MemberState {
-    lastHeardAtMs: number;
-    /** Until when a part handed to the member may be valid. */
-    partUntilMs: number;
-    incarnation: string | undefined;
-    /** Version of the table that the member acts on. */
-    tableVersion: number;
-    syncedVersion: number;
-}
-
 /**
  * One instance's part in the agreement of its data centre: one lease in the store, one holder, and a table of
  * members among whom subjects are divided by rendezvous hashing. Every validity runs on the monotonic clock from
@@ -89,7 +71,7 @@
     private readonly path: string;
     private observation: Observation | undefined;
     private lease: HolderLease | undefined;
-    private readonly memberStates = new Map<string, MemberState>();
+    private readonly roster: MemberRoster;
     private table: MemberTable | undefined;
     /** The newest table heard of, also while this instance has no part in it. */
     private knownTable: MemberTable | undefined;
@@ -99,7 +81,6 @@
     /** Holders of this epoch and below never get a promise again. */
     private renouncedEpoch = 0;
     private isLeaving = false;
-    private isMemberRestarted = false;
     private lastReplyAtMs = -Infinity;
     private readonly ownerCache = new Map<string, string>();
     private readonly stops: (() => Promise<void>)[] = [];
@@ -118,6 +99,7 @@
         private readonly surroundings: AgreementSurroundings,
         private readonly logger: Logger,
     ) {
+        this.roster = new MemberRoster(identity);
         this.path = `leases/${identity.dataCentre}`;
     }
 
@@ -229,37 +211,18 @@
         if (acknowledged?.epoch === lease.record.epoch) {
             lease.notePromise(heartbeat.from, acknowledged.stamp);
         }
-        const state = this.memberStates.get(heartbeat.from);
         // While the lease has lapsed members get no part, but are still asked for their promises.
         const partMs = isMember && !heartbeat.isLeaving ? Math.min(LEASE_TERM_MS, remainingMs) : 0;
-        this.memberStates.set(heartbeat.from, {
-            lastHeardAtMs: heartbeat.isLeaving ? -Infinity : nowMs,
-            // A member that leaves has given up what it owned before it said so.
-            partUntilMs: heartbeat.isLeaving ? 0 : Math.max(state?.partUntilMs ?? 0, nowMs + partMs),
-            incarnation: heartbeat.incarnation,
-            tableVersion: heartbeat.tableVersion,
-            syncedVersion: heartbeat.syncedVersion,
-        });
-        if (state?.incarnation !== undefined && state.incarnation !== heartbeat.incarnation) {
-            this.isMemberRestarted = true;
-        }
+        this.roster.note(heartbeat, partMs);
         return {
             table: getTableOf(lease.record),
             stamp: nowMs,
             remainingMs: partMs,
-            isSettled: this.isSettled(lease.record),
+            isSettled: this.roster.isSettled(lease.record),
             notes: this.surroundings.getNotes(),
         };
     }
 
-    private isSettled(table: MemberTable): boolean {
-        const nowMs = monotonicMs();
-        return table.members.filter(member => member !== this.identity.instanceId).every(member => {
-            const state = this.memberStates.get(member);
-            return state !== undefined && (state.tableVersion >= table.version || state.partUntilMs <= nowMs);
-        });
-    }
-
     /**
      * Handles a newcomer's question whether it may take the lease over.
      *
@@ -285,21 +248,24 @@
         // While the holder answers there is nothing to look for in the store.
         const isHolderSilent = monotonicMs() - this.lastReplyAtMs > SILENCE_MS;
         if (!this.isLeaving && isHolderSilent) {
-            await this.observe();
-            await this.considerTakeover();
+            const isSeen = await this.observe();
+            if (isSeen) {
+                await this.considerTakeover();
+            }
         }
     }
 
-    private async observe(): Promise<void> {
+    /** @returns Whether the lease has been seen just now: a takeover that can't be written must not be begun. */
+    private async observe(): Promise<boolean> {
         const read = await this.store.get(this.path);
         if (read.isErr()) {
-            return;
+            return false;
         }
         const object = read.value;
         if (object === undefined) {
             this.observation = undefined;
             await this.acquire(undefined);
-            return;
+            return false;
         }
         if (object.version !== this.observation?.object.version) {
             const record = object.value as unknown as LeaseRecord;
@@ -308,9 +274,10 @@
                 // The holder has renewed: a takeover from the version seen before can't succeed any more.
                 this.renouncedEpoch -= 1;
             }
-            return;
+            return true;
         }
         this.observation.lastSeenAtMs = monotonicMs();
+        return true;
     }
 
     private async considerTakeover(): Promise<void> {
@@ -318,7 +285,7 @@
         if (observation === undefined || this.lease !== undefined) {
             return;
         }
-        const unchangedMs = monotonicMs() - observation.firstSeenAtMs;
+        const unchangedMs = observation.lastSeenAtMs - observation.firstSeenAtMs;
         const { record } = observation;
         if (!record.isReleased && unchangedMs < LEASE_TERM_MS + TAKEOVER_MARGIN_MS) {
             return;
@@ -368,7 +335,7 @@
             holder: this.identity.instanceId,
             incarnation: this.identity.incarnation,
             members,
-            coverage: this.computeCoverage(before, members, false, renewal),
+            coverage: this.roster.computeCoverage(before, members, false, renewal),
             renewal,
             durable: observation?.record.durable ?? {},
             isReleased: false,
@@ -382,17 +349,7 @@
             // After a lost answer the next look at the store shows this write; it then ages like a stranger's lease.
             return;
         }
-        this.memberStates.clear();
-        const graceUntilMs = monotonicMs() + LEASE_TERM_MS;
-        for (const member of record.members) {
-            this.memberStates.set(member, {
-                lastHeardAtMs: monotonicMs(),
-                partUntilMs: graceUntilMs,
-                incarnation: undefined,
-                tableVersion: 0,
-                syncedVersion: 0,
-            });
-        }
+        this.roster.reset(record.members);
         this.lease = new HolderLease(record, written.value, sentAtMs);
         this.logger.info({ epoch: record.epoch }, "lease acquired");
         this.adoptOwnTable();
@@ -404,54 +361,21 @@
         return [...new Set([...remaining, this.identity.instanceId])].sort();
     }
 
-    private areMembersSynced({ members, version }: MemberTable): boolean {
-        return members.every(member =>
-            member === this.identity.instanceId
-                ? this.surroundings.getSyncedVersion() >= version
-                : (this.memberStates.get(member)?.syncedVersion ?? 0) >= version
-        );
-    }
-
-    private computeCoverage(
-        before: Coverage | undefined,
-        members: readonly string[],
-        areSynced: boolean,
-        renewal: number,
-    ): Coverage {
-        const identities = members.map(instanceId => ({
-            instanceId,
-            incarnation: this.getIncarnation(instanceId, before),
-        }));
-        if (before === undefined) {
-            return { base: identities, gone: [], gaps: [] };
-        }
-        return updateCoverage(before, identities, areSynced, renewal, COVERAGE_GAP_RENEWALS);
-    }
-
-    /** A member that has not been heard yet is taken for the start that was known before. */
-    private getIncarnation(instanceId: string, coverage: Coverage | undefined): string {
-        if (instanceId === this.identity.instanceId) {
-            return this.identity.incarnation;
-        }
-        const known = coverage?.base.find(identity => identity.instanceId === instanceId)?.incarnation;
-        return this.memberStates.get(instanceId)?.incarnation ?? known ?? "";
-    }
-
     private async renew(): Promise<void> {
         const lease = this.lease;
         if (lease === undefined) {
             return;
         }
-        const members = this.chooseMembers(lease.record.members);
+        const members = this.roster.choose(lease.record.members, new Set(this.surroundings.getListedInstances()));
         // A restarted member has lost its state: a new table version lets the others bring it up to date.
-        const isChanged = members.join() !== lease.record.members.join() || this.isMemberRestarted;
+        const isChanged = members.join() !== lease.record.members.join() || this.roster.hasRestartedMember();
         const renewal = lease.record.renewal + 1;
-        const areSynced = !isChanged && this.areMembersSynced(lease.record);
+        const areSynced = !isChanged && this.roster.areSynced(lease.record, this.surroundings.getSyncedVersion());
         const record: LeaseRecord = {
             ...lease.record,
             members,
             version: lease.record.version + (isChanged ? 1 : 0),
-            coverage: this.computeCoverage(lease.record.coverage, members, areSynced, renewal),
+            coverage: this.roster.computeCoverage(lease.record.coverage, members, areSynced, renewal),
             durable: this.surroundings.getDurable(lease.record.durable),
             renewal,
         };
@@ -459,7 +383,9 @@
         const written = await this.store.put(this.path, { ...record }, lease.version);
         if (written.isOk()) {
             lease.noteRenewal(record, written.value, sentAtMs);
-            this.isMemberRestarted &&= !isChanged;
+            if (isChanged) {
+                this.roster.noteTableChanged();
+            }
             this.adoptOwnTable();
             return;
         }
@@ -489,24 +415,6 @@
         this.adoptOwnTable();
     }
 
-    private chooseMembers(current: readonly string[]): string[] {
-        const nowMs = monotonicMs();
-        const listed = new Set(this.surroundings.getListedInstances());
-        const kept = current.filter(member => {
-            const state = this.memberStates.get(member);
-            if (member === this.identity.instanceId || state === undefined) {
-                return member === this.identity.instanceId;
-            }
-            // A member leaves the table only when nothing handed to it can be valid any more.
-            return nowMs < state.partUntilMs || nowMs - state.lastHeardAtMs < LEASE_TERM_MS;
-        });
-        const joined = [...this.memberStates]
-            .filter(([member, { lastHeardAtMs }]) => !kept.includes(member) && nowMs - lastHeardAtMs < LEASE_TERM_MS)
-            .map(([member]) => member)
-            .filter(member => listed.size === 0 || listed.has(member));
-        return [...kept, ...joined].sort();
-    }
-
     private async tickHeartbeat(): Promise<void> {
         if (this.lease !== undefined) {
             this.adoptOwnTable();
@@ -591,7 +499,7 @@
         }
         const table = getTableOf(this.lease.record);
         this.adoptTable(table, monotonicMs() + Math.min(remainingMs, LEASE_TERM_MS));
-        if (this.isSettled(table)) {
+        if (this.roster.isSettled(table)) {
             this.surroundings.onSettled(table.version);
         }
         this.surroundings.onNotes(this.surroundings.getNotes(), monotonicMs());
--- a/packages/agreement/src/types.ts
+++ b/packages/agreement/src/types.ts
@@ -11,6 +11,13 @@
 /** Longest validity of anything that an owner hands out, in milliseconds. */
 export const LONGEST_GRANT_MS = 2_000;
 
+/** Who a process is. */
+export interface AgreementIdentity {
+    readonly instanceId: string;
+    readonly incarnation: string;
+    readonly dataCentre: string;
+}
+
 /** Calls to other instances. */
 export interface PeerTransport {
     /**
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,16 +12,7 @@
     type ServiceDocument,
 } from "@heatherline/config";
 import { GrantLimiter, newShareEntry, type RateLimiter, StaticSplitLimiter } from "@heatherline/limits";
-import {
-    AuditLog,
-    AuditReader,
-    type BurnRow,
-    computeBurn,
-    type Objective,
-    type SloBucket,
-    type SloThresholds,
-    SloTracker,
-} from "@heatherline/reports";
+import { AuditLog, AuditReader, type SloThresholds, SloTracker } from "@heatherline/reports";
 import {
     AttemptFilter,
     type BatchAdmission,
@@ -53,13 +44,14 @@
 import { HttpStore, MemoryStore, type ObjectStore } from "@heatherline/store";
 import { err } from "neverthrow";
 import { readFile } from "node:fs/promises";
-import { AdminApi, type InForceEntry, type InstanceStatus } from "./adminApi";
+import { AdminApi, type InstanceStatus } from "./adminApi";
 import { BatchApi, getJobSubject } from "./batchApi";
 import { PipelineExecutor } from "./batchExecutor";
 import { CallerServer } from "./callerServer";
 import { type ClaimSync, ClaimWiring } from "./claimWiring";
 import { ConfigDisk } from "./configDisk";
 import { type CreditEntry, CreditWiring } from "./creditWiring";
+import { FleetReports } from "./fleetReports";
 import { DaemonMetrics } from "./metrics";
 import { OwnerLocator } from "./ownerLocator";
 import { type Hello, PeerBook } from "./peerBook";
@@ -67,7 +59,6 @@
 import { type BorrowRequest, type RateNotes, RateWiring } from "./rateWiring";
 import type { DaemonSettings } from "./settings";
 
-const STATUS_TIMEOUT_MS = 1_500;
 const SYNC_TIMEOUT_MS = 1_500;
 const DRAIN_POLL_MS = 20;
 const SECONDS_PER_MINUTE = 60;
@@ -100,6 +91,7 @@
     private readonly metrics: DaemonMetrics;
     private readonly audit: AuditLog;
     private readonly slo = new SloTracker(service => this.getThresholds(service));
+    private readonly reports: FleetReports;
     private readonly callers: CallerServer;
     private peerPort = 0;
     private isDraining = false;
@@ -165,6 +157,7 @@
             ? new GrantLimiter(instance, this.rates)
             : new StaticSplitLimiter(() => this.book.getPeers().length + 1);
         this.metrics = this.newMetrics();
+        this.reports = new FleetReports(this.book, transport, this.replica, this.slo, () => this.getStatus());
         this.audit = new AuditLog(this.store, instance, logger);
         const { online, batch } = this.newPipelines();
         this.runner = new JobRunner(
@@ -317,10 +310,10 @@
             writer: this.writer,
             operatorToken: this.settings.operatorToken,
             pushDocument: path => this.spreader.push(this.replica.export([path])),
-            collectStatus: () => this.collectStatus(),
+            collectStatus: () => this.reports.collectStatus(),
             readAudit: (from, to) => new AuditReader(this.store).read(from, to),
-            collectBurn: () => this.collectBurn(),
-            collectInForce: path => this.collectInForce(path),
+            collectBurn: () => this.reports.collectBurn(),
+            collectInForce: path => this.reports.collectInForce(path),
         });
     }
 
@@ -479,75 +472,11 @@
         };
     }
 
-    private async collectStatus(): Promise<{ heard: InstanceStatus[]; silent: string[]; }> {
-        const heard = [this.getStatus()];
-        const silent: string[] = [];
-        await Promise.all(
-            this.book.getPeers().map(async ({ instanceId }) => {
-                const reply = await this.transport.call<InstanceStatus>(
-                    instanceId,
-                    "status.get",
-                    {},
-                    STATUS_TIMEOUT_MS,
-                );
-                if (reply.isOk()) {
-                    heard.push(reply.value);
-                }
-                else {
-                    silent.push(instanceId);
-                }
-            }),
-        );
-        heard.sort((left, right) => left.instanceId < right.instanceId ? -1 : 1);
-        return { heard, silent: silent.sort() };
-    }
-
-    private async collectBurn(): Promise<{ rows: BurnRow[]; silent: string[]; }> {
-        const buckets = this.slo.export();
-        const silent: string[] = [];
-        await Promise.all(
-            this.book.getPeers().map(async ({ instanceId }) => {
-                const reply = await this.transport.call<SloBucket[]>(instanceId, "report.slo", {}, STATUS_TIMEOUT_MS);
-                if (reply.isOk()) {
-                    buckets.push(...reply.value);
-                }
-                else {
-                    silent.push(instanceId);
-                }
-            }),
-        );
-        const objectives = new Map<string, readonly Objective[]>(
-            this.replica.getServices().map(service => [service.service, service.objectives]),
-        );
-        return { rows: computeBurn(buckets, objectives), silent };
-    }
-
     private getThresholds(name: string): SloThresholds {
         const objectives = this.replica.getServices().find(({ service }) => service === name)?.objectives ?? [];
         const find = (kind: string) => objectives.find(({ objective }) => objective === kind)?.thresholdMs ?? Infinity;
         return { firstByteMs: find("first-byte"), durationMs: find("duration") };
     }
-
-    private async collectInForce(path: string): Promise<InForceEntry[]> {
-        const { instance, dataCentre } = this.settings;
-        const own: InForceEntry = { instanceId: instance, dataCentre, version: this.replica.getVersion(path) };
-        const others = await Promise.all(
-            this.book.getPeers().map(async (peer): Promise<InForceEntry> => {
-                const reply = await this.transport.call<number>(
-                    peer.instanceId,
-                    "status.version",
-                    { path },
-                    STATUS_TIMEOUT_MS,
-                );
-                return {
-                    instanceId: peer.instanceId,
-                    dataCentre: peer.dataCentre,
-                    version: reply.isOk() ? reply.value : undefined,
-                };
-            }),
-        );
-        return [own, ...others];
-    }
 }
 
 function newBatchAdmission(settings: DaemonSettings): BatchAdmission {
--- /dev/null
+++ b/packages/daemon/src/fleetReports.ts
@@ -0,0 +1,86 @@
+import type { PeerTransport } from "@heatherline/agreement";
+import type { ConfigReplica } from "@heatherline/config";
+import { type BurnRow, computeBurn, type Objective, type SloBucket, type SloTracker } from "@heatherline/reports";
+import type { InForceEntry, InstanceStatus } from "./adminApi";
+import type { PeerBook } from "./peerBook";
+
+const CALL_TIMEOUT_MS = 1_500;
+
+/** What the instances that can be heard say, and which are silent. */
+interface Collected<Part> {
+    readonly heard: Part[];
+    readonly silent: string[];
+}
+
+/** Asks all instances for their part of a report. */
+export class FleetReports {
+    /**
+     * @param book - Known instances.
+     * @param transport - Calls to them.
+     * @param replica - The configuration in force here.
+     * @param slo - Counts of this instance.
+     * @param getStatus - State of this instance.
+     */
+    constructor(
+        private readonly book: PeerBook,
+        private readonly transport: PeerTransport,
+        private readonly replica: ConfigReplica,
+        private readonly slo: SloTracker,
+        private readonly getStatus: () => InstanceStatus,
+    ) {}
+
+    /** @returns The state of all instances that can be heard. */
+    async collectStatus(): Promise<Collected<InstanceStatus>> {
+        const { heard, silent } = await this.collect<InstanceStatus>("status.get", {});
+        const all = [this.getStatus(), ...heard];
+        return { heard: all.sort((left, right) => left.instanceId < right.instanceId ? -1 : 1), silent };
+    }
+
+    /** @returns Burn of all objectives over all instances that can be heard. */
+    async collectBurn(): Promise<{ rows: BurnRow[]; silent: string[]; }> {
+        const { heard, silent } = await this.collect<SloBucket[]>("report.slo", {});
+        const objectives = new Map<string, readonly Objective[]>(
+            this.replica.getServices().map(service => [service.service, service.objectives]),
+        );
+        return { rows: computeBurn([...this.slo.export(), ...heard.flat()], objectives), silent };
+    }
+
+    /**
+     * @param path - A document.
+     * @returns The version in force on each instance.
+     */
+    async collectInForce(path: string): Promise<InForceEntry[]> {
+        const { instanceId, dataCentre } = this.getStatus();
+        const own: InForceEntry = { instanceId, dataCentre, version: this.replica.getVersion(path) };
+        const others = await Promise.all(
+            this.book.getPeers().map(async (peer): Promise<InForceEntry> => {
+                const reply = await this.transport.call<number>(
+                    peer.instanceId,
+                    "status.version",
+                    { path },
+                    CALL_TIMEOUT_MS,
+                );
+                const version = reply.isOk() ? reply.value : undefined;
+                return { instanceId: peer.instanceId, dataCentre: peer.dataCentre, version };
+            }),
+        );
+        return [own, ...others];
+    }
+
+    private async collect<Part>(method: string, params: object): Promise<Collected<Part>> {
+        const heard: Part[] = [];
+        const silent: string[] = [];
+        await Promise.all(
+            this.book.getPeers().map(async ({ instanceId }) => {
+                const reply = await this.transport.call<Part>(instanceId, method, params, CALL_TIMEOUT_MS);
+                if (reply.isOk()) {
+                    heard.push(reply.value);
+                }
+                else {
+                    silent.push(instanceId);
+                }
+            }),
+        );
+        return { heard, silent: silent.sort() };
+    }
+}
--- a/packages/daemon/tests/failures.test.ts
+++ b/packages/daemon/tests/failures.test.ts
@@ -46,6 +46,14 @@
             async () => (await callJson(port, CHAT, { headers, body: newChat("hello") })).status === 200,
         );
     }
+    // A data centre whose holder is alone in the table has nobody who vouches for it when the store goes down.
+    await waitFor("all instances to be members", async () => {
+        const { heard } = (await callJson(first.port, "/admin/status")).json;
+        return heard.length === daemons.length &&
+            heard.every((instance: { dataCentre: string; members: string[]; }) =>
+                instance.members.length === dataCentres.filter(dataCentre => dataCentre === instance.dataCentre).length
+            );
+    });
     return { daemons, endpoints, key: issued.secretKey, keyId: issued.document.keyId, headers };
 }
 
--- a/standins/cluster.ts
+++ b/standins/cluster.ts
@@ -162,6 +162,7 @@
         else {
             child.stdout.pipe(createWriteStream(join(this.logFolder, `${instance}.log`), { flags: "a" }));
         }
+        process.stderr.setMaxListeners(0);
         child.stderr.pipe(process.stderr);
         const daemon = { process: child, port, peerPort, instance, dataCentre };
         this.daemons.push(daemon);
