--- a/standins/soakLoad.ts
+++ b/standins/soakLoad.ts
@@ -127,9 +127,9 @@
         }
     }
 
-    /** Cancels a job picked at random. */
+    /** Cancels the latest job, which is the likeliest to be running. */
     async cancelJob(): Promise<void> {
-        const job = this.random.pick(this.jobs.filter(({ cancelledAt }) => cancelledAt === undefined));
+        const job = this.jobs.findLast(({ cancelledAt }) => cancelledAt === undefined);
         const daemon = this.random.pick(this.getDaemons());
         if (job === undefined || daemon === undefined) {
             return;
