--- a/standins/soak.ts
+++ b/standins/soak.ts
@@ -204,7 +204,7 @@
         ),
         repeat(untilMs, 1_000 / POSTS_PER_S, () => load.sendPost("alpha")),
         repeat(untilMs, JOB_INTERVAL_MS, () => load.submitJob(random.pick(ORGANISATIONS)?.organisation ?? "")),
-        repeat(untilMs, CANCEL_INTERVAL_MS, () => load.cancelJob()),
+        repeat(untilMs, CANCEL_INTERVAL_MS, () => load.cancelJob(random.pick(ORGANISATIONS)?.organisation ?? "")),
         playFaults(untilMs),
     ]);
     say("faults are over; waiting for the jobs to end");
--- a/standins/soakLoad.ts
+++ b/standins/soakLoad.ts
@@ -127,8 +127,13 @@
         }
     }
 
-    /** Cancels the latest job, which is the likeliest to be running. */
-    async cancelJob(): Promise<void> {
+    /**
+     * Submits a job and cancels it at once, while it runs.
+     *
+     * @param organisation - Whose job it is.
+     */
+    async cancelJob(organisation: string): Promise<void> {
+        await this.submitJob(organisation);
         const job = this.jobs.findLast(({ cancelledAt }) => cancelledAt === undefined);
         const daemon = this.random.pick(this.getDaemons());
         if (job === undefined || daemon === undefined) {
