Lend and use shares only under one list of data centres

Ruled out: unused prompt tokens counted back (the refund is clipped to the room) and the lease that recovers (the entry of the returned data centre was checked). Change: a new list starts the loans anew and waits out what was lent before; loans are given only to borrowers with the same list; the lease keeps the list, so that a change of holder alone waits for nothing in its own group.

--- a/packages/daemon/src/rateWiring.ts
+++ b/packages/daemon/src/rateWiring.ts
@@ -60,11 +60,14 @@
 interface Holding {
     readonly epoch: number;
     readonly roll: ShareRoll;
+    readonly hasShare: () => boolean;
     readonly loans: ShareLoans;
 }
 
 /** Fact in the lease: the entry under which this data centre has its share. */
 const SHARE_FACT = "share";
+/** Fact in the lease: the list of data centres that its holder acts on. */
+const LIST_FACT = "list";
 
 /** Connects owners, loans of shares and askers of rates between instances. */
 export class RateWiring implements OwnerDirectory {
@@ -127,7 +130,11 @@
      */
     getDurable(before: Record<string, unknown>): Record<string, unknown> {
         const roll = this.getHolding()?.roll;
-        return roll?.isLeftByAll() === true ? { ...before, [SHARE_FACT]: roll.getOwnEntry() } : before;
+        if (roll === undefined) {
+            return before;
+        }
+        const facts = { ...before, [LIST_FACT]: roll.getList().entries.join() };
+        return roll.isLeftByAll() ? { ...facts, [SHARE_FACT]: roll.getOwnEntry() } : facts;
     }
 
     /** @returns The data centres that have a share, as the holder of this one says. */
@@ -159,7 +166,10 @@
             return undefined;
         }
         holding.roll.noteList(request.borrower, request.list);
-        return { groups: holding.loans.lend(request.borrower, request.groups), list: holding.roll.getList() };
+        const list = holding.roll.getList();
+        // Groups of another list hold other organisations: a loan would be used for the wrong ones.
+        const groups = request.list.entries.join() === list.entries.join() ? request.groups : [];
+        return { groups: holding.loans.lend(request.borrower, groups), list };
     }
 
     /**
@@ -234,9 +244,16 @@
             const roll = new ShareRoll(dataCentre, LEASE_TERM_MS + TOKEN_TTL_MS);
             const hasShare = () =>
                 roll.getOwnEntry() !== undefined && agreement.getDurable()[SHARE_FACT] === roll.getOwnEntry();
-            this.holding = { epoch: table.epoch, roll, loans: new ShareLoans(dataCentre, table.epoch === 1, hasShare) };
+            const entries = this.surroundings.getShareEntries();
+            roll.update(entries);
+            const isListKnown = agreement.getDurable()[LIST_FACT] === entries.join();
+            const loans = new ShareLoans(dataCentre, table.epoch === 1, isListKnown, hasShare);
+            this.holding = { epoch: table.epoch, roll, hasShare, loans };
+        }
+        if (this.holding.roll.update(this.surroundings.getShareEntries())) {
+            // Groups are other ones now: nothing is used or lent until all that was lent before has run out.
+            this.holding = { ...this.holding, loans: new ShareLoans(dataCentre, false, false, this.holding.hasShare) };
         }
-        this.holding.roll.update(this.surroundings.getShareEntries());
         return this.holding;
     }
 
--- a/packages/limits/src/loans.ts
+++ b/packages/limits/src/loans.ts
@@ -39,11 +39,14 @@
      *
      * @param dataCentre - This data centre.
      * @param isFirstHolder - Whether there was no holder before, so that there is nothing to wait for.
+     * @param isListKnown - Whether the holder before acted on the same list of data centres, so that the group of this
+     * one was never lent.
      * @param hasShare - Whether all other data centres are known to leave this one its share.
      */
     constructor(
         private readonly dataCentre: string,
         private readonly isFirstHolder: boolean,
+        private readonly isListKnown: boolean,
         private readonly hasShare: () => boolean,
     ) {}
 
@@ -160,7 +163,8 @@
             return false;
         }
         if (group === this.dataCentre) {
-            return true;
+            // Under another list the same organisations were in other groups, whose shares may be lent still.
+            return this.isListKnown || this.hasWaitedOut(nowMs);
         }
         const share = this.getOwn(group);
         return nowMs >= share.lentUntilMs + TOKEN_TTL_MS && nowMs >= share.wishedUntilMs && this.hasWaitedOut(nowMs);
--- a/packages/limits/src/shareRoll.ts
+++ b/packages/limits/src/shareRoll.ts
@@ -46,16 +46,18 @@
      * Takes over the list in force.
      *
      * @param entries - All entries, sorted.
+     * @returns Whether the list is another one than before.
      */
-    update(entries: readonly string[]): void {
+    update(entries: readonly string[]): boolean {
         if (entries.join() === this.entries.join()) {
-            return;
+            return false;
         }
         if (!entries.includes(this.getOwnEntry() ?? "")) {
             this.leftBy.clear();
         }
         this.entries = entries;
         this.sinceMs = monotonicMs();
+        return true;
     }
 
     /** @returns The list, as it is told to other data centres. */
