--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -10,21 +10,59 @@
 export type LogLevel = (typeof LOG_LEVELS)[number];
 
 const FLUSH_INTERVAL_MS = 20;
+/** Bytes that may wait for a slow reader; what comes beyond them is dropped and counted. */
+const MAX_WAITING_BYTES = 1_000_000;
+/** Lines a second; what comes beyond them is dropped and counted. */
+const MAX_LINES_PER_S = 600;
+const WINDOW_MS = 1_000;
 
-/** Collects lines and writes them together: a write to a pipe blocks the process, so there should be few. */
+interface StreamHandle {
+    readonly _handle?: { setBlocking?: (isBlocking: boolean) => void; };
+}
+
+/** Collects lines and writes them together; drops lines rather than hold the process up. */
 class LineBuffer {
     private lines = "";
     private timer: NodeJS.Timeout | undefined;
+    private windowStartMs = 0;
+    private linesInWindow = 0;
+    private dropped = 0;
 
     constructor() {
         process.on("exit", () => this.flush());
+        // A write to a pipe blocks the process while the pipe is full, unless it is told not to.
+        (process.stdout as unknown as StreamHandle)._handle?.setBlocking?.(false);
     }
 
     write(line: string): void {
+        const nowMs = performance.now();
+        if (nowMs - this.windowStartMs >= WINDOW_MS) {
+            this.startWindow(nowMs);
+        }
+        this.linesInWindow += 1;
+        if (this.linesInWindow > MAX_LINES_PER_S || process.stdout.writableLength > MAX_WAITING_BYTES) {
+            this.dropped += 1;
+            return;
+        }
         this.lines += line;
         this.timer ??= setTimeout(() => this.flush(), FLUSH_INTERVAL_MS).unref();
     }
 
+    /** @returns Lines dropped since the process started. */
+    getDropped(): number {
+        return totalDropped + this.dropped;
+    }
+
+    private startWindow(nowMs: number): void {
+        this.windowStartMs = nowMs;
+        this.linesInWindow = 0;
+        if (this.dropped > 0) {
+            this.lines += `${JSON.stringify({ event: "lines-dropped", count: this.dropped, time: new Date() })}\n`;
+            totalDropped += this.dropped;
+            this.dropped = 0;
+        }
+    }
+
     private flush(): void {
         clearTimeout(this.timer);
         this.timer = undefined;
@@ -33,8 +71,14 @@
     }
 }
 
+let totalDropped = 0;
 let buffer: LineBuffer | undefined;
 
+/** @returns Log lines that were dropped since the process started. */
+export function getDroppedLines(): number {
+    return buffer?.getDropped() ?? 0;
+}
+
 /**
  * @param name - Program name, on every line.
  * @param level - Lowest level that is written.
--- /dev/null
+++ b/packages/fleet/src/crashBook.ts
@@ -0,0 +1,57 @@
+/** Crashes after which a request is not sent to another endpoint. */
+const MAX_CRASHES = 2;
+/** A request that has not come back for this long is forgotten, in milliseconds. */
+const MEMORY_MS = 60_000;
+/** Requests that are remembered at most. */
+const MAX_REMEMBERED = 4_096;
+
+interface Suspicion {
+    crashes: number;
+    lastAtMs: number;
+}
+
+/**
+ * Remembers requests during which endpoints went away, so that one that crashes each endpoint is not sent to all of
+ * them. An answer clears a request.
+ */
+export class CrashBook {
+    private readonly suspicions = new Map<string, Suspicion>();
+
+    /**
+     * @param fingerprint - The request whose connection broke after it had been sent.
+     */
+    noteCrash(fingerprint: string): void {
+        if (fingerprint === "") {
+            return;
+        }
+        const crashes = (this.suspicions.get(fingerprint)?.crashes ?? 0) + 1;
+        this.suspicions.delete(fingerprint);
+        this.suspicions.set(fingerprint, { crashes, lastAtMs: performance.now() });
+        if (this.suspicions.size > MAX_REMEMBERED) {
+            this.suspicions.delete(this.suspicions.keys().next().value ?? "");
+        }
+    }
+
+    /**
+     * @param fingerprint - A request that an endpoint answered.
+     */
+    noteAnswer(fingerprint: string): void {
+        this.suspicions.delete(fingerprint);
+    }
+
+    /**
+     * @param fingerprint - A request.
+     * @returns Whether it may be sent to an endpoint.
+     */
+    mayRun(fingerprint: string): boolean {
+        const suspicion = this.suspicions.get(fingerprint);
+        if (suspicion === undefined) {
+            return true;
+        }
+        if (performance.now() - suspicion.lastAtMs > MEMORY_MS) {
+            this.suspicions.delete(fingerprint);
+            return true;
+        }
+        return suspicion.crashes < MAX_CRASHES;
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/endpointHealth.ts
@@ -0,0 +1,70 @@
+import type { PlaceEnd } from "./types";
+
+/** First pause after an endpoint could not be reached or broke off, in milliseconds. */
+const FIRST_PAUSE_MS = 150;
+/** Longest pause, in milliseconds; an endpoint that is back is in use again within this time. */
+const MAX_PAUSE_MS = 1_200;
+/** An endpoint that breaks off single answers is not paused; this many breaks in a row mean that it is down. */
+const BREAKS_FOR_PAUSE = 3;
+/** Failures of one endpoint in a row after which it is taken for failing altogether. */
+const FAILURES_FOR_PAUSE = 6;
+
+/** What the ends of requests tell about one endpoint. */
+export class EndpointHealth {
+    private consecutivePauses = 0;
+    private consecutiveBreaks = 0;
+    private consecutiveFailures = 0;
+    private pausedUntilMs = 0;
+    private isOnTrial = false;
+
+    /**
+     * @param end - How a request there ended.
+     * @returns Whether the endpoint is paused because of it.
+     */
+    note(end: PlaceEnd): boolean {
+        switch (end) {
+            case "done":
+                this.consecutivePauses = 0;
+                this.consecutiveBreaks = 0;
+                this.consecutiveFailures = 0;
+                this.isOnTrial = false;
+                return false;
+            case "unreachable":
+                return this.pause();
+            case "broken":
+                this.consecutiveBreaks += 1;
+                return this.consecutiveBreaks >= BREAKS_FOR_PAUSE || this.isOnTrial ? this.pause() : false;
+            case "failed":
+                this.consecutiveFailures += 1;
+                return this.consecutiveFailures >= FAILURES_FOR_PAUSE ? this.pause() : false;
+            case "lost":
+                return false;
+            case "rejected":
+                return this.isOnTrial ? this.pause() : false;
+        }
+    }
+
+    /**
+     * @param running - Requests that run there now.
+     * @returns Whether the endpoint may get a request; after a pause it gets one at a time until one succeeds.
+     */
+    mayTake(running: number): boolean {
+        return performance.now() >= this.pausedUntilMs && (!this.isOnTrial || running === 0);
+    }
+
+    /** @returns Time until the pause is over, in milliseconds; 0 without a pause. */
+    getPauseLeftMs(): number {
+        return Math.max(0, this.pausedUntilMs - performance.now());
+    }
+
+    private pause(): boolean {
+        const nowMs = performance.now();
+        if (nowMs < this.pausedUntilMs) {
+            return false;
+        }
+        this.pausedUntilMs = nowMs + Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** this.consecutivePauses);
+        this.consecutivePauses += 1;
+        this.isOnTrial = true;
+        return true;
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/floors.ts
@@ -0,0 +1,38 @@
+import type { EndpointEntry, MemberEntry, RateBounds } from "./types";
+
+/** Most tokens that an instance gathers for one organisation while it decides alone. */
+const ALONE_BURST = 1.5;
+
+/**
+ * Divides an endpoint's slots for the time in which nobody decides for all instances: among the instances of its own
+ * data centre, or among all where there are none. The parts add up to the slots, whoever is cut off from whom.
+ *
+ * @param endpoint - The endpoint.
+ * @param instanceId - An instance.
+ * @param members - All instances.
+ * @returns Requests that the instance may give the endpoint at once.
+ */
+export function getSlotsAlone(
+    endpoint: EndpointEntry,
+    instanceId: string,
+    members: readonly MemberEntry[],
+): number {
+    const near = members.filter(({ dataCentre }) => dataCentre === endpoint.dataCentre);
+    const sharing = (near.length === 0 ? members : near).map(member => member.instanceId).sort();
+    const position = sharing.indexOf(instanceId);
+    if (position < 0) {
+        return 0;
+    }
+    const left = endpoint.slots % sharing.length;
+    return Math.floor(endpoint.slots / sharing.length) + (position < left ? 1 : 0);
+}
+
+/**
+ * @param bounds - Rate and burst over the whole fleet.
+ * @param memberCount - Number of instances.
+ * @returns What one instance may admit while it decides alone.
+ */
+export function getRateAlone(bounds: RateBounds, memberCount: number): RateBounds {
+    const count = Math.max(1, memberCount);
+    return { ratePerS: bounds.ratePerS / count, burst: Math.max(1, Math.min(ALONE_BURST, bounds.burst / count)) };
+}
--- /dev/null
+++ b/packages/fleet/src/forecast.ts
@@ -0,0 +1,84 @@
+/** First guess of how long an online request keeps its place, in milliseconds. */
+const FIRST_HOLD_MS = 500;
+const SMOOTHING = 0.1;
+/** Time for a batch item to give its place up, in milliseconds. */
+const PREEMPTION_MS = 8;
+/** Expected returns are forgotten when they are overdue by this, in milliseconds. */
+const RETURN_SLACK_MS = 500;
+/** Shortest pause before a refused caller is asked back, in milliseconds. */
+const MIN_RETRY_MS = 50;
+
+/** What a forecast is based on. */
+export interface LineState {
+    /** Places that online requests may have altogether. */
+    readonly places: number;
+    /** Places that are free, or that batch gives up at once. */
+    readonly atOnce: number;
+    /** Places that are free. */
+    readonly free: number;
+    /** Requests that will be served before the one in question. */
+    readonly ahead: number;
+}
+
+/**
+ * Forecasts how long a request will wait for a place: from how long places are kept, how many there are, who waits,
+ * and who was refused and asked to come back.
+ */
+export class WaitForecast {
+    private holdMs = FIRST_HOLD_MS;
+    private returns: { readonly fingerprint: string; readonly atMs: number; }[] = [];
+
+    /**
+     * @param heldMs - How long a served online request kept its place.
+     */
+    noteHold(heldMs: number): void {
+        this.holdMs += SMOOTHING * (heldMs - this.holdMs);
+    }
+
+    /**
+     * @param line - Places and requests.
+     * @returns The expected wait in milliseconds; infinite where there are no places.
+     */
+    getWaitMs(line: LineState): number {
+        if (line.places === 0) {
+            return Infinity;
+        }
+        const missing = line.ahead + 1 - line.atOnce;
+        if (missing > 0) {
+            return PREEMPTION_MS + missing * this.holdMs / line.places;
+        }
+        return line.ahead < line.free ? 0 : PREEMPTION_MS;
+    }
+
+    /**
+     * Chooses when a refused caller should come back, each at a time of its own, and remembers it.
+     *
+     * @param line - Places and requests.
+     * @param fingerprint - The refused request.
+     * @returns The pause in milliseconds.
+     */
+    planReturn(line: LineState, fingerprint: string): number {
+        const nowMs = performance.now();
+        this.returns = this.returns.filter(({ atMs }) => atMs > nowMs - RETURN_SLACK_MS);
+        const ahead = line.ahead + this.returns.length;
+        const waitMs = this.getWaitMs({ ...line, ahead });
+        const retryAfterMs = Math.max(MIN_RETRY_MS, Number.isFinite(waitMs) ? waitMs : this.holdMs);
+        if (fingerprint !== "") {
+            this.returns.push({ fingerprint, atMs: nowMs + retryAfterMs });
+        }
+        return retryAfterMs;
+    }
+
+    /**
+     * @param fingerprint - A request.
+     * @returns Whether it was refused before and asked to come back; asked once, it is forgotten.
+     */
+    takeReturn(fingerprint: string): boolean {
+        const position = this.returns.findIndex(planned => planned.fingerprint === fingerprint);
+        if (fingerprint === "" || position < 0) {
+            return false;
+        }
+        this.returns.splice(position, 1);
+        return true;
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/jobBoard.ts
@@ -0,0 +1,194 @@
+import type { StoredObject } from "@heatherline/store";
+import type { AdmitJobReply, AdmitJobRequest } from "./messages";
+import type { JobProgress, JobSummary } from "./types";
+
+/** A job that nobody reports for this long is given to another instance, in milliseconds. */
+const UNCLAIMED_MS = 1_200;
+/** An assigned instance that does not report the job for this long is passed over, in milliseconds. */
+const ASSIGNMENT_MS = 1_500;
+/** An admitted job whose object has not appeared after this long was not written, in milliseconds. */
+const RESERVATION_MS = 5_000;
+
+interface BoardEntry {
+    readonly summary: JobSummary;
+    finishedTokens: number;
+    runner: string | undefined;
+    reportedAtMs: number;
+    assignedTo: string | undefined;
+    assignedAtMs: number;
+}
+
+interface Reservation {
+    readonly request: AdmitJobRequest;
+    readonly atMs: number;
+}
+
+/** The coordinator's book of batch jobs: what waits, who runs what, and what nobody runs. */
+export class JobBoard {
+    private readonly jobs = new Map<string, BoardEntry>();
+    private readonly reservations = new Map<string, Reservation>();
+    private hasRead = false;
+
+    /** Whether the jobs in the store are known. */
+    get isComplete(): boolean {
+        return this.hasRead;
+    }
+
+    /**
+     * @param objects - All job objects in the store.
+     */
+    replaceAll(objects: ReadonlyMap<string, StoredObject>): void {
+        this.hasRead = true;
+        for (const jobId of this.jobs.keys()) {
+            if (!objects.has(jobId)) {
+                this.jobs.delete(jobId);
+            }
+        }
+        for (const [jobId, { value }] of objects) {
+            const summary = readSummary(value);
+            if (summary === undefined || summary.state !== "open") {
+                this.jobs.delete(jobId);
+                continue;
+            }
+            this.reservations.delete(jobId);
+            const nowMs = performance.now();
+            const known = this.jobs.get(jobId);
+            this.jobs.set(jobId, {
+                ...known ?? {
+                    finishedTokens: 0,
+                    runner: undefined,
+                    reportedAtMs: nowMs,
+                    assignedTo: undefined,
+                    assignedAtMs: 0,
+                },
+                summary,
+            });
+        }
+    }
+
+    /**
+     * @param instanceId - The instance that reports.
+     * @param reports - The jobs that it runs.
+     * @returns Those of them that are no longer open.
+     */
+    noteProgress(instanceId: string, reports: readonly JobProgress[]): string[] {
+        const nowMs = performance.now();
+        const closed: string[] = [];
+        for (const { jobId, finishedTokens } of reports) {
+            const entry = this.jobs.get(jobId);
+            if (entry === undefined) {
+                // A job that was just accepted may not have been read yet; the runner asks the store before it stops.
+                if (this.hasRead && !this.reservations.has(jobId)) {
+                    closed.push(jobId);
+                }
+                continue;
+            }
+            entry.finishedTokens = Math.max(entry.finishedTokens, finishedTokens);
+            entry.runner = instanceId;
+            entry.reportedAtMs = nowMs;
+            entry.assignedTo = undefined;
+        }
+        return closed;
+    }
+
+    /**
+     * Gives jobs that nobody runs to an instance.
+     *
+     * @param instanceId - The instance that asks for news.
+     * @param liveInstances - All instances that can run jobs, this one included.
+     * @returns Jobs that it is to run.
+     */
+    assign(instanceId: string, liveInstances: readonly string[]): string[] {
+        const nowMs = performance.now();
+        const assigned: string[] = [];
+        for (const [jobId, entry] of this.jobs) {
+            const isUnclaimed = nowMs - entry.reportedAtMs > UNCLAIMED_MS;
+            const isAssigned = entry.assignedTo !== undefined && nowMs - entry.assignedAtMs < ASSIGNMENT_MS;
+            if (!isUnclaimed || (isAssigned && entry.assignedTo !== instanceId)) {
+                continue;
+            }
+            if (!isAssigned && this.getLeastLoaded(liveInstances) !== instanceId) {
+                continue;
+            }
+            if (!isAssigned) {
+                entry.assignedTo = instanceId;
+                entry.assignedAtMs = nowMs;
+            }
+            assigned.push(jobId);
+        }
+        return assigned;
+    }
+
+    /**
+     * @param request - A job.
+     * @returns Whether it fits.
+     */
+    admit(request: AdmitJobRequest): AdmitJobReply {
+        const waitingTokens = this.getWaitingTokens(request);
+        if (request.maxWaitingTokens > 0 && waitingTokens + request.tokens > request.maxWaitingTokens) {
+            return { kind: "full", waitingTokens };
+        }
+        this.reservations.set(request.jobId, { request, atMs: performance.now() });
+        return { kind: "admitted" };
+    }
+
+    /**
+     * @param jobId - A job.
+     * @returns The instance that runs it.
+     */
+    findRunner(jobId: string): string | undefined {
+        const entry = this.jobs.get(jobId);
+        const isRecent = entry !== undefined && performance.now() - entry.reportedAtMs < UNCLAIMED_MS;
+        return isRecent ? entry.runner : undefined;
+    }
+
+    /** @returns Open jobs. */
+    getOpenCount(): number {
+        return this.jobs.size;
+    }
+
+    private getWaitingTokens({ jobId, organisation, route }: AdmitJobRequest): number {
+        const nowMs = performance.now();
+        let tokens = 0;
+        for (const [id, { summary, finishedTokens }] of this.jobs) {
+            if (id !== jobId && summary.organisation === organisation && summary.route === route) {
+                tokens += Math.max(0, sum(summary.itemTokens) - finishedTokens);
+            }
+        }
+        for (const [id, { request, atMs }] of this.reservations) {
+            if (nowMs - atMs > RESERVATION_MS) {
+                this.reservations.delete(id);
+            }
+            else if (id !== jobId && request.organisation === organisation && request.route === route) {
+                tokens += request.tokens;
+            }
+        }
+        return tokens;
+    }
+
+    private getLeastLoaded(instances: readonly string[]): string | undefined {
+        const load = new Map(instances.map(instanceId => [instanceId, 0]));
+        for (const { runner, assignedTo } of this.jobs.values()) {
+            const instanceId = assignedTo ?? runner ?? "";
+            if (load.has(instanceId)) {
+                load.set(instanceId, (load.get(instanceId) ?? 0) + 1);
+            }
+        }
+        return [...load].sort((left, right) => left[1] - right[1] || (left[0] < right[0] ? -1 : 1))[0]?.[0];
+    }
+}
+
+/**
+ * @param value - Content of a job object.
+ * @returns What all instances need to know of it.
+ */
+export function readSummary(value: Record<string, unknown>): JobSummary | undefined {
+    const { jobId, organisation, route, submittedAt, itemTokens, state } = value as Partial<JobSummary>;
+    const isComplete = typeof jobId === "string" && typeof organisation === "string" && typeof route === "string"
+        && typeof submittedAt === "number" && Array.isArray(itemTokens) && typeof state === "string";
+    return isComplete ? { jobId, organisation, route, submittedAt, itemTokens, state } : undefined;
+}
+
+function sum(values: readonly number[]): number {
+    return values.reduce((total, value) => total + value, 0);
+}
--- /dev/null
+++ b/packages/fleet/src/messages.ts
@@ -0,0 +1,81 @@
+import type { JobProgress, MemberEntry, PlaceAsk, PlaceOutcome, PlaceRelease, PlaceSummary } from "./types";
+import type { FleetNews, KnownRevisions } from "./view";
+
+/** Methods of the JSON-RPC calls between instances. */
+export const METHODS = {
+    sync: "fleet.sync",
+    state: "fleet.state",
+    place: "places.ask",
+    release: "places.release",
+    admitJob: "jobs.admit",
+    findRunner: "jobs.findRunner",
+    readJob: "jobs.read",
+    endJob: "jobs.end",
+} as const;
+
+/** Tells the coordinator how an instance is, and asks for news. */
+export interface SyncRequest {
+    readonly member: MemberEntry;
+    readonly known: KnownRevisions;
+    /** All places in use; absent in most messages. */
+    readonly places: readonly PlaceSummary[] | undefined;
+    readonly jobs: readonly JobProgress[];
+    readonly isStoreFailing: boolean;
+    /** How long the answer may be held until there is news. */
+    readonly waitMs: number;
+}
+
+/** The coordinator's answer, or that of an instance that is none. */
+export type SyncReply =
+    | { readonly kind: "not-coordinator"; }
+    | {
+        readonly kind: "news";
+        readonly coordinator: MemberEntry;
+        readonly epoch: number;
+        readonly leaseVersion: number;
+        readonly news: FleetNews;
+        /** Places that batch items are to give up at once. */
+        readonly calledBack: readonly string[];
+        /** Of the jobs that the instance runs: those that have been ended. */
+        readonly endedJobs: readonly string[];
+        /** Jobs that the instance is to run from now on. */
+        readonly assignedJobs: readonly string[];
+    };
+
+/** Asks any instance for all it knows. */
+export interface StateRequest {
+    readonly known: KnownRevisions;
+}
+
+/** Asks for a place. */
+export interface PlaceRequest {
+    readonly ask: PlaceAsk;
+}
+
+/** The answer to a {@link PlaceRequest}. */
+export type PlaceReply = { readonly kind: "not-coordinator"; } | {
+    readonly kind: "outcome";
+    readonly outcome: PlaceOutcome;
+};
+
+/** Gives places back and withdraws asks. */
+export interface ReleaseRequest {
+    readonly releases: readonly PlaceRelease[];
+    readonly withdrawnAsks: readonly string[];
+}
+
+/** Asks whether a job fits within what its organisation may have waiting. */
+export interface AdmitJobRequest {
+    readonly jobId: string;
+    readonly organisation: string;
+    readonly route: string;
+    readonly tokens: number;
+    /** 0 for no limit. */
+    readonly maxWaitingTokens: number;
+}
+
+/** The answer to an {@link AdmitJobRequest}. */
+export type AdmitJobReply =
+    | { readonly kind: "not-coordinator"; }
+    | { readonly kind: "admitted"; }
+    | { readonly kind: "full"; readonly waitingTokens: number; };
--- /dev/null
+++ b/packages/fleet/src/placement.ts
@@ -0,0 +1,276 @@
+import { type Logger, newRequestId } from "@heatherline/common";
+import type { Coordinator } from "./coordinator";
+import type { CoordinatorLink } from "./coordinatorLink";
+import { Dispatcher } from "./dispatcher";
+import { getRateAlone, getSlotsAlone } from "./floors";
+import { METHODS, type PlaceReply, type ReleaseRequest } from "./messages";
+import { RateBook } from "./rateBook";
+import type { EndpointEntry, MemberEntry, PlaceAsk, PlaceEnd, PlaceOutcome, PlaceRelease, PlaceSummary } from "./types";
+import type { FleetView } from "./view";
+
+/** Beyond the time that an ask may wait by itself, in milliseconds. */
+const CALL_GRACE_MS = 400;
+const RELEASE_TIMEOUT_MS = 500;
+/** An endpoint that this instance can't reach is left out of its own asks for this long, in milliseconds. */
+const UNREACHABLE_MS = 1_500;
+
+/** A place that this instance holds. */
+export interface HeldPlace {
+    readonly placeId: string;
+    readonly endpoint: EndpointEntry;
+    /** Who gave it: the coordinator, or this instance alone. */
+    readonly givenBy: "coordinator" | "alone";
+    /** Aborted when the place is to be given up at once. */
+    readonly calledBack: AbortSignal;
+    /**
+     * Gives the place back; later calls do nothing.
+     *
+     * @param end - How the request ended.
+     */
+    release(end: PlaceEnd): void;
+}
+
+/** The answer of {@link Placement.ask}. */
+export type PlacementOutcome =
+    | { readonly kind: "placed"; readonly place: HeldPlace; }
+    | (Extract<PlaceOutcome, { kind: "refused"; }> & { readonly decidedBy: "coordinator" | "alone"; });
+
+/** What an ask has to say; the rest is filled in. */
+export type PlacementAsk = Omit<PlaceAsk, "askId" | "instanceId" | "dataCentre" | "excluded"> & {
+    readonly excluded?: readonly string[];
+    /** Ends the wait when the caller leaves. */
+    readonly signal: AbortSignal;
+};
+
+interface Held {
+    readonly ask: PlaceAsk;
+    readonly endpointId: string;
+    readonly givenBy: "coordinator" | "alone";
+    readonly calling: AbortController;
+}
+
+/**
+ * Gets places for the requests of this instance: from the coordinator while one is in reach, otherwise from this
+ * instance's own part of each endpoint and each rate.
+ */
+export class Placement {
+    private readonly held = new Map<string, Held>();
+    private readonly alone: Dispatcher;
+    private readonly ratesAlone: RateBook;
+    private readonly unreachableUntilMs = new Map<string, number>();
+    private releases: PlaceRelease[] = [];
+    private withdrawals: string[] = [];
+
+    /**
+     * @param self - This instance.
+     * @param view - What is known of the fleet.
+     * @param link - To the coordinator.
+     * @param getCoordinator - The coordinator, while it is this instance.
+     * @param getRegion - Region of a data centre.
+     * @param logger - Log of the instance.
+     */
+    constructor(
+        private readonly self: MemberEntry,
+        private readonly view: FleetView,
+        private readonly link: CoordinatorLink,
+        private readonly getCoordinator: () => Coordinator | undefined,
+        getRegion: (dataCentre: string) => string,
+        private readonly logger: Logger,
+    ) {
+        this.alone = new Dispatcher({
+            getCapacity: entry => this.getCapacityAlone(entry),
+            getColdRatePerS: entry => this.getColdRateAlone(entry),
+            getRegion,
+            callBack: ({ placeId }) => this.callBack(placeId),
+        });
+        this.ratesAlone = new RateBook(bounds => getRateAlone(bounds, view.members.length), () => 1);
+    }
+
+    /**
+     * Asks for a place.
+     *
+     * @param given - The request.
+     * @returns A place to be released, or a refusal.
+     */
+    async ask(given: PlacementAsk): Promise<PlacementOutcome> {
+        const { signal, ...rest } = given;
+        const ask: PlaceAsk = {
+            ...rest,
+            askId: newRequestId(),
+            instanceId: this.self.instanceId,
+            dataCentre: this.self.dataCentre,
+            excluded: [...given.excluded ?? [], ...this.getUnreachable()],
+        };
+        const startedAtMs = performance.now();
+        const decided = await this.askCoordinator(ask, signal);
+        if (decided !== undefined) {
+            return this.toOutcome(ask, decided, "coordinator", signal);
+        }
+        const spentMs = performance.now() - startedAtMs;
+        const left = { ...ask, usefulForMs: ask.usefulForMs - spentMs, giveUpAfterMs: ask.giveUpAfterMs - spentMs };
+        return this.toOutcome(ask, await this.askAlone(left, signal), "alone", signal);
+    }
+
+    /** Applies a change of what is known of the fleet. */
+    noteViewChanged(): void {
+        this.alone.setEndpoints(this.view.getEndpoints());
+    }
+
+    /**
+     * @param placeId - A place that is to be given up at once.
+     */
+    callBack(placeId: string): void {
+        this.held.get(placeId)?.calling.abort();
+    }
+
+    /** @returns All places in use, for a coordinator that may not know them. */
+    getPlaces(): PlaceSummary[] {
+        return [...this.held].map(([placeId, { ask, endpointId }]) => ({
+            placeId,
+            endpointId,
+            service: ask.service,
+            workClass: ask.workClass,
+            organisation: ask.organisation,
+            dueInMs: ask.dueInMs,
+        }));
+    }
+
+    /** Whether nobody decides for all instances. */
+    get isAlone(): boolean {
+        return this.getCoordinator() === undefined && this.link.coordinator === undefined;
+    }
+
+    private async askCoordinator(ask: PlaceAsk, signal: AbortSignal): Promise<PlaceOutcome | undefined> {
+        const own = this.getCoordinator();
+        const withdraw = () => this.withdraw(ask.askId);
+        signal.addEventListener("abort", withdraw, { once: true });
+        try {
+            const reply = own === undefined
+                ? await this.link.call<PlaceReply>(METHODS.place, { ask }, ask.giveUpAfterMs + CALL_GRACE_MS)
+                : await own.handlePlace(ask);
+            if (reply?.kind !== "outcome") {
+                return undefined;
+            }
+            const { outcome } = reply;
+            const isUndecided = outcome.kind === "refused" && outcome.reason === "unavailable" && !signal.aborted;
+            return isUndecided ? undefined : outcome;
+        }
+        finally {
+            signal.removeEventListener("abort", withdraw);
+        }
+    }
+
+    private async askAlone(ask: PlaceAsk, signal: AbortSignal): Promise<PlaceOutcome> {
+        if (ask.rate !== undefined) {
+            const decision = this.ratesAlone.take(ask.organisation, ask.rate);
+            if (!decision.isTaken) {
+                const detail = `own part of rate ${ask.rate.ratePerS}/s, instances ${this.view.members.length}`;
+                return { kind: "refused", reason: "rate-limited", retryAfterMs: decision.retryAfterMs, detail };
+            }
+        }
+        const withdraw = () => this.alone.withdraw(ask.askId);
+        signal.addEventListener("abort", withdraw, { once: true });
+        const outcome = await this.alone.place(ask);
+        signal.removeEventListener("abort", withdraw);
+        if (outcome.kind === "refused" && ask.rate !== undefined) {
+            this.ratesAlone.giveBack(ask.organisation);
+        }
+        return outcome;
+    }
+
+    private toOutcome(
+        ask: PlaceAsk,
+        outcome: PlaceOutcome,
+        decidedBy: "coordinator" | "alone",
+        signal: AbortSignal,
+    ): PlacementOutcome {
+        if (outcome.kind === "refused") {
+            return { ...outcome, decidedBy };
+        }
+        const { placeId, endpointId } = outcome;
+        const endpoint = this.view.getEndpoints().find(entry => entry.endpointId === endpointId);
+        const calling = new AbortController();
+        this.held.set(placeId, { ask, endpointId, givenBy: decidedBy, calling });
+        if (endpoint === undefined || signal.aborted) {
+            this.release(placeId, "lost");
+            const detail = endpoint === undefined ? `endpoint ${endpointId} is not known here` : "the caller has gone";
+            return { kind: "refused", reason: "unavailable", retryAfterMs: 0, detail, decidedBy };
+        }
+        const release = (end: PlaceEnd) => this.release(placeId, end);
+        return {
+            kind: "placed",
+            place: { placeId, endpoint, givenBy: decidedBy, calledBack: calling.signal, release },
+        };
+    }
+
+    private release(placeId: string, end: PlaceEnd): void {
+        const held = this.held.get(placeId);
+        if (held === undefined) {
+            return;
+        }
+        this.held.delete(placeId);
+        if (end === "unreachable") {
+            this.unreachableUntilMs.set(held.endpointId, performance.now() + UNREACHABLE_MS);
+        }
+        this.alone.release(placeId, end);
+        // A coordinator may have taken over places that this instance gave alone; it ignores those it doesn't know.
+        this.queueRelease({ placeId, end, fingerprint: held.ask.fingerprint });
+    }
+
+    private queueRelease(release: PlaceRelease): void {
+        this.releases.push(release);
+        this.planFlush();
+    }
+
+    private withdraw(askId: string): void {
+        this.withdrawals.push(askId);
+        this.planFlush();
+    }
+
+    private planFlush(): void {
+        if (this.releases.length + this.withdrawals.length === 1) {
+            setImmediate(() => this.flush());
+        }
+    }
+
+    private flush(): void {
+        const request: ReleaseRequest = { releases: this.releases, withdrawnAsks: this.withdrawals };
+        this.releases = [];
+        this.withdrawals = [];
+        const own = this.getCoordinator();
+        if (own !== undefined) {
+            own.handleRelease(request);
+            return;
+        }
+        // A release that is lost is made good by the next full report of places.
+        void this.link.call(METHODS.release, request, RELEASE_TIMEOUT_MS);
+    }
+
+    /** Places that the coordinator gave count as well: together they must not overfill an endpoint. */
+    private getCapacityAlone(entry: EndpointEntry): number {
+        if (this.view.evacuated.has(entry.dataCentre)) {
+            return 0;
+        }
+        let given = 0;
+        for (const { endpointId, givenBy } of this.held.values()) {
+            given += endpointId === entry.endpointId && givenBy === "coordinator" ? 1 : 0;
+        }
+        return Math.max(0, getSlotsAlone(entry, this.self.instanceId, this.view.members) - given);
+    }
+
+    private getColdRateAlone(entry: EndpointEntry): number {
+        const ratePerS = this.view.routes?.getColdRatePerS(entry.service) ?? 0;
+        return ratePerS * getSlotsAlone(entry, this.self.instanceId, this.view.members) / entry.slots;
+    }
+
+    private getUnreachable(): string[] {
+        const nowMs = performance.now();
+        for (const [endpointId, untilMs] of this.unreachableUntilMs) {
+            if (untilMs <= nowMs) {
+                this.unreachableUntilMs.delete(endpointId);
+                this.logger.info({ event: "endpoint-tried-again", endpoint: endpointId });
+            }
+        }
+        return [...this.unreachableUntilMs.keys()];
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/stateFeed.ts
@@ -0,0 +1,291 @@
+import { type Logger, startLoop, withJitter } from "@heatherline/common";
+import type { ObjectStore, StoredObject, StoreError, StoreEvent } from "@heatherline/store";
+import type { Result } from "neverthrow";
+import type { EndpointEntry, MemberEntry, RoutingConfig } from "./types";
+import type { FleetView } from "./view";
+
+/** How the platform keeps what this system reads. */
+export interface StateSchema {
+    readonly configKind: string;
+    readonly configName: string;
+    readonly endpointKind: string;
+    readonly evacuationKind: string;
+    readonly retirementKind: string;
+    /** Status of a retirement after which the instance may be removed. */
+    readonly retiredStatus: Record<string, unknown>;
+    /**
+     * @param value - Content of the configuration object.
+     * @returns The configuration, or why it can't be read.
+     */
+    decodeConfig(value: unknown): Result<RoutingConfig, string>;
+    /**
+     * @param endpointId - Name of the object.
+     * @param value - Its content.
+     * @returns The endpoint, or `undefined` where it names none that could be used.
+     */
+    decodeEndpoint(endpointId: string, value: unknown): EndpointEntry | undefined;
+}
+
+/** Kind of the objects in which instances register. */
+export const MEMBER_KIND = "heatherline-instances";
+/** Kind of the objects that describe batch jobs. */
+export const JOB_KIND = "heatherline-jobs";
+
+/** The configuration must be known to be current every second, so its watch waits no longer. */
+const CONFIG_WAIT_MS = 1_000;
+/** A watch that waits proves nothing; shorter waits bound how long a dead connection stays unnoticed. */
+const STATE_WAIT_MS = 2_000;
+const SLOW_STATE_WAIT_MS = 5_000;
+const FIRST_RETRY_MS = 120;
+const MAX_RETRY_MS = 600;
+
+/** Objects of one kind, kept up to date by listing and watching. */
+export class KindFeed {
+    private readonly objects = new Map<string, StoredObject>();
+    private revision = 0;
+    private failures = 0;
+    private hadContact = true;
+    private stopLoop: (() => Promise<void>) | undefined;
+
+    /**
+     * @param store - The store.
+     * @param kind - Kind of the objects.
+     * @param waitMs - Longest wait of one watch.
+     * @param hooks - What to call after a read, and after a failure.
+     * @param logger - Log of the instance.
+     */
+    constructor(
+        private readonly store: ObjectStore,
+        private readonly kind: string,
+        private readonly waitMs: number,
+        private readonly hooks: {
+            /** Called with all objects after a read that began `ageMs` ago. */
+            readonly onRead: (objects: ReadonlyMap<string, StoredObject>, revision: number, ageMs: number) => void;
+            readonly onFailure: (error: StoreError) => void;
+        },
+        private readonly logger: Logger,
+    ) {}
+
+    /** Starts reading. */
+    start(): void {
+        this.stopLoop ??= startLoop(() => this.getPauseMs(), signal => this.readOnce(signal));
+    }
+
+    /** Stops; a read that is under way is ignored. The next start lists anew. */
+    stop(): void {
+        void this.stopLoop?.();
+        this.stopLoop = undefined;
+        this.revision = 0;
+    }
+
+    private async readOnce(signal: AbortSignal): Promise<void> {
+        const sentAtMs = performance.now();
+        const sentAtWallMs = Date.now();
+        const failure = this.revision === 0 ? await this.list(signal) : await this.watch(signal);
+        if (signal.aborted) {
+            return;
+        }
+        if (failure === undefined) {
+            this.failures = 0;
+            this.noteContact(true, "");
+            const ageMs = Math.max(performance.now() - sentAtMs, Date.now() - sentAtWallMs);
+            this.hooks.onRead(this.objects, this.revision, ageMs);
+            return;
+        }
+        if (failure.kind === "compacted") {
+            this.revision = 0;
+            return;
+        }
+        this.failures += 1;
+        this.noteContact(false, failure.toString());
+        this.hooks.onFailure(failure);
+        // A connection that broke may have hidden changes together with the history that would show them.
+        this.revision = 0;
+    }
+
+    private async list(signal: AbortSignal): Promise<StoreError | undefined> {
+        const listing = await this.store.list(this.kind);
+        if (listing.isErr()) {
+            return listing.error;
+        }
+        if (!signal.aborted) {
+            this.objects.clear();
+            for (const object of listing.value.objects) {
+                this.objects.set(getName(object.path), object);
+            }
+            this.revision = listing.value.revision;
+        }
+        return undefined;
+    }
+
+    private async watch(signal: AbortSignal): Promise<StoreError | undefined> {
+        const batch = await this.store.watch(this.kind, this.revision, this.waitMs);
+        if (batch.isErr()) {
+            return batch.error;
+        }
+        if (!signal.aborted) {
+            batch.value.events.forEach(event => this.apply(event));
+            this.revision = Math.max(this.revision, batch.value.revision);
+        }
+        return undefined;
+    }
+
+    private apply({ path, version, value }: StoreEvent): void {
+        const name = getName(path);
+        if (value === undefined) {
+            this.objects.delete(name);
+        }
+        else if (version >= (this.objects.get(name)?.version ?? 0)) {
+            this.objects.set(name, { path, version, value });
+        }
+    }
+
+    private getPauseMs(): number {
+        return this.failures === 0 ? 0 : withJitter(Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.failures - 1)));
+    }
+
+    private noteContact(hasContact: boolean, cause: string): void {
+        if (hasContact !== this.hadContact) {
+            this.hadContact = hasContact;
+            this.logger.info({ event: hasContact ? "store-regained" : "store-lost", kind: this.kind, cause });
+        }
+    }
+}
+
+/** How much of the store an instance reads by itself. */
+export type FeedScope = "nothing" | "essentials" | "everything";
+
+/** Keeps the view up to date from the store, as far as nobody else does. */
+export class StateFeed {
+    private readonly essentials: readonly KindFeed[];
+    private readonly extras: readonly KindFeed[];
+    private scope: FeedScope = "nothing";
+    private lastReadAtMs = -Infinity;
+    private lastFailureAtMs = -Infinity;
+
+    /**
+     * @param store - The store.
+     * @param schema - How the platform keeps its objects.
+     * @param view - Gets what is read.
+     * @param listeners - Get objects that only the coordinator handles.
+     * @param logger - Log of the instance.
+     */
+    constructor(
+        store: ObjectStore,
+        private readonly schema: StateSchema,
+        private readonly view: FleetView,
+        listeners: {
+            readonly onRetirements: (names: readonly string[]) => void;
+            readonly onJobs: (objects: ReadonlyMap<string, StoredObject>) => void;
+        },
+        private readonly logger: Logger,
+    ) {
+        const newFeed = (
+            kind: string,
+            waitMs: number,
+            onRead: (objects: ReadonlyMap<string, StoredObject>, revision: number, ageMs: number) => void,
+        ) => new KindFeed(store, kind, waitMs, {
+            onRead: (objects, revision, ageMs) => {
+                this.lastReadAtMs = performance.now();
+                onRead(objects, revision, ageMs);
+            },
+            onFailure: () => {
+                this.lastFailureAtMs = performance.now();
+                view.noteStoreTrouble();
+            },
+        }, logger);
+        this.essentials = [
+            newFeed(
+                schema.configKind,
+                CONFIG_WAIT_MS,
+                (objects, revision, ageMs) => this.readConfig(objects, revision, ageMs),
+            ),
+            newFeed(schema.endpointKind, STATE_WAIT_MS, (objects, revision) => this.readEndpoints(objects, revision)),
+            newFeed(
+                schema.evacuationKind,
+                STATE_WAIT_MS,
+                (objects, revision) => view.applyEvacuated({ revision, value: [...objects.keys()] }),
+            ),
+            newFeed(
+                MEMBER_KIND,
+                SLOW_STATE_WAIT_MS,
+                (objects, revision) =>
+                    view.applyMembers({ revision, value: [...objects.values()].flatMap(readMember) }),
+            ),
+        ];
+        this.extras = [
+            newFeed(schema.retirementKind, SLOW_STATE_WAIT_MS, objects => listeners.onRetirements([...objects.keys()])),
+            newFeed(JOB_KIND, STATE_WAIT_MS, objects => listeners.onJobs(objects)),
+        ];
+    }
+
+    /** Whether the last call to the store failed. */
+    get isStoreFailing(): boolean {
+        return this.lastFailureAtMs > this.lastReadAtMs;
+    }
+
+    /**
+     * @param scope - What to read from now on.
+     */
+    setScope(scope: FeedScope): void {
+        if (scope === this.scope) {
+            return;
+        }
+        this.logger.info({ event: "feed-scope", from: this.scope, to: scope });
+        this.scope = scope;
+        for (const feed of this.essentials) {
+            setRunning(feed, scope !== "nothing");
+        }
+        for (const feed of this.extras) {
+            setRunning(feed, scope === "everything");
+        }
+    }
+
+    private readConfig(objects: ReadonlyMap<string, StoredObject>, revision: number, ageMs: number): void {
+        const object = objects.get(this.schema.configName);
+        if (object === undefined) {
+            return;
+        }
+        if (object.version > this.view.getRevisions().config) {
+            const decoded = this.schema.decodeConfig(object.value);
+            if (decoded.isErr()) {
+                this.logger.error({ event: "config-unreadable", revision: object.version, reason: decoded.error });
+                return;
+            }
+            this.logger.info({ event: "config-read", version: decoded.value.version, revision: object.version, ageMs });
+            this.view.applyConfig({ revision: object.version, value: decoded.value });
+        }
+        this.view.noteConfigCurrent(ageMs);
+    }
+
+    private readEndpoints(objects: ReadonlyMap<string, StoredObject>, revision: number): void {
+        const entries: EndpointEntry[] = [];
+        for (const [name, object] of objects) {
+            const entry = this.schema.decodeEndpoint(name, object.value);
+            if (entry !== undefined) {
+                entries.push(entry);
+            }
+        }
+        this.view.applyEndpoints({ revision, value: entries });
+    }
+}
+
+function setRunning(feed: KindFeed, isRunning: boolean): void {
+    if (isRunning) {
+        feed.start();
+    }
+    else {
+        feed.stop();
+    }
+}
+
+function getName(path: string): string {
+    return path.slice(path.indexOf("/") + 1);
+}
+
+function readMember({ value }: StoredObject): MemberEntry[] {
+    const { instanceId, incarnation, host, rpcPort, dataCentre } = value;
+    const isComplete = typeof instanceId === "string" && typeof incarnation === "string" && typeof host === "string"
+        && typeof rpcPort === "number" && typeof dataCentre === "string";
+    return isComplete ? [{ instanceId, incarnation, host, rpcPort, dataCentre }] : [];
+}
--- /dev/null
+++ b/packages/fleet/src/view.ts
@@ -0,0 +1,229 @@
+import { EndpointRoster } from "./endpointRoster";
+import { AgeClock } from "./freshness";
+import { RouteTable } from "./routeTable";
+import type { EndpointEntry, MemberEntry, RoutingConfig } from "./types";
+
+/** A part of what an instance knows, with the store's revision that it was read at. */
+export interface Section<Value> {
+    readonly revision: number;
+    readonly value: Value;
+}
+
+/** Everything that instances tell each other about the fleet; absent parts are not known or not new. */
+export interface FleetNews {
+    readonly config?: Section<RoutingConfig>;
+    readonly endpoints?: Section<readonly EndpointEntry[]>;
+    readonly evacuated?: Section<readonly string[]>;
+    readonly members?: Section<readonly MemberEntry[]>;
+    /** Age of the configuration at the sender, in milliseconds. */
+    readonly configAgeMs: number;
+    /** Time since the sender last had trouble with the store, in milliseconds. */
+    readonly storeTroubleAgeMs: number;
+}
+
+/** Revisions that an instance has; 0 where it has nothing. */
+export interface KnownRevisions {
+    readonly config: number;
+    readonly endpoints: number;
+    readonly evacuated: number;
+    readonly members: number;
+}
+
+/** Parts of the view that listeners may be told about. */
+export type ViewPart = keyof KnownRevisions;
+
+/** Ages beyond this are passed on as this, since JSON has no infinity; in milliseconds. */
+const MAX_AGE_MS = 3_600_000;
+
+/**
+ * What this instance knows of the fleet, from the store or from another instance. Newer revisions replace older ones,
+ * and versions of the configuration never go back.
+ */
+export class FleetView {
+    private routeTable: RouteTable | undefined;
+    private readonly revisions: Record<ViewPart, number> = { config: 0, endpoints: 0, evacuated: 0, members: 0 };
+    private readonly roster = new EndpointRoster();
+    private readonly configAge = new AgeClock();
+    private readonly trouble = new AgeClock();
+    private listedEndpoints: readonly EndpointEntry[] = [];
+    private evacuatedDataCentres: ReadonlySet<string> = new Set();
+    private memberEntries: readonly MemberEntry[] = [];
+    private readonly listeners: ((part: ViewPart) => void)[] = [];
+
+    /** The configuration in force, where one is known. */
+    get routes(): RouteTable | undefined {
+        return this.routeTable;
+    }
+
+    /** Instances that are registered. */
+    get members(): readonly MemberEntry[] {
+        return this.memberEntries;
+    }
+
+    /** Data centres whose endpoints get no work. */
+    get evacuated(): ReadonlySet<string> {
+        return this.evacuatedDataCentres;
+    }
+
+    /** @returns The endpoints to go by now. */
+    getEndpoints(): EndpointEntry[] {
+        return this.roster.getEntries();
+    }
+
+    /** @returns Milliseconds since the configuration was known to be current. */
+    getConfigAgeMs(): number {
+        return this.configAge.getAgeMs();
+    }
+
+    /** @returns Milliseconds since there was trouble with the store. */
+    getStoreTroubleAgeMs(): number {
+        return this.trouble.getAgeMs();
+    }
+
+    /**
+     * @param listener - Called after a part has changed.
+     */
+    onChange(listener: (part: ViewPart) => void): void {
+        this.listeners.push(listener);
+    }
+
+    /** @returns The revisions of what is known. */
+    getRevisions(): KnownRevisions {
+        return { ...this.revisions };
+    }
+
+    /**
+     * @param ageMs - How long ago the configuration that is known was current.
+     */
+    noteConfigCurrent(ageMs: number): void {
+        this.configAge.noteCurrent(ageMs);
+    }
+
+    /** Notes that a call to the store failed. */
+    noteStoreTrouble(): void {
+        this.roster.noteStoreTrouble();
+        this.trouble.noteCurrent(0);
+    }
+
+    /**
+     * @param section - A configuration.
+     */
+    applyConfig(section: Section<RoutingConfig>): void {
+        if (section.revision <= this.revisions.config) {
+            return;
+        }
+        this.revisions.config = section.revision;
+        if (section.value.version > (this.routeTable?.config.version ?? -1)) {
+            this.routeTable = new RouteTable(section.value);
+            this.tell("config");
+        }
+    }
+
+    /**
+     * @param section - All endpoints that are registered.
+     */
+    applyEndpoints(section: Section<readonly EndpointEntry[]>): void {
+        if (section.revision > this.revisions.endpoints) {
+            this.revisions.endpoints = section.revision;
+            this.listedEndpoints = section.value;
+            this.roster.replaceAll(section.value);
+            this.tell("endpoints");
+        }
+    }
+
+    /**
+     * @param section - Data centres whose endpoints are to get no work.
+     */
+    applyEvacuated(section: Section<readonly string[]>): void {
+        if (section.revision > this.revisions.evacuated) {
+            this.revisions.evacuated = section.revision;
+            this.evacuatedDataCentres = new Set(section.value);
+            this.tell("evacuated");
+        }
+    }
+
+    /**
+     * @param section - All instances that are registered.
+     */
+    applyMembers(section: Section<readonly MemberEntry[]>): void {
+        if (section.revision > this.revisions.members) {
+            this.revisions.members = section.revision;
+            this.memberEntries = section.value;
+            this.tell("members");
+        }
+    }
+
+    /**
+     * @param known - What another instance has.
+     * @returns What it lacks.
+     */
+    newNews(known: KnownRevisions): FleetNews {
+        const { revisions } = this;
+        const config = this.routeTable?.config;
+        return {
+            configAgeMs: Math.min(MAX_AGE_MS, this.getConfigAgeMs()),
+            storeTroubleAgeMs: Math.min(MAX_AGE_MS, this.getStoreTroubleAgeMs()),
+            ...config !== undefined && revisions.config > known.config
+                ? { config: { revision: revisions.config, value: config } }
+                : {},
+            ...revisions.endpoints > known.endpoints
+                ? { endpoints: { revision: revisions.endpoints, value: this.listedEndpoints } }
+                : {},
+            ...revisions.evacuated > known.evacuated
+                ? { evacuated: { revision: revisions.evacuated, value: [...this.evacuatedDataCentres] } }
+                : {},
+            ...revisions.members > known.members
+                ? { members: { revision: revisions.members, value: this.memberEntries } }
+                : {},
+        };
+    }
+
+    /**
+     * @param known - What another instance has.
+     * @returns Whether it lacks anything.
+     */
+    hasNewsFor(known: KnownRevisions): boolean {
+        return (Object.keys(this.revisions) as ViewPart[]).some(part => this.revisions[part] > known[part]);
+    }
+
+    /**
+     * Takes over what another instance told.
+     *
+     * @param news - Its news.
+     * @param transitMs - Time that the news was on its way at most.
+     */
+    applyNews(news: FleetNews, transitMs: number): void {
+        if (news.storeTroubleAgeMs < MAX_AGE_MS && news.storeTroubleAgeMs < this.getStoreTroubleAgeMs()) {
+            this.noteStoreTrouble();
+        }
+        if (news.config !== undefined) {
+            this.applyConfig(news.config);
+        }
+        if (news.endpoints !== undefined) {
+            this.applyEndpoints(news.endpoints);
+        }
+        if (news.evacuated !== undefined) {
+            this.applyEvacuated(news.evacuated);
+        }
+        if (news.members !== undefined) {
+            this.applyMembers(news.members);
+        }
+        if (this.routeTable !== undefined) {
+            this.noteConfigCurrent(news.configAgeMs + transitMs);
+        }
+    }
+
+    /** Tells listeners that entries have run out which were kept only for a while. */
+    dropLapsedEndpoints(): void {
+        if (this.roster.hasLapsed) {
+            this.roster.getEntries();
+            this.tell("endpoints");
+        }
+    }
+
+    private tell(part: ViewPart): void {
+        for (const listener of this.listeners) {
+            listener(part);
+        }
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/admission.ts
@@ -0,0 +1,96 @@
+import {
+    type FleetView,
+    intersectRegions,
+    type OrganisationSpec,
+    type Route,
+    type RouteTable,
+} from "@heatherline/fleet";
+import { err, ok, type Result } from "neverthrow";
+import { newRefusal, type Refusal } from "./refusal";
+
+/** Part of the time after which a withdrawn key must not be taken any more; the rest is for what is on its way. */
+const KEY_AGE_PART = 0.75;
+
+/** What a request says of itself that decides whether it may run. */
+export interface AdmissionRequest {
+    readonly host: string;
+    /** Path without query. */
+    readonly path: string;
+    readonly apiKey: string | undefined;
+}
+
+/** A request that may run. */
+export interface Admitted {
+    readonly route: Route;
+    readonly organisation: OrganisationSpec | undefined;
+    readonly allowedRegions: readonly string[];
+    readonly priority: number;
+    readonly configVersion: number;
+}
+
+/** Decides by the configuration whether a request may run. */
+export class Admission {
+    private readonly maxKeyAgeMs: number;
+
+    /**
+     * @param view - What is known of the fleet.
+     * @param revokeMs - Time after which a withdrawn key must not be taken any more.
+     */
+    constructor(private readonly view: FleetView, revokeMs: number) {
+        this.maxKeyAgeMs = revokeMs * KEY_AGE_PART;
+    }
+
+    /** Whether the configuration is known and current enough to take keys. */
+    get isCurrent(): boolean {
+        return this.view.routes !== undefined && this.view.getConfigAgeMs() <= this.maxKeyAgeMs;
+    }
+
+    /**
+     * @param request - A request.
+     * @returns What it is admitted to, or the refusal.
+     */
+    admit(request: AdmissionRequest): Result<Admitted, Refusal> {
+        const table = this.view.routes;
+        if (table === undefined) {
+            return err(newRefusal("config-unknown"));
+        }
+        const ageMs = Math.round(this.view.getConfigAgeMs());
+        const detail = `config version ${table.config.version}, age ${ageMs} ms`;
+        const route = table.findRoute(request.host, request.path);
+        if (route === undefined) {
+            return err(newRefusal(this.isCurrent ? "no-route" : "config-stale", detail));
+        }
+        if (route.isPublic || !table.hasKeys) {
+            return this.finish(table, route, undefined, detail);
+        }
+        if (!this.isCurrent) {
+            return err(newRefusal("config-stale", detail));
+        }
+        if (request.apiKey === undefined) {
+            return err(newRefusal("key-missing", detail));
+        }
+        const organisation = table.findOrganisation(request.apiKey);
+        return organisation === undefined
+            ? err(newRefusal("key-unknown", detail))
+            : this.finish(table, route, organisation, detail);
+    }
+
+    private finish(
+        table: RouteTable,
+        route: Route,
+        organisation: OrganisationSpec | undefined,
+        detail: string,
+    ): Result<Admitted, Refusal> {
+        const allowedRegions = intersectRegions(route.allowedRegions, organisation?.allowedRegions ?? []);
+        if (allowedRegions === undefined) {
+            return err(newRefusal("region-not-allowed", detail));
+        }
+        return ok({
+            route,
+            organisation,
+            allowedRegions,
+            priority: organisation?.priority ?? route.priority,
+            configVersion: table.config.version,
+        });
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/answerRelay.ts
@@ -0,0 +1,102 @@
+import type { CallerAnswer } from "./callerAnswer";
+import type { EndpointAnswer } from "./endpointClient";
+import { EventReader } from "./eventReader";
+
+/** Larger bodies of plain answers are not held in memory. */
+const MAX_WHOLE_BYTES = 8_388_608;
+
+/** How relaying one answer ended. */
+export type RelayEnd =
+    | { readonly kind: "complete"; }
+    | { readonly kind: "broken"; readonly reason: string; };
+
+/** Relays a stream event by event, over as many endpoints as it takes. */
+export class StreamRelay {
+    private lastEventId: number | undefined;
+    private count = 0;
+
+    /**
+     * @param answer - The caller's answer.
+     * @param resumedAfter - The last event that the caller has already.
+     */
+    constructor(private readonly answer: CallerAnswer, resumedAfter: number | undefined) {
+        this.lastEventId = resumedAfter;
+    }
+
+    /** The event after which the stream goes on. */
+    get resumeAfter(): number | undefined {
+        return this.lastEventId;
+    }
+
+    /** Events that were relayed. */
+    get eventCount(): number {
+        return this.count;
+    }
+
+    /**
+     * @param upstream - The answer of one endpoint.
+     * @returns Whether the stream is complete with it.
+     */
+    async relay({ status, incoming }: EndpointAnswer): Promise<RelayEnd> {
+        const reader = new EventReader();
+        try {
+            for await (const chunk of incoming as AsyncIterable<Buffer>) {
+                for (const { bytes, eventId } of reader.read(chunk)) {
+                    if (eventId !== undefined && eventId <= (this.lastEventId ?? -1)) {
+                        continue;
+                    }
+                    this.begin(status, incoming.rawHeaders);
+                    this.count += 1;
+                    this.lastEventId = eventId ?? this.lastEventId;
+                    const isFull = this.answer.write(bytes);
+                    if (isFull !== undefined) {
+                        await isFull;
+                    }
+                }
+            }
+        }
+        catch (error) {
+            return { kind: "broken", reason: error instanceof Error ? error.message : String(error) };
+        }
+        if (!incoming.complete) {
+            return { kind: "broken", reason: "the answer ended early" };
+        }
+        this.begin(status, incoming.rawHeaders);
+        if (reader.getRest().length > 0) {
+            void this.answer.write(reader.getRest());
+        }
+        this.answer.endStream();
+        return { kind: "complete" };
+    }
+
+    private begin(status: number, rawHeaders: readonly string[]): void {
+        if (!this.answer.hasBegun) {
+            this.answer.beginStream(status, rawHeaders);
+        }
+    }
+}
+
+/**
+ * Reads a whole plain answer.
+ *
+ * @param upstream - The answer of an endpoint.
+ * @returns Its body, or `undefined` if it is not whole.
+ */
+export async function readWhole({ incoming }: EndpointAnswer): Promise<Buffer | undefined> {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    try {
+        for await (const chunk of incoming as AsyncIterable<Buffer>) {
+            chunks.push(chunk);
+            sizeBytes += chunk.length;
+            if (sizeBytes > MAX_WHOLE_BYTES) {
+                return undefined;
+            }
+        }
+    }
+    catch {
+        // The caller of this function treats an answer that breaks off and one that ends early alike.
+        return undefined;
+    }
+    return incoming.complete ? Buffer.concat(chunks) : undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,361 @@
+import { RpcPeerServer, RpcPeerTransport } from "@heatherline/agreement";
+import { type Logger, newId, sleep } from "@heatherline/common";
+import {
+    Coordinator,
+    CoordinatorLease,
+    CoordinatorLink,
+    FleetView,
+    type MemberEntry,
+    METHODS,
+    Placement,
+    StateFeed,
+    type StateRequest,
+    type StateSchema,
+    type SyncReply,
+    type SyncRequest,
+} from "@heatherline/fleet";
+import type { ObjectStore } from "@heatherline/store";
+import http from "node:http";
+import { Admission } from "./admission";
+import { BatchApi } from "./batchApi";
+import { EndpointClient } from "./endpointClient";
+import { Ingress, listen } from "./ingress";
+import { JobReader } from "./jobReader";
+import { JobRunner } from "./jobRunner";
+import { JobStore } from "./jobStore";
+import { GatewayMetrics } from "./metrics";
+import { OnlineHandler } from "./onlineHandler";
+import { addPeerMethods } from "./peerMethods";
+import { registerMember } from "./registration";
+import { RetirementDesk } from "./retirement";
+import type { WireCodec } from "./wireCodec";
+
+/** Age of the configuration beyond which an instance reads the store itself, in milliseconds. */
+const MAX_TOLD_AGE_MS = 1_600;
+/** News of ended jobs older than this stop new runs of items, in milliseconds. */
+const MAX_JOB_NEWS_AGE_MS = 2_000;
+const REVIEW_INTERVAL_MS = 200;
+const ADOPTION_INTERVAL_MS = 500;
+/** Time after the request to stop in which the balancer may still send new connections, in milliseconds. */
+const BALANCER_LAG_MS = 2_600;
+/** Time kept before the process is killed, in milliseconds. */
+const KILL_MARGIN_MS = 700;
+const STOP_POLL_MS = 50;
+
+/** What a gateway is told. */
+export interface GatewaySettings {
+    readonly instanceId: string;
+    readonly host: string;
+    readonly dataCentre: string;
+    readonly regions: Readonly<Record<string, string>>;
+    readonly callers: { readonly host: string; readonly port: number; };
+    readonly readiness: { readonly host: string; readonly port: number; };
+    readonly peers: { readonly host: string; readonly port: number; };
+    readonly metricsPort: number;
+    readonly seeds: readonly { readonly host: string; readonly port: number; }[];
+    readonly revokeMs: number;
+    readonly graceMs: number;
+    readonly jobReadableMs: number;
+}
+
+/** What a gateway reaches the outside through. */
+export interface GatewayOutside {
+    readonly store: ObjectStore;
+    readonly schema: StateSchema;
+    readonly wire: WireCodec;
+    readonly getStoreCalls: () => Readonly<Record<string, number>>;
+    readonly putStatus: (path: string, status: Record<string, unknown>) => Promise<boolean>;
+}
+
+/** One instance that stands between callers and endpoints. */
+export class Gateway {
+    private readonly self: MemberEntry;
+    private readonly view = new FleetView();
+    private readonly admission: Admission;
+    private readonly feed: StateFeed;
+    private readonly lease: CoordinatorLease;
+    private readonly link: CoordinatorLink;
+    private readonly rpc: RpcPeerTransport;
+    private readonly rpcServer = new RpcPeerServer("");
+    private readonly placement: Placement;
+    private readonly runner: JobRunner;
+    private readonly ingress: Ingress;
+    private readonly retirement: RetirementDesk;
+    private readonly metrics: GatewayMetrics;
+    private coordinator: Coordinator | undefined;
+    private isStopping = false;
+    private timers: NodeJS.Timeout[] = [];
+
+    /**
+     * @param settings - What this instance is told.
+     * @param outside - What it reaches the outside through.
+     * @param logger - Log of the instance.
+     */
+    constructor(
+        private readonly settings: GatewaySettings,
+        private readonly outside: GatewayOutside,
+        private readonly logger: Logger,
+    ) {
+        const { instanceId, host, dataCentre, peers } = settings;
+        const { store, schema, wire } = outside;
+        const { view } = this;
+        this.self = { instanceId, incarnation: newId(), host, rpcPort: peers.port, dataCentre };
+        this.admission = new Admission(view, settings.revokeMs);
+        this.rpc = new RpcPeerTransport(() => undefined, "");
+        this.retirement = new RetirementDesk(schema, outside.putStatus, logger);
+        this.feed = new StateFeed(store, schema, view, {
+            onRetirements: names => this.retirement.note(names),
+            onJobs: objects => this.coordinator?.noteJobs(objects),
+        }, logger);
+        this.link = new CoordinatorLink(this.rpc, {
+            newRequest: (isFull, waitMs) => this.newSyncRequest(isFull, waitMs),
+            onNews: (reply, transitMs) => this.applyNews(reply, transitMs),
+            onConnection: () => this.review(),
+            onDead: incarnation => this.lease.noteDead(incarnation),
+        }, logger);
+        this.lease = new CoordinatorLease(store, this.self, {
+            getMembers: () => view.members,
+            isTakeoverExcluded: () => this.coordinator?.isTakeoverExcluded() ?? false,
+            onChange: (isHolder, reason) => this.onLeaseChange(isHolder, reason),
+            onHolder: (holder, epoch) => this.onHolder(holder, epoch),
+            isServed: () => this.link.coordinator !== undefined,
+        }, logger);
+        const getCoordinator = () => this.lease.isHolder ? this.coordinator : undefined;
+        const getRegion = (zone: string) => settings.regions[zone] ?? zone;
+        this.placement = new Placement(this.self, view, this.link, getCoordinator, getRegion, logger);
+        const jobStore = new JobStore(store, logger);
+        const endpoints = new EndpointClient(wire);
+        this.metrics = new GatewayMetrics({
+            getLines: () => this.coordinator?.describe() ?? [],
+            getConfigAgeMs: () => view.getConfigAgeMs(),
+            getStoreCalls: outside.getStoreCalls,
+            getJobs: () => this.runner.describe(),
+            isCoordinator: () => this.lease.isHolder,
+        });
+        const { metrics, placement, admission, link, rpc } = this;
+        this.runner = new JobRunner({
+            store: jobStore,
+            view,
+            placement,
+            endpoints,
+            wire,
+            metrics,
+            isCurrent: () => view.getConfigAgeMs() < MAX_JOB_NEWS_AGE_MS,
+            logger,
+        });
+        const { runner } = this;
+        const getMember = (id: string) => view.members.find(member => member.instanceId === id);
+        const reader = new JobReader(runner, jobStore, link, getCoordinator, rpc, getMember, this.self);
+        const getMembers = () => view.members;
+        this.ingress = new Ingress({
+            admission,
+            view,
+            wire,
+            online: new OnlineHandler({ admission, placement, endpoints, wire, metrics, logger }),
+            batch: new BatchApi({
+                admission,
+                view,
+                wire,
+                store: jobStore,
+                runner,
+                reader,
+                link,
+                rpc,
+                getCoordinator,
+                getMembers,
+                metrics,
+                logger,
+            }),
+            isStopping: () => this.isStopping,
+            logger,
+        });
+        addPeerMethods(this.rpcServer, { getCoordinator, view, runner, reader });
+        view.onChange(() => {
+            this.placement.noteViewChanged();
+            this.coordinator?.noteViewChanged();
+        });
+    }
+
+    /** Starts: first the listeners, then the rest. */
+    async start(): Promise<void> {
+        const { settings, logger } = this;
+        await this.rpcServer.listen(settings.peers.host, settings.peers.port);
+        await this.ingress.listen(settings.callers.host, settings.callers.port);
+        const readiness = http.createServer((request, response) => this.answerReadiness(request, response));
+        await listen(readiness, settings.readiness.host, settings.readiness.port);
+        logger.info({ event: "started", incarnation: this.self.incarnation });
+        this.feed.setScope("essentials");
+        void this.learnFromSeeds();
+        void registerMember(this.outside.store, this.self, () => this.isStopping, logger);
+        this.lease.start();
+        this.timers = [
+            setInterval(() => this.review(), REVIEW_INTERVAL_MS),
+            setInterval(() => this.adoptOwnJobs(), ADOPTION_INTERVAL_MS),
+        ];
+        void this.listenForMetrics();
+    }
+
+    /** Takes no new work, lets what runs end, hands over what it decides, and returns when nothing is left. */
+    async stop(): Promise<void> {
+        if (this.isStopping) {
+            return;
+        }
+        const startedAtMs = performance.now();
+        this.isStopping = true;
+        this.logger.info({ event: "stopping", openRequests: this.ingress.openCount });
+        await this.lease.stop();
+        this.runner.stop();
+        const endAtMs = startedAtMs + this.settings.graceMs - KILL_MARGIN_MS;
+        while (performance.now() < endAtMs) {
+            const isQuiet = performance.now() - startedAtMs > BALANCER_LAG_MS && this.ingress.openCount === 0;
+            if (isQuiet) {
+                break;
+            }
+            await sleep(STOP_POLL_MS);
+        }
+        this.link.stop("stopping");
+        this.timers.forEach(timer => clearInterval(timer));
+        this.logger.info({ event: "stopped", cut: this.ingress.openCount });
+        this.ingress.close();
+        this.rpcServer.close();
+    }
+
+    /** Whether callers are served better here than elsewhere. */
+    private get isReady(): boolean {
+        return !this.isStopping && this.admission.isCurrent && this.view.getEndpoints().length > 0;
+    }
+
+    private answerReadiness(request: http.IncomingMessage, response: http.ServerResponse): void {
+        request.resume();
+        const isKnown = request.url === this.outside.wire.readinessPath;
+        response.writeHead(isKnown ? this.isReady ? 200 : 503 : 404, { "Content-Length": 0 }).end();
+    }
+
+    private async listenForMetrics(): Promise<void> {
+        const server = http.createServer((request, response) => {
+            request.resume();
+            void this.metrics.render().then(text => response.end(text));
+        });
+        try {
+            await listen(server, this.settings.host, this.settings.metricsPort);
+        }
+        catch (error) {
+            this.logger.error({ event: "no-metrics", port: this.settings.metricsPort, error: String(error) });
+        }
+    }
+
+    private newSyncRequest(isFull: boolean, waitMs: number): SyncRequest {
+        return {
+            member: this.self,
+            known: this.view.getRevisions(),
+            places: isFull ? this.placement.getPlaces() : undefined,
+            jobs: this.runner.getProgress(),
+            isStoreFailing: this.feed.isStoreFailing,
+            waitMs,
+        };
+    }
+
+    private applyNews(reply: Extract<SyncReply, { kind: "news"; }>, transitMs: number): void {
+        this.view.applyNews(reply.news, transitMs);
+        this.lease.noteTold(reply.coordinator, reply.epoch, reply.leaseVersion);
+        for (const placeId of reply.calledBack) {
+            this.placement.callBack(placeId);
+        }
+        for (const jobId of reply.assignedJobs) {
+            void this.runner.adopt(jobId);
+        }
+        if (reply.endedJobs.length > 0) {
+            void this.runner.check(reply.endedJobs);
+        }
+    }
+
+    private onHolder(holder: MemberEntry, epoch: number): void {
+        if (holder.incarnation !== this.self.incarnation) {
+            this.link.follow(holder, epoch);
+        }
+    }
+
+    private onLeaseChange(isHolder: boolean, reason: string): void {
+        this.logger.info({
+            event: isHolder ? "coordinator-begins" : "coordinator-ends",
+            epoch: this.lease.epoch,
+            reason,
+        });
+        this.coordinator?.stop();
+        this.coordinator = undefined;
+        if (isHolder) {
+            this.link.stop("this instance is the coordinator");
+            this.coordinator = new Coordinator(this.lease.epoch, {
+                self: this.self,
+                view: this.view,
+                getRegion: zone => this.settings.regions[zone] ?? zone,
+                getLeaseVersion: () => this.lease.version,
+                isStoreFailing: () => this.feed.isStoreFailing,
+                callBackOwn: placeId => this.placement.callBack(placeId),
+                logger: this.logger,
+            });
+            this.coordinator.adoptOwn(this.placement.getPlaces());
+        }
+        this.review();
+    }
+
+    /** Chooses how much to read from the store, by what the coordinator tells. */
+    private review(): void {
+        if (this.isStopping) {
+            return;
+        }
+        const isTold = this.link.coordinator !== undefined && this.view.getConfigAgeMs() < MAX_TOLD_AGE_MS;
+        this.feed.setScope(this.coordinator !== undefined ? "everything" : isTold ? "nothing" : "essentials");
+        this.view.dropLapsedEndpoints();
+        if (this.coordinator?.hearsTooFew() === true) {
+            void this.lease.abstain("most instances are out of hearing");
+        }
+    }
+
+    private adoptOwnJobs(): void {
+        const { coordinator } = this;
+        if (coordinator !== undefined && this.lease.isHolder && !this.isStopping) {
+            const closed = coordinator.jobs.noteProgress(this.self.instanceId, this.runner.getProgress());
+            void this.runner.check(closed);
+            for (const jobId of coordinator.assignJobs(this.self.instanceId)) {
+                void this.runner.adopt(jobId);
+            }
+        }
+        if (this.placement.isAlone) {
+            void this.runner.check(this.runner.getOpenIds());
+        }
+    }
+
+    /** An instance that starts while the store is away learns from the others. */
+    private async learnFromSeeds(): Promise<void> {
+        while (!this.isStopping) {
+            if (!this.admission.isCurrent || this.view.getEndpoints().length === 0) {
+                const known = this.view.members.map(({ host, rpcPort }) => ({ host, port: rpcPort }));
+                for (const { host, port } of [...this.settings.seeds, ...known]) {
+                    if (host !== this.settings.host) {
+                        await this.learnFrom(host, port);
+                    }
+                }
+            }
+            await sleep(REVIEW_INTERVAL_MS);
+        }
+    }
+
+    private async learnFrom(host: string, port: number): Promise<void> {
+        const request: StateRequest = { known: this.view.getRevisions() };
+        const sentAtMs = performance.now();
+        const sentAtWallMs = Date.now();
+        const timeoutMs = REVIEW_INTERVAL_MS * 2;
+        const reply = await this.rpc.callAddress<ReturnType<FleetView["newNews"]>>(
+            host,
+            port,
+            METHODS.state,
+            request,
+            timeoutMs,
+        );
+        if (reply.isOk()) {
+            const transitMs = Math.max(performance.now() - sentAtMs, Date.now() - sentAtWallMs);
+            this.view.applyNews(reply.value, transitMs);
+        }
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,6 @@
+export * from "./admission";
+export * from "./eventReader";
+export * from "./gateway";
+export * from "./jobStore";
+export * from "./repeat";
+export * from "./wireCodec";
--- /dev/null
+++ b/packages/gateway/src/ingress.ts
@@ -0,0 +1,182 @@
+import type { Logger } from "@heatherline/common";
+import type { FleetView } from "@heatherline/fleet";
+import http from "node:http";
+import type { Admission } from "./admission";
+import type { BatchApi, BatchCall } from "./batchApi";
+import { CallerAnswer } from "./callerAnswer";
+import type { OnlineHandler } from "./onlineHandler";
+import { newRefusal } from "./refusal";
+import type { WireCodec } from "./wireCodec";
+
+/** Until the configuration says otherwise. */
+const DEFAULT_MAX_BODY_BYTES = 4_194_304;
+/** Largest header block that is read at all; the configuration's own limit is checked after it. */
+const MAX_HEADER_BYTES = 65_536;
+/** Beyond the configured idle time, so that a caller's last request isn't crossed by the close. */
+const IDLE_MARGIN_MS = 1_000;
+const DEFAULT_IDLE_MS = 15_000;
+
+/** What answering callers depends on. */
+export interface IngressParts {
+    readonly admission: Admission;
+    readonly view: FleetView;
+    readonly wire: WireCodec;
+    readonly online: OnlineHandler;
+    readonly batch: BatchApi;
+    readonly isStopping: () => boolean;
+    readonly logger: Logger;
+}
+
+/** Answers callers over HTTP. */
+export class Ingress {
+    private readonly server: http.Server;
+    private openRequests = 0;
+
+    /**
+     * @param parts - What answering depends on.
+     */
+    constructor(private readonly parts: IngressParts) {
+        this.server = http.createServer(
+            { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, keepAliveTimeout: DEFAULT_IDLE_MS },
+            (request, response) => {
+                void this.handle(request, response);
+            },
+        );
+        parts.view.onChange(part => {
+            const limits = parts.view.routes?.config.limits;
+            if (part === "config" && limits !== undefined) {
+                this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+                this.server.headersTimeout = limits.headerTimeoutMs;
+            }
+        });
+    }
+
+    /** Requests that are not answered yet. */
+    get openCount(): number {
+        return this.openRequests;
+    }
+
+    /**
+     * @param host - Address to listen on.
+     * @param port - Port; 0 for any free one.
+     * @returns The port.
+     */
+    listen(host: string, port: number): Promise<number> {
+        return listen(this.server, host, port);
+    }
+
+    /** Closes all connections. */
+    close(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        this.openRequests += 1;
+        response.once("close", () => {
+            this.openRequests -= 1;
+        });
+        const gone = new AbortController();
+        response.once("close", () => {
+            if (!response.writableFinished) {
+                gone.abort();
+            }
+        });
+        response.on("error", () => gone.abort());
+        const arrivedAtMs = performance.now();
+        const caller = this.parts.wire.readCaller(request.headers);
+        const answer = new CallerAnswer(response, this.parts.wire, caller.requestId, this.parts.isStopping);
+        const body = await readBody(request, this.getMaxBodyBytes());
+        if (body === "gone") {
+            return;
+        }
+        if (body === "too-large") {
+            answer.refuse(newRefusal("body-too-large"));
+            return;
+        }
+        const url = request.url ?? "/";
+        const queryAt = url.indexOf("?");
+        const path = queryAt < 0 ? url : url.slice(0, queryAt);
+        const query = new URLSearchParams(queryAt < 0 ? "" : url.slice(queryAt + 1));
+        const method = request.method ?? "GET";
+        const call: BatchCall = { caller, method, path, query, body, answer, arrivedAtMs };
+        try {
+            await this.answer(call, request, gone.signal);
+        }
+        catch (error) {
+            this.parts.logger.error({ event: "request-crashed", requestId: caller.requestId, error: String(error) });
+            answer.refuse(newRefusal("endpoint-failed"));
+        }
+    }
+
+    private async answer(call: BatchCall, request: http.IncomingMessage, callerGone: AbortSignal): Promise<void> {
+        const { caller, path, body, answer, arrivedAtMs } = call;
+        const batchTarget = this.parts.wire.readBatchPath(path);
+        if (batchTarget !== undefined) {
+            await this.parts.batch.handle(call, batchTarget);
+            return;
+        }
+        const admitted = this.parts.admission.admit({ host: caller.host, path, apiKey: caller.apiKey });
+        if (admitted.isErr()) {
+            this.parts.logger.info({
+                event: "request",
+                requestId: caller.requestId,
+                outcome: "refused",
+                status: admitted.error.status,
+                reason: admitted.error.reason,
+                detail: admitted.error.detail,
+            });
+            answer.refuse(admitted.error);
+            return;
+        }
+        if (caller.requestId === undefined) {
+            answer.refuse(newRefusal("bad-request", "the request has no id"));
+            return;
+        }
+        if (admitted.value.route.kind === "batch") {
+            await this.parts.batch.submit(call, admitted.value);
+            return;
+        }
+        const online = { caller, incoming: request, path, body, answer, arrivedAtMs, callerGone };
+        await this.parts.online.handle(online, admitted.value);
+    }
+
+    private getMaxBodyBytes(): number {
+        return this.parts.view.routes?.config.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+    }
+}
+
+/**
+ * @param server - A server.
+ * @param host - Address to listen on.
+ * @param port - Port; 0 for any free one.
+ * @returns The port.
+ */
+export function listen(server: http.Server, host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, host, () => {
+            const bound = server.address();
+            resolve(typeof bound === "object" && bound !== null ? bound.port : port);
+        });
+    });
+}
+
+async function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Buffer | "gone" | "too-large"> {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    try {
+        for await (const chunk of request as AsyncIterable<Buffer>) {
+            sizeBytes += chunk.length;
+            if (sizeBytes > maxBytes) {
+                return "too-large";
+            }
+            chunks.push(chunk);
+        }
+    }
+    catch {
+        // The caller left before its request was whole; there is nobody to answer.
+        return "gone";
+    }
+    return Buffer.concat(chunks);
+}
--- /dev/null
+++ b/packages/gateway/src/jobReader.ts
@@ -0,0 +1,200 @@
+import { type Coordinator, type CoordinatorLink, type MemberEntry, METHODS, type RpcCaller } from "@heatherline/fleet";
+import { err, ok, type Result } from "neverthrow";
+import { newPage } from "./jobRun";
+import type { JobRunner } from "./jobRunner";
+import type { JobManifest, JobStore, ResultChunk } from "./jobStore";
+import { newRefusal, type Refusal } from "./refusal";
+import type { ItemResult, ResultsPage } from "./wireCodec";
+
+/** Bytes of output in one page. */
+const MAX_PAGE_BYTES = 900_000;
+const FIND_TIMEOUT_MS = 300;
+const READ_GRACE_MS = 400;
+/** How long a runner is asked without asking the coordinator for it again, in milliseconds. */
+const RUNNER_MEMORY_MS = 4_000;
+const MAX_REMEMBERED_RUNNERS = 500;
+const MAX_CACHED_BYTES = 8_000_000;
+
+/** Asks the instance that runs a job for results. */
+export interface ReadJobRequest {
+    readonly jobId: string;
+    readonly after: number;
+    readonly waitMs: number;
+}
+
+/** Its answer. */
+export type ReadJobReply =
+    | { readonly kind: "not-here"; }
+    | { readonly kind: "page"; readonly organisation: string; readonly page: ResultsPage; };
+
+/** Reads results: from the runner while there is one, otherwise from the store. */
+export class JobReader {
+    private readonly runners = new Map<string, { readonly member: MemberEntry; readonly atMs: number; }>();
+    private readonly manifests = new Map<string, JobManifest>();
+    private readonly chunks = new Map<string, ResultChunk>();
+    private cachedBytes = 0;
+
+    /**
+     * @param runner - Jobs of this instance.
+     * @param store - Jobs in the store.
+     * @param link - To the coordinator.
+     * @param getCoordinator - The coordinator, while it is this instance.
+     * @param rpc - Calls other instances.
+     * @param getMember - An instance by its identity.
+     * @param self - This instance.
+     */
+    constructor(
+        private readonly runner: JobRunner,
+        private readonly store: JobStore,
+        private readonly link: CoordinatorLink,
+        private readonly getCoordinator: () => Coordinator | undefined,
+        private readonly rpc: RpcCaller,
+        private readonly getMember: (instanceId: string) => MemberEntry | undefined,
+        private readonly self: MemberEntry,
+    ) {}
+
+    /**
+     * @param request - What to read.
+     * @returns The results, with the job's organisation.
+     */
+    async read(request: ReadJobRequest): Promise<Result<Extract<ReadJobReply, { kind: "page"; }>, Refusal>> {
+        const own = await this.readOwn(request);
+        if (own.kind === "page") {
+            return ok(own);
+        }
+        const remote = await this.readRemote(request);
+        return remote === undefined ? this.readStore(request) : ok(remote);
+    }
+
+    /**
+     * @param request - What to read.
+     * @returns The results, if the job runs here.
+     */
+    async readOwn({ jobId, after, waitMs }: ReadJobRequest): Promise<ReadJobReply> {
+        const run = this.runner.getReadable(jobId);
+        if (run === undefined) {
+            return { kind: "not-here" };
+        }
+        await run.waitFor(after, waitMs);
+        if (!run.isReadable) {
+            return { kind: "not-here" };
+        }
+        return { kind: "page", organisation: run.manifest.organisation, page: run.read(after, MAX_PAGE_BYTES) };
+    }
+
+    /**
+     * @param jobId - A job.
+     * @returns The job; ended ones may come from memory, since they don't change but for being ended by the caller.
+     */
+    async readManifest(jobId: string): Promise<Result<JobManifest, Refusal>> {
+        const own = this.runner.getReadable(jobId)?.manifest ?? this.manifests.get(jobId);
+        if (own !== undefined) {
+            return ok(own);
+        }
+        const read = await this.store.read(jobId);
+        if (read.isErr()) {
+            return err(newRefusal("store-unavailable", read.error.toString()));
+        }
+        if (read.value === undefined) {
+            return err(newRefusal("not-found", "a fresh read of the store shows no such job"));
+        }
+        this.manifests.set(jobId, read.value.manifest);
+        return ok(read.value.manifest);
+    }
+
+    private async readRemote(request: ReadJobRequest): Promise<Extract<ReadJobReply, { kind: "page"; }> | undefined> {
+        const member = await this.findRunner(request.jobId);
+        if (member === undefined || member.instanceId === this.self.instanceId) {
+            return undefined;
+        }
+        const timeoutMs = request.waitMs + READ_GRACE_MS;
+        const reply = await this.rpc.callAddress<ReadJobReply>(
+            member.host,
+            member.rpcPort,
+            METHODS.readJob,
+            request,
+            timeoutMs,
+        );
+        if (reply.isOk() && reply.value.kind === "page") {
+            return reply.value;
+        }
+        this.runners.delete(request.jobId);
+        return undefined;
+    }
+
+    private async findRunner(jobId: string): Promise<MemberEntry | undefined> {
+        const known = this.runners.get(jobId);
+        if (known !== undefined && performance.now() - known.atMs < RUNNER_MEMORY_MS) {
+            return known.member;
+        }
+        const own = this.getCoordinator();
+        const instanceId = own === undefined
+            ? await this.link.call<string | undefined>(METHODS.findRunner, { jobId }, FIND_TIMEOUT_MS)
+            : own.jobs.findRunner(jobId);
+        const member = instanceId === undefined || instanceId === null ? undefined : this.getMember(instanceId);
+        if (member !== undefined) {
+            this.runners.delete(jobId);
+            this.runners.set(jobId, { member, atMs: performance.now() });
+            if (this.runners.size > MAX_REMEMBERED_RUNNERS) {
+                this.runners.delete(this.runners.keys().next().value ?? "");
+            }
+        }
+        return member;
+    }
+
+    private async readStore(
+        { jobId, after }: ReadJobRequest,
+    ): Promise<Result<Extract<ReadJobReply, { kind: "page"; }>, Refusal>> {
+        const manifest = await this.readManifest(jobId);
+        if (manifest.isErr()) {
+            return err(manifest.error);
+        }
+        const results: ItemResult[] = [];
+        for (let index = 0; results.length < manifest.value.items.length; index += 1) {
+            const chunk = await this.readChunk(jobId, index);
+            if (chunk.isErr()) {
+                return err(chunk.error);
+            }
+            if (chunk.value === undefined) {
+                break;
+            }
+            const listed = new Set(results.map(({ itemId }) => itemId));
+            results.push(...chunk.value.results.filter(({ itemId }) => !listed.has(itemId)));
+        }
+        const page = newPage(manifest.value.items.length, results, after, MAX_PAGE_BYTES);
+        return ok({ kind: "page", organisation: manifest.value.organisation, page });
+    }
+
+    /** A chunk never changes once it is written. */
+    private async readChunk(jobId: string, index: number): Promise<Result<ResultChunk | undefined, Refusal>> {
+        const name = `${jobId}.${index}`;
+        const cached = this.chunks.get(name);
+        if (cached !== undefined) {
+            return ok(cached);
+        }
+        const read = await this.store.readChunk(jobId, index);
+        if (read.isErr()) {
+            return err(newRefusal("store-unavailable", read.error.toString()));
+        }
+        if (read.value !== undefined) {
+            this.cache(name, read.value);
+        }
+        return ok(read.value);
+    }
+
+    private cache(name: string, chunk: ResultChunk): void {
+        this.chunks.set(name, chunk);
+        this.cachedBytes += getSize(chunk);
+        for (const [oldest, old] of this.chunks) {
+            if (this.cachedBytes <= MAX_CACHED_BYTES) {
+                break;
+            }
+            this.chunks.delete(oldest);
+            this.cachedBytes -= getSize(old);
+        }
+    }
+}
+
+function getSize({ results }: ResultChunk): number {
+    return results.reduce((sum, { output }) => sum + output.length, 0);
+}
--- /dev/null
+++ b/packages/gateway/src/jobRun.ts
@@ -0,0 +1,272 @@
+import { type Logger, sleep } from "@heatherline/common";
+import type { JobProgress } from "@heatherline/fleet";
+import type PQueue from "p-queue";
+import { type ItemJob, ItemRun, type ItemSurroundings } from "./itemRun";
+import type { JobItem, JobManifest, JobStore } from "./jobStore";
+import type { ItemResult, ResultsPage } from "./wireCodec";
+
+/** Results that end within this time of each other are written together, in milliseconds. */
+const GATHERING_MS = 120;
+/** Bytes of results in one chunk. */
+const MAX_CHUNK_BYTES = 500_000;
+const RETRY_MS = 300;
+
+/** What running a job depends on. */
+export interface JobSurroundings {
+    readonly store: JobStore;
+    readonly queue: PQueue;
+    readonly newItemSurroundings: (
+        manifest: JobManifest,
+        item: JobItem,
+        getBody: () => Promise<Buffer | undefined>,
+    ) => ItemSurroundings;
+    readonly logger: Logger;
+}
+
+/** Runs one job. Results are shown only once the store has them, in the order in which they were written. */
+export class JobRun {
+    private readonly stopping = new AbortController();
+    private readonly results: ItemResult[] = [];
+    private readonly listed = new Set<string>();
+    private readonly tokensByItem: Map<string, number>;
+    private finished: ItemResult[] = [];
+    private chunkCount = 0;
+    private isWriting = false;
+    private isLoaded = false;
+    private bodies: Map<string, string> | undefined;
+    private waiters: (() => void)[] = [];
+    private isClosed = false;
+
+    /**
+     * @param manifest - The job.
+     * @param bodies - Bodies of its items, where they are at hand.
+     * @param surroundings - What running it depends on.
+     */
+    constructor(
+        readonly manifest: JobManifest,
+        bodies: Map<string, string> | undefined,
+        private readonly surroundings: JobSurroundings,
+    ) {
+        this.bodies = bodies;
+        this.isLoaded = bodies !== undefined;
+        this.tokensByItem = new Map(manifest.items.map(({ itemId, tokens }) => [itemId, tokens]));
+    }
+
+    /** Whether all results are written. */
+    get isFinished(): boolean {
+        return this.results.length >= this.manifest.items.length;
+    }
+
+    /** Whether this instance runs the job no longer. */
+    get isStopped(): boolean {
+        return this.stopping.signal.aborted;
+    }
+
+    /** Whether the results here are all that the store has. */
+    get isReadable(): boolean {
+        return this.isLoaded && !this.isStopped;
+    }
+
+    /** @returns How far the job is. */
+    getProgress(): JobProgress {
+        let finishedTokens = 0;
+        for (const { itemId } of [...this.results, ...this.finished]) {
+            finishedTokens += this.tokensByItem.get(itemId) ?? 0;
+        }
+        return { jobId: this.manifest.jobId, finishedTokens };
+    }
+
+    /** Starts; what an earlier runner wrote is read first. */
+    async start(): Promise<void> {
+        while (!this.isLoaded && !this.isStopped) {
+            this.isLoaded = await this.load();
+            if (!this.isLoaded) {
+                await sleep(RETRY_MS, this.stopping.signal);
+            }
+        }
+        const { route } = this.manifest;
+        this.surroundings.logger.info({
+            event: "job-started",
+            job: this.manifest.jobId,
+            route,
+            items: this.manifest.items.length,
+            listed: this.listed.size,
+        });
+        for (const item of this.manifest.items) {
+            if (!this.listed.has(item.itemId)) {
+                void this.surroundings.queue.add(() => this.runItem(item), { priority: -this.manifest.submittedAt });
+            }
+        }
+        await this.closeIfFinished();
+    }
+
+    /**
+     * @param reason - Why the job runs here no longer.
+     */
+    stop(reason: string): void {
+        if (!this.isStopped) {
+            const { jobId } = this.manifest;
+            this.surroundings.logger.info({ event: "job-stopped", job: jobId, reason, listed: this.results.length });
+            this.stopping.abort();
+            this.wake();
+        }
+    }
+
+    /**
+     * @param after - Position to read from.
+     * @param maxBytes - Bytes of output at most, beyond the first result.
+     * @returns The results there.
+     */
+    read(after: number, maxBytes: number): ResultsPage {
+        return newPage(this.manifest.items.length, this.results, after, maxBytes);
+    }
+
+    /**
+     * Waits until there is a result.
+     *
+     * @param after - Position of the result.
+     * @param waitMs - Longest wait.
+     */
+    async waitFor(after: number, waitMs: number): Promise<void> {
+        if (after < this.results.length || this.isFinished || this.isStopped || waitMs <= 0) {
+            return;
+        }
+        const waiting = new AbortController();
+        const wake = () => waiting.abort();
+        this.waiters.push(wake);
+        await sleep(waitMs, waiting.signal);
+        this.waiters = this.waiters.filter(other => other !== wake);
+    }
+
+    /**
+     * @param itemId - An item.
+     * @returns Its body in base64, where it is at hand.
+     */
+    getBody(itemId: string): string | undefined {
+        return this.bodies?.get(itemId);
+    }
+
+    private async load(): Promise<boolean> {
+        const { store } = this.surroundings;
+        const bodies = await store.readBodies(this.manifest);
+        if (bodies.isErr()) {
+            return false;
+        }
+        this.bodies = bodies.value;
+        for (;;) {
+            const chunk = await store.readChunk(this.manifest.jobId, this.chunkCount);
+            if (chunk.isErr()) {
+                return false;
+            }
+            if (chunk.value === undefined) {
+                return true;
+            }
+            this.list(chunk.value.results);
+        }
+    }
+
+    private list(results: readonly ItemResult[]): void {
+        this.chunkCount += 1;
+        for (const result of results) {
+            if (!this.listed.has(result.itemId)) {
+                this.listed.add(result.itemId);
+                this.results.push(result);
+            }
+        }
+        this.wake();
+    }
+
+    private wake(): void {
+        for (const wake of this.waiters.splice(0)) {
+            wake();
+        }
+    }
+
+    private async runItem(item: JobItem): Promise<void> {
+        if (this.isStopped || this.listed.has(item.itemId)) {
+            return;
+        }
+        const { jobId, organisation, host, submittedAt } = this.manifest;
+        const job: ItemJob = { jobId, organisation, host, submittedAt };
+        const getBody = async () => Buffer.from(this.bodies?.get(item.itemId) ?? "", "base64");
+        const itemSurroundings = this.surroundings.newItemSurroundings(this.manifest, item, getBody);
+        const result = await new ItemRun(job, item, itemSurroundings, this.stopping.signal).run();
+        if (result !== undefined) {
+            this.finished.push(result);
+            void this.writeFinished();
+        }
+    }
+
+    private async writeFinished(): Promise<void> {
+        if (this.isWriting) {
+            return;
+        }
+        this.isWriting = true;
+        while (this.finished.length > 0 && !this.isStopped) {
+            await sleep(this.isAllFinished() ? 0 : GATHERING_MS, this.stopping.signal);
+            const batch = takeUpTo(this.finished, MAX_CHUNK_BYTES);
+            const { store } = this.surroundings;
+            const { jobId } = this.manifest;
+            const outcome = await store.writeChunk(jobId, this.chunkCount, batch, this.stopping.signal);
+            if (outcome === undefined) {
+                break;
+            }
+            const results = outcome.kind === "written" ? batch : outcome.chunk.results;
+            this.surroundings.logger.info({
+                event: "results-written",
+                job: jobId,
+                chunk: this.chunkCount,
+                outcome: outcome.kind,
+                items: results.map(({ itemId, state }) => `${itemId}:${state}`),
+            });
+            this.list(results);
+            this.finished = this.finished.filter(({ itemId }) => !this.listed.has(itemId));
+        }
+        this.isWriting = false;
+        await this.closeIfFinished();
+    }
+
+    private isAllFinished(): boolean {
+        return this.results.length + this.finished.length >= this.manifest.items.length;
+    }
+
+    private async closeIfFinished(): Promise<void> {
+        while (this.isFinished && !this.isClosed && !this.isStopped) {
+            const closed = await this.surroundings.store.close(this.manifest.jobId, false);
+            this.isClosed = closed.isOk();
+            if (!this.isClosed) {
+                await sleep(RETRY_MS, this.stopping.signal);
+            }
+        }
+    }
+}
+
+/**
+ * @param total - Items of the job.
+ * @param results - All results so far.
+ * @param after - Position to read from.
+ * @param maxBytes - Bytes of output at most, beyond the first result.
+ * @returns The results from there on.
+ */
+export function newPage(
+    total: number,
+    results: readonly ItemResult[],
+    after: number,
+    maxBytes: number,
+): ResultsPage {
+    const page = takeUpTo(results.slice(after), maxBytes);
+    return { total, next: after + page.length, results: page };
+}
+
+function takeUpTo(results: readonly ItemResult[], maxBytes: number): ItemResult[] {
+    const taken: ItemResult[] = [];
+    let sizeBytes = 0;
+    for (const result of results) {
+        sizeBytes += result.output.length;
+        if (taken.length > 0 && sizeBytes > maxBytes) {
+            break;
+        }
+        taken.push(result);
+    }
+    return taken;
+}
--- /dev/null
+++ b/packages/gateway/src/jobRunner.ts
@@ -0,0 +1,178 @@
+import type { Logger } from "@heatherline/common";
+import type { FleetView, JobProgress, Placement } from "@heatherline/fleet";
+import PQueue from "p-queue";
+import type { EndpointClient } from "./endpointClient";
+import type { ItemSurroundings } from "./itemRun";
+import { JobRun } from "./jobRun";
+import type { JobItem, JobManifest, JobStore } from "./jobStore";
+import type { GatewayMetrics } from "./metrics";
+import type { WireCodec } from "./wireCodec";
+
+/** Items of an instance that run or wait for a place at once. */
+const ITEMS_AT_ONCE = 48;
+/** Bytes of results of finished jobs that are kept for readers. */
+const MAX_KEPT_BYTES = 16_000_000;
+
+/** What running jobs depends on. */
+export interface RunnerParts {
+    readonly store: JobStore;
+    readonly view: FleetView;
+    readonly placement: Placement;
+    readonly endpoints: EndpointClient;
+    readonly wire: WireCodec;
+    readonly metrics: GatewayMetrics;
+    /** Whether it is known recently enough which jobs have been ended. */
+    readonly isCurrent: () => boolean;
+    readonly logger: Logger;
+}
+
+/** Runs the jobs of this instance. */
+export class JobRunner {
+    private readonly runs = new Map<string, JobRun>();
+    private readonly loading = new Set<string>();
+    private readonly queue = new PQueue({ concurrency: ITEMS_AT_ONCE });
+    private isStopping = false;
+
+    /**
+     * @param parts - What running jobs depends on.
+     */
+    constructor(private readonly parts: RunnerParts) {}
+
+    /**
+     * Runs a job from now on.
+     *
+     * @param manifest - The job.
+     * @param bodies - Bodies of its items, where they are at hand.
+     */
+    add(manifest: JobManifest, bodies: Map<string, string> | undefined): void {
+        const known = this.runs.get(manifest.jobId);
+        if (this.isStopping || manifest.state !== "open" || (known !== undefined && !known.isStopped)) {
+            return;
+        }
+        const run = new JobRun(manifest, bodies, {
+            store: this.parts.store,
+            queue: this.queue,
+            newItemSurroundings: (job, item, getBody) => this.newItemSurroundings(job, item, getBody),
+            logger: this.parts.logger,
+        });
+        this.runs.set(manifest.jobId, run);
+        void run.start();
+        this.dropOldest();
+    }
+
+    /**
+     * Takes over a job that nobody runs.
+     *
+     * @param jobId - The job.
+     */
+    async adopt(jobId: string): Promise<void> {
+        const known = this.runs.get(jobId);
+        if (this.loading.has(jobId) || this.isStopping || (known !== undefined && !known.isStopped)) {
+            return;
+        }
+        this.loading.add(jobId);
+        const read = await this.parts.store.read(jobId);
+        this.loading.delete(jobId);
+        if (read.isOk() && read.value !== undefined) {
+            this.add(read.value.manifest, undefined);
+        }
+    }
+
+    /**
+     * Looks whether jobs that the coordinator doesn't list are still open, and stops those that aren't.
+     *
+     * @param jobIds - The jobs.
+     */
+    async check(jobIds: readonly string[]): Promise<void> {
+        for (const jobId of jobIds) {
+            const run = this.runs.get(jobId);
+            if (run === undefined || run.isStopped || run.isFinished) {
+                continue;
+            }
+            const read = await this.parts.store.read(jobId);
+            if (read.isOk() && read.value?.manifest.state !== "open") {
+                run.stop(read.value === undefined ? "the job is not in the store" : "the job has been ended");
+            }
+        }
+    }
+
+    /**
+     * Stops a job that its caller has ended.
+     *
+     * @param jobId - The job.
+     */
+    end(jobId: string): void {
+        this.runs.get(jobId)?.stop("its caller ended it");
+    }
+
+    /** Stops all jobs, for others to take over. */
+    stop(): void {
+        this.isStopping = true;
+        for (const run of this.runs.values()) {
+            run.stop("the instance stops");
+        }
+    }
+
+    /**
+     * @param jobId - A job.
+     * @returns The run, if its results here are those of the store.
+     */
+    getReadable(jobId: string): JobRun | undefined {
+        const run = this.runs.get(jobId);
+        return run?.isReadable === true ? run : undefined;
+    }
+
+    /** @returns How far the jobs are that run here. */
+    getProgress(): JobProgress[] {
+        return this.getOpen().map(run => run.getProgress());
+    }
+
+    /** @returns Ids of the jobs that run here. */
+    getOpenIds(): string[] {
+        return this.getOpen().map(({ manifest }) => manifest.jobId);
+    }
+
+    /** @returns Figures for metrics. */
+    describe(): { open: number; oldestAgeMs: number; } {
+        const open = this.getOpen();
+        const oldest = Math.min(Date.now(), ...open.map(({ manifest }) => manifest.submittedAt));
+        return { open: open.length, oldestAgeMs: Date.now() - oldest };
+    }
+
+    private getOpen(): JobRun[] {
+        return [...this.runs.values()].filter(run => !run.isStopped && !run.isFinished);
+    }
+
+    private newItemSurroundings(
+        manifest: JobManifest,
+        item: JobItem,
+        getBody: () => Promise<Buffer | undefined>,
+    ): ItemSurroundings {
+        const { parts } = this;
+        return {
+            placement: parts.placement,
+            endpoints: parts.endpoints,
+            wire: parts.wire,
+            findRoute: () => parts.view.routes?.findRoute(manifest.host, item.path),
+            getBody,
+            mayRun: () => !this.isStopping && parts.isCurrent(),
+            noteRun: ({ itemId }, end, detail) => {
+                parts.metrics.noteItemRun(end);
+                parts.logger.info({ event: "item-run", job: manifest.jobId, item: itemId, end, ...detail });
+            },
+        };
+    }
+
+    /** Results of finished jobs are in the store, so keeping them here only saves reads. */
+    private dropOldest(): void {
+        const done = [...this.runs.values()].filter(run => run.isStopped || run.isFinished);
+        let keptBytes = 0;
+        for (const run of done.reverse()) {
+            const page = run.read(0, Infinity);
+            keptBytes += page.results.reduce((sum, { output }) => sum + output.length, 0);
+            if (run.isStopped || keptBytes > MAX_KEPT_BYTES) {
+                this.runs.delete(run.manifest.jobId);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/onlineHandler.ts
@@ -0,0 +1,321 @@
+import { type Logger, sha256Hex } from "@heatherline/common";
+import { type HeldPlace, pickService, type PlaceEnd, type Placement } from "@heatherline/fleet";
+import type { Result } from "neverthrow";
+import type http from "node:http";
+import type { Admission, Admitted } from "./admission";
+import { readWhole, StreamRelay } from "./answerRelay";
+import type { CallerAnswer } from "./callerAnswer";
+import { type EndpointAnswer, type EndpointClient, type SendFailure } from "./endpointClient";
+import type { GatewayMetrics } from "./metrics";
+import { newRefusal, type Refusal } from "./refusal";
+import { isRepeatable, RepeatPolicy, type SendEnd } from "./repeat";
+import type { CallerRequest, WireCodec } from "./wireCodec";
+
+/** Time kept of what the caller allows, so that the answer is there before the caller leaves, in milliseconds. */
+const DEADLINE_MARGIN_MS = 30;
+/** Below this there is no use in asking for a place. */
+const MIN_TIME_LEFT_MS = 5;
+const FAILURE_STATUS = 500;
+
+/** One request on its way. */
+export interface OnlineRequest {
+    readonly caller: CallerRequest;
+    readonly incoming: http.IncomingMessage;
+    readonly path: string;
+    readonly body: Buffer;
+    readonly answer: CallerAnswer;
+    readonly arrivedAtMs: number;
+    /** Aborted when the caller leaves. */
+    readonly callerGone: AbortSignal;
+}
+
+/** What became of one send. */
+type SendOutcome =
+    | { readonly kind: "answered"; readonly status: number; }
+    | { readonly kind: "ended"; readonly end: SendEnd; readonly reason: string; readonly failure?: HeldFailure; };
+
+/** A failure that an endpoint answered with, to be passed on if nothing better comes. */
+interface HeldFailure {
+    readonly status: number;
+    readonly rawHeaders: readonly string[];
+    readonly body: Buffer;
+}
+
+/** What handling a request depends on. */
+export interface OnlineParts {
+    readonly admission: Admission;
+    readonly placement: Placement;
+    readonly endpoints: EndpointClient;
+    readonly wire: WireCodec;
+    readonly metrics: GatewayMetrics;
+    readonly logger: Logger;
+}
+
+/** Takes online requests from admission to the answer. */
+export class OnlineHandler {
+    /**
+     * @param parts - What it depends on.
+     */
+    constructor(private readonly parts: OnlineParts) {}
+
+    /**
+     * Serves one request.
+     *
+     * @param request - The request, with its body read.
+     * @param admitted - What it was admitted to.
+     */
+    async handle(request: OnlineRequest, admitted: Admitted): Promise<void> {
+        await new OnlineExchange(this.parts, request, admitted).run();
+    }
+}
+
+/** One request with its attempts. */
+class OnlineExchange {
+    private readonly repeat: RepeatPolicy;
+    private readonly relay: StreamRelay;
+    private readonly deadlineAtMs: number;
+    private readonly fingerprint: string;
+    private readonly ending = new AbortController();
+    private readonly excluded: string[] = [];
+    private attempts = 0;
+    private heldFailure: HeldFailure | undefined;
+    private isRateTaken = false;
+    private placedAfterMs: number | undefined;
+    private lastEndpoint = "";
+
+    constructor(
+        private readonly parts: OnlineParts,
+        private readonly request: OnlineRequest,
+        private admitted: Admitted,
+    ) {
+        const { caller, arrivedAtMs, body, path } = request;
+        const { route, organisation } = admitted;
+        this.repeat = new RepeatPolicy(route);
+        this.relay = new StreamRelay(request.answer, caller.lastEventId);
+        const callerMs = caller.timeLeftMs === undefined ? Infinity : caller.timeLeftMs - DEADLINE_MARGIN_MS;
+        this.deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, callerMs);
+        this.fingerprint = sha256Hex(`${organisation?.name ?? ""}\0${path}\0${body.toString("latin1")}`);
+    }
+
+    async run(): Promise<void> {
+        const { callerGone } = this.request;
+        const onGone = () => this.ending.abort("caller-gone");
+        callerGone.addEventListener("abort", onGone, { once: true });
+        const timer = setTimeout(
+            () => this.ending.abort("timeout"),
+            Math.max(0, this.deadlineAtMs - performance.now()),
+        );
+        try {
+            const final = await this.attemptAll();
+            if (final !== undefined) {
+                this.finish(final);
+            }
+        }
+        finally {
+            clearTimeout(timer);
+            callerGone.removeEventListener("abort", onGone);
+        }
+    }
+
+    /** @returns The answer of this system's own where no endpoint's answer was delivered. */
+    private async attemptAll(): Promise<Refusal | undefined> {
+        for (;;) {
+            const refusal = this.readmit();
+            if (refusal !== undefined) {
+                return refusal;
+            }
+            const place = await this.askPlace();
+            if (!("endpoint" in place)) {
+                return place;
+            }
+            const outdated = this.readmit();
+            if (outdated !== undefined) {
+                place.release("lost");
+                return outdated;
+            }
+            this.attempts += 1;
+            this.lastEndpoint = place.endpoint.endpointId;
+            const outcome = await this.send(place);
+            if (outcome.kind === "answered") {
+                this.log("answered", outcome.status, "", "");
+                return undefined;
+            }
+            this.heldFailure = outcome.failure ?? this.heldFailure;
+            this.excluded.push(place.endpoint.endpointId);
+            const mayRepeat = this.repeat.noteEnd(outcome.end);
+            const isBegunForGood = this.request.answer.hasBegun && !isRepeatable(this.admitted.route);
+            this.parts.logger.info({
+                event: "attempt-ended",
+                requestId: this.request.caller.requestId,
+                endpoint: this.lastEndpoint,
+                end: outcome.end,
+                reason: outcome.reason,
+                events: this.relay.eventCount,
+                mayRepeat,
+            });
+            if (this.ending.signal.aborted || !mayRepeat || isBegunForGood) {
+                return this.newFinalRefusal(outcome);
+            }
+        }
+    }
+
+    /** Looks again whether the request may run: the configuration may have changed while it waited. */
+    private readmit(): Refusal | undefined {
+        const { caller, path } = this.request;
+        const again = this.parts.admission.admit({ host: caller.host, path, apiKey: caller.apiKey });
+        if (again.isErr()) {
+            return this.repeat.toTrueRefusal(again.error);
+        }
+        this.admitted = again.value;
+        return undefined;
+    }
+
+    private async askPlace(): Promise<HeldPlace | Refusal> {
+        const { route, organisation, allowedRegions, priority } = this.admitted;
+        const service = pickService(route, Math.random());
+        const nowMs = performance.now();
+        const leftMs = this.deadlineAtMs - nowMs;
+        if (service === undefined || leftMs < MIN_TIME_LEFT_MS) {
+            return this.repeat.toTrueRefusal(newRefusal(service === undefined ? "no-endpoint" : "timeout"));
+        }
+        const hasRate = organisation !== undefined && organisation.ratePerS > 0 && !this.isRateTaken;
+        this.isRateTaken = true;
+        const outcome = await this.parts.placement.ask({
+            service,
+            workClass: "online",
+            organisation: organisation?.name ?? "",
+            priority,
+            usefulForMs: this.request.arrivedAtMs + route.targetLatencyMs - nowMs,
+            targetLatencyMs: route.targetLatencyMs,
+            giveUpAfterMs: leftMs,
+            dueInMs: leftMs,
+            allowedRegions,
+            fingerprint: this.fingerprint,
+            rate: hasRate ? { ratePerS: organisation.ratePerS, burst: organisation.burst } : undefined,
+            excluded: this.excluded,
+            signal: this.ending.signal,
+        });
+        this.placedAfterMs ??= performance.now() - this.request.arrivedAtMs;
+        if (outcome.kind === "placed") {
+            return outcome.place;
+        }
+        const detail = `${outcome.detail}; decided by ${outcome.decidedBy}`;
+        const reason = this.ending.signal.reason === "timeout" ? "timeout" : outcome.reason;
+        const refusal = newRefusal(reason, detail, outcome.retryAfterMs > 0 ? outcome.retryAfterMs : undefined);
+        return this.repeat.toTrueRefusal(refusal);
+    }
+
+    private async send(place: HeldPlace): Promise<SendOutcome> {
+        const { caller, incoming, body } = this.request;
+        const { route, organisation } = this.admitted;
+        const isFirstSend = this.relay.resumeAfter === caller.lastEventId;
+        const answer = await this.parts.endpoints.send({
+            requestId: caller.requestId ?? "",
+            endpoint: place.endpoint,
+            method: incoming.method ?? "GET",
+            path: incoming.url ?? "/",
+            headers: this.parts.wire.toEndpointHeaders(incoming.rawHeaders, {
+                endpointId: place.endpoint.endpointId,
+                organisation: organisation?.name,
+                timeLeftMs: this.deadlineAtMs - performance.now(),
+                lastEventId: isFirstSend ? caller.lastEventId : this.relay.resumeAfter,
+                bodyBytes: body.length,
+            }),
+            body,
+            mayReuseConnection: isRepeatable(route),
+            signal: this.ending.signal,
+        });
+        const outcome = await this.take(answer);
+        place.release(this.toPlaceEnd(outcome));
+        return outcome;
+    }
+
+    private async take(answer: Result<EndpointAnswer, SendFailure>): Promise<SendOutcome> {
+        if (answer.isErr()) {
+            const { kind, reason } = answer.error;
+            return { kind: "ended", end: kind === "unreachable" ? "unreachable" : "broken", reason };
+        }
+        const { status, head, incoming } = answer.value;
+        if (head.isNotExecuted || status === 421) {
+            incoming.resume();
+            return { kind: "ended", end: "rejected", reason: `status ${status}` };
+        }
+        if (this.admitted.route.kind === "streaming" && status === 200) {
+            if (!head.isSigned) {
+                incoming.destroy();
+                return { kind: "ended", end: "broken", reason: "no signature" };
+            }
+            const end = await this.relay.relay(answer.value);
+            return end.kind === "complete"
+                ? { kind: "answered", status }
+                : { kind: "ended", end: "broken", reason: end.reason };
+        }
+        const whole = await readWhole(answer.value);
+        if (whole === undefined || (status < 300 && !head.isSigned)) {
+            return { kind: "ended", end: "broken", reason: whole === undefined ? "not whole" : "no signature" };
+        }
+        if (status >= FAILURE_STATUS || this.request.answer.hasBegun) {
+            const failure = { status, rawHeaders: incoming.rawHeaders, body: whole };
+            return { kind: "ended", end: "failed", reason: `status ${status}`, failure };
+        }
+        this.request.answer.sendWhole(status, incoming.rawHeaders, whole);
+        return { kind: "answered", status };
+    }
+
+    /** A request that the caller or the clock ended says nothing about the endpoint. */
+    private toPlaceEnd(outcome: SendOutcome): PlaceEnd {
+        if (outcome.kind === "answered" || this.ending.signal.aborted) {
+            return "done";
+        }
+        return outcome.end === "broken" && this.relay.eventCount > 1 ? "lost" : outcome.end;
+    }
+
+    private newFinalRefusal({ reason }: Extract<SendOutcome, { kind: "ended"; }>): Refusal {
+        if (this.ending.signal.reason === "timeout") {
+            return this.repeat.mayHaveRun ? newRefusal("timeout", reason) : newRefusal("unavailable", reason);
+        }
+        return this.repeat.toTrueRefusal(newRefusal("unavailable", reason));
+    }
+
+    private finish(refusal: Refusal): void {
+        const { answer, callerGone } = this.request;
+        if (callerGone.aborted) {
+            this.log("caller-gone", 0, refusal.reason, refusal.detail);
+            answer.breakOff();
+            return;
+        }
+        const { heldFailure } = this;
+        if (heldFailure !== undefined && !answer.hasBegun) {
+            answer.sendWhole(heldFailure.status, heldFailure.rawHeaders, heldFailure.body);
+            this.log("failed", heldFailure.status, "endpoint-answered", refusal.detail);
+            return;
+        }
+        const wasBegun = answer.hasBegun;
+        answer.refuse(refusal);
+        this.log(wasBegun ? "broken-off" : "refused", refusal.status, refusal.reason, refusal.detail);
+    }
+
+    private log(outcome: string, status: number, reason: string, detail: string): void {
+        const { caller, arrivedAtMs } = this.request;
+        const { route, organisation, configVersion } = this.admitted;
+        const durationMs = Math.round(performance.now() - arrivedAtMs);
+        this.parts.metrics.noteRequest(route.kind, outcome, reason, durationMs);
+        this.parts.logger.info({
+            event: "request",
+            requestId: caller.requestId,
+            route: route.name,
+            kind: route.kind,
+            organisation: organisation?.name,
+            configVersion,
+            outcome,
+            status,
+            reason,
+            detail,
+            attempts: this.attempts,
+            endpoint: this.lastEndpoint,
+            events: this.relay.eventCount,
+            placedAfterMs: this.placedAfterMs === undefined ? undefined : Math.round(this.placedAfterMs),
+            durationMs,
+        });
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/peerMethods.ts
@@ -0,0 +1,51 @@
+import type { RpcPeerServer } from "@heatherline/agreement";
+import {
+    type AdmitJobReply,
+    type AdmitJobRequest,
+    type Coordinator,
+    type FleetView,
+    METHODS,
+    type PlaceReply,
+    type PlaceRequest,
+    type ReleaseRequest,
+    type StateRequest,
+    type SyncReply,
+    type SyncRequest,
+} from "@heatherline/fleet";
+import type { JobReader, ReadJobRequest } from "./jobReader";
+import type { JobRunner } from "./jobRunner";
+
+/** What other instances' calls are answered from. */
+export interface PeerParts {
+    readonly getCoordinator: () => Coordinator | undefined;
+    readonly view: FleetView;
+    readonly runner: JobRunner;
+    readonly reader: JobReader;
+}
+
+/**
+ * Adds the methods that other instances call.
+ *
+ * @param server - Gets the methods.
+ * @param parts - What the calls are answered from.
+ */
+export function addPeerMethods(server: RpcPeerServer, parts: PeerParts): void {
+    const { getCoordinator, view, runner, reader } = parts;
+    server.addMethod<SyncRequest, SyncReply>(
+        METHODS.sync,
+        request => getCoordinator()?.handleSync(request) ?? { kind: "not-coordinator" },
+    );
+    server.addMethod(METHODS.state, ({ known }: StateRequest) => view.newNews(known));
+    server.addMethod<PlaceRequest, PlaceReply>(
+        METHODS.place,
+        ({ ask }) => getCoordinator()?.handlePlace(ask) ?? { kind: "not-coordinator" },
+    );
+    server.addMethod(METHODS.release, (request: ReleaseRequest) => getCoordinator()?.handleRelease(request));
+    server.addMethod<AdmitJobRequest, AdmitJobReply>(METHODS.admitJob, request => {
+        const jobs = getCoordinator()?.jobs;
+        return jobs?.isComplete === true ? jobs.admit(request) : { kind: "not-coordinator" };
+    });
+    server.addMethod(METHODS.findRunner, ({ jobId }: { jobId: string; }) => getCoordinator()?.jobs.findRunner(jobId));
+    server.addMethod(METHODS.readJob, (request: ReadJobRequest) => reader.readOwn(request));
+    server.addMethod(METHODS.endJob, ({ jobId }: { jobId: string; }) => runner.end(jobId));
+}
--- /dev/null
+++ b/packages/gateway/src/registration.ts
@@ -0,0 +1,41 @@
+import { type Logger, sleep, withJitter } from "@heatherline/common";
+import { MEMBER_KIND, type MemberEntry } from "@heatherline/fleet";
+import type { ObjectStore } from "@heatherline/store";
+
+const RETRY_MS = 250;
+
+/**
+ * Registers this instance in the store, over what an earlier process of it wrote.
+ *
+ * @param store - The store.
+ * @param self - This instance.
+ * @param isStopping - Ends the attempts.
+ * @param logger - Log of the instance.
+ */
+export async function registerMember(
+    store: ObjectStore,
+    self: MemberEntry,
+    isStopping: () => boolean,
+    logger: Logger,
+): Promise<void> {
+    const path = `${MEMBER_KIND}/${self.instanceId}`;
+    let version = 0;
+    while (!isStopping()) {
+        const written = await store.put(path, { ...self }, version);
+        if (written.isOk()) {
+            logger.info({ event: "registered", version: written.value });
+            return;
+        }
+        if (written.error.kind === "conflict") {
+            const read = await store.get(path);
+            if (read.isOk()) {
+                if (read.value?.value.incarnation === self.incarnation) {
+                    return;
+                }
+                version = read.value?.version ?? 0;
+                continue;
+            }
+        }
+        await sleep(withJitter(RETRY_MS));
+    }
+}
