Answer asks that wait with the coordinator's news instead of holding their calls open

Change: an ask that can't be decided at once is queued and answered with the news; a quiet watch proves the configuration current at its end.

--- a/packages/agreement/src/peers.ts
+++ b/packages/agreement/src/peers.ts
@@ -22,7 +22,7 @@
 }
 
 const HEADER_BYTES_ESTIMATE = 160;
-const MAX_SOCKETS_PER_PEER = 8;
+const MAX_SOCKETS_PER_PEER = 24;
 const MAX_BODY_BYTES = 4_000_000;
 
 /** JSON-RPC 2.0 over HTTP to the other instances. */
--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -5,7 +5,7 @@
 import { getSlotsAlone } from "./floors";
 import { getElapsedMs, type Moment, newMoment } from "./freshness";
 import { JobBoard } from "./jobBoard";
-import type { PlaceReply, ReleaseRequest, SyncReply, SyncRequest } from "./messages";
+import type { PlaceDecision, PlaceReply, ReleaseRequest, SyncReply, SyncRequest } from "./messages";
 import { RateBook } from "./rateBook";
 import type { EndpointEntry, MemberEntry, PlaceAsk, PlaceOutcome, PlaceSummary, RateBounds } from "./types";
 import type { FleetView } from "./view";
@@ -55,6 +55,7 @@
     private readonly crashes = new CrashBook();
     private readonly heard = new Map<string, Heard>();
     private readonly calledBack = new Map<string, string[]>();
+    private readonly decisions = new Map<string, PlaceDecision[]>();
     private readonly held = new Set<HeldSync>();
     private readonly startedAt = newMoment();
     private readonly reviewTimer: NodeJS.Timeout;
@@ -115,10 +116,16 @@
 
     /**
      * @param ask - A request for a place from another instance.
-     * @returns The decision.
+     * @returns The decision, or that it will come with the news.
      */
     async handlePlace(ask: PlaceAsk): Promise<PlaceReply> {
-        return { kind: "outcome", outcome: await this.place(ask) };
+        const deciding = this.place(ask).then(outcome => ({ kind: "outcome", outcome }) as const);
+        const now = await Promise.race([deciding, immediately()]);
+        if (now !== undefined) {
+            return now;
+        }
+        void deciding.then(({ outcome }) => this.tellDecision(ask, outcome));
+        return { kind: "queued" };
     }
 
     /**
@@ -303,8 +310,17 @@
         this.answerNews();
     }
 
+    private tellDecision({ askId, instanceId }: PlaceAsk, outcome: PlaceOutcome): void {
+        const waiting = this.decisions.get(instanceId) ?? [];
+        waiting.push({ askId, outcome });
+        this.decisions.set(instanceId, waiting);
+        this.answerNews();
+    }
+
     private hasNewsFor({ member, known }: SyncRequest): boolean {
-        return this.surroundings.view.hasNewsFor(known) || (this.calledBack.get(member.instanceId)?.length ?? 0) > 0;
+        return this.surroundings.view.hasNewsFor(known)
+            || (this.calledBack.get(member.instanceId)?.length ?? 0) > 0
+            || (this.decisions.get(member.instanceId)?.length ?? 0) > 0;
     }
 
     private hold(request: SyncRequest): Promise<void> {
@@ -333,7 +349,9 @@
     private newReply({ member, known }: SyncRequest, endedJobs: readonly string[]): SyncReply {
         const { self, view, getLeaseVersion } = this.surroundings;
         const calledBack = this.calledBack.get(member.instanceId) ?? [];
+        const decisions = this.decisions.get(member.instanceId) ?? [];
         this.calledBack.delete(member.instanceId);
+        this.decisions.delete(member.instanceId);
         return {
             kind: "news",
             coordinator: self,
@@ -343,6 +361,7 @@
             calledBack,
             endedJobs,
             assignedJobs: this.assignJobs(member.instanceId),
+            decisions,
         };
     }
 
@@ -362,6 +381,8 @@
         for (const [instanceId, { at }] of this.heard) {
             if (getElapsedMs(at) > PLACES_KEPT_MS) {
                 this.heard.delete(instanceId);
+                this.decisions.delete(instanceId);
+                this.calledBack.delete(instanceId);
                 this.freePlaces(instanceId, "it is silent");
             }
         }
@@ -374,3 +395,8 @@
         }
     }
 }
+
+/** Resolves after the decisions that need no waiting. */
+function immediately(): Promise<undefined> {
+    return new Promise(resolve => setImmediate(() => resolve(undefined)));
+}
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -40,8 +40,16 @@
         readonly endedJobs: readonly string[];
         /** Jobs that the instance is to run from now on. */
         readonly assignedJobs: readonly string[];
+        /** Answers to asks that had to wait. */
+        readonly decisions: readonly PlaceDecision[];
     };
 
+/** The answer to an ask that had to wait. */
+export interface PlaceDecision {
+    readonly askId: string;
+    readonly outcome: PlaceOutcome;
+}
+
 /** Asks any instance for all it knows. */
 export interface StateRequest {
     readonly known: KnownRevisions;
@@ -52,11 +60,11 @@
     readonly ask: PlaceAsk;
 }
 
-/** The answer to a {@link PlaceRequest}. */
-export type PlaceReply = { readonly kind: "not-coordinator"; } | {
-    readonly kind: "outcome";
-    readonly outcome: PlaceOutcome;
-};
+/** The answer to a {@link PlaceRequest}; one that is queued is answered by a {@link PlaceDecision}. */
+export type PlaceReply =
+    | { readonly kind: "not-coordinator"; }
+    | { readonly kind: "queued"; }
+    | { readonly kind: "outcome"; readonly outcome: PlaceOutcome; };
 
 /** Gives places back and withdraws asks. */
 export interface ReleaseRequest {
--- a/packages/fleet/src/placement.ts
+++ b/packages/fleet/src/placement.ts
@@ -3,13 +3,15 @@
 import type { CoordinatorLink } from "./coordinatorLink";
 import { Dispatcher } from "./dispatcher";
 import { getRateAlone, getSlotsAlone } from "./floors";
-import { METHODS, type PlaceReply, type ReleaseRequest } from "./messages";
+import { METHODS, type PlaceDecision, type PlaceReply, type ReleaseRequest } from "./messages";
 import { RateBook } from "./rateBook";
 import type { EndpointEntry, MemberEntry, PlaceAsk, PlaceEnd, PlaceOutcome, PlaceRelease, PlaceSummary } from "./types";
 import type { FleetView } from "./view";
 
 /** Beyond the time that an ask may wait by itself, in milliseconds. */
 const CALL_GRACE_MS = 400;
+/** The coordinator answers at once, if only that the ask is queued; in milliseconds. */
+const ASK_TIMEOUT_MS = 500;
 const RELEASE_TIMEOUT_MS = 500;
 /** An endpoint that this instance can't reach is left out of its own asks for this long, in milliseconds. */
 const UNREACHABLE_MS = 1_500;
@@ -58,6 +60,7 @@
     private readonly alone: Dispatcher;
     private readonly ratesAlone: RateBook;
     private readonly unreachableUntilMs = new Map<string, number>();
+    private readonly undecided = new Map<string, (outcome: PlaceOutcome) => void>();
     private releases: PlaceRelease[] = [];
     private withdrawals: string[] = [];
 
@@ -140,24 +143,56 @@
         return this.getCoordinator() === undefined && this.link.coordinator === undefined;
     }
 
+    /**
+     * Takes the answer to an ask that had to wait.
+     *
+     * @param decision - The answer.
+     */
+    noteDecision({ askId, outcome }: PlaceDecision): void {
+        const decide = this.undecided.get(askId);
+        if (decide !== undefined) {
+            decide(outcome);
+        }
+        else if (outcome.kind === "placed") {
+            this.queueRelease({ placeId: outcome.placeId, end: "lost", fingerprint: "" });
+        }
+    }
+
+    /** @returns The coordinator's decision, or `undefined` where none can be had from it. */
     private async askCoordinator(ask: PlaceAsk, signal: AbortSignal): Promise<PlaceOutcome | undefined> {
         const own = this.getCoordinator();
         const withdraw = () => this.withdraw(ask.askId);
         signal.addEventListener("abort", withdraw, { once: true });
-        try {
-            const reply = own === undefined
-                ? await this.link.call<PlaceReply>(METHODS.place, { ask }, ask.giveUpAfterMs + CALL_GRACE_MS)
-                : await own.handlePlace(ask);
-            if (reply?.kind !== "outcome") {
-                return undefined;
-            }
-            const { outcome } = reply;
-            const isUndecided = outcome.kind === "refused" && outcome.reason === "unavailable" && !signal.aborted;
-            return isUndecided ? undefined : outcome;
+        const outcome = own === undefined ? await this.askRemote(ask) : await own.place(ask);
+        signal.removeEventListener("abort", withdraw);
+        const isUndecided = outcome?.kind === "refused" && outcome.reason === "unavailable" && !signal.aborted;
+        return isUndecided ? undefined : outcome;
+    }
+
+    private async askRemote(ask: PlaceAsk): Promise<PlaceOutcome | undefined> {
+        const { lostSignal } = this.link;
+        let onLost: (() => void) | undefined;
+        const decided = new Promise<PlaceOutcome | undefined>(resolve => {
+            this.undecided.set(ask.askId, resolve);
+            onLost = () => resolve(undefined);
+            lostSignal.addEventListener("abort", onLost, { once: true });
+        });
+        const timer = setTimeout(() => onLost?.(), ask.giveUpAfterMs + CALL_GRACE_MS);
+        const reply = await this.link.call<PlaceReply>(METHODS.place, { ask }, ASK_TIMEOUT_MS);
+        const outcome = reply?.kind === "outcome"
+            ? reply.outcome
+            : reply?.kind === "queued"
+            ? await decided
+            : undefined;
+        clearTimeout(timer);
+        this.undecided.delete(ask.askId);
+        if (onLost !== undefined) {
+            lostSignal.removeEventListener("abort", onLost);
         }
-        finally {
-            signal.removeEventListener("abort", withdraw);
+        if (outcome === undefined) {
+            this.withdraw(ask.askId);
         }
+        return outcome;
     }
 
     private async askAlone(ask: PlaceAsk, signal: AbortSignal): Promise<PlaceOutcome> {
--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -44,6 +44,8 @@
     private readonly objects = new Map<string, StoredObject>();
     private revision = 0;
     private failures = 0;
+    /** Whether the last read was a watch that waited its whole time for nothing, and so was answered at its end. */
+    private isQuiet = false;
     private hadContact = true;
     private stopLoop: (() => Promise<void>) | undefined;
 
@@ -88,7 +90,8 @@
         if (failure === undefined) {
             this.failures = 0;
             this.noteContact(true, "");
-            const ageMs = Math.max(performance.now() - sentAtMs, Date.now() - sentAtWallMs);
+            const tookMs = Math.max(performance.now() - sentAtMs, Date.now() - sentAtWallMs);
+            const ageMs = this.isQuiet && tookMs >= this.waitMs ? tookMs - this.waitMs : tookMs;
             this.hooks.onRead(this.objects, this.revision, ageMs);
             return;
         }
@@ -114,6 +117,7 @@
                 this.objects.set(getName(object.path), object);
             }
             this.revision = listing.value.revision;
+            this.isQuiet = false;
         }
         return undefined;
     }
@@ -124,6 +128,7 @@
             return batch.error;
         }
         if (!signal.aborted) {
+            this.isQuiet = batch.value.events.length === 0;
             batch.value.events.forEach(event => this.apply(event));
             this.revision = Math.max(this.revision, batch.value.revision);
         }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,7 +31,7 @@
 import type { WireCodec } from "./wireCodec";
 
 /** Age of the configuration beyond which an instance reads the store itself, in milliseconds. */
-const MAX_TOLD_AGE_MS = 1_600;
+const MAX_TOLD_AGE_MS = 2_200;
 /** News of ended jobs older than this stop new runs of items, in milliseconds. */
 const MAX_JOB_NEWS_AGE_MS = 2_000;
 const REVIEW_INTERVAL_MS = 200;
@@ -258,6 +258,9 @@
     private applyNews(reply: Extract<SyncReply, { kind: "news"; }>, transitMs: number): void {
         this.view.applyNews(reply.news, transitMs);
         this.lease.noteTold(reply.coordinator, reply.epoch, reply.leaseVersion);
+        for (const decision of reply.decisions) {
+            this.placement.noteDecision(decision);
+        }
         for (const placeId of reply.calledBack) {
             this.placement.callBack(placeId);
         }
