--- a/packages/fleet/src/coordinatorLink.ts
+++ b/packages/fleet/src/coordinatorLink.ts
@@ -1,6 +1,7 @@
 import type { PeerError } from "@heatherline/agreement";
 import { type Logger, sleep } from "@heatherline/common";
 import type { Result } from "neverthrow";
+import { setMaxListeners } from "node:events";
 import { METHODS, type SyncReply, type SyncRequest } from "./messages";
 import type { MemberEntry } from "./types";
 
@@ -45,7 +46,7 @@
 export class CoordinatorLink {
     private target: { readonly member: MemberEntry; readonly epoch: number; } | undefined;
     private isUp = false;
-    private lost = new AbortController();
+    private lost = newLostController();
     private run = 0;
 
     /**
@@ -111,11 +112,14 @@
             return undefined;
         }
         const { signal } = this.lost;
+        let onLost = () => undefined as undefined;
         const lost = new Promise<undefined>(resolve => {
-            signal.addEventListener("abort", () => resolve(undefined), { once: true });
+            onLost = () => resolve(undefined) as undefined;
+            signal.addEventListener("abort", onLost, { once: true });
         });
         const called = this.rpc.callAddress<Reply>(coordinator.host, coordinator.rpcPort, method, params, timeoutMs);
         const reply = await Promise.race([called, lost]);
+        signal.removeEventListener("abort", onLost);
         return reply?.unwrapOr(undefined as Reply | undefined);
     }
 
@@ -163,7 +167,7 @@
     private setUp(): void {
         if (!this.isUp) {
             this.isUp = true;
-            this.lost = new AbortController();
+            this.lost = newLostController();
             const { member, epoch } = this.target ?? {};
             this.logger.info({ event: "coordinator-regained", coordinator: member?.instanceId, epoch });
             this.surroundings.onConnection(true, "");
@@ -180,6 +184,13 @@
     }
 }
 
+/** Each ask that waits listens, so there is no telling how many will. */
+function newLostController(): AbortController {
+    const controller = new AbortController();
+    setMaxListeners(0, controller.signal);
+    return controller;
+}
+
 /** No process listens where the coordinator did, as opposed to no answer at all. */
 function isRefusal(error: PeerError): boolean {
     return error.message.includes("ECONNREFUSED");
--- a/packages/fleet/src/jobBoard.ts
+++ b/packages/fleet/src/jobBoard.ts
@@ -9,6 +9,9 @@
 /** An admitted job whose object has not appeared after this long was not written, in milliseconds. */
 const RESERVATION_MS = 5_000;
 
+/** Ended jobs of which it is remembered who ran them. */
+const MAX_LAST_RUNNERS = 5_000;
+
 interface BoardEntry {
     readonly summary: JobSummary;
     finishedTokens: number;
@@ -27,6 +30,7 @@
 export class JobBoard {
     private readonly jobs = new Map<string, BoardEntry>();
     private readonly reservations = new Map<string, Reservation>();
+    private readonly lastRunners = new Map<string, string>();
     private hasRead = false;
 
     /** Whether the jobs in the store are known. */
@@ -47,7 +51,7 @@
         for (const [jobId, { value }] of objects) {
             const summary = readSummary(value);
             if (summary === undefined || summary.state !== "open") {
-                this.jobs.delete(jobId);
+                this.noteEnded(jobId);
                 continue;
             }
             this.reservations.delete(jobId);
@@ -134,12 +138,14 @@
 
     /**
      * @param jobId - A job.
-     * @returns The instance that runs it.
+     * @returns The instance that runs it, or that ran it last.
      */
     findRunner(jobId: string): string | undefined {
         const entry = this.jobs.get(jobId);
-        const isRecent = entry !== undefined && performance.now() - entry.reportedAtMs < UNCLAIMED_MS;
-        return isRecent ? entry.runner : undefined;
+        if (entry === undefined) {
+            return this.lastRunners.get(jobId);
+        }
+        return performance.now() - entry.reportedAtMs < UNCLAIMED_MS ? entry.runner : undefined;
     }
 
     /** @returns Open jobs. */
@@ -147,6 +153,18 @@
         return this.jobs.size;
     }
 
+    /** Who ran a job last has its results at hand for readers. */
+    private noteEnded(jobId: string): void {
+        const runner = this.jobs.get(jobId)?.runner;
+        this.jobs.delete(jobId);
+        if (runner !== undefined) {
+            this.lastRunners.set(jobId, runner);
+            if (this.lastRunners.size > MAX_LAST_RUNNERS) {
+                this.lastRunners.delete(this.lastRunners.keys().next().value ?? "");
+            }
+        }
+    }
+
     private getWaitingTokens({ jobId, organisation, route }: AdmitJobRequest): number {
         const nowMs = performance.now();
         let tokens = 0;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,6 +36,7 @@
 const MAX_JOB_NEWS_AGE_MS = 2_000;
 const REVIEW_INTERVAL_MS = 200;
 const ADOPTION_INTERVAL_MS = 500;
+const STATUS_INTERVAL_MS = 10_000;
 /** Time after the request to stop in which the balancer may still send new connections, in milliseconds. */
 const BALANCER_LAG_MS = 2_600;
 /** Time kept before the process is killed, in milliseconds. */
@@ -191,6 +192,7 @@
         this.timers = [
             setInterval(() => this.review(), REVIEW_INTERVAL_MS),
             setInterval(() => this.adoptOwnJobs(), ADOPTION_INTERVAL_MS),
+            setInterval(() => this.logStatus(), STATUS_INTERVAL_MS),
         ];
         void this.listenForMetrics();
     }
@@ -315,6 +317,21 @@
         }
     }
 
+    private logStatus(): void {
+        this.logger.info({
+            event: "status",
+            configVersion: this.view.routes?.config.version,
+            configAgeMs: Math.round(this.view.getConfigAgeMs()),
+            coordinator: this.coordinator === undefined ? this.link.coordinator?.instanceId : this.self.instanceId,
+            endpoints: this.view.getEndpoints().length,
+            members: this.view.members.length,
+            openRequests: this.ingress.openCount,
+            jobs: this.runner.describe(),
+            residentBytes: process.memoryUsage.rss(),
+            storeCalls: this.outside.getStoreCalls(),
+        });
+    }
+
     private adoptOwnJobs(): void {
         const { coordinator } = this;
         if (coordinator !== undefined && this.lease.isHolder && !this.isStopping) {
--- a/packages/gateway/src/jobRun.ts
+++ b/packages/gateway/src/jobRun.ts
@@ -1,5 +1,6 @@
 import { type Logger, sleep } from "@heatherline/common";
 import type { JobProgress } from "@heatherline/fleet";
+import { setMaxListeners } from "node:events";
 import type PQueue from "p-queue";
 import { type ItemJob, ItemRun, type ItemSurroundings } from "./itemRun";
 import type { JobItem, JobManifest, JobStore } from "./jobStore";
@@ -47,6 +48,8 @@
         bodies: Map<string, string> | undefined,
         private readonly surroundings: JobSurroundings,
     ) {
+        // Each item that runs listens.
+        setMaxListeners(0, this.stopping.signal);
         this.bodies = bodies;
         this.isLoaded = bodies !== undefined;
         this.tokensByItem = new Map(manifest.items.map(({ itemId, tokens }) => [itemId, tokens]));
