Read results of a job only where no other instance can be running it

Change: an instance without recent news of the coordinator looks into the store before it says that there is nothing; the coordinator tells an instance when another runs its job.

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -4,7 +4,7 @@
 import { Dispatcher, type Place } from "./dispatcher";
 import { getSlotsAlone } from "./floors";
 import { getElapsedMs, type Moment, newMoment } from "./freshness";
-import { JobBoard } from "./jobBoard";
+import { JobBoard, type ProgressAnswer } from "./jobBoard";
 import type { PlaceDecision, PlaceReply, ReleaseRequest, SyncReply, SyncRequest } from "./messages";
 import { RateBook } from "./rateBook";
 import type { EndpointEntry, MemberEntry, PlaceAsk, PlaceOutcome, PlaceSummary, RateBounds } from "./types";
@@ -156,11 +156,11 @@
      */
     async handleSync(request: SyncRequest): Promise<SyncReply> {
         this.noteHeard(request);
-        const endedJobs = this.jobs.noteProgress(request.member.instanceId, request.jobs);
-        if (endedJobs.length === 0 && !this.hasNewsFor(request)) {
+        const progress = this.jobs.noteProgress(request.member.instanceId, request.jobs);
+        if (progress.closed.length + progress.taken.length === 0 && !this.hasNewsFor(request)) {
             await this.hold(request);
         }
-        return this.newReply(request, endedJobs);
+        return this.newReply(request, progress);
     }
 
     /**
@@ -346,7 +346,7 @@
         }
     }
 
-    private newReply({ member, known }: SyncRequest, endedJobs: readonly string[]): SyncReply {
+    private newReply({ member, known }: SyncRequest, progress: ProgressAnswer): SyncReply {
         const { self, view, getLeaseVersion } = this.surroundings;
         const calledBack = this.calledBack.get(member.instanceId) ?? [];
         const decisions = this.decisions.get(member.instanceId) ?? [];
@@ -359,7 +359,8 @@
             leaseVersion: getLeaseVersion(),
             news: view.newNews(known),
             calledBack,
-            endedJobs,
+            endedJobs: progress.closed,
+            takenJobs: progress.taken,
             assignedJobs: this.assignJobs(member.instanceId),
             decisions,
         };
--- a/packages/fleet/src/coordinatorLink.ts
+++ b/packages/fleet/src/coordinatorLink.ts
@@ -2,6 +2,7 @@
 import { type Logger, sleep } from "@heatherline/common";
 import type { Result } from "neverthrow";
 import { setMaxListeners } from "node:events";
+import { getElapsedMs, type Moment, newMoment } from "./freshness";
 import { METHODS, type SyncReply, type SyncRequest } from "./messages";
 import type { MemberEntry } from "./types";
 
@@ -48,6 +49,7 @@
     private isUp = false;
     private lost = newLostController();
     private run = 0;
+    private lastNewsAt: Moment | undefined;
 
     /**
      * @param rpc - Calls other instances.
@@ -65,6 +67,11 @@
         return this.isUp ? this.target?.member : undefined;
     }
 
+    /** Time since the coordinator's last news, in milliseconds. */
+    get newsAgeMs(): number {
+        return this.lastNewsAt === undefined ? Infinity : getElapsedMs(this.lastNewsAt);
+    }
+
     /** Aborted when the coordinator goes out of reach. */
     get lostSignal(): AbortSignal {
         return this.lost.signal;
@@ -131,8 +138,7 @@
             const isFull = !this.isUp || messages % MESSAGES_PER_FULL_REPORT === 0;
             messages += 1;
             const waitMs = this.isUp ? HOLD_MS : 0;
-            const sentAtMs = performance.now();
-            const sentAtWallMs = Date.now();
+            const sentAt = newMoment();
             const request = this.surroundings.newRequest(isFull, waitMs);
             const reply = await this.rpc.callAddress<SyncReply>(
                 member.host,
@@ -146,9 +152,9 @@
             }
             if (reply.isOk() && reply.value.kind === "news" && reply.value.epoch === epoch) {
                 refusals = 0;
+                this.lastNewsAt = sentAt;
                 this.setUp();
-                const transitMs = Math.max(performance.now() - sentAtMs, Date.now() - sentAtWallMs);
-                this.surroundings.onNews(reply.value, transitMs);
+                this.surroundings.onNews(reply.value, getElapsedMs(sentAt));
                 continue;
             }
             this.setDown(reply.isErr() ? reply.error.toString() : "it is not the coordinator");
--- a/packages/fleet/src/jobBoard.ts
+++ b/packages/fleet/src/jobBoard.ts
@@ -21,6 +21,14 @@
     assignedAtMs: number;
 }
 
+/** Jobs that an instance reports and is not to run any more. */
+export interface ProgressAnswer {
+    /** No longer open, as far as is known. */
+    readonly closed: readonly string[];
+    /** Run by another instance. */
+    readonly taken: readonly string[];
+}
+
 interface Reservation {
     readonly request: AdmitJobRequest;
     readonly atMs: number;
@@ -73,11 +81,12 @@
     /**
      * @param instanceId - The instance that reports.
      * @param reports - The jobs that it runs.
-     * @returns Those of them that are no longer open.
+     * @returns Those of them that it is not to run any more.
      */
-    noteProgress(instanceId: string, reports: readonly JobProgress[]): string[] {
+    noteProgress(instanceId: string, reports: readonly JobProgress[]): ProgressAnswer {
         const nowMs = performance.now();
         const closed: string[] = [];
+        const taken: string[] = [];
         for (const { jobId, finishedTokens } of reports) {
             const entry = this.jobs.get(jobId);
             if (entry === undefined) {
@@ -87,12 +96,18 @@
                 }
                 continue;
             }
+            if (
+                entry.runner !== undefined && entry.runner !== instanceId && nowMs - entry.reportedAtMs < UNCLAIMED_MS
+            ) {
+                taken.push(jobId);
+                continue;
+            }
             entry.finishedTokens = Math.max(entry.finishedTokens, finishedTokens);
             entry.runner = instanceId;
             entry.reportedAtMs = nowMs;
             entry.assignedTo = undefined;
         }
-        return closed;
+        return { closed, taken };
     }
 
     /**
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -38,6 +38,8 @@
         readonly calledBack: readonly string[];
         /** Of the jobs that the instance runs: those that have been ended. */
         readonly endedJobs: readonly string[];
+        /** Of the jobs that the instance runs: those that another instance runs by now. */
+        readonly takenJobs: readonly string[];
         /** Jobs that the instance is to run from now on. */
         readonly assignedJobs: readonly string[];
         /** Answers to asks that had to wait. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,6 +34,8 @@
 const MAX_TOLD_AGE_MS = 2_200;
 /** News of ended jobs older than this stop new runs of items, in milliseconds. */
 const MAX_JOB_NEWS_AGE_MS = 2_000;
+/** With older news of the coordinator another instance may run the jobs of this one, in milliseconds. */
+const MAX_RUNNER_NEWS_AGE_MS = 900;
 const REVIEW_INTERVAL_MS = 200;
 const ADOPTION_INTERVAL_MS = 500;
 const STATUS_INTERVAL_MS = 10_000;
@@ -146,7 +148,16 @@
         });
         const { runner } = this;
         const getMember = (id: string) => view.members.find(member => member.instanceId === id);
-        const reader = new JobReader(runner, jobStore, link, getCoordinator, rpc, getMember, this.self);
+        const reader = new JobReader({
+            runner,
+            store: jobStore,
+            link,
+            getCoordinator,
+            rpc,
+            getMember,
+            self: this.self,
+            isOnlyRunner: () => this.lease.isHolder || link.newsAgeMs < MAX_RUNNER_NEWS_AGE_MS,
+        });
         const getMembers = () => view.members;
         this.ingress = new Ingress({
             admission,
@@ -269,6 +280,9 @@
         for (const jobId of reply.assignedJobs) {
             void this.runner.adopt(jobId);
         }
+        for (const jobId of reply.takenJobs) {
+            this.runner.yield(jobId);
+        }
         if (reply.endedJobs.length > 0) {
             void this.runner.check(reply.endedJobs);
         }
@@ -335,8 +349,9 @@
     private adoptOwnJobs(): void {
         const { coordinator } = this;
         if (coordinator !== undefined && this.lease.isHolder && !this.isStopping) {
-            const closed = coordinator.jobs.noteProgress(this.self.instanceId, this.runner.getProgress());
+            const { closed, taken } = coordinator.jobs.noteProgress(this.self.instanceId, this.runner.getProgress());
             void this.runner.check(closed);
+            taken.forEach(jobId => this.runner.yield(jobId));
             for (const jobId of coordinator.assignJobs(this.self.instanceId)) {
                 void this.runner.adopt(jobId);
             }
--- a/packages/gateway/src/jobReader.ts
+++ b/packages/gateway/src/jobReader.ts
@@ -27,6 +27,20 @@
     | { readonly kind: "not-here"; }
     | { readonly kind: "page"; readonly organisation: string; readonly page: ResultsPage; };
 
+/** What reading results depends on. */
+export interface ReaderParts {
+    readonly runner: JobRunner;
+    readonly store: JobStore;
+    readonly link: CoordinatorLink;
+    /** The coordinator, while it is this instance. */
+    readonly getCoordinator: () => Coordinator | undefined;
+    readonly rpc: RpcCaller;
+    readonly getMember: (instanceId: string) => MemberEntry | undefined;
+    readonly self: MemberEntry;
+    /** Whether no other instance can be running the jobs of this one. */
+    readonly isOnlyRunner: () => boolean;
+}
+
 /** Reads results: from the runner while there is one, otherwise from the store. */
 export class JobReader {
     private readonly runners = new Map<string, { readonly member: MemberEntry; readonly atMs: number; }>();
@@ -35,23 +49,9 @@
     private cachedBytes = 0;
 
     /**
-     * @param runner - Jobs of this instance.
-     * @param store - Jobs in the store.
-     * @param link - To the coordinator.
-     * @param getCoordinator - The coordinator, while it is this instance.
-     * @param rpc - Calls other instances.
-     * @param getMember - An instance by its identity.
-     * @param self - This instance.
+     * @param parts - What reading depends on.
      */
-    constructor(
-        private readonly runner: JobRunner,
-        private readonly store: JobStore,
-        private readonly link: CoordinatorLink,
-        private readonly getCoordinator: () => Coordinator | undefined,
-        private readonly rpc: RpcCaller,
-        private readonly getMember: (instanceId: string) => MemberEntry | undefined,
-        private readonly self: MemberEntry,
-    ) {}
+    constructor(private readonly parts: ReaderParts) {}
 
     /**
      * @param request - What to read.
@@ -71,12 +71,16 @@
      * @returns The results, if the job runs here.
      */
     async readOwn({ jobId, after, waitMs }: ReadJobRequest): Promise<ReadJobReply> {
-        const run = this.runner.getReadable(jobId);
+        const run = this.parts.runner.getReadable(jobId);
         if (run === undefined) {
             return { kind: "not-here" };
         }
         await run.waitFor(after, waitMs);
-        if (!run.isReadable) {
+        const page = run.read(after, MAX_PAGE_BYTES);
+        const mayLack = !run.isFinished && page.results.length === 0
+            && (run.count < after || !this.parts.isOnlyRunner());
+        const isKnown = !mayLack || await run.refresh();
+        if (!run.isReadable || !isKnown) {
             return { kind: "not-here" };
         }
         return { kind: "page", organisation: run.manifest.organisation, page: run.read(after, MAX_PAGE_BYTES) };
@@ -87,11 +91,11 @@
      * @returns The job; ended ones may come from memory, since they don't change but for being ended by the caller.
      */
     async readManifest(jobId: string): Promise<Result<JobManifest, Refusal>> {
-        const own = this.runner.getReadable(jobId)?.manifest ?? this.manifests.get(jobId);
+        const own = this.parts.runner.getReadable(jobId)?.manifest ?? this.manifests.get(jobId);
         if (own !== undefined) {
             return ok(own);
         }
-        const read = await this.store.read(jobId);
+        const read = await this.parts.store.read(jobId);
         if (read.isErr()) {
             return err(newRefusal("store-unavailable", read.error.toString()));
         }
@@ -104,11 +108,11 @@
 
     private async readRemote(request: ReadJobRequest): Promise<Extract<ReadJobReply, { kind: "page"; }> | undefined> {
         const member = await this.findRunner(request.jobId);
-        if (member === undefined || member.instanceId === this.self.instanceId) {
+        if (member === undefined || member.instanceId === this.parts.self.instanceId) {
             return undefined;
         }
         const timeoutMs = request.waitMs + READ_GRACE_MS;
-        const reply = await this.rpc.callAddress<ReadJobReply>(
+        const reply = await this.parts.rpc.callAddress<ReadJobReply>(
             member.host,
             member.rpcPort,
             METHODS.readJob,
@@ -127,11 +131,11 @@
         if (known !== undefined && performance.now() - known.atMs < RUNNER_MEMORY_MS) {
             return known.member;
         }
-        const own = this.getCoordinator();
+        const own = this.parts.getCoordinator();
         const instanceId = own === undefined
-            ? await this.link.call<string | undefined>(METHODS.findRunner, { jobId }, FIND_TIMEOUT_MS)
+            ? await this.parts.link.call<string | undefined>(METHODS.findRunner, { jobId }, FIND_TIMEOUT_MS)
             : own.jobs.findRunner(jobId);
-        const member = instanceId === undefined || instanceId === null ? undefined : this.getMember(instanceId);
+        const member = instanceId === undefined || instanceId === null ? undefined : this.parts.getMember(instanceId);
         if (member !== undefined) {
             this.runners.delete(jobId);
             this.runners.set(jobId, { member, atMs: performance.now() });
@@ -172,7 +176,7 @@
         if (cached !== undefined) {
             return ok(cached);
         }
-        const read = await this.store.readChunk(jobId, index);
+        const read = await this.parts.store.readChunk(jobId, index);
         if (read.isErr()) {
             return err(newRefusal("store-unavailable", read.error.toString()));
         }
--- a/packages/gateway/src/jobRun.ts
+++ b/packages/gateway/src/jobRun.ts
@@ -60,6 +60,11 @@
         return this.results.length >= this.manifest.items.length;
     }
 
+    /** Results that are listed. */
+    get count(): number {
+        return this.results.length;
+    }
+
     /** Whether this instance runs the job no longer. */
     get isStopped(): boolean {
         return this.stopping.signal.aborted;
@@ -150,21 +155,32 @@
     }
 
     private async load(): Promise<boolean> {
-        const { store } = this.surroundings;
-        const bodies = await store.readBodies(this.manifest);
+        const bodies = await this.surroundings.store.readBodies(this.manifest);
         if (bodies.isErr()) {
             return false;
         }
         this.bodies = bodies.value;
+        return this.refresh();
+    }
+
+    /**
+     * Reads the results that another instance may have written.
+     *
+     * @returns Whether all results in the store are known now.
+     */
+    async refresh(): Promise<boolean> {
         for (;;) {
-            const chunk = await store.readChunk(this.manifest.jobId, this.chunkCount);
+            const index = this.chunkCount;
+            const chunk = await this.surroundings.store.readChunk(this.manifest.jobId, index);
             if (chunk.isErr()) {
                 return false;
             }
             if (chunk.value === undefined) {
                 return true;
             }
-            this.list(chunk.value.results);
+            if (index === this.chunkCount) {
+                this.list(chunk.value.results);
+            }
         }
     }
 
@@ -210,7 +226,8 @@
             const batch = takeUpTo(this.finished, MAX_CHUNK_BYTES);
             const { store } = this.surroundings;
             const { jobId } = this.manifest;
-            const outcome = await store.writeChunk(jobId, this.chunkCount, batch, this.stopping.signal);
+            const index = this.chunkCount;
+            const outcome = await store.writeChunk(jobId, index, batch, this.stopping.signal);
             if (outcome === undefined) {
                 break;
             }
@@ -218,11 +235,13 @@
             this.surroundings.logger.info({
                 event: "results-written",
                 job: jobId,
-                chunk: this.chunkCount,
+                chunk: index,
                 outcome: outcome.kind,
                 items: results.map(({ itemId, state }) => `${itemId}:${state}`),
             });
-            this.list(results);
+            if (index === this.chunkCount) {
+                this.list(results);
+            }
             this.finished = this.finished.filter(({ itemId }) => !this.listed.has(itemId));
         }
         this.isWriting = false;
--- a/packages/gateway/src/jobRunner.ts
+++ b/packages/gateway/src/jobRunner.ts
@@ -105,6 +105,15 @@
         this.runs.get(jobId)?.stop("its caller ended it");
     }
 
+    /**
+     * Leaves a job to the instance that runs it by now.
+     *
+     * @param jobId - The job.
+     */
+    yield(jobId: string): void {
+        this.runs.get(jobId)?.stop("another instance runs it");
+    }
+
     /** Stops all jobs, for others to take over. */
     stop(): void {
         this.isStopping = true;
