Hand jobs and decisions over at a planned stop, announce coordinators, notice silent endpoints, read the store less

Change: the lease is released before the coordinator steps down and the others look at once; a new coordinator announces itself; a stopping instance hands its jobs over with what they have made; an endpoint that is silent for 600 ms is paused and repeatable requests go elsewhere; bodies, manifests and missing chunks are remembered.

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -131,7 +131,12 @@
     /**
      * @param request - Places and asks that are no longer needed.
      */
-    handleRelease({ releases, withdrawnAsks }: ReleaseRequest): void {
+    handleRelease({ releases, withdrawnAsks, silentPlaces }: ReleaseRequest): void {
+        for (const placeId of silentPlaces) {
+            if (this.dispatcher.noteSilent(placeId)) {
+                this.surroundings.logger.info({ event: "endpoint-paused", place: placeId, end: "silent" });
+            }
+        }
         for (const askId of withdrawnAsks) {
             this.dispatcher.withdraw(askId);
         }
--- a/packages/fleet/src/coordinatorLink.ts
+++ b/packages/fleet/src/coordinatorLink.ts
@@ -41,6 +41,8 @@
     readonly onNews: (reply: Extract<SyncReply, { kind: "news"; }>, transitMs: number) => void;
     readonly onConnection: (isConnected: boolean, reason: string) => void;
     readonly onDead: (incarnation: string) => void;
+    /** Called when the instance that was followed says that it is not the coordinator. */
+    readonly onStepDown: () => void;
 }
 
 /** Keeps an instance in touch with the coordinator. */
@@ -157,9 +159,14 @@
                 this.surroundings.onNews(reply.value, getElapsedMs(sentAt));
                 continue;
             }
+            if (reply.isOk() && reply.value.kind === "news") {
+                this.follow(reply.value.coordinator, reply.value.epoch);
+                return;
+            }
             this.setDown(reply.isErr() ? reply.error.toString() : "it is not the coordinator");
             if (reply.isOk()) {
                 this.target = undefined;
+                this.surroundings.onStepDown();
                 return;
             }
             refusals = reply.error.kind === "unreachable" ? refusals + 1 : 0;
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -208,6 +208,17 @@
         return { place, isPaused };
     }
 
+    /**
+     * Notes that an endpoint has been silent for too long about a request that goes on.
+     *
+     * @param placeId - The place of the request.
+     * @returns Whether the endpoint is paused because of it.
+     */
+    noteSilent(placeId: string): boolean {
+        const place = this.places.get(placeId);
+        return place !== undefined && (this.endpoints.get(place.endpointId)?.health.note("silent") ?? false);
+    }
+
     /**
      * Takes over a place that another dispatcher gave.
      *
--- a/packages/fleet/src/endpointHealth.ts
+++ b/packages/fleet/src/endpointHealth.ts
@@ -30,6 +30,7 @@
                 this.isOnTrial = false;
                 return false;
             case "unreachable":
+            case "silent":
                 return this.pause();
             case "broken":
                 this.consecutiveBreaks += 1;
--- a/packages/fleet/src/lease.ts
+++ b/packages/fleet/src/lease.ts
@@ -54,6 +54,7 @@
     private held: { version: number; epoch: number; renewal: number; renewedAt: Moment; } | undefined;
     private abstainingSince: Moment | undefined;
     private isStopped = false;
+    private isReleasing = false;
     /** Incarnation of a holder whose process is known to have ended. */
     private deadIncarnation = "";
 
@@ -129,6 +130,14 @@
         }
     }
 
+    /** Notes that whoever held the lease says that it does so no longer. */
+    noteStepDown(): void {
+        if (this.observed !== undefined) {
+            const record = { ...this.observed.record, isReleased: true };
+            this.observed = { ...this.observed, record, seenAt: newMoment() };
+        }
+    }
+
     /** Version of the lease that is held; 0 if none is. */
     get version(): number {
         return this.held?.version ?? 0;
@@ -143,8 +152,8 @@
 
     private async renew(): Promise<number> {
         const { held } = this;
-        if (held === undefined) {
-            return 0;
+        if (held === undefined || this.isReleasing) {
+            return RENEWAL_RETRY_MS;
         }
         if (!this.isHolder) {
             this.lose("the term has run out");
@@ -272,10 +281,11 @@
 
     private async release(reason: string): Promise<void> {
         const { held } = this;
-        if (held === undefined) {
+        if (held === undefined || this.isReleasing) {
             return;
         }
-        this.lose(reason);
+        // The others look into the store as soon as this instance decides no longer, so the store comes first.
+        this.isReleasing = true;
         const record: LeaseRecord = {
             holder: this.self,
             epoch: held.epoch,
@@ -283,9 +293,13 @@
             isReleased: true,
         };
         const written = await this.store.put(LEASE_PATH, { ...record }, held.version);
+        this.isReleasing = false;
         if (written.isErr()) {
             this.logger.warn({ event: "lease-not-released", reason: written.error.toString() });
         }
+        if (this.held !== undefined) {
+            this.lose(reason);
+        }
     }
 }
 
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -4,6 +4,7 @@
 /** Methods of the JSON-RPC calls between instances. */
 export const METHODS = {
     sync: "fleet.sync",
+    announce: "fleet.announce",
     state: "fleet.state",
     place: "places.ask",
     release: "places.release",
@@ -11,6 +12,7 @@
     findRunner: "jobs.findRunner",
     readJob: "jobs.read",
     endJob: "jobs.end",
+    takeOverJob: "jobs.takeOver",
 } as const;
 
 /** Tells the coordinator how an instance is, and asks for news. */
@@ -52,6 +54,12 @@
     readonly outcome: PlaceOutcome;
 }
 
+/** Tells all instances who decides from now on. */
+export interface Announcement {
+    readonly coordinator: MemberEntry;
+    readonly epoch: number;
+}
+
 /** Asks any instance for all it knows. */
 export interface StateRequest {
     readonly known: KnownRevisions;
@@ -72,6 +80,8 @@
 export interface ReleaseRequest {
     readonly releases: readonly PlaceRelease[];
     readonly withdrawnAsks: readonly string[];
+    /** Places whose endpoints have been silent for too long; the requests there go on. */
+    readonly silentPlaces: readonly string[];
 }
 
 /** Asks whether a job fits within what its organisation may have waiting. */
--- a/packages/fleet/src/placement.ts
+++ b/packages/fleet/src/placement.ts
@@ -24,6 +24,8 @@
     readonly givenBy: "coordinator" | "alone";
     /** Aborted when the place is to be given up at once. */
     readonly calledBack: AbortSignal;
+    /** Tells that nothing has come from the endpoint for too long; the request there goes on. */
+    noteSilent(): void;
     /**
      * Gives the place back; later calls do nothing.
      *
@@ -63,6 +65,7 @@
     private readonly undecided = new Map<string, (outcome: PlaceOutcome) => void>();
     private releases: PlaceRelease[] = [];
     private withdrawals: string[] = [];
+    private silent: string[] = [];
 
     /**
      * @param self - This instance.
@@ -232,10 +235,9 @@
             return { kind: "refused", reason: "unavailable", retryAfterMs: 0, detail, decidedBy };
         }
         const release = (end: PlaceEnd) => this.release(placeId, end);
-        return {
-            kind: "placed",
-            place: { placeId, endpoint, givenBy: decidedBy, calledBack: calling.signal, release },
-        };
+        const noteSilent = () => this.noteSilent(placeId);
+        const calledBack = calling.signal;
+        return { kind: "placed", place: { placeId, endpoint, givenBy: decidedBy, calledBack, noteSilent, release } };
     }
 
     private release(placeId: string, end: PlaceEnd): void {
@@ -252,6 +254,12 @@
         this.queueRelease({ placeId, end, fingerprint: held.ask.fingerprint });
     }
 
+    private noteSilent(placeId: string): void {
+        this.alone.noteSilent(placeId);
+        this.silent.push(placeId);
+        this.planFlush();
+    }
+
     private queueRelease(release: PlaceRelease): void {
         this.releases.push(release);
         this.planFlush();
@@ -263,13 +271,18 @@
     }
 
     private planFlush(): void {
-        if (this.releases.length + this.withdrawals.length === 1) {
+        if (this.releases.length + this.withdrawals.length + this.silent.length === 1) {
             setImmediate(() => this.flush());
         }
     }
 
     private flush(): void {
-        const request: ReleaseRequest = { releases: this.releases, withdrawnAsks: this.withdrawals };
+        const request: ReleaseRequest = {
+            releases: this.releases,
+            withdrawnAsks: this.withdrawals,
+            silentPlaces: this.silent,
+        };
+        this.silent = [];
         this.releases = [];
         this.withdrawals = [];
         const own = this.getCoordinator();
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -167,9 +167,10 @@
  * - `rejected`: the endpoint did not run it.
  * - `broken`: the connection broke after the request was sent.
  * - `failed`: a failure that the endpoint answered with.
+ * - `silent`: given up since nothing came.
  * - `lost`: not known, since the instance that held the place is gone.
  */
-export type PlaceEnd = "done" | "unreachable" | "rejected" | "broken" | "failed" | "lost";
+export type PlaceEnd = "done" | "unreachable" | "rejected" | "broken" | "failed" | "silent" | "lost";
 
 /** Gives a place back. */
 export interface PlaceRelease {
--- a/packages/gateway/src/batchApi.ts
+++ b/packages/gateway/src/batchApi.ts
@@ -13,7 +13,7 @@
 import type { CallerAnswer } from "./callerAnswer";
 import type { JobReader } from "./jobReader";
 import type { JobRunner } from "./jobRunner";
-import type { JobManifest, JobStore } from "./jobStore";
+import { divideBodies, type JobManifest, type JobStore } from "./jobStore";
 import type { GatewayMetrics } from "./metrics";
 import { newRefusal, type Refusal } from "./refusal";
 import type { BatchSubmission, CallerRequest, WireCodec } from "./wireCodec";
@@ -131,20 +131,20 @@
             return newRefusal("bad-request", submission.isErr() ? submission.error : "the request has no id");
         }
         const untilMs = arrivedAtMs + (caller.timeLeftMs ?? DEFAULT_SUBMIT_MS) - SUBMIT_MARGIN_MS;
-        const manifest = newManifest(caller.requestId, caller.host, admitted, submission.value);
+        const bodies = new Map(submission.value.items.map(({ itemId, bodyBase64 }) => [itemId, bodyBase64]));
+        const bodyParts = divideBodies(bodies).length;
+        const manifest = newManifest(caller.requestId, caller.host, admitted, submission.value, bodyParts);
         const refusal = await this.admitTokens(manifest, admitted);
         if (refusal !== undefined) {
             return refusal;
         }
-        const bodies = submission.value.items.map(({ bodyBase64 }) => bodyBase64);
         const created = await this.parts.store.create(manifest, bodies, untilMs);
         if (created.isErr()) {
             const reason = created.error.kind === "unknown" ? "outcome-unknown" : "store-unavailable";
             return newRefusal(reason, created.error.toString());
         }
         if (created.value === "created") {
-            const byItem = new Map(submission.value.items.map(({ itemId, bodyBase64 }) => [itemId, bodyBase64]));
-            this.parts.runner.add({ ...manifest, bodyParts: 0 }, byItem);
+            this.parts.runner.add(manifest, bodies);
         }
         else if (!await this.isRunElsewhere(manifest.jobId)) {
             void this.parts.runner.adopt(manifest.jobId);
@@ -162,7 +162,7 @@
     }
 
     private async admitTokens(
-        manifest: Omit<JobManifest, "bodyParts">,
+        manifest: JobManifest,
         { route }: Admitted,
     ): Promise<Refusal | undefined> {
         const tokens = manifest.itemTokens.reduce((total, count) => total + count, 0);
@@ -241,7 +241,7 @@
             return newRefusal("not-found", "there is no such item");
         }
         const own = this.parts.runner.getReadable(jobId)?.getBody(itemId);
-        const body = own ?? await this.readStoredBody(jobId, itemId);
+        const body = own ?? await this.readStoredBody(manifest.value, itemId);
         if (typeof body !== "string") {
             return body;
         }
@@ -249,14 +249,8 @@
         return undefined;
     }
 
-    private async readStoredBody(jobId: string, itemId: string): Promise<string | Refusal> {
-        const read = await this.parts.store.read(jobId);
-        if (read.isErr() || read.value === undefined) {
-            return read.isErr()
-                ? newRefusal("store-unavailable", read.error.toString())
-                : newRefusal("not-found", "there is no such job");
-        }
-        const bodies = await this.parts.store.readBodies(read.value.manifest);
+    private async readStoredBody(manifest: JobManifest, itemId: string): Promise<string | Refusal> {
+        const bodies = await this.parts.store.readBodies(manifest);
         if (bodies.isErr()) {
             return newRefusal("store-unavailable", bodies.error.toString());
         }
@@ -298,7 +292,8 @@
     host: string,
     { route, organisation }: Admitted,
     { items }: BatchSubmission,
-): Omit<JobManifest, "bodyParts"> {
+    bodyParts: number,
+): JobManifest {
     return {
         jobId,
         organisation: organisation?.name ?? "",
@@ -308,6 +303,7 @@
         itemTokens: items.map(({ tokens }) => tokens),
         state: "open",
         items: items.map(({ itemId, path, headers, tokens }) => ({ itemId, path, headers, tokens })),
+        bodyParts,
         isEndedByCaller: false,
     };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 import { RpcPeerServer, RpcPeerTransport } from "@heatherline/agreement";
 import { type Logger, newId, sleep } from "@heatherline/common";
 import {
+    type Announcement,
     Coordinator,
     CoordinatorLease,
     CoordinatorLink,
@@ -38,6 +39,7 @@
 const MAX_RUNNER_NEWS_AGE_MS = 900;
 const REVIEW_INTERVAL_MS = 200;
 const ADOPTION_INTERVAL_MS = 500;
+const ANNOUNCE_TIMEOUT_MS = 400;
 const STATUS_INTERVAL_MS = 10_000;
 /** Time after the request to stop in which the balancer may still send new connections, in milliseconds. */
 const BALANCER_LAG_MS = 2_600;
@@ -115,6 +117,7 @@
             onNews: (reply, transitMs) => this.applyNews(reply, transitMs),
             onConnection: () => this.review(),
             onDead: incarnation => this.lease.noteDead(incarnation),
+            onStepDown: () => this.lease.noteStepDown(),
         }, logger);
         this.lease = new CoordinatorLease(store, this.self, {
             getMembers: () => view.members,
@@ -140,6 +143,7 @@
             store: jobStore,
             view,
             placement,
+            rpc,
             endpoints,
             wire,
             metrics,
@@ -181,7 +185,8 @@
             isStopping: () => this.isStopping,
             logger,
         });
-        addPeerMethods(this.rpcServer, { getCoordinator, view, runner, reader });
+        const onAnnouncement = ({ coordinator, epoch }: Announcement) => this.onHolder(coordinator, epoch);
+        addPeerMethods(this.rpcServer, { getCoordinator, view, runner, reader, onAnnouncement });
         view.onChange(() => {
             this.placement.noteViewChanged();
             this.coordinator?.noteViewChanged();
@@ -217,7 +222,7 @@
         this.isStopping = true;
         this.logger.info({ event: "stopping", openRequests: this.ingress.openCount });
         await this.lease.stop();
-        this.runner.stop();
+        void this.runner.handOver(this.getOthers());
         const endAtMs = startedAtMs + this.settings.graceMs - KILL_MARGIN_MS;
         while (performance.now() < endAtMs) {
             const isQuiet = performance.now() - startedAtMs > BALANCER_LAG_MS && this.ingress.openCount === 0;
@@ -314,10 +319,28 @@
                 logger: this.logger,
             });
             this.coordinator.adoptOwn(this.placement.getPlaces());
+            this.announce(this.lease.epoch);
         }
         this.review();
     }
 
+    /** Instances that may take over what this one runs, the coordinator last, since it has more to do. */
+    private getOthers(): MemberEntry[] {
+        const { coordinator } = this.link;
+        const others = this.view.members.filter(({ instanceId }) => instanceId !== this.self.instanceId);
+        const rest = others.filter(({ instanceId }) => instanceId !== coordinator?.instanceId);
+        return coordinator === undefined ? rest : [...rest, coordinator];
+    }
+
+    private announce(epoch: number): void {
+        const announcement: Announcement = { coordinator: this.self, epoch };
+        for (const { instanceId, host, rpcPort } of this.view.members) {
+            if (instanceId !== this.self.instanceId) {
+                void this.rpc.callAddress(host, rpcPort, METHODS.announce, announcement, ANNOUNCE_TIMEOUT_MS);
+            }
+        }
+    }
+
     /** Chooses how much to read from the store, by what the coordinator tells. */
     private review(): void {
         if (this.isStopping) {
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -42,6 +42,14 @@
     readonly submittedAt: number;
 }
 
+/** What an item has made so far. */
+export interface ItemState {
+    readonly itemId: string;
+    readonly data: readonly string[];
+    readonly lastEventId: number | undefined;
+    readonly failures: number;
+}
+
 type RunEnd =
     | "complete"
     | "failed"
@@ -54,9 +62,9 @@
 
 /** One batch item until it has its result: runs are given up and go on elsewhere after their last event. */
 export class ItemRun {
-    private readonly data: string[] = [];
+    private readonly data: string[];
     private lastEventId: number | undefined;
-    private failures = 0;
+    private failures: number;
     private routeSeenAtMs = performance.now();
 
     /**
@@ -64,13 +72,25 @@
      * @param item - The item.
      * @param surroundings - What its runs depend on.
      * @param signal - Aborted when the item is to run no longer.
+     * @param state - What another instance has made of it.
      */
     constructor(
         private readonly job: ItemJob,
         private readonly item: JobItem,
         private readonly surroundings: ItemSurroundings,
         private readonly signal: AbortSignal,
-    ) {}
+        state: ItemState | undefined,
+    ) {
+        this.data = [...state?.data ?? []];
+        this.lastEventId = state?.lastEventId;
+        this.failures = state?.failures ?? 0;
+    }
+
+    /** @returns What the item has made so far. */
+    getState(): ItemState {
+        const { data, lastEventId, failures } = this;
+        return { itemId: this.item.itemId, data, lastEventId, failures };
+    }
 
     /** @returns The result, or `undefined` if the item is to run no longer. */
     async run(): Promise<ItemResult | undefined> {
--- a/packages/gateway/src/jobReader.ts
+++ b/packages/gateway/src/jobReader.ts
@@ -1,4 +1,13 @@
-import { type Coordinator, type CoordinatorLink, type MemberEntry, METHODS, type RpcCaller } from "@heatherline/fleet";
+import {
+    type Coordinator,
+    type CoordinatorLink,
+    getElapsedMs,
+    type MemberEntry,
+    METHODS,
+    type Moment,
+    newMoment,
+    type RpcCaller,
+} from "@heatherline/fleet";
 import { err, ok, type Result } from "neverthrow";
 import { newPage } from "./jobRun";
 import type { JobRunner } from "./jobRunner";
@@ -12,7 +21,9 @@
 const READ_GRACE_MS = 400;
 /** How long a runner is asked without asking the coordinator for it again, in milliseconds. */
 const RUNNER_MEMORY_MS = 4_000;
-const MAX_REMEMBERED_RUNNERS = 500;
+/** A chunk that was missing this recently is not looked for again: readers must see one within a second. */
+const MISSING_MEMORY_MS = 600;
+const MAX_REMEMBERED = 500;
 const MAX_CACHED_BYTES = 8_000_000;
 
 /** Asks the instance that runs a job for results. */
@@ -46,6 +57,7 @@
     private readonly runners = new Map<string, { readonly member: MemberEntry; readonly atMs: number; }>();
     private readonly manifests = new Map<string, JobManifest>();
     private readonly chunks = new Map<string, ResultChunk>();
+    private readonly missing = new Map<string, Moment>();
     private cachedBytes = 0;
 
     /**
@@ -102,7 +114,7 @@
         if (read.value === undefined) {
             return err(newRefusal("not-found", "a fresh read of the store shows no such job"));
         }
-        this.manifests.set(jobId, read.value.manifest);
+        rememberBounded(this.manifests, jobId, read.value.manifest, MAX_REMEMBERED);
         return ok(read.value.manifest);
     }
 
@@ -137,11 +149,7 @@
             : own.jobs.findRunner(jobId);
         const member = instanceId === undefined || instanceId === null ? undefined : this.parts.getMember(instanceId);
         if (member !== undefined) {
-            this.runners.delete(jobId);
-            this.runners.set(jobId, { member, atMs: performance.now() });
-            if (this.runners.size > MAX_REMEMBERED_RUNNERS) {
-                this.runners.delete(this.runners.keys().next().value ?? "");
-            }
+            rememberBounded(this.runners, jobId, { member, atMs: performance.now() }, MAX_REMEMBERED);
         }
         return member;
     }
@@ -176,11 +184,20 @@
         if (cached !== undefined) {
             return ok(cached);
         }
+        const missingAt = this.missing.get(name);
+        if (missingAt !== undefined && getElapsedMs(missingAt) < MISSING_MEMORY_MS) {
+            return ok(undefined);
+        }
+        const sentAt = newMoment();
         const read = await this.parts.store.readChunk(jobId, index);
         if (read.isErr()) {
             return err(newRefusal("store-unavailable", read.error.toString()));
         }
-        if (read.value !== undefined) {
+        if (read.value === undefined) {
+            rememberBounded(this.missing, name, sentAt, MAX_REMEMBERED);
+        }
+        else {
+            this.missing.delete(name);
             this.cache(name, read.value);
         }
         return ok(read.value);
@@ -199,6 +216,15 @@
     }
 }
 
+/** Keeps the newest entries of a map. */
+function rememberBounded<Value>(map: Map<string, Value>, key: string, value: Value, most: number): void {
+    map.delete(key);
+    map.set(key, value);
+    if (map.size > most) {
+        map.delete(map.keys().next().value ?? "");
+    }
+}
+
 function getSize({ results }: ResultChunk): number {
     return results.reduce((sum, { output }) => sum + output.length, 0);
 }
--- a/packages/gateway/src/jobRun.ts
+++ b/packages/gateway/src/jobRun.ts
@@ -2,7 +2,7 @@
 import type { JobProgress } from "@heatherline/fleet";
 import { setMaxListeners } from "node:events";
 import type PQueue from "p-queue";
-import { type ItemJob, ItemRun, type ItemSurroundings } from "./itemRun";
+import { type ItemJob, ItemRun, type ItemState, type ItemSurroundings } from "./itemRun";
 import type { JobItem, JobManifest, JobStore } from "./jobStore";
 import type { ItemResult, ResultsPage } from "./wireCodec";
 
@@ -24,6 +24,14 @@
     readonly logger: Logger;
 }
 
+/** What an instance that stops has made of a job, for the one that goes on with it. */
+export interface JobHandover {
+    readonly jobId: string;
+    readonly items: readonly ItemState[];
+    /** Results that are not written yet. */
+    readonly finished: readonly ItemResult[];
+}
+
 /** Runs one job. Results are shown only once the store has them, in the order in which they were written. */
 export class JobRun {
     private readonly stopping = new AbortController();
@@ -35,6 +43,8 @@
     private isWriting = false;
     private isLoaded = false;
     private bodies: Map<string, string> | undefined;
+    private readonly itemRuns = new Map<string, ItemRun>();
+    private readonly states: ReadonlyMap<string, ItemState>;
     private waiters: (() => void)[] = [];
     private isClosed = false;
 
@@ -42,12 +52,16 @@
      * @param manifest - The job.
      * @param bodies - Bodies of its items, where they are at hand.
      * @param surroundings - What running it depends on.
+     * @param handover - What another instance has made of it.
      */
     constructor(
         readonly manifest: JobManifest,
         bodies: Map<string, string> | undefined,
         private readonly surroundings: JobSurroundings,
+        handover: JobHandover | undefined,
     ) {
+        this.states = new Map(handover?.items.map(state => [state.itemId, state]));
+        this.finished = [...handover?.finished ?? []];
         // Each item that runs listens.
         setMaxListeners(0, this.stopping.signal);
         this.bodies = bodies;
@@ -100,8 +114,11 @@
             items: this.manifest.items.length,
             listed: this.listed.size,
         });
+        this.finished = this.finished.filter(({ itemId }) => !this.listed.has(itemId));
+        const finished = new Set(this.finished.map(({ itemId }) => itemId));
+        void this.writeFinished();
         for (const item of this.manifest.items) {
-            if (!this.listed.has(item.itemId)) {
+            if (!this.listed.has(item.itemId) && !finished.has(item.itemId)) {
                 void this.surroundings.queue.add(() => this.runItem(item), { priority: -this.manifest.submittedAt });
             }
         }
@@ -120,6 +137,12 @@
         }
     }
 
+    /** @returns What the job has made so far beyond what the store has. */
+    getHandover(): JobHandover {
+        const { jobId } = this.manifest;
+        return { jobId, items: [...this.itemRuns.values()].map(run => run.getState()), finished: this.finished };
+    }
+
     /**
      * @param after - Position to read from.
      * @param maxBytes - Bytes of output at most, beyond the first result.
@@ -209,8 +232,12 @@
         const job: ItemJob = { jobId, organisation, host, submittedAt };
         const getBody = async () => Buffer.from(this.bodies?.get(item.itemId) ?? "", "base64");
         const itemSurroundings = this.surroundings.newItemSurroundings(this.manifest, item, getBody);
-        const result = await new ItemRun(job, item, itemSurroundings, this.stopping.signal).run();
+        const state = this.states.get(item.itemId);
+        const run = new ItemRun(job, item, itemSurroundings, this.stopping.signal, state);
+        this.itemRuns.set(item.itemId, run);
+        const result = await run.run();
         if (result !== undefined) {
+            this.itemRuns.delete(item.itemId);
             this.finished.push(result);
             void this.writeFinished();
         }
--- a/packages/gateway/src/jobRunner.ts
+++ b/packages/gateway/src/jobRunner.ts
@@ -1,9 +1,16 @@
 import type { Logger } from "@heatherline/common";
-import type { FleetView, JobProgress, Placement } from "@heatherline/fleet";
+import {
+    type FleetView,
+    type JobProgress,
+    type MemberEntry,
+    METHODS,
+    type Placement,
+    type RpcCaller,
+} from "@heatherline/fleet";
 import PQueue from "p-queue";
 import type { EndpointClient } from "./endpointClient";
 import type { ItemSurroundings } from "./itemRun";
-import { JobRun } from "./jobRun";
+import { type JobHandover, JobRun } from "./jobRun";
 import type { JobItem, JobManifest, JobStore } from "./jobStore";
 import type { GatewayMetrics } from "./metrics";
 import type { WireCodec } from "./wireCodec";
@@ -12,12 +19,16 @@
 const ITEMS_AT_ONCE = 48;
 /** Bytes of results of finished jobs that are kept for readers. */
 const MAX_KEPT_BYTES = 16_000_000;
+const HANDOVER_TIMEOUT_MS = 1_000;
+
+export type { JobHandover } from "./jobRun";
 
 /** What running jobs depends on. */
 export interface RunnerParts {
     readonly store: JobStore;
     readonly view: FleetView;
     readonly placement: Placement;
+    readonly rpc: RpcCaller;
     readonly endpoints: EndpointClient;
     readonly wire: WireCodec;
     readonly metrics: GatewayMetrics;
@@ -43,8 +54,9 @@
      *
      * @param manifest - The job.
      * @param bodies - Bodies of its items, where they are at hand.
+     * @param handover - What another instance has made of it.
      */
-    add(manifest: JobManifest, bodies: Map<string, string> | undefined): void {
+    add(manifest: JobManifest, bodies: Map<string, string> | undefined, handover?: JobHandover): void {
         const known = this.runs.get(manifest.jobId);
         if (this.isStopping || manifest.state !== "open" || (known !== undefined && !known.isStopped)) {
             return;
@@ -54,7 +66,7 @@
             queue: this.queue,
             newItemSurroundings: (job, item, getBody) => this.newItemSurroundings(job, item, getBody),
             logger: this.parts.logger,
-        });
+        }, handover);
         this.runs.set(manifest.jobId, run);
         void run.start();
         this.dropOldest();
@@ -64,8 +76,9 @@
      * Takes over a job that nobody runs.
      *
      * @param jobId - The job.
+     * @param handover - What another instance has made of it.
      */
-    async adopt(jobId: string): Promise<void> {
+    async adopt(jobId: string, handover?: JobHandover): Promise<void> {
         const known = this.runs.get(jobId);
         if (this.loading.has(jobId) || this.isStopping || (known !== undefined && !known.isStopped)) {
             return;
@@ -74,7 +87,7 @@
         const read = await this.parts.store.read(jobId);
         this.loading.delete(jobId);
         if (read.isOk() && read.value !== undefined) {
-            this.add(read.value.manifest, undefined);
+            this.add(read.value.manifest, undefined, handover);
         }
     }
 
@@ -114,11 +127,47 @@
         this.runs.get(jobId)?.stop("another instance runs it");
     }
 
-    /** Stops all jobs, for others to take over. */
-    stop(): void {
+    /**
+     * Takes a job over from an instance that stops.
+     *
+     * @param handover - What it has made of the job.
+     * @returns Whether this instance runs the job now.
+     */
+    async takeOver(handover: JobHandover): Promise<boolean> {
+        await this.adopt(handover.jobId, handover);
+        return this.getOpenIds().includes(handover.jobId);
+    }
+
+    /**
+     * Stops all jobs and hands them over with what they have made so far.
+     *
+     * @param others - Instances that may go on with them.
+     */
+    async handOver(others: readonly MemberEntry[]): Promise<void> {
+        const open = this.getOpen();
         this.isStopping = true;
-        for (const run of this.runs.values()) {
+        for (const [index, run] of open.entries()) {
             run.stop("the instance stops");
+            const member = others[index % Math.max(1, others.length)];
+            if (member === undefined) {
+                continue;
+            }
+            const handover = run.getHandover();
+            const { host, rpcPort, instanceId } = member;
+            const reply = await this.parts.rpc.callAddress<boolean>(
+                host,
+                rpcPort,
+                METHODS.takeOverJob,
+                handover,
+                HANDOVER_TIMEOUT_MS,
+            );
+            this.parts.logger.info({
+                event: "job-handed-over",
+                job: run.manifest.jobId,
+                to: instanceId,
+                isTaken: reply.unwrapOr(false),
+                items: handover.items.length,
+            });
         }
     }
 
--- a/packages/gateway/src/jobStore.ts
+++ b/packages/gateway/src/jobStore.ts
@@ -50,24 +50,23 @@
      * Creates a job; a job that exists already is left as it is.
      *
      * @param manifest - The job.
-     * @param bodies - Bodies of its items, in order.
+     * @param bodies - Bodies of its items in base64.
      * @param untilMs - When to stop trying, on the monotonic clock.
      * @returns Whether this call created the job, or it was there; an `unknown` error if a write may yet take effect.
      */
     async create(
-        manifest: Omit<JobManifest, "bodyParts">,
-        bodies: readonly string[],
+        manifest: JobManifest,
+        bodies: ReadonlyMap<string, string>,
         untilMs: number,
     ): Promise<Result<"created" | "existed", StoreError>> {
-        const parts = divide(manifest.items.map(({ itemId }) => itemId), bodies);
-        for (const [index, part] of parts.entries()) {
+        for (const [index, part] of divideBodies(bodies).entries()) {
             const written = await this.createOnce(`${BODY_KIND}/${manifest.jobId}.${index}`, { bodies: part }, untilMs);
             if (written.isErr()) {
                 // Without its manifest there is no job, whatever became of the bodies.
                 return err(new StoreError("unavailable", written.error.message, written.error));
             }
         }
-        return this.createOnce(`${JOB_KIND}/${manifest.jobId}`, { ...manifest, bodyParts: parts.length }, untilMs);
+        return this.createOnce(`${JOB_KIND}/${manifest.jobId}`, { ...manifest }, untilMs);
     }
 
     /**
@@ -256,12 +255,17 @@
     return readSummary(object.value) === undefined ? undefined : object.value as unknown as JobManifest;
 }
 
-function divide(itemIds: readonly string[], bodies: readonly string[]): Record<string, string>[] {
+/**
+ * Divides the bodies of a job over objects of the store.
+ *
+ * @param bodies - Bodies by item.
+ * @returns Content of each object.
+ */
+export function divideBodies(bodies: ReadonlyMap<string, string>): Record<string, string>[] {
     const parts: Record<string, string>[] = [];
     let part: Record<string, string> = {};
     let sizeBytes = 0;
-    for (const [index, itemId] of itemIds.entries()) {
-        const body = bodies[index] ?? "";
+    for (const [itemId, body] of bodies) {
         if (sizeBytes > 0 && sizeBytes + body.length > MAX_PART_BYTES) {
             parts.push(part);
             part = {};
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -16,6 +16,8 @@
 /** Below this there is no use in asking for a place. */
 const MIN_TIME_LEFT_MS = 5;
 const FAILURE_STATUS = 500;
+/** An endpoint that has a place free answers within some ten milliseconds; this long means that it is gone. */
+const SILENCE_MS = 600;
 
 /** One request on its way. */
 export interface OnlineRequest {
@@ -80,6 +82,8 @@
     private attempts = 0;
     private heldFailure: HeldFailure | undefined;
     private isRateTaken = false;
+    /** Whether the head of a plain answer has come. */
+    private hasAnswer = false;
     private placedAfterMs: number | undefined;
     private lastEndpoint = "";
 
@@ -209,6 +213,19 @@
         const { caller, incoming, body } = this.request;
         const { route, organisation } = this.admitted;
         const isFirstSend = this.relay.resumeAfter === caller.lastEventId;
+        const sending = new AbortController();
+        const onEnding = () => sending.abort("ended");
+        this.ending.signal.addEventListener("abort", onEnding, { once: true });
+        const eventsBefore = this.relay.eventCount;
+        this.hasAnswer = false;
+        const silence = setTimeout(() => {
+            if (!this.hasAnswer && this.relay.eventCount === eventsBefore) {
+                place.noteSilent();
+                if (this.repeat.mayRepeatSilent()) {
+                    sending.abort("silent");
+                }
+            }
+        }, SILENCE_MS);
         const answer = await this.parts.endpoints.send({
             requestId: caller.requestId ?? "",
             endpoint: place.endpoint,
@@ -223,10 +240,12 @@
             }),
             body,
             mayReuseConnection: isRepeatable(route),
-            signal: this.ending.signal,
+            signal: sending.signal,
         });
         const outcome = await this.take(answer);
-        place.release(this.toPlaceEnd(outcome));
+        clearTimeout(silence);
+        this.ending.signal.removeEventListener("abort", onEnding);
+        place.release(sending.signal.reason === "silent" ? "silent" : this.toPlaceEnd(outcome));
         return outcome;
     }
 
@@ -250,6 +269,7 @@
                 ? { kind: "answered", status }
                 : { kind: "ended", end: "broken", reason: end.reason };
         }
+        this.hasAnswer = true;
         const whole = await readWhole(answer.value);
         if (whole === undefined || (status < 300 && !head.isSigned)) {
             return { kind: "ended", end: "broken", reason: whole === undefined ? "not whole" : "no signature" };
--- a/packages/gateway/src/peerMethods.ts
+++ b/packages/gateway/src/peerMethods.ts
@@ -2,6 +2,7 @@
 import {
     type AdmitJobReply,
     type AdmitJobRequest,
+    type Announcement,
     type Coordinator,
     type FleetView,
     METHODS,
@@ -13,7 +14,7 @@
     type SyncRequest,
 } from "@heatherline/fleet";
 import type { JobReader, ReadJobRequest } from "./jobReader";
-import type { JobRunner } from "./jobRunner";
+import type { JobHandover, JobRunner } from "./jobRunner";
 
 /** What other instances' calls are answered from. */
 export interface PeerParts {
@@ -21,6 +22,7 @@
     readonly view: FleetView;
     readonly runner: JobRunner;
     readonly reader: JobReader;
+    readonly onAnnouncement: (announcement: Announcement) => void;
 }
 
 /**
@@ -30,7 +32,9 @@
  * @param parts - What the calls are answered from.
  */
 export function addPeerMethods(server: RpcPeerServer, parts: PeerParts): void {
-    const { getCoordinator, view, runner, reader } = parts;
+    const { getCoordinator, view, runner, reader, onAnnouncement } = parts;
+    server.addMethod(METHODS.announce, onAnnouncement);
+    server.addMethod(METHODS.takeOverJob, (handover: JobHandover) => runner.takeOver(handover));
     server.addMethod<SyncRequest, SyncReply>(
         METHODS.sync,
         request => getCoordinator()?.handleSync(request) ?? { kind: "not-coordinator" },
--- a/packages/gateway/src/repeat.ts
+++ b/packages/gateway/src/repeat.ts
@@ -29,6 +29,11 @@
         return this.runs > 0;
     }
 
+    /** @returns Whether a send may be given up for another because nothing comes. */
+    mayRepeatSilent(): boolean {
+        return isRepeatable(this.route) && this.runs + 1 < this.route.maxAttempts;
+    }
+
     /**
      * @param end - How a send ended.
      * @returns Whether the request may be sent again.
