Fewer calls to the store: settle the first coordinator among the seeds, list instances once, gather results

Cause: 58 creates of the lease and a watch of registrations for each of 60 instances at the first start; a write for nearly each batch item. Change: instances that aren't seeds leave the first lease to them and ask who decides; registrations are listed once and then told; a job's results within 600 ms are written together; a job is closed at the version it was created at.

--- a/packages/fleet/src/coordinatorLink.ts
+++ b/packages/fleet/src/coordinatorLink.ts
@@ -3,7 +3,7 @@
 import type { Result } from "neverthrow";
 import { setMaxListeners } from "node:events";
 import { getElapsedMs, type Moment, newMoment } from "./freshness";
-import { METHODS, type SyncReply, type SyncRequest } from "./messages";
+import { type Announcement, METHODS, type SyncReply, type SyncRequest } from "./messages";
 import type { MemberEntry } from "./types";
 
 /** How long the coordinator may hold an answer while there is no news, in milliseconds. */
@@ -69,6 +69,13 @@
         return this.isUp ? this.target?.member : undefined;
     }
 
+    /** Who decides, while the coordinator is in reach. */
+    get deciding(): Announcement | undefined {
+        return this.isUp && this.target !== undefined
+            ? { coordinator: this.target.member, epoch: this.target.epoch }
+            : undefined;
+    }
+
     /** Time since the coordinator's last news, in milliseconds. */
     get newsAgeMs(): number {
         return this.lastNewsAt === undefined ? Infinity : getElapsedMs(this.lastNewsAt);
--- a/packages/fleet/src/lease.ts
+++ b/packages/fleet/src/lease.ts
@@ -83,9 +83,13 @@
         return this.held?.epoch ?? 0;
     }
 
-    /** Starts renewing and, where nobody serves, taking over. */
-    start(): void {
-        void this.loop();
+    /**
+     * Starts renewing and, where nobody serves, taking over.
+     *
+     * @param delayMs - Time to leave to others first.
+     */
+    start(delayMs: number): void {
+        void sleep(delayMs).then(() => this.loop());
     }
 
     /** Gives the lease up, so that nobody needs to wait for it to run out. */
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -65,6 +65,13 @@
     readonly known: KnownRevisions;
 }
 
+/** The answer to a {@link StateRequest}. */
+export interface StateReply {
+    readonly news: FleetNews;
+    /** Who decides, as far as the answering instance knows. */
+    readonly deciding: Announcement | undefined;
+}
+
 /** Asks for a place. */
 export interface PlaceRequest {
     readonly ask: PlaceAsk;
--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -36,6 +36,8 @@
 /** A watch that waits proves nothing; shorter waits bound how long a dead connection stays unnoticed. */
 const STATE_WAIT_MS = 2_000;
 const SLOW_STATE_WAIT_MS = 5_000;
+/** Jobs come and end in quick succession; whoever must know of one at once is told directly. */
+const JOB_PAUSE_MS = 500;
 const FIRST_RETRY_MS = 120;
 const MAX_RETRY_MS = 600;
 
@@ -53,6 +55,7 @@
      * @param store - The store.
      * @param kind - Kind of the objects.
      * @param waitMs - Longest wait of one watch.
+     * @param pauseMs - Pause between two reads.
      * @param hooks - What to call after a read, and after a failure.
      * @param logger - Log of the instance.
      */
@@ -60,6 +63,7 @@
         private readonly store: ObjectStore,
         private readonly kind: string,
         private readonly waitMs: number,
+        private readonly pauseMs: number,
         private readonly hooks: {
             /** Called with all objects after a read that began `ageMs` ago. */
             readonly onRead: (objects: ReadonlyMap<string, StoredObject>, revision: number, ageMs: number) => void;
@@ -146,7 +150,9 @@
     }
 
     private getPauseMs(): number {
-        return this.failures === 0 ? 0 : withJitter(Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.failures - 1)));
+        return this.failures === 0
+            ? this.pauseMs
+            : withJitter(Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.failures - 1)));
     }
 
     private noteContact(hasContact: boolean, cause: string): void {
@@ -176,7 +182,7 @@
      * @param logger - Log of the instance.
      */
     constructor(
-        store: ObjectStore,
+        private readonly store: ObjectStore,
         private readonly schema: StateSchema,
         private readonly view: FleetView,
         listeners: {
@@ -189,7 +195,8 @@
             kind: string,
             waitMs: number,
             onRead: (objects: ReadonlyMap<string, StoredObject>, revision: number, ageMs: number) => void,
-        ) => new KindFeed(store, kind, waitMs, {
+            pauseMs = 0,
+        ) => new KindFeed(store, kind, waitMs, pauseMs, {
             onRead: (objects, revision, ageMs) => {
                 this.lastReadAtMs = performance.now();
                 onRead(objects, revision, ageMs);
@@ -211,16 +218,16 @@
                 STATE_WAIT_MS,
                 (objects, revision) => view.applyEvacuated({ revision, value: [...objects.keys()] }),
             ),
+        ];
+        this.extras = [
             newFeed(
                 MEMBER_KIND,
                 SLOW_STATE_WAIT_MS,
                 (objects, revision) =>
                     view.applyMembers({ revision, value: [...objects.values()].flatMap(readMember) }),
             ),
-        ];
-        this.extras = [
             newFeed(schema.retirementKind, SLOW_STATE_WAIT_MS, objects => listeners.onRetirements([...objects.keys()])),
-            newFeed(JOB_KIND, STATE_WAIT_MS, objects => listeners.onJobs(objects)),
+            newFeed(JOB_KIND, STATE_WAIT_MS, objects => listeners.onJobs(objects), JOB_PAUSE_MS),
         ];
     }
 
@@ -246,6 +253,17 @@
         }
     }
 
+    /** Reads once who is registered; changes are told by the coordinator. */
+    async readMembers(): Promise<void> {
+        const listing = await this.store.list(MEMBER_KIND);
+        if (listing.isErr()) {
+            this.view.noteStoreTrouble();
+            return;
+        }
+        const { revision, objects } = listing.value;
+        this.view.applyMembers({ revision, value: objects.flatMap(readMember) });
+    }
+
     private readConfig(objects: ReadonlyMap<string, StoredObject>, revision: number, ageMs: number): void {
         const object = objects.get(this.schema.configName);
         if (object === undefined) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
     METHODS,
     Placement,
     StateFeed,
+    type StateReply,
     type StateRequest,
     type StateSchema,
     type SyncReply,
@@ -39,6 +40,9 @@
 const MAX_RUNNER_NEWS_AGE_MS = 900;
 const REVIEW_INTERVAL_MS = 200;
 const ADOPTION_INTERVAL_MS = 500;
+/** Instances that are asked at once by one that lacks something, beside the seeds. */
+const MEMBERS_ASKED_AT_ONCE = 2;
+const FIRST_START_DELAY_MS = 500;
 const ANNOUNCE_TIMEOUT_MS = 400;
 const STATUS_INTERVAL_MS = 10_000;
 /** Time after the request to stop in which the balancer may still send new connections, in milliseconds. */
@@ -58,6 +62,8 @@
     readonly peers: { readonly host: string; readonly port: number; };
     readonly metricsPort: number;
     readonly seeds: readonly { readonly host: string; readonly port: number; }[];
+    /** Whether the whole system starts for the first time. */
+    readonly isFirstStart: boolean;
     readonly revokeMs: number;
     readonly graceMs: number;
     readonly jobReadableMs: number;
@@ -186,7 +192,8 @@
             logger,
         });
         const onAnnouncement = ({ coordinator, epoch }: Announcement) => this.onHolder(coordinator, epoch);
-        addPeerMethods(this.rpcServer, { getCoordinator, view, runner, reader, onAnnouncement });
+        const getDeciding = () => this.getDeciding();
+        addPeerMethods(this.rpcServer, { getCoordinator, getDeciding, view, runner, reader, onAnnouncement });
         view.onChange(() => {
             this.placement.noteViewChanged();
             this.coordinator?.noteViewChanged();
@@ -203,8 +210,9 @@
         logger.info({ event: "started", incarnation: this.self.incarnation });
         this.feed.setScope("essentials");
         void this.learnFromSeeds();
-        void registerMember(this.outside.store, this.self, () => this.isStopping, logger);
-        this.lease.start();
+        void registerMember(this.outside.store, this.self, () => this.isStopping, logger)
+            .then(() => this.feed.readMembers());
+        this.lease.start(this.getFirstDelayMs());
         this.timers = [
             setInterval(() => this.review(), REVIEW_INTERVAL_MS),
             setInterval(() => this.adoptOwnJobs(), ADOPTION_INTERVAL_MS),
@@ -238,6 +246,13 @@
         this.rpcServer.close();
     }
 
+    /** When all instances start together, the seeds settle among themselves who decides, and the others hear of it. */
+    private getFirstDelayMs(): number {
+        const { seeds, host, isFirstStart } = this.settings;
+        const isSeed = seeds.some(seed => seed.host === host);
+        return isFirstStart && !isSeed ? FIRST_START_DELAY_MS * (1 + Math.random()) : 0;
+    }
+
     /** Whether callers are served better here than elsewhere. */
     private get isReady(): boolean {
         return !this.isStopping && this.admission.isCurrent && this.view.getEndpoints().length > 0;
@@ -387,13 +402,12 @@
     /** An instance that starts while the store is away learns from the others. */
     private async learnFromSeeds(): Promise<void> {
         while (!this.isStopping) {
-            if (!this.admission.isCurrent || this.view.getEndpoints().length === 0) {
-                const known = this.view.members.map(({ host, rpcPort }) => ({ host, port: rpcPort }));
-                for (const { host, port } of [...this.settings.seeds, ...known]) {
-                    if (host !== this.settings.host) {
-                        await this.learnFrom(host, port);
-                    }
-                }
+            const hasCoordinator = this.coordinator !== undefined || this.link.coordinator !== undefined;
+            if (!hasCoordinator || !this.admission.isCurrent || this.view.getEndpoints().length === 0) {
+                const members = this.view.members.map(({ host, rpcPort }) => ({ host, port: rpcPort }));
+                const some = members.sort(() => Math.random() - 0.5).slice(0, MEMBERS_ASKED_AT_ONCE);
+                const others = [...this.settings.seeds, ...some].filter(({ host }) => host !== this.settings.host);
+                await Promise.all(others.map(({ host, port }) => this.learnFrom(host, port)));
             }
             await sleep(REVIEW_INTERVAL_MS);
         }
@@ -404,7 +418,7 @@
         const sentAtMs = performance.now();
         const sentAtWallMs = Date.now();
         const timeoutMs = REVIEW_INTERVAL_MS * 2;
-        const reply = await this.rpc.callAddress<ReturnType<FleetView["newNews"]>>(
+        const reply = await this.rpc.callAddress<StateReply>(
             host,
             port,
             METHODS.state,
@@ -413,7 +427,18 @@
         );
         if (reply.isOk()) {
             const transitMs = Math.max(performance.now() - sentAtMs, Date.now() - sentAtWallMs);
-            this.view.applyNews(reply.value, transitMs);
+            this.view.applyNews(reply.value.news, transitMs);
+            const { deciding } = reply.value;
+            if (deciding !== undefined) {
+                this.onHolder(deciding.coordinator, deciding.epoch);
+            }
         }
     }
+
+    /** Who decides, as far as this instance knows. */
+    private getDeciding(): Announcement | undefined {
+        return this.coordinator === undefined
+            ? this.link.deciding
+            : { coordinator: this.self, epoch: this.coordinator.epoch };
+    }
 }
--- a/packages/gateway/src/jobRun.ts
+++ b/packages/gateway/src/jobRun.ts
@@ -7,7 +7,7 @@
 import type { ItemResult, ResultsPage } from "./wireCodec";
 
 /** Results that end within this time of each other are written together, in milliseconds. */
-const GATHERING_MS = 120;
+const GATHERING_MS = 600;
 /** Bytes of results in one chunk. */
 const MAX_CHUNK_BYTES = 500_000;
 const RETRY_MS = 300;
--- a/packages/gateway/src/jobStore.ts
+++ b/packages/gateway/src/jobStore.ts
@@ -38,8 +38,14 @@
     | { readonly kind: "written"; }
     | { readonly kind: "taken"; readonly chunk: ResultChunk; };
 
+/** Whether a job was created, or was there already. */
+export type CreateOutcome = "created" | "existed";
+
 /** Batch jobs in the platform's store. Whatever is written once is never written again. */
 export class JobStore {
+    /** Jobs that this instance created, until they are closed. */
+    private readonly written = new Map<string, { readonly manifest: JobManifest; readonly version: number; }>();
+
     /**
      * @param store - The store.
      * @param logger - Log of the instance.
@@ -58,7 +64,7 @@
         manifest: JobManifest,
         bodies: ReadonlyMap<string, string>,
         untilMs: number,
-    ): Promise<Result<"created" | "existed", StoreError>> {
+    ): Promise<Result<CreateOutcome, StoreError>> {
         for (const [index, part] of divideBodies(bodies).entries()) {
             const written = await this.createOnce(`${BODY_KIND}/${manifest.jobId}.${index}`, { bodies: part }, untilMs);
             if (written.isErr()) {
@@ -66,7 +72,14 @@
                 return err(new StoreError("unavailable", written.error.message, written.error));
             }
         }
-        return this.createOnce(`${JOB_KIND}/${manifest.jobId}`, { ...manifest }, untilMs);
+        const created = await this.createOnce(`${JOB_KIND}/${manifest.jobId}`, { ...manifest }, untilMs);
+        return created.map(version => {
+            if (version === undefined) {
+                return "existed";
+            }
+            this.written.set(manifest.jobId, { manifest, version });
+            return "created";
+        });
     }
 
     /**
@@ -157,6 +170,15 @@
      * @returns Whether the job exists; it is closed then.
      */
     async close(jobId: string, isEndedByCaller: boolean): Promise<Result<boolean, StoreError>> {
+        const known = this.written.get(jobId);
+        if (known !== undefined) {
+            this.written.delete(jobId);
+            const closed = { ...known.manifest, state: "ended", isEndedByCaller };
+            const written = await this.store.put(`${JOB_KIND}/${jobId}`, closed, known.version);
+            if (written.isOk()) {
+                return ok(true);
+            }
+        }
         let failure = new StoreError("unknown", `${jobId}: not written`);
         for (let attempt = 0; attempt < MAX_STATE_WRITES; attempt += 1) {
             const read = await this.read(jobId);
@@ -203,17 +225,21 @@
         await this.store.delete(`${JOB_KIND}/${manifest.jobId}`, 0);
     }
 
-    /** Creates an object whose content depends on its name alone, so that any earlier create will do. */
+    /**
+     * Creates an object whose content depends on its name alone, so that any earlier create will do.
+     *
+     * @returns The version that was written, or `undefined` if the object was there.
+     */
     private async createOnce(
         path: string,
         value: Record<string, unknown>,
         untilMs: number,
-    ): Promise<Result<"created" | "existed", StoreError>> {
+    ): Promise<Result<number | undefined, StoreError>> {
         let isUnknown = false;
         for (;;) {
             const written = await this.createRepeatedly(path, value, REPEAT_AFTER_MS);
             if (written.isOk() || written.error.kind === "conflict") {
-                return ok(written.isOk() ? "created" : "existed");
+                return ok(written.isOk() ? written.value : undefined);
             }
             isUnknown ||= written.error.kind === "unknown";
             if (performance.now() + RETRY_MS >= untilMs || written.error.kind === "rejected") {
--- a/packages/gateway/src/peerMethods.ts
+++ b/packages/gateway/src/peerMethods.ts
@@ -9,6 +9,7 @@
     type PlaceReply,
     type PlaceRequest,
     type ReleaseRequest,
+    type StateReply,
     type StateRequest,
     type SyncReply,
     type SyncRequest,
@@ -19,6 +20,8 @@
 /** What other instances' calls are answered from. */
 export interface PeerParts {
     readonly getCoordinator: () => Coordinator | undefined;
+    /** Who decides, as far as this instance knows. */
+    readonly getDeciding: () => Announcement | undefined;
     readonly view: FleetView;
     readonly runner: JobRunner;
     readonly reader: JobReader;
@@ -32,14 +35,17 @@
  * @param parts - What the calls are answered from.
  */
 export function addPeerMethods(server: RpcPeerServer, parts: PeerParts): void {
-    const { getCoordinator, view, runner, reader, onAnnouncement } = parts;
+    const { getCoordinator, getDeciding, view, runner, reader, onAnnouncement } = parts;
     server.addMethod(METHODS.announce, onAnnouncement);
     server.addMethod(METHODS.takeOverJob, (handover: JobHandover) => runner.takeOver(handover));
     server.addMethod<SyncRequest, SyncReply>(
         METHODS.sync,
         request => getCoordinator()?.handleSync(request) ?? { kind: "not-coordinator" },
     );
-    server.addMethod(METHODS.state, ({ known }: StateRequest) => view.newNews(known));
+    server.addMethod<StateRequest, StateReply>(
+        METHODS.state,
+        ({ known }) => ({ news: view.newNews(known), deciding: getDeciding() }),
+    );
     server.addMethod<PlaceRequest, PlaceReply>(
         METHODS.place,
         ({ ask }) => getCoordinator()?.handlePlace(ask) ?? { kind: "not-coordinator" },
