Order batch by what can still be in time; pause endpoints only when they answer nobody; learn the time to a first event

Change: items that can be in time go first, with what is left of them; whoever will be late anyway gives its place up first; the time to a first event is learned.

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -140,8 +140,8 @@
         for (const askId of withdrawnAsks) {
             this.dispatcher.withdraw(askId);
         }
-        for (const { placeId, end, fingerprint } of releases) {
-            const released = this.dispatcher.release(placeId, end);
+        for (const { placeId, end, fingerprint, firstAnswerMs } of releases) {
+            const released = this.dispatcher.release(placeId, end, firstAnswerMs);
             if (end === "broken") {
                 this.crashes.noteCrash(fingerprint);
             }
@@ -278,6 +278,7 @@
                 organisation: summary.organisation,
                 sinceMs: nowMs,
                 dueAtMs: nowMs + summary.dueInMs,
+                finishAtMs: nowMs,
                 isCalledBack: false,
             });
         }
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -8,10 +8,10 @@
 const PRIORITY_STEP_MS = 40;
 /** A caller that returns as it was asked to counts as having arrived this much earlier, in milliseconds. */
 const RETURN_CREDIT_MS = 1_000;
-/** Time from being placed to the first event, which the latency objective includes, in milliseconds. */
-const FIRST_EVENT_MS = 45;
 /** Part of the latency objective within which a refusal leaves the caller time to be served elsewhere in time. */
 const EARLY_REFUSAL_PART = 0.22;
+/** Items with little left go before others that are due at the same time, so that what was begun gets finished. */
+const REMAINING_WEIGHT = 2;
 /** Each item that an organisation has running makes its next one count as due this much later, in milliseconds. */
 const FAIRNESS_STEP_MS = 300;
 /** Longest pause for callers while a service has no endpoint at all, in milliseconds. */
@@ -30,6 +30,8 @@
     readonly organisation: string;
     readonly sinceMs: number;
     readonly dueAtMs: number;
+    /** When the item there is expected to be finished. */
+    readonly finishAtMs: number;
     /** Whether the batch item there has been asked to give it up. */
     isCalledBack: boolean;
 }
@@ -50,6 +52,8 @@
     readonly running: Map<string, Place>;
     readonly health: EndpointHealth;
     readonly sent: SendWindow;
+    /** When a request there last ended with a sign of life. */
+    lastSignAtMs: number;
 }
 
 /** What the dispatcher is told about its surroundings. */
@@ -109,6 +113,7 @@
                     running,
                     health: new EndpointHealth(),
                     sent: new SendWindow(),
+                    lastSignAtMs: -Infinity,
                 });
             }
             else {
@@ -144,7 +149,7 @@
                 settle: resolve,
                 arrivedAtMs: nowMs,
                 rank: this.getRank(ask, nowMs),
-                usefulUntilMs: nowMs + ask.usefulForMs - FIRST_EVENT_MS,
+                usefulUntilMs: nowMs + ask.usefulForMs - forecast.getFirstAnswerMs(),
                 giveUpAtMs: nowMs + ask.giveUpAfterMs,
                 timers: [],
             };
@@ -187,9 +192,14 @@
      *
      * @param placeId - The place; unknown ones are ignored, since releases may come twice.
      * @param end - How the request there ended.
+     * @param firstAnswerMs - Time from the place to the first sign of an answer.
      * @returns The place, and whether its endpoint is paused because of the end.
      */
-    release(placeId: string, end: PlaceEnd): { readonly place: Place; readonly isPaused: boolean; } | undefined {
+    release(
+        placeId: string,
+        end: PlaceEnd,
+        firstAnswerMs?: number,
+    ): { readonly place: Place; readonly isPaused: boolean; } | undefined {
         const place = this.places.get(placeId);
         if (place === undefined) {
             return undefined;
@@ -198,6 +208,13 @@
         const state = this.endpoints.get(place.endpointId);
         state?.running.delete(placeId);
         const isPaused = state?.health.note(end) ?? false;
+        const isSign = end === "done" || end === "failed" || end === "rejected";
+        if (state !== undefined && isSign) {
+            state.lastSignAtMs = performance.now();
+        }
+        if (firstAnswerMs !== undefined && place.workClass === "online") {
+            this.getForecast(place.service).noteFirstAnswer(firstAnswerMs);
+        }
         if (end === "done" && place.workClass === "online") {
             this.getForecast(place.service).noteHold(performance.now() - place.sinceMs);
         }
@@ -209,14 +226,19 @@
     }
 
     /**
-     * Notes that an endpoint has been silent for too long about a request that goes on.
+     * Notes that an endpoint has been silent for too long about a request that goes on. It may be the request that
+     * takes long, so an endpoint that has answered others since is not paused.
      *
      * @param placeId - The place of the request.
      * @returns Whether the endpoint is paused because of it.
      */
     noteSilent(placeId: string): boolean {
         const place = this.places.get(placeId);
-        return place !== undefined && (this.endpoints.get(place.endpointId)?.health.note("silent") ?? false);
+        const state = place === undefined ? undefined : this.endpoints.get(place.endpointId);
+        if (place === undefined || state === undefined || state.lastSignAtMs > place.sinceMs) {
+            return false;
+        }
+        return state.health.note("silent");
     }
 
     /**
@@ -276,7 +298,7 @@
         if (ask.workClass === "batch") {
             const running = [...this.places.values()]
                 .filter(({ workClass, organisation }) => workClass === "batch" && organisation === ask.organisation);
-            return nowMs + ask.dueInMs + running.length * FAIRNESS_STEP_MS;
+            return nowMs + ask.dueInMs + REMAINING_WEIGHT * ask.remainingMs + running.length * FAIRNESS_STEP_MS;
         }
         const isReturning = this.getForecast(ask.service).takeReturn(ask.fingerprint);
         return nowMs + ask.priority * PRIORITY_STEP_MS - (isReturning ? RETURN_CREDIT_MS : 0);
@@ -393,6 +415,7 @@
             organisation: ask.organisation,
             sinceMs: nowMs,
             dueAtMs: nowMs + ask.dueInMs,
+            finishAtMs: nowMs + ask.remainingMs,
             isCalledBack: false,
         };
         this.places.set(place.placeId, place);
@@ -452,7 +475,7 @@
         );
         const missing = wanted - batch.filter(({ isCalledBack }) => isCalledBack).length;
         const candidates = batch.filter(({ isCalledBack }) => !isCalledBack)
-            .sort((left, right) => right.dueAtMs - left.dueAtMs);
+            .sort(compareForCallBack);
         for (const place of candidates.slice(0, Math.max(0, missing))) {
             place.isCalledBack = true;
             this.surroundings.callBack(place);
@@ -490,16 +513,23 @@
     }
 }
 
-/** Online that is still useful first, then online that will be late, then batch. */
+/** Online that is still useful first, then online that will be late, then batch, what can't be in time last. */
 function compareWaiters(left: Waiter, right: Waiter): number {
     return getLevel(left) - getLevel(right) || left.rank - right.rank;
 }
 
-function getLevel({ ask, usefulUntilMs }: Waiter): number {
+function getLevel({ ask, arrivedAtMs, usefulUntilMs }: Waiter): number {
+    const nowMs = performance.now();
     if (ask.workClass === "batch") {
-        return 2;
+        return nowMs + ask.remainingMs <= arrivedAtMs + ask.dueInMs ? 2 : 3;
     }
-    return performance.now() <= usefulUntilMs ? 0 : 1;
+    return nowMs <= usefulUntilMs ? 0 : 1;
+}
+
+/** Items that will be late anyway give their places up first, then those that have the most time. */
+function compareForCallBack(left: Place, right: Place): number {
+    const isLate = ({ finishAtMs, dueAtMs }: Place) => finishAtMs > dueAtMs ? 0 : 1;
+    return isLate(left) - isLate(right) || (right.dueAtMs - right.finishAtMs) - (left.dueAtMs - left.finishAtMs);
 }
 
 function countBatch(state: EndpointState): number {
--- a/packages/fleet/src/forecast.ts
+++ b/packages/fleet/src/forecast.ts
@@ -1,5 +1,11 @@
 /** First guess of how long an online request keeps its place, in milliseconds. */
 const FIRST_HOLD_MS = 500;
+/** First guess of the time from a place to the first event, in milliseconds. */
+const FIRST_ANSWER_MS = 60;
+/** Spread of the first event around its mean that an in-time forecast allows for. */
+const FIRST_ANSWER_SPREAD = 1.25;
+/** Spread of the wait around its mean; a refusal in time serves callers better than a place that comes late. */
+const WAIT_SPREAD = 1.25;
 const SMOOTHING = 0.1;
 /** Time for a batch item to give its place up, in milliseconds. */
 const PREEMPTION_MS = 8;
@@ -26,6 +32,7 @@
  */
 export class WaitForecast {
     private holdMs = FIRST_HOLD_MS;
+    private firstAnswerMs = FIRST_ANSWER_MS;
     private returns: { readonly fingerprint: string; readonly atMs: number; }[] = [];
 
     /**
@@ -35,6 +42,18 @@
         this.holdMs += SMOOTHING * (heldMs - this.holdMs);
     }
 
+    /**
+     * @param tookMs - Time from a place to the first sign of the answer.
+     */
+    noteFirstAnswer(tookMs: number): void {
+        this.firstAnswerMs += SMOOTHING * (tookMs - this.firstAnswerMs);
+    }
+
+    /** @returns Time to allow for between a place and the first sign of the answer, in milliseconds. */
+    getFirstAnswerMs(): number {
+        return this.firstAnswerMs * FIRST_ANSWER_SPREAD;
+    }
+
     /**
      * @param line - Places and requests.
      * @returns The expected wait in milliseconds; infinite where there are no places.
@@ -45,7 +64,7 @@
         }
         const missing = line.ahead + 1 - line.atOnce;
         if (missing > 0) {
-            return PREEMPTION_MS + missing * this.holdMs / line.places;
+            return PREEMPTION_MS + WAIT_SPREAD * missing * this.holdMs / line.places;
         }
         return line.ahead < line.free ? 0 : PREEMPTION_MS;
     }
--- a/packages/fleet/src/placement.ts
+++ b/packages/fleet/src/placement.ts
@@ -30,8 +30,9 @@
      * Gives the place back; later calls do nothing.
      *
      * @param end - How the request ended.
+     * @param firstAnswerMs - Time from the place to the first sign of an answer.
      */
-    release(end: PlaceEnd): void;
+    release(end: PlaceEnd, firstAnswerMs?: number): void;
 }
 
 /** The answer of {@link Placement.ask}. */
@@ -157,7 +158,8 @@
             decide(outcome);
         }
         else if (outcome.kind === "placed") {
-            this.queueRelease({ placeId: outcome.placeId, end: "lost", fingerprint: "" });
+            const { placeId } = outcome;
+            this.queueRelease({ placeId, end: "lost", fingerprint: "", firstAnswerMs: undefined });
         }
     }
 
@@ -234,13 +236,13 @@
             const detail = endpoint === undefined ? `endpoint ${endpointId} is not known here` : "the caller has gone";
             return { kind: "refused", reason: "unavailable", retryAfterMs: 0, detail, decidedBy };
         }
-        const release = (end: PlaceEnd) => this.release(placeId, end);
+        const release = (end: PlaceEnd, firstAnswerMs?: number) => this.release(placeId, end, firstAnswerMs);
         const noteSilent = () => this.noteSilent(placeId);
         const calledBack = calling.signal;
         return { kind: "placed", place: { placeId, endpoint, givenBy: decidedBy, calledBack, noteSilent, release } };
     }
 
-    private release(placeId: string, end: PlaceEnd): void {
+    private release(placeId: string, end: PlaceEnd, firstAnswerMs?: number): void {
         const held = this.held.get(placeId);
         if (held === undefined) {
             return;
@@ -249,9 +251,9 @@
         if (end === "unreachable") {
             this.unreachableUntilMs.set(held.endpointId, performance.now() + UNREACHABLE_MS);
         }
-        this.alone.release(placeId, end);
+        this.alone.release(placeId, end, firstAnswerMs);
         // A coordinator may have taken over places that this instance gave alone; it ignores those it doesn't know.
-        this.queueRelease({ placeId, end, fingerprint: held.ask.fingerprint });
+        this.queueRelease({ placeId, end, fingerprint: held.ask.fingerprint, firstAnswerMs });
     }
 
     private noteSilent(placeId: string): void {
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -129,6 +129,8 @@
     readonly giveUpAfterMs: number;
     /** Batch: time left until the result is due. */
     readonly dueInMs: number;
+    /** Batch: expected time at an endpoint until the item is finished. */
+    readonly remainingMs: number;
     /** Endpoints that are not to be used again, or that the asking instance can't reach. */
     readonly excluded: readonly string[];
     /** Regions that the request may be processed in; empty for all. */
@@ -177,6 +179,8 @@
     readonly placeId: string;
     readonly end: PlaceEnd;
     readonly fingerprint: string;
+    /** Time from the place to the first sign of an answer, where there was one. */
+    readonly firstAnswerMs: number | undefined;
 }
 
 /** A place in use as its instance tells a coordinator that may not know it. */
--- a/packages/fleet/tests/loadReplay.ts
+++ b/packages/fleet/tests/loadReplay.ts
@@ -202,6 +202,7 @@
         usefulForMs: targetMs,
         targetLatencyMs: targetMs,
         giveUpAfterMs,
+        remainingMs: workClass === "batch" ? BATCH_HOLD_MS : 0,
         dueInMs: workClass === "batch" ? 18_000 : targetMs,
         excluded: [],
         allowedRegions: [],
--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -18,8 +18,13 @@
     /**
      * @param answer - The caller's answer.
      * @param resumedAfter - The last event that the caller has already.
+     * @param onEvent - Called for each event.
      */
-    constructor(private readonly answer: CallerAnswer, resumedAfter: number | undefined) {
+    constructor(
+        private readonly answer: CallerAnswer,
+        resumedAfter: number | undefined,
+        private readonly onEvent: () => void,
+    ) {
         this.lastEventId = resumedAfter;
     }
 
@@ -47,6 +52,7 @@
                     }
                     this.begin(status, incoming.rawHeaders);
                     this.count += 1;
+                    this.onEvent();
                     this.lastEventId = eventId ?? this.lastEventId;
                     const isFull = this.answer.write(bytes);
                     if (isFull !== undefined) {
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -44,12 +44,34 @@
 /** Sends requests to endpoints over HTTP. */
 export class EndpointClient {
     private readonly agent = new EndpointAgent();
+    private readonly lastAnswerMs = new Map<string, number>();
 
     /**
      * @param wire - Reads the heads of answers.
      */
     constructor(private readonly wire: WireCodec) {}
 
+    /**
+     * @param endpointId - An endpoint.
+     * @returns When the last answer began to come from there, on the monotonic clock.
+     */
+    getLastAnswerMs(endpointId: string): number {
+        return this.lastAnswerMs.get(endpointId) ?? -Infinity;
+    }
+
+    /**
+     * Forgets endpoints that are gone.
+     *
+     * @param listed - Endpoints that are there.
+     */
+    forgetOthers(listed: ReadonlySet<string>): void {
+        for (const endpointId of this.lastAnswerMs.keys()) {
+            if (!listed.has(endpointId)) {
+                this.lastAnswerMs.delete(endpointId);
+            }
+        }
+    }
+
     /**
      * @param sent - The request.
      * @returns The head of the answer, or why there is none.
@@ -101,6 +123,7 @@
     private readHead(sent: EndpointRequest, incoming: http.IncomingMessage): Result<EndpointAnswer, SendFailure> {
         // Without a listener an error of the body would end the process; who reads the body notices it by itself.
         incoming.on("error", () => undefined);
+        this.lastAnswerMs.set(sent.endpoint.endpointId, performance.now());
         const head = this.wire.readAnswer(incoming.headers);
         if (head.requestId !== undefined && head.requestId !== sent.requestId) {
             incoming.destroy();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -194,7 +194,10 @@
         const onAnnouncement = ({ coordinator, epoch }: Announcement) => this.onHolder(coordinator, epoch);
         const getDeciding = () => this.getDeciding();
         addPeerMethods(this.rpcServer, { getCoordinator, getDeciding, view, runner, reader, onAnnouncement });
-        view.onChange(() => {
+        view.onChange(part => {
+            if (part === "endpoints") {
+                endpoints.forgetOthers(new Set(view.getEndpoints().map(({ endpointId }) => endpointId)));
+            }
             this.placement.noteViewChanged();
             this.coordinator?.noteViewChanged();
         });
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -2,6 +2,7 @@
 import { type HeldPlace, pickService, type PlaceEnd, type Placement, type Route } from "@heatherline/fleet";
 import type { EndpointClient } from "./endpointClient";
 import { EventReader, readEventData } from "./eventReader";
+import type { ItemPace } from "./itemPace";
 import type { JobItem } from "./jobStore";
 import type { ItemResult, WireCodec } from "./wireCodec";
 
@@ -25,6 +26,7 @@
     readonly placement: Placement;
     readonly endpoints: EndpointClient;
     readonly wire: WireCodec;
+    readonly pace: ItemPace;
     /** The route that the item's path has now. */
     readonly findRoute: () => Route | undefined;
     readonly getBody: () => Promise<Buffer | undefined>;
@@ -143,6 +145,7 @@
             usefulForMs: ASK_MS,
             targetLatencyMs: ASK_MS,
             giveUpAfterMs: ASK_MS,
+            remainingMs: this.surroundings.pace.getRemainingMs(this.data.length),
             dueInMs: this.job.submittedAt + route.completionTargetMs - Date.now(),
             allowedRegions: route.allowedRegions,
             fingerprint: `${this.job.jobId}/${this.item.itemId}`,
@@ -163,6 +166,10 @@
         const end = await this.runAt(place, body);
         const events = this.data.length - eventsBefore;
         place.release(toPlaceEnd(end, events));
+        this.surroundings.pace.noteRun(events, performance.now() - startedAtMs);
+        if (end === "complete") {
+            this.surroundings.pace.noteFinished(this.data.length);
+        }
         this.surroundings.noteRun(this.item, end, {
             endpoint: place.endpoint.endpointId,
             givenBy: place.givenBy,
--- a/packages/gateway/src/jobRunner.ts
+++ b/packages/gateway/src/jobRunner.ts
@@ -9,6 +9,7 @@
 } from "@heatherline/fleet";
 import PQueue from "p-queue";
 import type { EndpointClient } from "./endpointClient";
+import { ItemPace } from "./itemPace";
 import type { ItemSurroundings } from "./itemRun";
 import { type JobHandover, JobRun } from "./jobRun";
 import type { JobItem, JobManifest, JobStore } from "./jobStore";
@@ -42,6 +43,7 @@
     private readonly runs = new Map<string, JobRun>();
     private readonly loading = new Set<string>();
     private readonly queue = new PQueue({ concurrency: ITEMS_AT_ONCE });
+    private readonly pace = new ItemPace();
     private isStopping = false;
 
     /**
@@ -211,6 +213,7 @@
             placement: parts.placement,
             endpoints: parts.endpoints,
             wire: parts.wire,
+            pace: this.pace,
             findRoute: () => parts.view.routes?.findRoute(manifest.host, item.path),
             getBody,
             mayRun: () => !this.isStopping && parts.isCurrent(),
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -82,8 +82,8 @@
     private attempts = 0;
     private heldFailure: HeldFailure | undefined;
     private isRateTaken = false;
-    /** Whether the head of a plain answer has come. */
-    private hasAnswer = false;
+    /** When the first sign of the present endpoint's answer came. */
+    private firstAnswerAtMs: number | undefined;
     private placedAfterMs: number | undefined;
     private lastEndpoint = "";
 
@@ -95,7 +95,9 @@
         const { caller, arrivedAtMs, body, path } = request;
         const { route, organisation } = admitted;
         this.repeat = new RepeatPolicy(route);
-        this.relay = new StreamRelay(request.answer, caller.lastEventId);
+        this.relay = new StreamRelay(request.answer, caller.lastEventId, () => {
+            this.firstAnswerAtMs ??= performance.now();
+        });
         const callerMs = caller.timeLeftMs === undefined ? Infinity : caller.timeLeftMs - DEADLINE_MARGIN_MS;
         this.deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, callerMs);
         this.fingerprint = sha256Hex(`${organisation?.name ?? ""}\0${path}\0${body.toString("latin1")}`);
@@ -193,6 +195,7 @@
             targetLatencyMs: route.targetLatencyMs,
             giveUpAfterMs: leftMs,
             dueInMs: leftMs,
+            remainingMs: 0,
             allowedRegions,
             fingerprint: this.fingerprint,
             rate: hasRate ? { ratePerS: organisation.ratePerS, burst: organisation.burst } : undefined,
@@ -216,12 +219,13 @@
         const sending = new AbortController();
         const onEnding = () => sending.abort("ended");
         this.ending.signal.addEventListener("abort", onEnding, { once: true });
-        const eventsBefore = this.relay.eventCount;
-        this.hasAnswer = false;
+        const sentAtMs = performance.now();
+        this.firstAnswerAtMs = undefined;
         const silence = setTimeout(() => {
-            if (!this.hasAnswer && this.relay.eventCount === eventsBefore) {
+            if (this.firstAnswerAtMs === undefined) {
                 place.noteSilent();
-                if (this.repeat.mayRepeatSilent()) {
+                const isQuiet = this.parts.endpoints.getLastAnswerMs(place.endpoint.endpointId) < sentAtMs;
+                if (isQuiet && this.repeat.mayRepeatSilent()) {
                     sending.abort("silent");
                 }
             }
@@ -245,7 +249,8 @@
         const outcome = await this.take(answer);
         clearTimeout(silence);
         this.ending.signal.removeEventListener("abort", onEnding);
-        place.release(sending.signal.reason === "silent" ? "silent" : this.toPlaceEnd(outcome));
+        const firstAnswerMs = this.firstAnswerAtMs === undefined ? undefined : this.firstAnswerAtMs - sentAtMs;
+        place.release(sending.signal.reason === "silent" ? "silent" : this.toPlaceEnd(outcome), firstAnswerMs);
         return outcome;
     }
 
@@ -269,7 +274,7 @@
                 ? { kind: "answered", status }
                 : { kind: "ended", end: "broken", reason: end.reason };
         }
-        this.hasAnswer = true;
+        this.firstAnswerAtMs = performance.now();
         const whole = await readWhole(answer.value);
         if (whole === undefined || (status < 300 && !head.isSigned)) {
             return { kind: "ended", end: "broken", reason: whole === undefined ? "not whole" : "no signature" };
