Keep the dispatcher cheap under load: pools and lines, kept capacities, few asks of batch at once; claimed handovers

Cause: on the grown site the coordinator stood still for seconds in a zone cut: capacities were worked out anew (20 silent instances x 62 endpoints) and thousands of waiting batch asks sorted at each event. Jobs handed over were taken back by the coordinator, which still knew the stopping instance as their runner. The pace of items was learned from short runs. Change: waiting lines and endpoint pools apart, sorted insertion; capacities kept until something changes; 8 asks of batch an instance; the strongest instance decides; a handover names who gave it; places kept for arrivals within 30 ms.

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -1,7 +1,8 @@
 import type { Logger } from "@heatherline/common";
 import type { StoredObject } from "@heatherline/store";
 import { CrashBook } from "./crashBook";
-import { Dispatcher, type Place } from "./dispatcher";
+import { Dispatcher } from "./dispatcher";
+import type { Place } from "./endpointPool";
 import { getSlotsAlone } from "./floors";
 import { getElapsedMs, type Moment, newMoment } from "./freshness";
 import { JobBoard, type ProgressAnswer } from "./jobBoard";
@@ -19,6 +20,10 @@
 const REVIEW_INTERVAL_MS = 150;
 /** Time for the other instances to turn up before the coordinator judges whom it hears, in milliseconds. */
 const SETTLING_MS = 4_000;
+/** Time for stronger instances to turn up, in milliseconds. */
+const STRENGTH_DELAY_MS = 2_500;
+/** Part of the strongest instance's processor that the coordinator has at least. */
+const MIN_STRENGTH_PART = 0.7;
 /** Tokens that buckets begin with when an earlier coordinator may have handed the rest out. */
 const START_TOKENS_AFTER_TAKEOVER = 3;
 
@@ -59,6 +64,8 @@
     private readonly held = new Set<HeldSync>();
     private readonly startedAt = newMoment();
     private readonly reviewTimer: NodeJS.Timeout;
+    /** Computed anew after each change of endpoints, instances, or who is silent. */
+    private readonly capacities = new Map<string, number>();
     private silentInstances: ReadonlySet<string> = new Set();
 
     /**
@@ -178,6 +185,7 @@
 
     /** Applies a change of what is known of the fleet. */
     noteViewChanged(): void {
+        this.capacities.clear();
         this.dispatcher.setEndpoints(this.surroundings.view.getEndpoints());
         this.answerNews();
     }
@@ -210,6 +218,15 @@
         return (heard + 1) * 2 < others.length + 1;
     }
 
+    /** Whether an instance with clearly more processor than this one is heard, which had better decide. */
+    hearsStronger(): boolean {
+        const { self, view } = this.surroundings;
+        return getElapsedMs(this.startedAt) > STRENGTH_DELAY_MS &&
+            view.members.some(member =>
+                self.processorShare < member.processorShare * MIN_STRENGTH_PART && this.isHeard(member.instanceId)
+            );
+    }
+
     /** @returns Figures for metrics. */
     describe(): { service: string; online: number; batch: number; free: number; }[] {
         return this.dispatcher.getServices().map(service => ({ service, ...this.dispatcher.describe(service) }));
@@ -227,6 +244,15 @@
 
     /** Slots that silent instances may use by themselves are kept back. */
     private getCapacity(entry: EndpointEntry): number {
+        let capacity = this.capacities.get(entry.endpointId);
+        if (capacity === undefined) {
+            capacity = this.computeCapacity(entry);
+            this.capacities.set(entry.endpointId, capacity);
+        }
+        return capacity;
+    }
+
+    private computeCapacity(entry: EndpointEntry): number {
         const { view } = this.surroundings;
         if (view.evacuated.has(entry.dataCentre)) {
             return 0;
@@ -398,6 +424,7 @@
         if (hasChanged) {
             this.surroundings.logger.info({ event: "silent-instances", silent });
             this.silentInstances = new Set(silent);
+            this.capacities.clear();
             this.dispatcher.pumpAll();
         }
     }
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -1,8 +1,9 @@
 import { newRequestId } from "@heatherline/common";
-import { EndpointHealth } from "./endpointHealth";
-import { WaitForecast } from "./forecast";
-import { SendWindow } from "./sendWindow";
-import type { EndpointEntry, PlaceAsk, PlaceEnd, PlaceOutcome, WorkClass } from "./types";
+import { ArrivalRate } from "./arrivalRate";
+import { EndpointPool, type EndpointState, type Place, type PoolSurroundings } from "./endpointPool";
+import { type LineState, WaitForecast } from "./forecast";
+import type { EndpointEntry, PlaceAsk, PlaceEnd, PlaceOutcome } from "./types";
+import { type Waiter, WaitingLine } from "./waitingLine";
 
 /** A lower rank of priority counts as this much later an arrival, in milliseconds. */
 const PRIORITY_STEP_MS = 40;
@@ -16,63 +17,13 @@
 const FAIRNESS_STEP_MS = 300;
 /** Longest pause for callers while a service has no endpoint at all, in milliseconds. */
 const NO_ENDPOINT_RETRY_MS = 700;
-/** Part of a cold endpoint's rate that is used, which leaves room for what is in transit. */
-const COLD_RATE_PART = 0.9;
+/** A place that an online request is expected to need this soon isn't worth giving to batch, in milliseconds. */
+const RESERVE_MS = 30;
+/** How often it is looked again at what only the rate of cold endpoints holds back, in milliseconds. */
 const COLD_PUMP_MS = 25;
 
-/** A place in use. */
-export interface Place {
-    readonly placeId: string;
-    readonly endpointId: string;
-    readonly instanceId: string;
-    readonly service: string;
-    readonly workClass: WorkClass;
-    readonly organisation: string;
-    readonly sinceMs: number;
-    readonly dueAtMs: number;
-    /** When the item there is expected to be finished. */
-    readonly finishAtMs: number;
-    /** Whether the batch item there has been asked to give it up. */
-    isCalledBack: boolean;
-}
-
-interface Waiter {
-    readonly ask: PlaceAsk;
-    readonly settle: (outcome: PlaceOutcome) => void;
-    readonly arrivedAtMs: number;
-    /** Order among online requests, and among batch items. */
-    readonly rank: number;
-    readonly usefulUntilMs: number;
-    readonly giveUpAtMs: number;
-    timers: NodeJS.Timeout[];
-}
-
-interface EndpointState {
-    entry: EndpointEntry;
-    readonly running: Map<string, Place>;
-    readonly health: EndpointHealth;
-    readonly sent: SendWindow;
-    /** When a request there last ended with a sign of life. */
-    lastSignAtMs: number;
-}
-
 /** What the dispatcher is told about its surroundings. */
-export interface DispatchSurroundings {
-    /**
-     * @param entry - An endpoint.
-     * @returns Requests that it may be given at once by this dispatcher; 0 if it must not be used.
-     */
-    getCapacity(entry: EndpointEntry): number;
-    /**
-     * @param entry - An endpoint.
-     * @returns Requests a second that this dispatcher may send it should it be cold; 0 for any number.
-     */
-    getColdRatePerS(entry: EndpointEntry): number;
-    /**
-     * @param dataCentre - A data centre.
-     * @returns Its region.
-     */
-    getRegion(dataCentre: string): string;
+export interface DispatchSurroundings extends PoolSurroundings {
     /**
      * Asks the instance that runs a batch item to give its place up at once.
      *
@@ -81,6 +32,21 @@
     callBack(place: Place): void;
 }
 
+/** A place that was given back. */
+export interface Released {
+    readonly place: Place;
+    /** Whether its endpoint is paused because of how the request ended. */
+    readonly isPaused: boolean;
+}
+
+/** One service: who waits, what runs, and how long it takes. */
+interface ServiceState {
+    readonly line: WaitingLine;
+    readonly forecast: WaitForecast;
+    readonly arrivals: ArrivalRate;
+    readonly batchPlaces: Set<Place>;
+}
+
 /**
  * Gives requests their places at endpoints. Engines admit in order of arrival and know no priorities, so no more is
  * sent to an endpoint than it runs at once, and whoever waits, waits here: online in order of arrival, batch behind
@@ -88,49 +54,24 @@
  * is expected.
  */
 export class Dispatcher {
-    private readonly endpoints = new Map<string, EndpointState>();
+    private readonly pool: EndpointPool;
     private readonly places = new Map<string, Place>();
-    private readonly waiting = new Map<string, Waiter[]>();
-    private readonly forecasts = new Map<string, WaitForecast>();
+    private readonly services = new Map<string, ServiceState>();
+    private readonly batchByOrganisation = new Map<string, number>();
     private coldTimer: NodeJS.Timeout | undefined;
 
     /**
      * @param surroundings - Capacities and how to reach runners.
      */
-    constructor(private readonly surroundings: DispatchSurroundings) {}
+    constructor(private readonly surroundings: DispatchSurroundings) {
+        this.pool = new EndpointPool(surroundings);
+    }
 
     /**
      * @param entries - All endpoints there are now.
      */
     setEndpoints(entries: readonly EndpointEntry[]): void {
-        const listed = new Set(entries.map(({ endpointId }) => endpointId));
-        for (const entry of entries) {
-            const state = this.endpoints.get(entry.endpointId);
-            if (state === undefined) {
-                const running = new Map<string, Place>();
-                this.endpoints.set(entry.endpointId, {
-                    entry,
-                    running,
-                    health: new EndpointHealth(),
-                    sent: new SendWindow(),
-                    lastSignAtMs: -Infinity,
-                });
-            }
-            else {
-                state.entry = entry;
-            }
-        }
-        for (const [endpointId, { running }] of this.endpoints) {
-            if (!listed.has(endpointId) && running.size === 0) {
-                this.endpoints.delete(endpointId);
-            }
-            else if (!listed.has(endpointId)) {
-                const state = this.endpoints.get(endpointId);
-                if (state !== undefined) {
-                    state.entry = { ...state.entry, state: "draining" };
-                }
-            }
-        }
+        this.pool.setEntries(entries);
         this.pumpAll();
     }
 
@@ -142,31 +83,19 @@
      */
     place(ask: PlaceAsk): Promise<PlaceOutcome> {
         return new Promise(resolve => {
-            const nowMs = performance.now();
-            const forecast = this.getForecast(ask.service);
-            const waiter: Waiter = {
-                ask,
-                settle: resolve,
-                arrivedAtMs: nowMs,
-                rank: this.getRank(ask, nowMs),
-                usefulUntilMs: nowMs + ask.usefulForMs - forecast.getFirstAnswerMs(),
-                giveUpAtMs: nowMs + ask.giveUpAfterMs,
-                timers: [],
-            };
+            const waiter = this.newWaiter(ask, resolve);
             if (ask.workClass === "online") {
+                this.getService(ask.service).arrivals.note();
                 const line = this.getLine(ask, waiter.rank);
-                const waitMs = forecast.getWaitMs(line);
-                if (nowMs + waitMs > waiter.usefulUntilMs && line.free === 0) {
+                const waitMs = this.getService(ask.service).forecast.getWaitMs(line);
+                if (line.free === 0 && performance.now() + waitMs > waiter.usefulUntilMs) {
                     resolve(this.newRefusal(ask, waitMs));
                     return;
                 }
-                this.watchWaiter(waiter);
+                this.planReview(waiter);
             }
-            else {
-                this.addTimer(waiter, ask.giveUpAfterMs, () => this.refuse(waiter, Infinity));
-            }
-            this.getWaiters(ask.service).push(waiter);
-            this.getWaiters(ask.service).sort((left, right) => left.rank - right.rank);
+            this.addTimer(waiter, ask.giveUpAfterMs, () => this.refuse(waiter, Infinity));
+            this.getService(ask.service).line.add(waiter);
             this.pump(ask.service);
         });
     }
@@ -177,12 +106,11 @@
      * @param askId - The ask.
      */
     withdraw(askId: string): void {
-        for (const waiters of this.waiting.values()) {
-            const position = waiters.findIndex(({ ask }) => ask.askId === askId);
-            const waiter = waiters[position];
+        for (const { line } of this.services.values()) {
+            const waiter = line.find(askId);
             if (waiter !== undefined) {
-                waiters.splice(position, 1);
-                this.settle(waiter, { kind: "refused", reason: "unavailable", retryAfterMs: 0, detail: "withdrawn" });
+                line.remove(waiter);
+                settle(waiter, { kind: "refused", reason: "unavailable", retryAfterMs: 0, detail: "withdrawn" });
             }
         }
     }
@@ -193,52 +121,39 @@
      * @param placeId - The place; unknown ones are ignored, since releases may come twice.
      * @param end - How the request there ended.
      * @param firstAnswerMs - Time from the place to the first sign of an answer.
-     * @returns The place, and whether its endpoint is paused because of the end.
+     * @returns What was given back.
      */
-    release(
-        placeId: string,
-        end: PlaceEnd,
-        firstAnswerMs?: number,
-    ): { readonly place: Place; readonly isPaused: boolean; } | undefined {
+    release(placeId: string, end: PlaceEnd, firstAnswerMs?: number): Released | undefined {
         const place = this.places.get(placeId);
         if (place === undefined) {
             return undefined;
         }
+        const { forecast, batchPlaces } = this.getService(place.service);
         this.places.delete(placeId);
-        const state = this.endpoints.get(place.endpointId);
-        state?.running.delete(placeId);
-        const isPaused = state?.health.note(end) ?? false;
-        const isSign = end === "done" || end === "failed" || end === "rejected";
-        if (state !== undefined && isSign) {
-            state.lastSignAtMs = performance.now();
-        }
-        if (firstAnswerMs !== undefined && place.workClass === "online") {
-            this.getForecast(place.service).noteFirstAnswer(firstAnswerMs);
+        if (place.workClass === "batch") {
+            batchPlaces.delete(place);
+            this.countBatch(place.organisation, -1);
         }
-        if (end === "done" && place.workClass === "online") {
-            this.getForecast(place.service).noteHold(performance.now() - place.sinceMs);
+        else {
+            this.learn(forecast, place, end, firstAnswerMs);
         }
-        if (isPaused && state !== undefined) {
-            setTimeout(() => this.pump(place.service), state.health.getPauseLeftMs() + 1).unref();
+        const pauseMs = this.pool.removePlace(place, end);
+        if (pauseMs !== undefined) {
+            setTimeout(() => this.pump(place.service), pauseMs + 1).unref();
         }
         this.pump(place.service);
-        return { place, isPaused };
+        return { place, isPaused: pauseMs !== undefined };
     }
 
     /**
-     * Notes that an endpoint has been silent for too long about a request that goes on. It may be the request that
-     * takes long, so an endpoint that has answered others since is not paused.
+     * Notes that an endpoint has been silent for too long about a request that goes on.
      *
      * @param placeId - The place of the request.
      * @returns Whether the endpoint is paused because of it.
      */
     noteSilent(placeId: string): boolean {
         const place = this.places.get(placeId);
-        const state = place === undefined ? undefined : this.endpoints.get(place.endpointId);
-        if (place === undefined || state === undefined || state.lastSignAtMs > place.sinceMs) {
-            return false;
-        }
-        return state.health.note("silent");
+        return place !== undefined && this.pool.noteSilent(place);
     }
 
     /**
@@ -248,8 +163,7 @@
      */
     adopt(place: Place): void {
         if (!this.places.has(place.placeId)) {
-            this.places.set(place.placeId, place);
-            this.endpoints.get(place.endpointId)?.running.set(place.placeId, place);
+            this.addPlace(place);
         }
     }
 
@@ -260,7 +174,7 @@
 
     /** Looks again at who can be placed, after capacities have changed. */
     pumpAll(): void {
-        for (const service of this.waiting.keys()) {
+        for (const service of this.services.keys()) {
             this.pump(service);
         }
     }
@@ -271,9 +185,9 @@
      * @param detail - Why, for the log.
      */
     clear(detail: string): void {
-        for (const waiters of this.waiting.values()) {
-            for (const waiter of waiters.splice(0)) {
-                this.settle(waiter, { kind: "refused", reason: "unavailable", retryAfterMs: 0, detail });
+        for (const { line } of this.services.values()) {
+            for (const waiter of line.clear()) {
+                settle(waiter, { kind: "refused", reason: "unavailable", retryAfterMs: 0, detail });
             }
         }
         clearTimeout(this.coldTimer);
@@ -284,40 +198,50 @@
      * @returns Figures for metrics.
      */
     describe(service: string): { readonly online: number; readonly batch: number; readonly free: number; } {
-        const waiters = this.getWaiters(service);
-        const online = waiters.filter(({ ask }) => ask.workClass === "online").length;
-        return { online, batch: waiters.length - online, free: this.countPlaces(service, undefined).free };
+        const { line } = this.getService(service);
+        return { online: line.onlineCount, batch: line.batchCount, free: this.pool.count(service, undefined).free };
     }
 
     /** @returns Names of the services that have endpoints. */
     getServices(): string[] {
-        return [...new Set([...this.endpoints.values()].map(({ entry }) => entry.service))];
+        return this.pool.getServices();
+    }
+
+    private newWaiter(ask: PlaceAsk, resolve: (outcome: PlaceOutcome) => void): Waiter {
+        const nowMs = performance.now();
+        const { forecast } = this.getService(ask.service);
+        return {
+            ask,
+            settle: resolve,
+            rank: this.getRank(ask, nowMs),
+            usefulUntilMs: nowMs + ask.usefulForMs - forecast.getFirstAnswerMs(),
+            startByMs: nowMs + ask.dueInMs - ask.remainingMs,
+            timers: [],
+        };
     }
 
     private getRank(ask: PlaceAsk, nowMs: number): number {
         if (ask.workClass === "batch") {
-            const running = [...this.places.values()]
-                .filter(({ workClass, organisation }) => workClass === "batch" && organisation === ask.organisation);
-            return nowMs + ask.dueInMs + REMAINING_WEIGHT * ask.remainingMs + running.length * FAIRNESS_STEP_MS;
+            const running = this.batchByOrganisation.get(ask.organisation) ?? 0;
+            return nowMs + ask.dueInMs + REMAINING_WEIGHT * ask.remainingMs + running * FAIRNESS_STEP_MS;
         }
-        const isReturning = this.getForecast(ask.service).takeReturn(ask.fingerprint);
+        const isReturning = this.getService(ask.service).forecast.takeReturn(ask.fingerprint);
         return nowMs + ask.priority * PRIORITY_STEP_MS - (isReturning ? RETURN_CREDIT_MS : 0);
     }
 
-    /** Looks again while there is time to be served elsewhere, and gives up when the caller does. */
-    private watchWaiter(waiter: Waiter): void {
+    /** Looks again at a request while there is time to be served elsewhere. */
+    private planReview(waiter: Waiter): void {
         const { ask } = waiter;
-        const early = ask.targetLatencyMs * EARLY_REFUSAL_PART;
-        if (ask.usefulForMs > early) {
-            this.addTimer(waiter, early, () => {
-                const line = this.getLine(ask, waiter.rank);
-                const waitMs = this.getForecast(ask.service).getWaitMs(line);
-                if (performance.now() + waitMs > waiter.usefulUntilMs) {
-                    this.refuse(waiter, waitMs);
-                }
-            });
+        const earlyMs = ask.targetLatencyMs * EARLY_REFUSAL_PART;
+        if (ask.usefulForMs <= earlyMs) {
+            return;
         }
-        this.addTimer(waiter, ask.giveUpAfterMs, () => this.refuse(waiter, Infinity));
+        this.addTimer(waiter, earlyMs, () => {
+            const waitMs = this.getService(ask.service).forecast.getWaitMs(this.getLine(ask, waiter.rank));
+            if (performance.now() + waitMs > waiter.usefulUntilMs) {
+                this.refuse(waiter, waitMs);
+            }
+        });
     }
 
     private addTimer(waiter: Waiter, delayMs: number, run: () => void): void {
@@ -325,11 +249,8 @@
     }
 
     private refuse(waiter: Waiter, waitMs: number): void {
-        const waiters = this.getWaiters(waiter.ask.service);
-        const position = waiters.indexOf(waiter);
-        if (position >= 0) {
-            waiters.splice(position, 1);
-            this.settle(waiter, this.newRefusal(waiter.ask, waitMs));
+        if (this.getService(waiter.ask.service).line.remove(waiter)) {
+            settle(waiter, this.newRefusal(waiter.ask, waitMs));
         }
     }
 
@@ -339,70 +260,65 @@
         if (line.places === 0) {
             return { kind: "refused", reason: "no-endpoint", retryAfterMs: NO_ENDPOINT_RETRY_MS, detail };
         }
-        const retryAfterMs = this.getForecast(ask.service).planReturn(line, ask.fingerprint);
+        const retryAfterMs = this.getService(ask.service).forecast.planReturn(line, ask.fingerprint);
         return { kind: "refused", reason: "overloaded", retryAfterMs, detail };
     }
 
-    private settle(waiter: Waiter, outcome: PlaceOutcome): void {
-        for (const timer of waiter.timers) {
-            clearTimeout(timer);
-        }
-        waiter.settle(outcome);
-    }
-
-    private getLine(ask: PlaceAsk, rank: number) {
-        const { total, free, preemptable } = this.countPlaces(ask.service, ask);
-        const ahead = this.getWaiters(ask.service)
-            .filter(waiter => waiter.ask.workClass === "online" && waiter.rank < rank).length;
+    private getLine(ask: PlaceAsk, rank: number): LineState {
+        const { total, free, preemptable } = this.pool.count(ask.service, ask);
+        const ahead = this.getService(ask.service).line.countOnlineBefore(rank);
         return { places: total, free, atOnce: free + preemptable, ahead };
     }
 
-    private countPlaces(service: string, ask: PlaceAsk | undefined) {
-        let total = 0;
-        let free = 0;
-        let preemptable = 0;
-        for (const state of this.endpoints.values()) {
-            if (state.entry.service !== service || (ask !== undefined && !this.isAllowed(state, ask))) {
-                continue;
-            }
-            const capacity = this.getUsableCapacity(state);
-            total += capacity;
-            free += Math.max(0, capacity - state.running.size);
-            preemptable += capacity === 0 ? 0 : countBatch(state);
-        }
-        return { total, free, preemptable };
-    }
-
     /** Places the waiting requests, as far as there are places; then calls back from batch what online lacks. */
     private pump(service: string): void {
-        const waiters = this.getWaiters(service);
-        let mayPlaceBatch = true;
+        const { line } = this.getService(service);
+        if (line.onlineCount + line.batchCount === 0) {
+            return;
+        }
         let unplaced = 0;
-        for (const waiter of [...waiters].sort(compareWaiters)) {
-            if (waiter.ask.workClass === "batch" && !mayPlaceBatch) {
-                break;
-            }
-            const state = this.pickEndpoint(waiter.ask);
+        for (const waiter of line.getOnline()) {
+            const state = this.pool.pick(waiter.ask);
             if (state !== undefined) {
-                waiters.splice(waiters.indexOf(waiter), 1);
+                line.remove(waiter);
                 this.give(waiter, state);
             }
-            else if (waiter.ask.workClass === "online") {
-                mayPlaceBatch = false;
+            else {
                 unplaced += 1;
             }
-            else if (waiter.ask.excluded.length === 0) {
-                break;
-            }
         }
         if (unplaced > 0) {
             this.callBackBatch(service, unplaced);
         }
-        if (waiters.length > 0) {
+        else {
+            this.placeBatch(service, line);
+        }
+        if (line.onlineCount + line.batchCount > 0 && this.pool.isRateBound(service)) {
             this.planColdPump();
         }
     }
 
+    private placeBatch(service: string, line: WaitingLine): void {
+        if (line.batchCount === 0) {
+            return;
+        }
+        let left = this.pool.count(service, undefined).free - this.getService(service).arrivals.getExpected(RESERVE_MS);
+        for (const waiter of line.getBatch()) {
+            if (left < 1) {
+                return;
+            }
+            const state = this.pool.pick(waiter.ask);
+            if (state !== undefined) {
+                line.remove(waiter);
+                this.give(waiter, state);
+                left -= 1;
+            }
+            else if (waiter.ask.excluded.length === 0) {
+                return;
+            }
+        }
+    }
+
     private give(waiter: Waiter, state: EndpointState): void {
         const { ask } = waiter;
         const nowMs = performance.now();
@@ -418,65 +334,41 @@
             finishAtMs: nowMs + ask.remainingMs,
             isCalledBack: false,
         };
-        this.places.set(place.placeId, place);
-        state.running.set(place.placeId, place);
+        this.addPlace(place);
         state.sent.note();
-        this.settle(waiter, { kind: "placed", placeId: place.placeId, endpointId: place.endpointId });
+        settle(waiter, { kind: "placed", placeId: place.placeId, endpointId: place.endpointId });
     }
 
-    private pickEndpoint(ask: PlaceAsk): EndpointState | undefined {
-        let best: EndpointState | undefined;
-        let bestCost = Infinity;
-        for (const state of this.endpoints.values()) {
-            if (state.entry.service !== ask.service || !this.isAllowed(state, ask) || !this.hasRoom(state)) {
-                continue;
-            }
-            const isRemote = state.entry.dataCentre !== ask.dataCentre;
-            const cost = state.running.size / state.entry.slots + (isRemote ? 1 : 0);
-            if (cost < bestCost) {
-                best = state;
-                bestCost = cost;
-            }
+    private addPlace(place: Place): void {
+        this.places.set(place.placeId, place);
+        this.pool.addPlace(place);
+        if (place.workClass === "batch") {
+            this.getService(place.service).batchPlaces.add(place);
+            this.countBatch(place.organisation, 1);
         }
-        return best;
-    }
-
-    private isAllowed({ entry }: EndpointState, ask: PlaceAsk): boolean {
-        const isRegionAllowed = ask.allowedRegions.length === 0
-            || ask.allowedRegions.includes(this.surroundings.getRegion(entry.dataCentre));
-        return isRegionAllowed && !ask.excluded.includes(entry.endpointId);
     }
 
-    private getUsableCapacity({ entry, health }: EndpointState): number {
-        if (entry.state !== "ready" || health.getPauseLeftMs() > 0 || !health.mayTake(0)) {
-            return 0;
+    private learn(forecast: WaitForecast, place: Place, end: PlaceEnd, firstAnswerMs: number | undefined): void {
+        if (end === "done") {
+            forecast.noteHold(performance.now() - place.sinceMs);
+        }
+        if (firstAnswerMs !== undefined) {
+            forecast.noteFirstAnswer(firstAnswerMs);
         }
-        return health.mayTake(1)
-            ? this.surroundings.getCapacity(entry)
-            : Math.min(1, this.surroundings.getCapacity(entry));
-    }
-
-    private hasRoom(state: EndpointState): boolean {
-        return state.entry.state === "ready"
-            && state.running.size < this.surroundings.getCapacity(state.entry)
-            && state.health.mayTake(state.running.size)
-            && state.sent.getWaitMs(this.getColdRatePerS(state.entry)) === 0;
-    }
-
-    /** An endpoint may turn cold unannounced, so the rate of a cold one is kept always. */
-    private getColdRatePerS(entry: EndpointEntry): number {
-        return this.surroundings.getColdRatePerS(entry) * COLD_RATE_PART;
     }
 
-    /** Calls back the batch items that are due last, as many as online requests wait. */
+    /** Calls back as many batch items as online requests wait. */
     private callBackBatch(service: string, wanted: number): void {
-        const batch = [...this.places.values()].filter(place =>
-            place.service === service && place.workClass === "batch"
-        );
-        const missing = wanted - batch.filter(({ isCalledBack }) => isCalledBack).length;
-        const candidates = batch.filter(({ isCalledBack }) => !isCalledBack)
-            .sort(compareForCallBack);
-        for (const place of candidates.slice(0, Math.max(0, missing))) {
+        const { batchPlaces } = this.getService(service);
+        if (batchPlaces.size === 0) {
+            return;
+        }
+        const candidates = [...batchPlaces].filter(({ isCalledBack }) => !isCalledBack);
+        const missing = wanted - (batchPlaces.size - candidates.length);
+        if (missing <= 0) {
+            return;
+        }
+        for (const place of candidates.sort(compareForCallBack).slice(0, missing)) {
             place.isCalledBack = true;
             this.surroundings.callBack(place);
         }
@@ -484,46 +376,42 @@
 
     /** A second's worth of requests to a cold endpoint runs out without any event that would tell. */
     private planColdPump(): void {
-        const isRateBound = [...this.endpoints.values()]
-            .some(({ entry, sent }) => sent.getWaitMs(this.getColdRatePerS(entry)) > 0);
-        if (this.coldTimer === undefined && isRateBound) {
-            this.coldTimer = setTimeout(() => {
-                this.coldTimer = undefined;
-                this.pumpAll();
-            }, COLD_PUMP_MS);
-        }
+        this.coldTimer ??= setTimeout(() => {
+            this.coldTimer = undefined;
+            this.pumpAll();
+        }, COLD_PUMP_MS);
     }
 
-    private getWaiters(service: string): Waiter[] {
-        let waiters = this.waiting.get(service);
-        if (waiters === undefined) {
-            waiters = [];
-            this.waiting.set(service, waiters);
+    private countBatch(organisation: string, change: number): void {
+        const count = (this.batchByOrganisation.get(organisation) ?? 0) + change;
+        if (count > 0) {
+            this.batchByOrganisation.set(organisation, count);
+        }
+        else {
+            this.batchByOrganisation.delete(organisation);
         }
-        return waiters;
     }
 
-    private getForecast(service: string): WaitForecast {
-        let forecast = this.forecasts.get(service);
-        if (forecast === undefined) {
-            forecast = new WaitForecast();
-            this.forecasts.set(service, forecast);
+    private getService(service: string): ServiceState {
+        let state = this.services.get(service);
+        if (state === undefined) {
+            state = {
+                line: new WaitingLine(),
+                forecast: new WaitForecast(),
+                arrivals: new ArrivalRate(),
+                batchPlaces: new Set(),
+            };
+            this.services.set(service, state);
         }
-        return forecast;
+        return state;
     }
 }
 
-/** Online that is still useful first, then online that will be late, then batch, what can't be in time last. */
-function compareWaiters(left: Waiter, right: Waiter): number {
-    return getLevel(left) - getLevel(right) || left.rank - right.rank;
-}
-
-function getLevel({ ask, arrivedAtMs, usefulUntilMs }: Waiter): number {
-    const nowMs = performance.now();
-    if (ask.workClass === "batch") {
-        return nowMs + ask.remainingMs <= arrivedAtMs + ask.dueInMs ? 2 : 3;
+function settle(waiter: Waiter, outcome: PlaceOutcome): void {
+    for (const timer of waiter.timers) {
+        clearTimeout(timer);
     }
-    return nowMs <= usefulUntilMs ? 0 : 1;
+    waiter.settle(outcome);
 }
 
 /** Items that will be late anyway give their places up first, then those that have the most time. */
@@ -531,11 +419,3 @@
     const isLate = ({ finishAtMs, dueAtMs }: Place) => finishAtMs > dueAtMs ? 0 : 1;
     return isLate(left) - isLate(right) || (right.dueAtMs - right.finishAtMs) - (left.dueAtMs - left.finishAtMs);
 }
-
-function countBatch(state: EndpointState): number {
-    let count = 0;
-    for (const { workClass } of state.running.values()) {
-        count += workClass === "batch" ? 1 : 0;
-    }
-    return count;
-}
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./crashBook";
 export * from "./dispatcher";
 export * from "./endpointHealth";
+export * from "./endpointPool";
 export * from "./endpointRoster";
 export * from "./floors";
 export * from "./forecast";
--- a/packages/fleet/src/jobBoard.ts
+++ b/packages/fleet/src/jobBoard.ts
@@ -87,7 +87,7 @@
         const nowMs = performance.now();
         const closed: string[] = [];
         const taken: string[] = [];
-        for (const { jobId, finishedTokens } of reports) {
+        for (const { jobId, finishedTokens, handedOverBy } of reports) {
             const entry = this.jobs.get(jobId);
             if (entry === undefined) {
                 // A job that was just accepted may not have been read yet; the runner asks the store before it stops.
@@ -96,9 +96,9 @@
                 }
                 continue;
             }
-            if (
-                entry.runner !== undefined && entry.runner !== instanceId && nowMs - entry.reportedAtMs < UNCLAIMED_MS
-            ) {
+            const isElsewhere = entry.runner !== undefined && entry.runner !== instanceId
+                && entry.runner !== handedOverBy && nowMs - entry.reportedAtMs < UNCLAIMED_MS;
+            if (isElsewhere) {
                 taken.push(jobId);
                 continue;
             }
--- a/packages/fleet/src/lease.ts
+++ b/packages/fleet/src/lease.ts
@@ -13,6 +13,7 @@
 const RENEWAL_RETRY_MS = 120;
 /** Candidates begin this much after each other, so that one of them mostly finds the lease free. */
 const RANK_DELAY_MS = 60;
+const MAX_RANK_DELAY_MS = 900;
 const FIRST_START_JITTER_MS = 40;
 const READ_RETRY_MS = 200;
 /** Whoever gave the lease up because it hears too few others doesn't take it for this long, in milliseconds. */
@@ -239,12 +240,18 @@
         return Math.max(abstainMs, termMs + (isOwnPast ? 0 : this.getRankDelayMs()) - getElapsedMs(seenAt));
     }
 
+    /** Instances with the most processor go first, since deciding for all takes some. */
     private getRankDelayMs(): number {
         const candidates = this.surroundings.getMembers()
-            .map(({ instanceId }) => instanceId)
-            .filter(instanceId => instanceId !== this.observed?.record.holder.instanceId);
-        const rank = rankByRendezvous(LEASE_PATH, candidates).indexOf(this.self.instanceId);
-        return RANK_DELAY_MS * Math.max(0, rank);
+            .filter(({ instanceId }) => instanceId !== this.observed?.record.holder.instanceId);
+        const order = rankByRendezvous(LEASE_PATH, candidates.map(({ instanceId }) => instanceId));
+        const position = new Map(order.map((instanceId, index) => [instanceId, index]));
+        const ranked = candidates.sort((left, right) =>
+            right.processorShare - left.processorShare
+            || (position.get(left.instanceId) ?? 0) - (position.get(right.instanceId) ?? 0)
+        );
+        const rank = ranked.findIndex(({ instanceId }) => instanceId === this.self.instanceId);
+        return Math.min(MAX_RANK_DELAY_MS, RANK_DELAY_MS * Math.max(0, rank));
     }
 
     private observe(object: StoredObject): void {
--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -307,8 +307,9 @@
 }
 
 function readMember({ value }: StoredObject): MemberEntry[] {
-    const { instanceId, incarnation, host, rpcPort, dataCentre } = value;
+    const { instanceId, incarnation, host, rpcPort, dataCentre, processorShare } = value;
     const isComplete = typeof instanceId === "string" && typeof incarnation === "string" && typeof host === "string"
-        && typeof rpcPort === "number" && typeof dataCentre === "string";
-    return isComplete ? [{ instanceId, incarnation, host, rpcPort, dataCentre }] : [];
+        && typeof rpcPort === "number" && typeof dataCentre === "string"
+        && typeof processorShare === "number";
+    return isComplete ? [{ instanceId, incarnation, host, rpcPort, dataCentre, processorShare }] : [];
 }
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -96,6 +96,8 @@
     readonly host: string;
     readonly rpcPort: number;
     readonly dataCentre: string;
+    /** Processor of the instance, in cores. */
+    readonly processorShare: number;
 }
 
 /** A batch job as far as all instances need to know it. */
@@ -198,4 +200,6 @@
     readonly jobId: string;
     /** Tokens of the items that are finished. */
     readonly finishedTokens: number;
+    /** The instance that handed the job over; empty if none did. */
+    readonly handedOverBy: string;
 }
--- a/packages/fleet/tests/overload.test.ts
+++ b/packages/fleet/tests/overload.test.ts
@@ -11,6 +11,7 @@
     host: "127.0.0.1",
     rpcPort: 1,
     dataCentre: `dc-${index % 3}`,
+    processorShare: 1,
 }));
 
 /** One queue for all instances. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -56,6 +56,8 @@
     readonly instanceId: string;
     readonly host: string;
     readonly dataCentre: string;
+    /** Processor of the instance, in cores. */
+    readonly processorShare: number;
     readonly regions: Readonly<Record<string, string>>;
     readonly callers: { readonly host: string; readonly port: number; };
     readonly readiness: { readonly host: string; readonly port: number; };
@@ -107,10 +109,10 @@
         private readonly outside: GatewayOutside,
         private readonly logger: Logger,
     ) {
-        const { instanceId, host, dataCentre, peers } = settings;
+        const { instanceId, host, dataCentre, peers, processorShare } = settings;
         const { store, schema, wire } = outside;
         const { view } = this;
-        this.self = { instanceId, incarnation: newId(), host, rpcPort: peers.port, dataCentre };
+        this.self = { instanceId, incarnation: newId(), host, rpcPort: peers.port, dataCentre, processorShare };
         this.admission = new Admission(view, settings.revokeMs);
         this.rpc = new RpcPeerTransport(() => undefined, "");
         this.retirement = new RetirementDesk(schema, outside.putStatus, logger);
@@ -146,6 +148,7 @@
         });
         const { metrics, placement, admission, link, rpc } = this;
         this.runner = new JobRunner({
+            instanceId,
             store: jobStore,
             view,
             placement,
@@ -251,8 +254,8 @@
 
     /** When all instances start together, the seeds settle among themselves who decides, and the others hear of it. */
     private getFirstDelayMs(): number {
-        const { seeds, host, isFirstStart } = this.settings;
-        const isSeed = seeds.some(seed => seed.host === host);
+        const { seeds, isFirstStart } = this.settings;
+        const isSeed = seeds.some(seed => this.isOwn(seed));
         return isFirstStart && !isSeed ? FIRST_START_DELAY_MS * (1 + Math.random()) : 0;
     }
 
@@ -370,6 +373,9 @@
         if (this.coordinator?.hearsTooFew() === true) {
             void this.lease.abstain("most instances are out of hearing");
         }
+        else if (this.coordinator?.hearsStronger() === true) {
+            void this.lease.abstain("an instance with more processor is there");
+        }
     }
 
     private logStatus(): void {
@@ -402,6 +408,11 @@
         }
     }
 
+    private isOwn({ host, port }: { readonly host: string; readonly port: number; }): boolean {
+        const { peers } = this.settings;
+        return host === peers.host && port === peers.port;
+    }
+
     /** An instance that starts while the store is away learns from the others. */
     private async learnFromSeeds(): Promise<void> {
         while (!this.isStopping) {
@@ -409,7 +420,7 @@
             if (!hasCoordinator || !this.admission.isCurrent || this.view.getEndpoints().length === 0) {
                 const members = this.view.members.map(({ host, rpcPort }) => ({ host, port: rpcPort }));
                 const some = members.sort(() => Math.random() - 0.5).slice(0, MEMBERS_ASKED_AT_ONCE);
-                const others = [...this.settings.seeds, ...some].filter(({ host }) => host !== this.settings.host);
+                const others = [...this.settings.seeds, ...some].filter(address => !this.isOwn(address));
                 await Promise.all(others.map(({ host, port }) => this.learnFrom(host, port)));
             }
             await sleep(REVIEW_INTERVAL_MS);
--- a/packages/gateway/src/itemPace.ts
+++ b/packages/gateway/src/itemPace.ts
@@ -2,6 +2,8 @@
 const FIRST_EVENTS = 200;
 const FIRST_EVENT_GAP_MS = 25;
 const SMOOTHING = 0.1;
+/** In shorter runs the time to the first event counts for too much. */
+const MIN_EVENTS = 20;
 
 /** How long batch items take, learned from those that were finished. */
 export class ItemPace {
@@ -13,7 +15,7 @@
      * @param tookMs - How long it took.
      */
     noteRun(events: number, tookMs: number): void {
-        if (events > 1) {
+        if (events >= MIN_EVENTS) {
             this.gapMs += SMOOTHING * (tookMs / events - this.gapMs);
         }
     }
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -1,5 +1,12 @@
 import { sleep } from "@heatherline/common";
-import { type HeldPlace, pickService, type PlaceEnd, type Placement, type Route } from "@heatherline/fleet";
+import {
+    type HeldPlace,
+    pickService,
+    type PlaceEnd,
+    type Placement,
+    type PlacementOutcome,
+    type Route,
+} from "@heatherline/fleet";
 import type { EndpointClient } from "./endpointClient";
 import { EventReader, readEventData } from "./eventReader";
 import type { ItemPace } from "./itemPace";
@@ -27,6 +34,8 @@
     readonly endpoints: EndpointClient;
     readonly wire: WireCodec;
     readonly pace: ItemPace;
+    /** Lets only a few items of an instance wait for places at once, the ones that are due first. */
+    readonly queueAsk: (dueInMs: number, ask: () => Promise<PlacementOutcome>) => Promise<PlacementOutcome>;
     /** The route that the item's path has now. */
     readonly findRoute: () => Route | undefined;
     readonly getBody: () => Promise<Buffer | undefined>;
@@ -137,21 +146,23 @@
         if (service === undefined || body === undefined) {
             return "stopped";
         }
-        const outcome = await this.surroundings.placement.ask({
-            service,
-            workClass: "batch",
-            organisation: this.job.organisation,
-            priority: route.priority,
-            usefulForMs: ASK_MS,
-            targetLatencyMs: ASK_MS,
-            giveUpAfterMs: ASK_MS,
-            remainingMs: this.surroundings.pace.getRemainingMs(this.data.length),
-            dueInMs: this.job.submittedAt + route.completionTargetMs - Date.now(),
-            allowedRegions: route.allowedRegions,
-            fingerprint: `${this.job.jobId}/${this.item.itemId}`,
-            rate: undefined,
-            signal: this.signal,
-        });
+        const dueInMs = this.job.submittedAt + route.completionTargetMs - Date.now();
+        const outcome = await this.surroundings.queueAsk(dueInMs, () =>
+            this.surroundings.placement.ask({
+                service,
+                workClass: "batch",
+                organisation: this.job.organisation,
+                priority: route.priority,
+                usefulForMs: ASK_MS,
+                targetLatencyMs: ASK_MS,
+                giveUpAfterMs: ASK_MS,
+                remainingMs: this.surroundings.pace.getRemainingMs(this.data.length),
+                dueInMs: this.job.submittedAt + route.completionTargetMs - Date.now(),
+                allowedRegions: route.allowedRegions,
+                fingerprint: `${this.job.jobId}/${this.item.itemId}`,
+                rate: undefined,
+                signal: this.signal,
+            }));
         if (outcome.kind === "refused") {
             await sleep(IDLE_PAUSE_MS, this.signal);
             return "stopped";
--- a/packages/gateway/src/jobRun.ts
+++ b/packages/gateway/src/jobRun.ts
@@ -27,6 +27,8 @@
 /** What an instance that stops has made of a job, for the one that goes on with it. */
 export interface JobHandover {
     readonly jobId: string;
+    /** The instance that stops. */
+    readonly by: string;
     readonly items: readonly ItemState[];
     /** Results that are not written yet. */
     readonly finished: readonly ItemResult[];
@@ -58,7 +60,7 @@
         readonly manifest: JobManifest,
         bodies: Map<string, string> | undefined,
         private readonly surroundings: JobSurroundings,
-        handover: JobHandover | undefined,
+        private readonly handover: JobHandover | undefined,
     ) {
         this.states = new Map(handover?.items.map(state => [state.itemId, state]));
         this.finished = [...handover?.finished ?? []];
@@ -95,7 +97,7 @@
         for (const { itemId } of [...this.results, ...this.finished]) {
             finishedTokens += this.tokensByItem.get(itemId) ?? 0;
         }
-        return { jobId: this.manifest.jobId, finishedTokens };
+        return { jobId: this.manifest.jobId, finishedTokens, handedOverBy: this.handover?.by ?? "" };
     }
 
     /** Starts; what an earlier runner wrote is read first. */
@@ -137,10 +139,13 @@
         }
     }
 
-    /** @returns What the job has made so far beyond what the store has. */
-    getHandover(): JobHandover {
+    /**
+     * @param by - The instance that hands the job over.
+     * @returns What the job has made so far beyond what the store has.
+     */
+    getHandover(by: string): JobHandover {
         const { jobId } = this.manifest;
-        return { jobId, items: [...this.itemRuns.values()].map(run => run.getState()), finished: this.finished };
+        return { jobId, by, items: [...this.itemRuns.values()].map(run => run.getState()), finished: this.finished };
     }
 
     /**
--- a/packages/gateway/src/jobRunner.ts
+++ b/packages/gateway/src/jobRunner.ts
@@ -5,6 +5,7 @@
     type MemberEntry,
     METHODS,
     type Placement,
+    type PlacementOutcome,
     type RpcCaller,
 } from "@heatherline/fleet";
 import PQueue from "p-queue";
@@ -17,15 +18,19 @@
 import type { WireCodec } from "./wireCodec";
 
 /** Items of an instance that run or wait for a place at once. */
-const ITEMS_AT_ONCE = 48;
+const ITEMS_AT_ONCE = 64;
+/** Items of an instance that wait for places at the coordinator at once. */
+const ASKS_AT_ONCE = 8;
 /** Bytes of results of finished jobs that are kept for readers. */
 const MAX_KEPT_BYTES = 16_000_000;
-const HANDOVER_TIMEOUT_MS = 1_000;
+const HANDOVER_TIMEOUT_MS = 500;
+const MAX_HANDOVER_TRIES = 4;
 
 export type { JobHandover } from "./jobRun";
 
 /** What running jobs depends on. */
 export interface RunnerParts {
+    readonly instanceId: string;
     readonly store: JobStore;
     readonly view: FleetView;
     readonly placement: Placement;
@@ -43,6 +48,7 @@
     private readonly runs = new Map<string, JobRun>();
     private readonly loading = new Set<string>();
     private readonly queue = new PQueue({ concurrency: ITEMS_AT_ONCE });
+    private readonly asks = new PQueue({ concurrency: ASKS_AT_ONCE });
     private readonly pace = new ItemPace();
     private isStopping = false;
 
@@ -148,14 +154,16 @@
     async handOver(others: readonly MemberEntry[]): Promise<void> {
         const open = this.getOpen();
         this.isStopping = true;
-        for (const [index, run] of open.entries()) {
+        await Promise.all(open.map((run, index) => {
             run.stop("the instance stops");
-            const member = others[index % Math.max(1, others.length)];
-            if (member === undefined) {
-                continue;
-            }
-            const handover = run.getHandover();
-            const { host, rpcPort, instanceId } = member;
+            const candidates = others.map((_, step) => others[(index + step) % others.length] as MemberEntry);
+            return this.handOverJob(run, candidates.slice(0, MAX_HANDOVER_TRIES));
+        }));
+    }
+
+    private async handOverJob(run: JobRun, candidates: readonly MemberEntry[]): Promise<void> {
+        const handover = run.getHandover(this.parts.instanceId);
+        for (const { host, rpcPort, instanceId } of candidates) {
             const reply = await this.parts.rpc.callAddress<boolean>(
                 host,
                 rpcPort,
@@ -163,13 +171,12 @@
                 handover,
                 HANDOVER_TIMEOUT_MS,
             );
-            this.parts.logger.info({
-                event: "job-handed-over",
-                job: run.manifest.jobId,
-                to: instanceId,
-                isTaken: reply.unwrapOr(false),
-                items: handover.items.length,
-            });
+            const isTaken = reply.unwrapOr(false);
+            const { logger } = this.parts;
+            logger.info({ event: "job-handed-over", job: handover.jobId, to: instanceId, isTaken });
+            if (isTaken) {
+                return;
+            }
         }
     }
 
@@ -214,6 +221,10 @@
             endpoints: parts.endpoints,
             wire: parts.wire,
             pace: this.pace,
+            queueAsk: async (dueInMs, ask) => {
+                const dueAtMs = performance.now() + dueInMs;
+                return await this.asks.add(ask, { priority: -dueAtMs }) as PlacementOutcome;
+            },
             findRoute: () => parts.view.routes?.findRoute(manifest.host, item.path),
             getBody,
             mayRun: () => !this.isStopping && parts.isCurrent(),
--- /dev/null
+++ b/standins/operators/fleet.ts
@@ -0,0 +1,253 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Engine, type EngineOptions } from "./engine";
+import { ObjectApi } from "./objectApi";
+
+const PROGRAM = new URL("../../target/gateway.cjs", import.meta.url).pathname;
+const READY_TIMEOUT_MS = 15_000;
+const POLL_MS = 25;
+
+/** Keys of the two organisations that the fleet's first configuration knows. */
+export const KEYS = { alpha: "alpha-key", beta: "beta-key" } as const;
+
+/** Host of all routes. */
+export const HOST = "api.example";
+
+/** One running gateway. */
+export interface GatewayProcess {
+    readonly name: string;
+    readonly port: number;
+    readonly readyPort: number;
+    readonly controlPort: number;
+    readonly metricsPort: number;
+    child: ChildProcess;
+    /** All that it wrote to standard output. */
+    readonly lines: string[];
+    readonly settingsPath: string;
+}
+
+/** The operators' platform on loopback: the store's stand-in, engines, and gateways as separate processes. */
+export class OperatorsFleet {
+    readonly store = new ObjectApi();
+    readonly engines: Engine[] = [];
+    readonly gateways: GatewayProcess[] = [];
+    private storePort = 0;
+    private configVersion = 0;
+    private readonly folder = mkdtempSync(join(tmpdir(), "heatherline-"));
+
+    /** Starts the store. */
+    async start(): Promise<void> {
+        this.storePort = await this.store.listen();
+    }
+
+    /** Ends all that was started here. */
+    async stop(): Promise<void> {
+        for (const { child } of this.gateways) {
+            child.kill("SIGKILL");
+        }
+        await Promise.all(this.engines.map(engine => engine.stop()));
+        await this.store.close();
+        rmSync(this.folder, { recursive: true, force: true });
+    }
+
+    /**
+     * @param options - How the engine is set up.
+     * @returns The engine, registered.
+     */
+    async addEngine(options: EngineOptions): Promise<Engine> {
+        const engine = new Engine(`i-${this.engines.length + 1}`, options);
+        await engine.start();
+        this.engines.push(engine);
+        this.store.write("servers", engine.id, engine.getEntry());
+        return engine;
+    }
+
+    /**
+     * Writes a configuration with a stream that may be resumed, one that may not, a plain service and batch jobs.
+     *
+     * @param changes - Replace parts of it.
+     */
+    writeConfig(changes: Record<string, unknown> = {}): void {
+        this.configVersion += 3;
+        this.store.write("config", "main", { ...newConfig(), version: this.configVersion, ...changes });
+    }
+
+    /**
+     * Starts a gateway and waits until it is ready.
+     *
+     * @param name - Its name.
+     * @param dataCentre - Its data centre.
+     * @param isFirstStart - Whether the whole system starts for the first time.
+     * @returns The gateway.
+     */
+    async addGateway(name: string, dataCentre: string, isFirstStart = true): Promise<GatewayProcess> {
+        const [port = 0, readyPort = 0, controlPort = 0, metricsPort = 0] = await findPorts(4);
+        const settingsPath = join(this.folder, `${name}.toml`);
+        const seeds = [...this.gateways.map(other => other.controlPort), controlPort].slice(0, 3);
+        writeFileSync(
+            settingsPath,
+            newSettings(name, dataCentre, this.storePort, isFirstStart, seeds, {
+                port,
+                readyPort,
+                controlPort,
+                metricsPort,
+            }),
+        );
+        const lines: string[] = [];
+        const child = startProcess(settingsPath, lines);
+        const gateway = { name, port, readyPort, controlPort, metricsPort, child, lines, settingsPath };
+        this.gateways.push(gateway);
+        await this.waitReady(gateway);
+        return gateway;
+    }
+
+    /**
+     * Starts a gateway again that has ended.
+     *
+     * @param gateway - The gateway.
+     */
+    async restart(gateway: GatewayProcess): Promise<void> {
+        gateway.child = startProcess(gateway.settingsPath, gateway.lines);
+        await this.waitReady(gateway);
+    }
+
+    /**
+     * @param gateway - A gateway.
+     */
+    async waitReady({ name, readyPort }: GatewayProcess): Promise<void> {
+        const endAtMs = Date.now() + READY_TIMEOUT_MS;
+        while (Date.now() < endAtMs) {
+            const status = await fetch(`http://127.0.0.1:${readyPort}/-/readyz`).then(
+                response => response.status,
+                () => 0,
+            );
+            if (status === 200) {
+                return;
+            }
+            await new Promise(resolve => setTimeout(resolve, POLL_MS));
+        }
+        throw new Error(`${name} is not ready`);
+    }
+
+    /** @returns The gateway that decides for all, by the lease in the store. */
+    getCoordinator(): GatewayProcess | undefined {
+        const lease = this.store.read("heatherline-leases", "coordinator")?.spec as
+            | { holder: { instanceId: string; }; }
+            | undefined;
+        return this.gateways.find(({ name }) => name === lease?.holder.instanceId);
+    }
+}
+
+/** @returns A configuration without its version. */
+export function newConfig(): Record<string, unknown> {
+    const common = { host: HOST, priority: 0, maxAttempts: 2, public: false, timeoutMs: 5_000, targetLatencyMs: 300 };
+    const stream = { ...common, kind: "streaming", service: "lm", sessionAffinity: true, gapAimMs: 300 };
+    return {
+        routes: [
+            { ...stream, name: "once", pathPrefix: "/once/", resumable: false, maxAttempts: 1 },
+            { ...stream, name: "again", pathPrefix: "/again/", resumable: true },
+            { ...common, name: "lookup", pathPrefix: "/lookup/", kind: "idempotent", service: "plain" },
+            { ...common, name: "write", pathPrefix: "/write/", kind: "non_idempotent", service: "plain" },
+            { ...common, name: "open", pathPrefix: "/open/", kind: "idempotent", service: "plain", public: true },
+            {
+                ...common,
+                name: "jobs",
+                pathPrefix: "/jobs/",
+                kind: "batch",
+                service: "lm",
+                completionTargetMs: 10_000,
+                retentionS: 60,
+                maxCount: 2_000,
+                maxAttempts: 3,
+            },
+        ],
+        services: [
+            { name: "lm", healthPath: "/healthz", maxConns: 100, warmupS: 3, warmupPerS: 20, engine: { slots: 8 } },
+            { name: "plain", healthPath: "/healthz", maxConns: 100, warmupS: 0, warmupPerS: 0 },
+        ],
+        limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+        tenants: [
+            { name: "alpha", apiKeys: [KEYS.alpha], priority: 0, ratePerS: 100, burst: 100 },
+            { name: "beta", apiKeys: [KEYS.beta], priority: 0, ratePerS: 5, burst: 5 },
+        ],
+    };
+}
+
+function startProcess(settingsPath: string, lines: string[]): ChildProcess {
+    const child = spawn(process.execPath, [PROGRAM], {
+        env: { PATH: process.env.PATH, HEATHERLINE_CONFIG: settingsPath },
+        stdio: ["ignore", "pipe", "pipe"],
+    });
+    let rest = "";
+    child.stdout.on("data", (chunk: Buffer) => {
+        const parts = (rest + chunk.toString("utf8")).split("\n");
+        rest = parts.pop() ?? "";
+        lines.push(...parts);
+    });
+    child.stderr.on("data", (chunk: Buffer) => lines.push(chunk.toString("utf8")));
+    return child;
+}
+
+function newSettings(
+    name: string,
+    dataCentre: string,
+    storePort: number,
+    isFirstStart: boolean,
+    seeds: readonly number[],
+    ports: { port: number; readyPort: number; controlPort: number; metricsPort: number; },
+): string {
+    return `nodeName = "${name}"
+role = "gateway"
+machineClass = "front"
+serves = ["front","control"]
+ip = "127.0.0.1"
+zone = "${dataCentre}"
+region = "middle"
+portRange = [${ports.metricsPort},${ports.metricsPort}]
+seeds = [${seeds.map(port => `"127.0.0.1:${port}"`).join(",")}]
+bootstrap = ${isFirstStart}
+heartbeatMs = 1200
+[zones]
+east = "middle"
+west = "middle"
+[listen]
+front = "127.0.0.1:${ports.port}"
+ready = "127.0.0.1:${ports.readyPort}"
+control = "127.0.0.1:${ports.controlPort}"
+[limits]
+memoryMb = 350
+maxFds = 4100
+[bounds]
+contactMs = 3000
+configApplyMs = 2000
+revokeMs = 5000
+graceS = 8
+drainMs = 2000
+statusS = 120
+[platform]
+address = "127.0.0.1:${storePort}"
+`;
+}
+
+/** Ports below the range that the system takes for outgoing connections. */
+async function findPorts(count: number): Promise<number[]> {
+    const ports: number[] = [];
+    while (ports.length < count) {
+        const port = 11_000 + Math.floor(Math.random() * 18_000);
+        if (!ports.includes(port) && await isFree(port)) {
+            ports.push(port);
+        }
+    }
+    return ports;
+}
+
+function isFree(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const probe = createServer();
+        probe.once("error", () => resolve(false));
+        probe.listen(port, "127.0.0.1", () => probe.close(() => resolve(true)));
+    });
+}
