Test the whole path with real gateways against stand-ins of the platform; leave a repeated job to its runner

Cause: a test with two gateways saw items run twice: the instance that got a repeated job took it over before its runner had reported it. Change: only the coordinator gives out a job that nobody runs.

--- a/packages/gateway/src/batchApi.ts
+++ b/packages/gateway/src/batchApi.ts
@@ -146,21 +146,10 @@
         if (created.value === "created") {
             this.parts.runner.add(manifest, bodies);
         }
-        else if (!await this.isRunElsewhere(manifest.jobId)) {
-            void this.parts.runner.adopt(manifest.jobId);
-        }
+        // A job that was there already runs at another instance, or the coordinator finds that none runs it.
         return undefined;
     }
 
-    /** A job that comes again may run at another instance already. */
-    private async isRunElsewhere(jobId: string): Promise<boolean> {
-        const own = this.parts.getCoordinator();
-        const runner = own === undefined
-            ? await this.parts.link.call<string | null>(METHODS.findRunner, { jobId }, ADMIT_TIMEOUT_MS)
-            : own.jobs.findRunner(jobId);
-        return runner !== undefined && runner !== null;
-    }
-
     private async admitTokens(
         manifest: JobManifest,
         { route }: Admitted,
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -16,7 +16,7 @@
 
 export default defineConfig({
     test: {
-        include: ["packages/**/*.test.ts", "standins/**/*.test.ts", "bench/**/*.test.ts"],
+        include: ["packages/**/*.test.ts", "platform/**/*.test.ts", "standins/**/*.test.ts", "bench/**/*.test.ts"],
         testNamePattern: newTestNamePattern(),
         testTimeout: 60_000,
         hookTimeout: 60_000,
