--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -44,9 +44,12 @@
 const DEFAULT_EVENTS = 6;
 const DEFAULT_GAP_MS = 10;
 
+/** Requests that some engine has misbehaved for. */
+const misbehaved = new Set<string>();
+
 /**
- * Stand-in for an endpoint of the operators' platform. A body may name misbehaviour (which befalls only the engine's
- * first run of the request's id, or `ALWAYS` each) and `events=N`.
+ * Stand-in for an endpoint of the operators' platform. A body may name misbehaviour (which befalls only the first
+ * run of the request's id, or `ALWAYS` each) and `events=N`.
  */
 export class Engine {
     readonly seen: SeenRequest[] = [];
@@ -97,7 +100,8 @@
             response.writeHead(421, { "Instance-Id": this.id }).end();
             return;
         }
-        if (this.running >= (this.options.slots ?? 8) || (body.includes("FULL") && this.isFirst(requestId, body))) {
+        const trouble = this.mayMisbehave(requestId, body) ? body : "";
+        if (this.running >= (this.options.slots ?? 8) || trouble.includes("FULL")) {
             response.writeHead(503, { "Not-Executed": "1", "Request-Id": requestId }).end();
             return;
         }
@@ -111,18 +115,19 @@
             endedAtMs: undefined,
             events: 0,
         };
-        const isFirst = this.isFirst(requestId, body);
         this.seen.push(entry);
         this.running += 1;
         response.on("close", () => {
             entry.endedAtMs ??= Date.now();
             this.running -= 1;
         });
-        await this.answer(entry, response, isFirst ? body : "");
+        await this.answer(entry, response, trouble);
     }
 
-    private isFirst(requestId: string, body: string): boolean {
-        return body.includes("ALWAYS") || !this.seen.some(other => other.requestId === requestId);
+    private mayMisbehave(requestId: string, body: string): boolean {
+        const isFirst = !misbehaved.has(requestId);
+        misbehaved.add(requestId);
+        return isFirst || body.includes("ALWAYS");
     }
 
     private async answer(entry: SeenRequest, response: http.ServerResponse, trouble: string): Promise<void> {
