--- /dev/null
+++ b/packages/fleet/tests/decisions.test.ts
@@ -0,0 +1,275 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import {
+    AgeClock,
+    CrashBook,
+    type EndpointEntry,
+    EndpointHealth,
+    EndpointRoster,
+    getElapsedMs,
+    getRateAlone,
+    getSlotsAlone,
+    intersectRegions,
+    JobBoard,
+    type MemberEntry,
+    newMoment,
+    RateBook,
+    SendWindow,
+} from "../src";
+
+beforeEach(() => {
+    vi.useFakeTimers();
+});
+
+afterEach(() => {
+    vi.useRealTimers();
+});
+
+function newEntry(endpointId: string, changes: Partial<EndpointEntry> = {}): EndpointEntry {
+    return {
+        endpointId,
+        service: "lm",
+        host: "127.0.0.1",
+        port: 1,
+        dataCentre: "east",
+        slots: 8,
+        state: "ready",
+        coldLeftMs: 0,
+        ...changes,
+    };
+}
+
+function newMember(instanceId: string, dataCentre: string): MemberEntry {
+    return { instanceId, incarnation: "1", host: "127.0.0.1", rpcPort: 1, dataCentre, processorShare: 1 };
+}
+
+describe("the roster of endpoints", () => {
+    it.each([
+        { what: "in calm times", troubleAgeMs: undefined, waitMs: 0, isKept: false },
+        { what: "during an outage of the store", troubleAgeMs: 0, waitMs: 0, isKept: true },
+        { what: "just after one", troubleAgeMs: 1_000, waitMs: 0, isKept: true },
+        { what: "long after one", troubleAgeMs: 3_000, waitMs: 0, isKept: false },
+        { what: "when it did not come back", troubleAgeMs: 0, waitMs: 2_600, isKept: false },
+    ])("an entry that disappears $what: kept is $isKept", ({ troubleAgeMs, waitMs, isKept }) => {
+        const roster = new EndpointRoster();
+        roster.replaceAll([newEntry("a"), newEntry("b")]);
+        if (troubleAgeMs !== undefined) {
+            roster.noteStoreTrouble();
+            vi.advanceTimersByTime(troubleAgeMs);
+        }
+        roster.replaceAll([newEntry("b")]);
+        vi.advanceTimersByTime(waitMs);
+        const ids = roster.getEntries().map(({ endpointId }) => endpointId).sort();
+        expect(ids).toEqual(isKept ? ["a", "b"] : ["b"]);
+    });
+
+    it("keeps none that was leaving", () => {
+        const roster = new EndpointRoster();
+        roster.replaceAll([newEntry("a", { state: "draining" })]);
+        roster.noteStoreTrouble();
+        roster.replaceAll([]);
+        expect(roster.getEntries()).toEqual([]);
+    });
+});
+
+describe("ages", () => {
+    it("count the time in which the machine was suspended", () => {
+        const age = new AgeClock();
+        const moment = newMoment();
+        age.noteCurrent(100);
+        vi.setSystemTime(Date.now() + 4_000);
+        expect(age.getAgeMs()).toBe(4_100);
+        expect(getElapsedMs(moment)).toBe(4_000);
+    });
+
+    it("never shrink when the time of day is set back", () => {
+        const age = new AgeClock();
+        age.noteCurrent(0);
+        vi.advanceTimersByTime(500);
+        vi.setSystemTime(Date.now() - 10_000);
+        expect(age.getAgeMs()).toBe(500);
+    });
+
+    it("are not lowered by older knowledge", () => {
+        const age = new AgeClock();
+        age.noteCurrent(50);
+        age.noteCurrent(900);
+        expect(age.getAgeMs()).toBe(50);
+    });
+});
+
+describe("rates", () => {
+    const bounds = { ratePerS: 10, burst: 5 };
+
+    it.each([{ stepMs: 1 }, { stepMs: 37 }, { stepMs: 400 }])(
+        "hand out no more than rate and burst in any window, asked every $stepMs ms",
+        ({ stepMs }) => {
+            const book = new RateBook(same => same, ({ burst }) => burst);
+            const takenAtMs: number[] = [];
+            for (let atMs = 0; atMs < 8_000; atMs += stepMs) {
+                while (book.take("alpha", bounds).isTaken) {
+                    takenAtMs.push(atMs);
+                }
+                vi.advanceTimersByTime(stepMs);
+            }
+            for (const fromMs of takenAtMs) {
+                const inWindow = takenAtMs.filter(atMs => atMs >= fromMs && atMs < fromMs + 2_000).length;
+                expect(inWindow).toBeLessThanOrEqual(10 * 2 + 5);
+            }
+            expect(takenAtMs.length).toBeGreaterThanOrEqual(5 + 10 * 7);
+        },
+    );
+
+    it("say when there will be a token", () => {
+        const book = new RateBook(same => same, () => 0);
+        const decision = book.take("alpha", bounds);
+        expect(decision).toEqual({ isTaken: false, retryAfterMs: 100 });
+        vi.advanceTimersByTime(101);
+        expect(book.take("alpha", bounds).isTaken).toBe(true);
+    });
+
+    it.each([{ members: 7 }, { members: 60 }])("of $members instances alone add up to the whole", ({ members }) => {
+        expect(getRateAlone(bounds, members).ratePerS * members).toBeCloseTo(bounds.ratePerS);
+    });
+});
+
+describe("slots of instances that decide alone", () => {
+    it.each([
+        { slots: 8, east: 3, west: 2 },
+        { slots: 8, east: 20, west: 1 },
+        { slots: 6, east: 0, west: 4 },
+        { slots: 1, east: 2, west: 2 },
+    ])("add up to $slots with $east and $west instances", ({ slots, east, west }) => {
+        const members = [
+            ...Array.from({ length: east }, (_, index) => newMember(`e${index}`, "east")),
+            ...Array.from({ length: west }, (_, index) => newMember(`w${index}`, "west")),
+        ];
+        const entry = newEntry("a", { slots });
+        const parts = members.map(({ instanceId }) => getSlotsAlone(entry, instanceId, members));
+        expect(parts.reduce((sum, part) => sum + part, 0)).toBe(slots);
+    });
+});
+
+describe("the health of an endpoint", () => {
+    it.each(
+        [
+            { ends: ["unreachable"], isPaused: true },
+            { ends: ["silent"], isPaused: true },
+            { ends: ["broken", "broken"], isPaused: false },
+            { ends: ["broken", "broken", "broken"], isPaused: true },
+            { ends: ["broken", "broken", "done", "broken"], isPaused: false },
+            { ends: ["failed", "failed", "failed"], isPaused: false },
+            { ends: ["rejected", "rejected", "rejected"], isPaused: false },
+            { ends: ["lost", "lost", "lost", "lost"], isPaused: false },
+        ] as const,
+    )("after $ends: paused is $isPaused", ({ ends, isPaused }) => {
+        const health = new EndpointHealth();
+        ends.forEach(end => health.note(end));
+        expect(health.getPauseLeftMs() > 0).toBe(isPaused);
+        expect(health.mayTake(0)).toBe(!isPaused);
+    });
+
+    it("gives one request at a time after a pause until one succeeds", () => {
+        const health = new EndpointHealth();
+        health.note("unreachable");
+        vi.advanceTimersByTime(200);
+        expect([health.mayTake(0), health.mayTake(1)]).toEqual([true, false]);
+        health.note("done");
+        expect(health.mayTake(1)).toBe(true);
+    });
+});
+
+describe("the rate that a cold endpoint bears", () => {
+    it("holds in every second", () => {
+        const window = new SendWindow();
+        const sentAtMs: number[] = [];
+        for (let atMs = 0; atMs < 4_000; atMs += 5) {
+            if (window.getWaitMs(18) === 0) {
+                window.note();
+                sentAtMs.push(atMs);
+            }
+            vi.advanceTimersByTime(5);
+        }
+        for (const fromMs of sentAtMs) {
+            expect(sentAtMs.filter(atMs => atMs >= fromMs && atMs < fromMs + 1_000).length).toBeLessThanOrEqual(18);
+        }
+    });
+});
+
+describe("requests that bring endpoints down", () => {
+    it("are held back after two crashes, until an answer clears them", () => {
+        const book = new CrashBook();
+        book.noteCrash("a");
+        expect(book.mayRun("a")).toBe(true);
+        book.noteCrash("a");
+        expect([book.mayRun("a"), book.mayRun("b"), book.mayRun("")]).toEqual([false, true, true]);
+        book.noteAnswer("a");
+        expect(book.mayRun("a")).toBe(true);
+    });
+});
+
+describe("regions", () => {
+    it.each([
+        { route: [], organisation: [], allowed: [] },
+        { route: ["a"], organisation: [], allowed: ["a"] },
+        { route: [], organisation: ["b"], allowed: ["b"] },
+        { route: ["a", "b"], organisation: ["b"], allowed: ["b"] },
+        { route: ["a"], organisation: ["b"], allowed: undefined },
+    ])("$route and $organisation allow $allowed", ({ route, organisation, allowed }) => {
+        expect(intersectRegions(route, organisation)).toEqual(allowed);
+    });
+});
+
+describe("the board of jobs", () => {
+    const request = { jobId: "j2", organisation: "alpha", route: "jobs", tokens: 60, maxWaitingTokens: 150 };
+
+    function newBoard(): JobBoard {
+        const board = new JobBoard();
+        const value = {
+            jobId: "j1",
+            organisation: "alpha",
+            route: "jobs",
+            submittedAt: 0,
+            itemTokens: [50, 50],
+            state: "open",
+        };
+        board.replaceAll(new Map([["j1", { path: "jobs/j1", version: 1, value }]]));
+        return board;
+    }
+
+    function report(finishedTokens: number, handedOverBy = "") {
+        return [{ jobId: "j1", finishedTokens, handedOverBy }];
+    }
+
+    it("counts what waits, what is finished, and what was just admitted", () => {
+        const board = newBoard();
+        expect(board.admit(request)).toEqual({ kind: "full", waitingTokens: 100 });
+        board.noteProgress("x", report(50));
+        expect(board.admit(request).kind).toBe("admitted");
+        expect(board.admit({ ...request, jobId: "j3" })).toEqual({ kind: "full", waitingTokens: 110 });
+        expect(board.admit(request).kind).toBe("admitted");
+    });
+
+    it("gives out a job that nobody runs, once", () => {
+        const board = newBoard();
+        expect(board.assign("x", ["x", "y"])).toEqual([]);
+        vi.advanceTimersByTime(1_300);
+        expect(board.assign("x", ["x", "y"])).toEqual(["j1"]);
+        expect(board.assign("y", ["x", "y"])).toEqual([]);
+        board.noteProgress("x", report(0));
+        expect([board.assign("y", ["x", "y"]), board.findRunner("j1")]).toEqual([[], "x"]);
+    });
+
+    it("tells a runner that another one runs its job, unless that one handed it over", () => {
+        const board = newBoard();
+        board.noteProgress("x", report(0));
+        expect(board.noteProgress("y", report(0))).toEqual({ closed: [], taken: ["j1"] });
+        expect(board.noteProgress("z", report(0, "x"))).toEqual({ closed: [], taken: [] });
+        expect(board.findRunner("j1")).toBe("z");
+    });
+
+    it("tells a runner of jobs that are not open", () => {
+        const board = newBoard();
+        const unknown = [{ jobId: "gone", finishedTokens: 0, handedOverBy: "" }];
+        expect(board.noteProgress("x", unknown)).toEqual({ closed: ["gone"], taken: [] });
+    });
+});
--- /dev/null
+++ b/packages/fleet/tests/lease.property.test.ts
@@ -0,0 +1,105 @@
+import { newLogger } from "@heatherline/common";
+import { MemoryStore, type ObjectStore, type StoredValue, StoreError } from "@heatherline/store";
+import fc from "fast-check";
+import { err } from "neverthrow";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { CoordinatorLease, type MemberEntry } from "../src";
+
+const INSTANCES = 3;
+const STEP_MS = 20;
+const LENGTH_MS = 12_000;
+/** Long enough for the longest term, margin and rank to pass after the last fault. */
+const CALM_MS = 5_000;
+
+/** Something that befalls one instance's calls to the store. */
+interface Fault {
+    readonly instance: number;
+    readonly kind: "down" | "lost" | "slow";
+    readonly atMs: number;
+    readonly lengthMs: number;
+}
+
+/** One instance's way to the store. */
+class FaultyStore {
+    kind: Fault["kind"] | undefined;
+
+    constructor(private readonly store: ObjectStore) {}
+
+    async get(path: string) {
+        await this.delay();
+        return this.kind === "down" ? err(new StoreError("unavailable", "down")) : this.store.get(path);
+    }
+
+    async put(path: string, value: StoredValue, expected: number) {
+        await this.delay();
+        if (this.kind === "down") {
+            return err(new StoreError("unavailable", "down"));
+        }
+        const written = await this.store.put(path, value, expected);
+        return this.kind === "lost" ? err(new StoreError("unknown", "the answer is lost")) : written;
+    }
+
+    private delay(): Promise<void> {
+        const delayMs = this.kind === "slow" ? 250 : 4;
+        return new Promise(resolve => setTimeout(resolve, delayMs));
+    }
+}
+
+const faultArbitrary: fc.Arbitrary<Fault> = fc.record({
+    instance: fc.nat(INSTANCES - 1),
+    kind: fc.constantFrom("down", "lost", "slow"),
+    atMs: fc.nat(LENGTH_MS - CALM_MS),
+    lengthMs: fc.integer({ min: 100, max: 4_000 }),
+});
+
+describe("the coordinator's lease", () => {
+    beforeEach(() => {
+        vi.useFakeTimers();
+    });
+
+    afterEach(() => {
+        vi.useRealTimers();
+    });
+
+    it("is never held by two, and always by one after the faults", async () => {
+        await fc.assert(
+            fc.asyncProperty(fc.array(faultArbitrary, { maxLength: 6 }), async faults => {
+                const shared = new MemoryStore();
+                const members: MemberEntry[] = Array.from({ length: INSTANCES }, (_, index) => ({
+                    instanceId: `instance-${index}`,
+                    incarnation: `${index}`,
+                    host: "127.0.0.1",
+                    rpcPort: 1,
+                    dataCentre: "east",
+                    processorShare: 1,
+                }));
+                const stores = members.map(() => new FaultyStore(shared));
+                const logger = newLogger("test", "fatal");
+                const leases = members.map((self, index) =>
+                    new CoordinatorLease(stores[index] as unknown as ObjectStore, self, {
+                        getMembers: () => members,
+                        isTakeoverExcluded: () => false,
+                        onChange: () => undefined,
+                        onHolder: () => undefined,
+                        isServed: () => false,
+                    }, logger)
+                );
+                leases.forEach(lease => lease.start(0));
+                for (let atMs = 0; atMs < LENGTH_MS; atMs += STEP_MS) {
+                    for (const [index, store] of stores.entries()) {
+                        store.kind = faults.find(fault =>
+                            fault.instance === index && fault.atMs <= atMs && atMs < fault.atMs + fault.lengthMs
+                        )?.kind;
+                    }
+                    await vi.advanceTimersByTimeAsync(STEP_MS);
+                    expect(leases.filter(({ isHolder }) => isHolder).length).toBeLessThanOrEqual(1);
+                }
+                expect(leases.filter(({ isHolder }) => isHolder)).toHaveLength(1);
+                const stopped = Promise.all(leases.map(lease => lease.stop()));
+                await vi.advanceTimersByTimeAsync(CALM_MS);
+                await stopped;
+            }),
+            { numRuns: 40 },
+        );
+    });
+});
