--- /dev/null
+++ b/packages/cli/src/commands/explain.test.ts
@@ -0,0 +1,36 @@
+import { describe, expect, it } from "vitest";
+import { explain, parseLogLine } from "./explain";
+
+function newLine(atMs: number, instance: string, event: string, fields: object): string {
+    return JSON.stringify({ name: "heatherline", instance, event, ...fields, time: new Date(atMs).toISOString() });
+}
+
+const log = [
+    newLine(1_000, "a", "coordinator-lost", { reason: "no answer within 700 ms" }),
+    newLine(1_500, "b", "coordinator-lost", { reason: "no answer within 700 ms" }),
+    newLine(2_000, "a", "request", { requestId: "other", outcome: "answered", durationMs: 20 }),
+    newLine(2_300, "a", "request", { requestId: "r1", outcome: "refused", reason: "rate-limited", durationMs: 3 }),
+    "a line of another program",
+    `   12.5 front-1 ${newLine(2_600, "c", "item-run", { job: "j1", item: "i1", end: "broken" })}`,
+    newLine(3_000, "c", "results-written", { job: "j1", items: ["i1:completed"] }),
+    '{"cut":',
+];
+
+describe("explaining from logs", () => {
+    const lines = log.map(parseLogLine).filter(line => line !== undefined);
+
+    it("reads lines with and without something before them, and passes over the rest", () => {
+        expect(lines).toHaveLength(6);
+    });
+
+    it.each([
+        { id: "r1", own: ["request"], context: ["coordinator-lost"] },
+        { id: "i1", own: ["item-run", "results-written"], context: [] },
+        { id: "j1", own: ["item-run", "results-written"], context: [] },
+        { id: "unknown", own: [], context: [] },
+    ])("$id: its lines $own with $context", ({ id, own, context }) => {
+        const explanation = explain(id, lines);
+        expect(explanation.own.map(({ event }) => event)).toEqual(own);
+        expect(explanation.context.map(({ event }) => event)).toEqual(context);
+    });
+});
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -3,6 +3,7 @@
 import { DaemonClient } from "./client";
 import { BatchCommands } from "./commands/batch";
 import { DocumentCommands } from "./commands/documents";
+import { ExplainCommand } from "./commands/explain";
 import { ReportCommands } from "./commands/reports";
 import { StatusCommand } from "./commands/status";
 import { CliError, EXIT_CODES } from "./errors";
@@ -45,6 +46,7 @@
     return {
         documents: new DocumentCommands(client, printer),
         batch: new BatchCommands(client, printer),
+        explain: new ExplainCommand(printer),
         status: new StatusCommand(client, printer),
         reports: new ReportCommands(client, printer),
     };
@@ -100,6 +102,8 @@
             }
             return newCommands(options).documents.get(known, name);
         });
+    program.command("explain <id> <...files>", "tell from logs what became of a request, a job or a batch item")
+        .action((id: string, files: string[], options: CommonOptions) => newCommands(options).explain.run(id, files));
     program.command("status", "show all instances and endpoints")
         .action((options: CommonOptions) => newCommands(options).status.run());
     program.command("key <action> [name]", "issue ORGANISATION, list, or withdraw KEY-ID")
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -19,6 +19,8 @@
 const NO_ENDPOINT_RETRY_MS = 700;
 /** A place that an online request is expected to need this soon isn't worth giving to batch, in milliseconds. */
 const RESERVE_MS = 30;
+/** Longest wait of a request that is late already, as after an endpoint has failed, in milliseconds. */
+const LATE_PATIENCE_MS = 800;
 /** How often it is looked again at what only the rate of cold endpoints holds back, in milliseconds. */
 const COLD_PUMP_MS = 25;
 
@@ -88,7 +90,9 @@
                 this.getService(ask.service).arrivals.note();
                 const line = this.getLine(ask, waiter.rank);
                 const waitMs = this.getService(ask.service).forecast.getWaitMs(line);
-                if (line.free === 0 && performance.now() + waitMs > waiter.usefulUntilMs) {
+                const isLateAnyway = performance.now() > waiter.usefulUntilMs;
+                const latestMs = isLateAnyway ? performance.now() + LATE_PATIENCE_MS : waiter.usefulUntilMs;
+                if (line.free === 0 && performance.now() + waitMs > latestMs) {
                     resolve(this.newRefusal(ask, waitMs));
                     return;
                 }
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -30,13 +30,20 @@
 
 /** Decides by the configuration whether a request may run. */
 export class Admission {
-    private readonly maxKeyAgeMs: number;
+    private maxKeyAgeMs = 0;
 
     /**
      * @param view - What is known of the fleet.
      * @param revokeMs - Time after which a withdrawn key must not be taken any more.
      */
     constructor(private readonly view: FleetView, revokeMs: number) {
+        this.setRevokeMs(revokeMs);
+    }
+
+    /**
+     * @param revokeMs - Time after which a withdrawn key must not be taken any more.
+     */
+    setRevokeMs(revokeMs: number): void {
         this.maxKeyAgeMs = revokeMs * KEY_AGE_PART;
     }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -71,6 +71,12 @@
     readonly jobReadableMs: number;
 }
 
+/** Settings that may change while the process runs. */
+export type ChangeableSettings = Pick<
+    GatewaySettings,
+    "seeds" | "regions" | "revokeMs" | "graceMs" | "jobReadableMs"
+>;
+
 /** What a gateway reaches the outside through. */
 export interface GatewayOutside {
     readonly store: ObjectStore;
@@ -105,7 +111,7 @@
      * @param logger - Log of the instance.
      */
     constructor(
-        private readonly settings: GatewaySettings,
+        private settings: GatewaySettings,
         private readonly outside: GatewayOutside,
         private readonly logger: Logger,
     ) {
@@ -135,7 +141,7 @@
             isServed: () => this.link.coordinator !== undefined,
         }, logger);
         const getCoordinator = () => this.lease.isHolder ? this.coordinator : undefined;
-        const getRegion = (zone: string) => settings.regions[zone] ?? zone;
+        const getRegion = (zone: string) => this.settings.regions[zone] ?? zone;
         this.placement = new Placement(this.self, view, this.link, getCoordinator, getRegion, logger);
         const jobStore = new JobStore(store, logger);
         const endpoints = new EndpointClient(wire);
@@ -227,6 +233,17 @@
         void this.listenForMetrics();
     }
 
+    /**
+     * Takes over what may change while the process runs; addresses of listeners don't.
+     *
+     * @param settings - The new settings.
+     */
+    update(settings: ChangeableSettings): void {
+        const { seeds, regions, revokeMs, graceMs, jobReadableMs } = settings;
+        this.settings = { ...this.settings, seeds, regions, revokeMs, graceMs, jobReadableMs };
+        this.admission.setRevokeMs(revokeMs);
+    }
+
     /** Takes no new work, lets what runs end, hands over what it decides, and returns when nothing is left. */
     async stop(): Promise<void> {
         if (this.isStopping) {
