Begin rates after a takeover within the stated tolerance, whatever the number of instances

Change: all instances together begin alone with 12 tokens; a takeover begins with what the tolerance leaves, for two takeovers in a window.

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -3,12 +3,20 @@
 import { CrashBook } from "./crashBook";
 import { Dispatcher } from "./dispatcher";
 import type { Place } from "./endpointPool";
-import { getSlotsAlone } from "./floors";
+import { getSlotsAlone, getStartAfterTakeover } from "./floors";
 import { getElapsedMs, type Moment, newMoment } from "./freshness";
 import { JobBoard, type ProgressAnswer } from "./jobBoard";
 import type { PlaceDecision, PlaceReply, ReleaseRequest, SyncReply, SyncRequest } from "./messages";
 import { RateBook } from "./rateBook";
-import type { EndpointEntry, MemberEntry, PlaceAsk, PlaceOutcome, PlaceSummary, RateBounds } from "./types";
+import type {
+    EndpointEntry,
+    MemberEntry,
+    PlaceAsk,
+    PlaceOutcome,
+    PlaceSummary,
+    RateBounds,
+    RateTolerance,
+} from "./types";
 import type { FleetView } from "./view";
 
 /** An instance that is silent for this long may be deciding alone, in milliseconds. */
@@ -24,8 +32,6 @@
 const STRENGTH_DELAY_MS = 2_500;
 /** Part of the strongest instance's processor that the coordinator has at least. */
 const MIN_STRENGTH_PART = 0.7;
-/** Tokens that buckets begin with when an earlier coordinator may have handed the rest out. */
-const START_TOKENS_AFTER_TAKEOVER = 3;
 
 interface Heard {
     incarnation: string;
@@ -44,6 +50,7 @@
     readonly self: MemberEntry;
     readonly view: FleetView;
     readonly getRegion: (dataCentre: string) => string;
+    readonly getRateTolerance: () => RateTolerance;
     readonly getLeaseVersion: () => number;
     /** Whether this instance's own calls to the store fail. */
     readonly isStoreFailing: () => boolean;
@@ -81,7 +88,7 @@
         });
         this.rates = new RateBook(
             bounds => this.scale(bounds),
-            bounds => epoch === 1 ? bounds.burst : Math.min(bounds.burst, START_TOKENS_AFTER_TAKEOVER),
+            bounds => epoch === 1 ? bounds.burst : getStartAfterTakeover(bounds, surroundings.getRateTolerance()),
         );
         this.review();
         this.noteViewChanged();
--- a/packages/fleet/src/placement.ts
+++ b/packages/fleet/src/placement.ts
@@ -2,7 +2,7 @@
 import type { Coordinator } from "./coordinator";
 import type { CoordinatorLink } from "./coordinatorLink";
 import { Dispatcher } from "./dispatcher";
-import { getRateAlone, getSlotsAlone } from "./floors";
+import { getRateAlone, getSlotsAlone, getStartAlone } from "./floors";
 import { METHODS, type PlaceDecision, type PlaceReply, type ReleaseRequest } from "./messages";
 import { RateBook } from "./rateBook";
 import type { EndpointEntry, MemberEntry, PlaceAsk, PlaceEnd, PlaceOutcome, PlaceRelease, PlaceSummary } from "./types";
@@ -90,7 +90,10 @@
             getRegion,
             callBack: ({ placeId }) => this.callBack(placeId),
         });
-        this.ratesAlone = new RateBook(bounds => getRateAlone(bounds, view.members.length), () => 1);
+        this.ratesAlone = new RateBook(
+            bounds => getRateAlone(bounds, view.members.length),
+            () => getStartAlone(view.members.length, Math.random()),
+        );
     }
 
     /**
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -149,6 +149,14 @@
     readonly burst: number;
 }
 
+/** What an organisation may get beyond rate and burst within a window. */
+export interface RateTolerance {
+    readonly windowMs: number;
+    /** Part of what rate and burst give in the window. */
+    readonly overPart: number;
+    readonly extraRequests: number;
+}
+
 /** Why no place is given. */
 export type RefusalReason = "overloaded" | "no-endpoint" | "rate-limited" | "crashes-endpoints" | "unavailable";
 
--- a/packages/fleet/tests/decisions.test.ts
+++ b/packages/fleet/tests/decisions.test.ts
@@ -8,6 +8,8 @@
     getElapsedMs,
     getRateAlone,
     getSlotsAlone,
+    getStartAfterTakeover,
+    getStartAlone,
     intersectRegions,
     JobBoard,
     type MemberEntry,
@@ -132,6 +134,32 @@
     });
 });
 
+describe("rates after a takeover", () => {
+    const tolerance = { windowMs: 5_000, overPart: 0.1, extraRequests: 20 };
+
+    it.each([
+        { ratePerS: 5, burst: 5 },
+        { ratePerS: 30, burst: 30 },
+        { ratePerS: 400, burst: 100 },
+    ])("stay within the tolerance when two coordinators follow each other in a window: $ratePerS/s", bounds => {
+        const bound = (bounds.ratePerS * 5 + bounds.burst) * 1.1 + 20;
+        // The first coordinator gives all, instances begin alone, and two more take over.
+        const most = bounds.ratePerS * 5 + bounds.burst + 12 + 2 * getStartAfterTakeover(bounds, tolerance);
+        expect(most).toBeLessThanOrEqual(bound + 1e-9);
+    });
+
+    it.each([{ members: 7, expected: 7 }, { members: 60, expected: 12 }])(
+        "$members instances begin alone with about $expected tokens together",
+        ({ members, expected }) => {
+            let total = 0;
+            for (let index = 0; index < 1_000; index += 1) {
+                total += getStartAlone(members, (index + 0.5) / 1_000) * members;
+            }
+            expect(total / 1_000).toBeCloseTo(expected, 1);
+        },
+    );
+});
+
 describe("slots of instances that decide alone", () => {
     it.each([
         { slots: 8, east: 3, west: 2 },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
     type MemberEntry,
     METHODS,
     Placement,
+    type RateTolerance,
     StateFeed,
     type StateReply,
     type StateRequest,
@@ -69,12 +70,13 @@
     readonly revokeMs: number;
     readonly graceMs: number;
     readonly jobReadableMs: number;
+    readonly rateTolerance: RateTolerance;
 }
 
 /** Settings that may change while the process runs. */
 export type ChangeableSettings = Pick<
     GatewaySettings,
-    "seeds" | "regions" | "revokeMs" | "graceMs" | "jobReadableMs"
+    "seeds" | "regions" | "revokeMs" | "graceMs" | "jobReadableMs" | "rateTolerance"
 >;
 
 /** What a gateway reaches the outside through. */
@@ -239,8 +241,8 @@
      * @param settings - The new settings.
      */
     update(settings: ChangeableSettings): void {
-        const { seeds, regions, revokeMs, graceMs, jobReadableMs } = settings;
-        this.settings = { ...this.settings, seeds, regions, revokeMs, graceMs, jobReadableMs };
+        const { seeds, regions, revokeMs, graceMs, jobReadableMs, rateTolerance } = settings;
+        this.settings = { ...this.settings, seeds, regions, revokeMs, graceMs, jobReadableMs, rateTolerance };
         this.admission.setRevokeMs(revokeMs);
     }
 
@@ -351,6 +353,7 @@
                 self: this.self,
                 view: this.view,
                 getRegion: zone => this.settings.regions[zone] ?? zone,
+                getRateTolerance: () => this.settings.rateTolerance,
                 getLeaseVersion: () => this.lease.version,
                 isStoreFailing: () => this.feed.isStoreFailing,
                 callBackOwn: placeId => this.placement.callBack(placeId),
