--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -6,7 +6,8 @@
 import { getSlotsAlone, getStartAfterTakeover } from "./floors";
 import { getElapsedMs, type Moment, newMoment } from "./freshness";
 import { JobBoard, type ProgressAnswer } from "./jobBoard";
-import type { PlaceDecision, PlaceReply, ReleaseRequest, SyncReply, SyncRequest } from "./messages";
+import type { PlaceReply, ReleaseRequest, SyncReply, SyncRequest } from "./messages";
+import { NewsDesk } from "./newsDesk";
 import { RateBook } from "./rateBook";
 import type {
     EndpointEntry,
@@ -40,11 +41,6 @@
     jobs: readonly string[];
 }
 
-interface HeldSync {
-    readonly request: SyncRequest;
-    readonly answer: () => void;
-}
-
 /** What a coordinator is told about its surroundings. */
 export interface CoordinatorSurroundings {
     readonly self: MemberEntry;
@@ -66,9 +62,7 @@
     private readonly rates: RateBook;
     private readonly crashes = new CrashBook();
     private readonly heard = new Map<string, Heard>();
-    private readonly calledBack = new Map<string, string[]>();
-    private readonly decisions = new Map<string, PlaceDecision[]>();
-    private readonly held = new Set<HeldSync>();
+    private readonly news: NewsDesk;
     private readonly startedAt = newMoment();
     private readonly reviewTimer: NodeJS.Timeout;
     /** Computed anew after each change of endpoints, instances, or who is silent. */
@@ -80,6 +74,7 @@
      * @param surroundings - The rest of the instance.
      */
     constructor(readonly epoch: number, private readonly surroundings: CoordinatorSurroundings) {
+        this.news = new NewsDesk(surroundings.view);
         this.dispatcher = new Dispatcher({
             getCapacity: entry => this.getCapacity(entry),
             getColdRatePerS: ({ service }) => surroundings.view.routes?.getColdRatePerS(service) ?? 0,
@@ -99,9 +94,7 @@
     stop(): void {
         clearInterval(this.reviewTimer);
         this.dispatcher.clear("the coordinator steps down");
-        for (const sync of [...this.held]) {
-            sync.answer();
-        }
+        this.news.answerAll();
     }
 
     /**
@@ -138,7 +131,7 @@
         if (now !== undefined) {
             return now;
         }
-        void deciding.then(({ outcome }) => this.tellDecision(ask, outcome));
+        void deciding.then(({ outcome }) => this.news.addDecision(ask.instanceId, ask.askId, outcome));
         return { kind: "queued" };
     }
 
@@ -176,8 +169,8 @@
     async handleSync(request: SyncRequest): Promise<SyncReply> {
         this.noteHeard(request);
         const progress = this.jobs.noteProgress(request.member.instanceId, request.jobs);
-        if (progress.closed.length + progress.taken.length === 0 && !this.hasNewsFor(request)) {
-            await this.hold(request);
+        if (progress.closed.length + progress.taken.length === 0) {
+            await this.news.hold(request);
         }
         return this.newReply(request, progress);
     }
@@ -187,14 +180,14 @@
      */
     noteJobs(objects: ReadonlyMap<string, StoredObject>): void {
         this.jobs.replaceAll(objects);
-        this.answerNews();
+        this.news.answerNews();
     }
 
     /** Applies a change of what is known of the fleet. */
     noteViewChanged(): void {
         this.capacities.clear();
         this.dispatcher.setEndpoints(this.surroundings.view.getEndpoints());
-        this.answerNews();
+        this.news.answerNews();
     }
 
     /**
@@ -343,54 +336,12 @@
             this.surroundings.callBackOwn(place.placeId);
             return;
         }
-        const waiting = this.calledBack.get(place.instanceId) ?? [];
-        waiting.push(place.placeId);
-        this.calledBack.set(place.instanceId, waiting);
-        this.answerNews();
-    }
-
-    private tellDecision({ askId, instanceId }: PlaceAsk, outcome: PlaceOutcome): void {
-        const waiting = this.decisions.get(instanceId) ?? [];
-        waiting.push({ askId, outcome });
-        this.decisions.set(instanceId, waiting);
-        this.answerNews();
-    }
-
-    private hasNewsFor({ member, known }: SyncRequest): boolean {
-        return this.surroundings.view.hasNewsFor(known)
-            || (this.calledBack.get(member.instanceId)?.length ?? 0) > 0
-            || (this.decisions.get(member.instanceId)?.length ?? 0) > 0;
-    }
-
-    private hold(request: SyncRequest): Promise<void> {
-        return new Promise(resolve => {
-            const sync: HeldSync = {
-                request,
-                answer: () => {
-                    clearTimeout(timer);
-                    this.held.delete(sync);
-                    resolve();
-                },
-            };
-            const timer = setTimeout(sync.answer, request.waitMs);
-            this.held.add(sync);
-        });
-    }
-
-    private answerNews(): void {
-        for (const sync of [...this.held]) {
-            if (this.hasNewsFor(sync.request)) {
-                sync.answer();
-            }
-        }
+        this.news.addCallBack(place.instanceId, place.placeId);
     }
 
     private newReply({ member, known }: SyncRequest, progress: ProgressAnswer): SyncReply {
         const { self, view, getLeaseVersion } = this.surroundings;
-        const calledBack = this.calledBack.get(member.instanceId) ?? [];
-        const decisions = this.decisions.get(member.instanceId) ?? [];
-        this.calledBack.delete(member.instanceId);
-        this.decisions.delete(member.instanceId);
+        const { calledBack, decisions } = this.news.take(member.instanceId);
         return {
             kind: "news",
             coordinator: self,
@@ -421,8 +372,7 @@
         for (const [instanceId, { at }] of this.heard) {
             if (getElapsedMs(at) > PLACES_KEPT_MS) {
                 this.heard.delete(instanceId);
-                this.decisions.delete(instanceId);
-                this.calledBack.delete(instanceId);
+                this.news.drop(instanceId);
                 this.freePlaces(instanceId, "it is silent");
             }
         }
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -1,5 +1,6 @@
 import { newRequestId } from "@heatherline/common";
 import { ArrivalRate } from "./arrivalRate";
+import { BatchLedger } from "./batchLedger";
 import { EndpointPool, type EndpointState, type Place, type PoolSurroundings } from "./endpointPool";
 import { type LineState, WaitForecast } from "./forecast";
 import type { EndpointEntry, PlaceAsk, PlaceEnd, PlaceOutcome } from "./types";
@@ -46,7 +47,6 @@
     readonly line: WaitingLine;
     readonly forecast: WaitForecast;
     readonly arrivals: ArrivalRate;
-    readonly batchPlaces: Set<Place>;
 }
 
 /**
@@ -59,7 +59,7 @@
     private readonly pool: EndpointPool;
     private readonly places = new Map<string, Place>();
     private readonly services = new Map<string, ServiceState>();
-    private readonly batchByOrganisation = new Map<string, number>();
+    private readonly batch = new BatchLedger();
     private coldTimer: NodeJS.Timeout | undefined;
 
     /**
@@ -132,14 +132,12 @@
         if (place === undefined) {
             return undefined;
         }
-        const { forecast, batchPlaces } = this.getService(place.service);
         this.places.delete(placeId);
         if (place.workClass === "batch") {
-            batchPlaces.delete(place);
-            this.countBatch(place.organisation, -1);
+            this.batch.remove(place);
         }
         else {
-            this.learn(forecast, place, end, firstAnswerMs);
+            this.learn(place, end, firstAnswerMs);
         }
         const pauseMs = this.pool.removePlace(place, end);
         if (pauseMs !== undefined) {
@@ -226,7 +224,7 @@
 
     private getRank(ask: PlaceAsk, nowMs: number): number {
         if (ask.workClass === "batch") {
-            const running = this.batchByOrganisation.get(ask.organisation) ?? 0;
+            const running = this.batch.getRunning(ask.organisation);
             return nowMs + ask.dueInMs + REMAINING_WEIGHT * ask.remainingMs + running * FAIRNESS_STEP_MS;
         }
         const isReturning = this.getService(ask.service).forecast.takeReturn(ask.fingerprint);
@@ -347,12 +345,12 @@
         this.places.set(place.placeId, place);
         this.pool.addPlace(place);
         if (place.workClass === "batch") {
-            this.getService(place.service).batchPlaces.add(place);
-            this.countBatch(place.organisation, 1);
+            this.batch.add(place);
         }
     }
 
-    private learn(forecast: WaitForecast, place: Place, end: PlaceEnd, firstAnswerMs: number | undefined): void {
+    private learn(place: Place, end: PlaceEnd, firstAnswerMs: number | undefined): void {
+        const { forecast } = this.getService(place.service);
         if (end === "done") {
             forecast.noteHold(performance.now() - place.sinceMs);
         }
@@ -363,16 +361,7 @@
 
     /** Calls back as many batch items as online requests wait. */
     private callBackBatch(service: string, wanted: number): void {
-        const { batchPlaces } = this.getService(service);
-        if (batchPlaces.size === 0) {
-            return;
-        }
-        const candidates = [...batchPlaces].filter(({ isCalledBack }) => !isCalledBack);
-        const missing = wanted - (batchPlaces.size - candidates.length);
-        if (missing <= 0) {
-            return;
-        }
-        for (const place of candidates.sort(compareForCallBack).slice(0, missing)) {
+        for (const place of this.batch.pickForCallBack(service, wanted)) {
             place.isCalledBack = true;
             this.surroundings.callBack(place);
         }
@@ -386,16 +375,6 @@
         }, COLD_PUMP_MS);
     }
 
-    private countBatch(organisation: string, change: number): void {
-        const count = (this.batchByOrganisation.get(organisation) ?? 0) + change;
-        if (count > 0) {
-            this.batchByOrganisation.set(organisation, count);
-        }
-        else {
-            this.batchByOrganisation.delete(organisation);
-        }
-    }
-
     private getService(service: string): ServiceState {
         let state = this.services.get(service);
         if (state === undefined) {
@@ -403,7 +382,6 @@
                 line: new WaitingLine(),
                 forecast: new WaitForecast(),
                 arrivals: new ArrivalRate(),
-                batchPlaces: new Set(),
             };
             this.services.set(service, state);
         }
@@ -417,9 +395,3 @@
     }
     waiter.settle(outcome);
 }
-
-/** Items that will be late anyway give their places up first, then those that have the most time. */
-function compareForCallBack(left: Place, right: Place): number {
-    const isLate = ({ finishAtMs, dueAtMs }: Place) => finishAtMs > dueAtMs ? 0 : 1;
-    return isLate(left) - isLate(right) || (right.dueAtMs - right.finishAtMs) - (left.dueAtMs - left.finishAtMs);
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,29 +9,25 @@
     type MemberEntry,
     METHODS,
     Placement,
-    type RateTolerance,
     StateFeed,
-    type StateReply,
-    type StateRequest,
-    type StateSchema,
     type SyncReply,
     type SyncRequest,
 } from "@heatherline/fleet";
-import type { ObjectStore } from "@heatherline/store";
-import http from "node:http";
 import { Admission } from "./admission";
 import { BatchApi } from "./batchApi";
 import { EndpointClient } from "./endpointClient";
-import { Ingress, listen } from "./ingress";
+import type { ChangeableSettings, GatewayOutside, GatewaySettings } from "./gatewaySettings";
+import { Ingress } from "./ingress";
 import { JobReader } from "./jobReader";
 import { JobRunner } from "./jobRunner";
 import { JobStore } from "./jobStore";
 import { GatewayMetrics } from "./metrics";
 import { OnlineHandler } from "./onlineHandler";
+import { PeerLearning } from "./peerLearning";
 import { addPeerMethods } from "./peerMethods";
 import { registerMember } from "./registration";
 import { RetirementDesk } from "./retirement";
-import type { WireCodec } from "./wireCodec";
+import { serveMetrics, serveReadiness } from "./sideListeners";
 
 /** Age of the configuration beyond which an instance reads the store itself, in milliseconds. */
 const MAX_TOLD_AGE_MS = 2_200;
@@ -41,8 +37,6 @@
 const MAX_RUNNER_NEWS_AGE_MS = 900;
 const REVIEW_INTERVAL_MS = 200;
 const ADOPTION_INTERVAL_MS = 500;
-/** Instances that are asked at once by one that lacks something, beside the seeds. */
-const MEMBERS_ASKED_AT_ONCE = 2;
 const FIRST_START_DELAY_MS = 500;
 const ANNOUNCE_TIMEOUT_MS = 400;
 const STATUS_INTERVAL_MS = 10_000;
@@ -52,42 +46,6 @@
 const KILL_MARGIN_MS = 700;
 const STOP_POLL_MS = 50;
 
-/** What a gateway is told. */
-export interface GatewaySettings {
-    readonly instanceId: string;
-    readonly host: string;
-    readonly dataCentre: string;
-    /** Processor of the instance, in cores. */
-    readonly processorShare: number;
-    readonly regions: Readonly<Record<string, string>>;
-    readonly callers: { readonly host: string; readonly port: number; };
-    readonly readiness: { readonly host: string; readonly port: number; };
-    readonly peers: { readonly host: string; readonly port: number; };
-    readonly metricsPort: number;
-    readonly seeds: readonly { readonly host: string; readonly port: number; }[];
-    /** Whether the whole system starts for the first time. */
-    readonly isFirstStart: boolean;
-    readonly revokeMs: number;
-    readonly graceMs: number;
-    readonly jobReadableMs: number;
-    readonly rateTolerance: RateTolerance;
-}
-
-/** Settings that may change while the process runs. */
-export type ChangeableSettings = Pick<
-    GatewaySettings,
-    "seeds" | "regions" | "revokeMs" | "graceMs" | "jobReadableMs" | "rateTolerance"
->;
-
-/** What a gateway reaches the outside through. */
-export interface GatewayOutside {
-    readonly store: ObjectStore;
-    readonly schema: StateSchema;
-    readonly wire: WireCodec;
-    readonly getStoreCalls: () => Readonly<Record<string, number>>;
-    readonly putStatus: (path: string, status: Record<string, unknown>) => Promise<boolean>;
-}
-
 /** One instance that stands between callers and endpoints. */
 export class Gateway {
     private readonly self: MemberEntry;
@@ -102,6 +60,7 @@
     private readonly runner: JobRunner;
     private readonly ingress: Ingress;
     private readonly retirement: RetirementDesk;
+    private readonly learning: PeerLearning;
     private readonly metrics: GatewayMetrics;
     private coordinator: Coordinator | undefined;
     private isStopping = false;
@@ -205,6 +164,15 @@
         const onAnnouncement = ({ coordinator, epoch }: Announcement) => this.onHolder(coordinator, epoch);
         const getDeciding = () => this.getDeciding();
         addPeerMethods(this.rpcServer, { getCoordinator, getDeciding, view, runner, reader, onAnnouncement });
+        this.learning = new PeerLearning({
+            rpc,
+            view,
+            own: peers,
+            getSeeds: () => this.settings.seeds,
+            lacksSomething: () => this.lacksSomething,
+            onDeciding: deciding => this.onHolder(deciding.coordinator, deciding.epoch),
+            isStopping: () => this.isStopping,
+        });
         view.onChange(part => {
             if (part === "endpoints") {
                 endpoints.forgetOthers(new Set(view.getEndpoints().map(({ endpointId }) => endpointId)));
@@ -219,11 +187,10 @@
         const { settings, logger } = this;
         await this.rpcServer.listen(settings.peers.host, settings.peers.port);
         await this.ingress.listen(settings.callers.host, settings.callers.port);
-        const readiness = http.createServer((request, response) => this.answerReadiness(request, response));
-        await listen(readiness, settings.readiness.host, settings.readiness.port);
+        await serveReadiness(settings.readiness, this.outside.wire.readinessPath, () => this.isReady);
         logger.info({ event: "started", incarnation: this.self.incarnation });
         this.feed.setScope("essentials");
-        void this.learnFromSeeds();
+        void this.learning.run();
         void registerMember(this.outside.store, this.self, () => this.isStopping, logger)
             .then(() => this.feed.readMembers());
         this.lease.start(this.getFirstDelayMs());
@@ -232,7 +199,8 @@
             setInterval(() => this.adoptOwnJobs(), ADOPTION_INTERVAL_MS),
             setInterval(() => this.logStatus(), STATUS_INTERVAL_MS),
         ];
-        void this.listenForMetrics();
+        const metricsAddress = { host: settings.host, port: settings.metricsPort };
+        void serveMetrics(metricsAddress, () => this.metrics.render(), logger);
     }
 
     /**
@@ -274,34 +242,21 @@
     /** When all instances start together, the seeds settle among themselves who decides, and the others hear of it. */
     private getFirstDelayMs(): number {
         const { seeds, isFirstStart } = this.settings;
-        const isSeed = seeds.some(seed => this.isOwn(seed));
+        const isSeed = seeds.some(seed => this.learning.isOwn(seed));
         return isFirstStart && !isSeed ? FIRST_START_DELAY_MS * (1 + Math.random()) : 0;
     }
 
+    /** Whether other instances may know what this one doesn't. */
+    private get lacksSomething(): boolean {
+        const hasCoordinator = this.coordinator !== undefined || this.link.coordinator !== undefined;
+        return !hasCoordinator || !this.admission.isCurrent || this.view.getEndpoints().length === 0;
+    }
+
     /** Whether callers are served better here than elsewhere. */
     private get isReady(): boolean {
         return !this.isStopping && this.admission.isCurrent && this.view.getEndpoints().length > 0;
     }
 
-    private answerReadiness(request: http.IncomingMessage, response: http.ServerResponse): void {
-        request.resume();
-        const isKnown = request.url === this.outside.wire.readinessPath;
-        response.writeHead(isKnown ? this.isReady ? 200 : 503 : 404, { "Content-Length": 0 }).end();
-    }
-
-    private async listenForMetrics(): Promise<void> {
-        const server = http.createServer((request, response) => {
-            request.resume();
-            void this.metrics.render().then(text => response.end(text));
-        });
-        try {
-            await listen(server, this.settings.host, this.settings.metricsPort);
-        }
-        catch (error) {
-            this.logger.error({ event: "no-metrics", port: this.settings.metricsPort, error: String(error) });
-        }
-    }
-
     private newSyncRequest(isFull: boolean, waitMs: number): SyncRequest {
         return {
             member: this.self,
@@ -428,47 +383,6 @@
         }
     }
 
-    private isOwn({ host, port }: { readonly host: string; readonly port: number; }): boolean {
-        const { peers } = this.settings;
-        return host === peers.host && port === peers.port;
-    }
-
-    /** An instance that starts while the store is away learns from the others. */
-    private async learnFromSeeds(): Promise<void> {
-        while (!this.isStopping) {
-            const hasCoordinator = this.coordinator !== undefined || this.link.coordinator !== undefined;
-            if (!hasCoordinator || !this.admission.isCurrent || this.view.getEndpoints().length === 0) {
-                const members = this.view.members.map(({ host, rpcPort }) => ({ host, port: rpcPort }));
-                const some = members.sort(() => Math.random() - 0.5).slice(0, MEMBERS_ASKED_AT_ONCE);
-                const others = [...this.settings.seeds, ...some].filter(address => !this.isOwn(address));
-                await Promise.all(others.map(({ host, port }) => this.learnFrom(host, port)));
-            }
-            await sleep(REVIEW_INTERVAL_MS);
-        }
-    }
-
-    private async learnFrom(host: string, port: number): Promise<void> {
-        const request: StateRequest = { known: this.view.getRevisions() };
-        const sentAtMs = performance.now();
-        const sentAtWallMs = Date.now();
-        const timeoutMs = REVIEW_INTERVAL_MS * 2;
-        const reply = await this.rpc.callAddress<StateReply>(
-            host,
-            port,
-            METHODS.state,
-            request,
-            timeoutMs,
-        );
-        if (reply.isOk()) {
-            const transitMs = Math.max(performance.now() - sentAtMs, Date.now() - sentAtWallMs);
-            this.view.applyNews(reply.value.news, transitMs);
-            const { deciding } = reply.value;
-            if (deciding !== undefined) {
-                this.onHolder(deciding.coordinator, deciding.epoch);
-            }
-        }
-    }
-
     /** Who decides, as far as this instance knows. */
     private getDeciding(): Announcement | undefined {
         return this.coordinator === undefined
--- a/standins/operators/fleet.ts
+++ b/standins/operators/fleet.ts
@@ -227,6 +227,9 @@
 graceS = 8
 drainMs = 2000
 statusS = 120
+quotaWindowS = 5
+quotaOver = 0.1
+quotaSlack = 20
 [platform]
 address = "127.0.0.1:${storePort}"
 `;
