A soak of real gateways on the platform's stand-ins; silent endpoints no longer keep batch items; suspects held back in steps

An engine that went silent before the head of its answer kept the item's run for ever, and its place with it. Found by reading beside it: an item or request whose endpoint went away twice by chance was held back for 60 s. Change: silence counts from the sending; a suspect is held back 3 s, 20 s, 60 s after its second, third and later crash.

--- a/packages/fleet/src/crashBook.ts
+++ b/packages/fleet/src/crashBook.ts
@@ -1,7 +1,7 @@
-/** Crashes after which a request is not sent to another endpoint. */
-const MAX_CRASHES = 2;
+/** How long a request is held back after its second crash, third crash and so on, in milliseconds. */
+const HOLDS_MS = [3_000, 20_000, 60_000];
 /** A request that has not come back for this long is forgotten, in milliseconds. */
-const MEMORY_MS = 60_000;
+const MEMORY_MS = 120_000;
 /** Requests that are remembered at most. */
 const MAX_REMEMBERED = 4_096;
 
@@ -12,7 +12,7 @@
 
 /**
  * Remembers requests during which endpoints went away, so that one that crashes each endpoint is not sent to all of
- * them. An answer clears a request.
+ * them. Endpoints also go away by themselves, so a request is only held back, longer each time. An answer clears it.
  */
 export class CrashBook {
     private readonly suspicions = new Map<string, Suspicion>();
@@ -52,6 +52,7 @@
             this.suspicions.delete(fingerprint);
             return true;
         }
-        return suspicion.crashes < MAX_CRASHES;
+        const holdMs = suspicion.crashes < 2 ? 0 : HOLDS_MS[Math.min(suspicion.crashes - 2, HOLDS_MS.length - 1)] ?? 0;
+        return performance.now() - suspicion.lastAtMs >= holdMs;
     }
 }
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -69,6 +69,7 @@
     | "unreachable"
     | "rejected"
     | "broken"
+    | "silent"
     | "stopped";
 
 /** One batch item until it has its result: runs are given up and go on elsewhere after their last event. */
@@ -198,6 +199,7 @@
         const onStopped = () => ending.abort("stopped");
         place.calledBack.addEventListener("abort", onCalledBack, { once: true });
         this.signal.addEventListener("abort", onStopped, { once: true });
+        const silence = setTimeout(() => ending.abort("silent"), SILENCE_MS);
         try {
             const answer = await endpoints.send({
                 requestId: this.item.itemId,
@@ -227,29 +229,29 @@
                 incoming.resume();
                 return toFailedEnd(status, head.isNotExecuted);
             }
-            const isComplete = await this.readEvents(incoming, ending);
+            const isComplete = await this.readEvents(incoming, silence);
             return isComplete ? "complete" : this.toEnded(ending.signal) ?? "broken";
         }
         finally {
+            clearTimeout(silence);
             place.calledBack.removeEventListener("abort", onCalledBack);
             this.signal.removeEventListener("abort", onStopped);
         }
     }
 
     private toEnded({ reason }: AbortSignal): RunEnd | undefined {
-        return reason === "called-back" || reason === "stopped" ? reason : undefined;
+        return reason === "called-back" || reason === "stopped" || reason === "silent" ? reason : undefined;
     }
 
     /** Keeps whole events only, so that the text goes on exactly after the last one. */
     private async readEvents(
         incoming: AsyncIterable<Buffer> & { readonly complete: boolean; destroy(): unknown; },
-        ending: AbortController,
+        silence: NodeJS.Timeout,
     ): Promise<boolean> {
         const reader = new EventReader();
-        const watch = setTimeout(() => ending.abort("silent"), SILENCE_MS);
         try {
             for await (const chunk of incoming) {
-                watch.refresh();
+                silence.refresh();
                 for (const event of reader.read(chunk)) {
                     if (event.eventId === undefined || event.eventId > (this.lastEventId ?? -1)) {
                         this.lastEventId = event.eventId ?? this.lastEventId;
@@ -262,9 +264,6 @@
             // Whoever called looks at why the run was ended; a connection that broke is the endpoint's.
             return false;
         }
-        finally {
-            clearTimeout(watch);
-        }
         return incoming.complete;
     }
 }
@@ -284,6 +283,7 @@
     switch (end) {
         case "unreachable":
         case "rejected":
+        case "silent":
             return end;
         case "broken":
             return events > 1 ? "lost" : "broken";
--- a/standins/operators/fleet.ts
+++ b/standins/operators/fleet.ts
@@ -1,12 +1,15 @@
 import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { existsSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Engine, type EngineOptions } from "./engine";
 import { ObjectApi } from "./objectApi";
 
-const PROGRAM = new URL("../../target/gateway.cjs", import.meta.url).pathname;
+/** Beside the stand-in's bundle, or two folders above its source. */
+const PROGRAM = ["../target/gateway.cjs", "../../target/gateway.cjs"]
+    .map(path => new URL(path, import.meta.url).pathname)
+    .find(path => existsSync(path)) ?? "";
 const READY_TIMEOUT_MS = 15_000;
 const POLL_MS = 25;
 
--- /dev/null
+++ b/standins/operators/runSoak.ts
@@ -0,0 +1,22 @@
+import { parseArgs } from "node:util";
+import { Soak } from "./soak";
+
+const { values } = parseArgs({
+    options: {
+        seed: { type: "string", default: String(Date.now() % 1_000_000) },
+        runs: { type: "string", default: "1" },
+        seconds: { type: "string", default: "20" },
+    },
+});
+
+let failed = 0;
+for (let index = 0; index < Number(values.runs); index += 1) {
+    const report = await new Soak(Number(values.seed) + index, Number(values.seconds) * 1_000).run();
+    const { seed, faults, counts, violations } = report;
+    process.stdout.write(`${JSON.stringify({ seed, faults: faults.length, ...counts, violations })}\n`);
+    if (violations.length > 0) {
+        failed += 1;
+        process.stdout.write(`${faults.map(fault => `  ${fault}\n`).join("")}`);
+    }
+}
+process.exitCode = failed === 0 ? 0 : 1;
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -12,6 +12,7 @@
         endpoint: "standins/endpoint.ts",
         demo: "standins/demo.ts",
         soak: "standins/soak.ts",
+        operatorsSoak: "standins/operators/runSoak.ts",
         bench: "bench/main.ts",
         bareServers: "bench/bareServers.ts",
         settings: "tools/writeSettings.ts",
