Remove from the store what nobody needs: jobs past their time, registrations of instances that are gone

Cause: found by reading: jobs were never removed, and an instance that was replaced for good kept its part of slots and rates for ever.

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -62,6 +62,8 @@
     private readonly rates: RateBook;
     private readonly crashes = new CrashBook();
     private readonly heard = new Map<string, Heard>();
+    /** When instances were heard last that are silent by now. */
+    private readonly lastHeard = new Map<string, Moment>();
     private readonly news: NewsDesk;
     private readonly startedAt = newMoment();
     private readonly reviewTimer: NodeJS.Timeout;
@@ -199,6 +201,17 @@
         this.reconcile(this.surroundings.self.instanceId, places);
     }
 
+    /**
+     * @param instanceId - An instance.
+     * @returns How long it has been silent, at most since this coordinator began; 0 for this instance.
+     */
+    getSilenceMs(instanceId: string): number {
+        if (instanceId === this.surroundings.self.instanceId) {
+            return 0;
+        }
+        return getElapsedMs(this.heard.get(instanceId)?.at ?? this.lastHeard.get(instanceId) ?? this.startedAt);
+    }
+
     /** Whether no other instance could take over, since none reaches the store and all are heard. */
     isTakeoverExcluded(): boolean {
         const others = this.getOthers();
@@ -372,6 +385,7 @@
         for (const [instanceId, { at }] of this.heard) {
             if (getElapsedMs(at) > PLACES_KEPT_MS) {
                 this.heard.delete(instanceId);
+                this.lastHeard.set(instanceId, at);
                 this.news.drop(instanceId);
                 this.freePlaces(instanceId, "it is silent");
             }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,6 +28,7 @@
 import { registerMember } from "./registration";
 import { RetirementDesk } from "./retirement";
 import { serveMetrics, serveReadiness } from "./sideListeners";
+import { Sweeper } from "./sweeper";
 
 /** Age of the configuration beyond which an instance reads the store itself, in milliseconds. */
 const MAX_TOLD_AGE_MS = 2_200;
@@ -39,6 +40,7 @@
 const ADOPTION_INTERVAL_MS = 500;
 const FIRST_START_DELAY_MS = 500;
 const ANNOUNCE_TIMEOUT_MS = 400;
+const SWEEP_INTERVAL_MS = 3_000;
 const STATUS_INTERVAL_MS = 10_000;
 /** Time after the request to stop in which the balancer may still send new connections, in milliseconds. */
 const BALANCER_LAG_MS = 2_600;
@@ -61,6 +63,9 @@
     private readonly ingress: Ingress;
     private readonly retirement: RetirementDesk;
     private readonly learning: PeerLearning;
+    private readonly sweeper: Sweeper;
+    private isRegistering = false;
+    private wasListed = false;
     private readonly metrics: GatewayMetrics;
     private coordinator: Coordinator | undefined;
     private isStopping = false;
@@ -85,7 +90,10 @@
         this.retirement = new RetirementDesk(schema, outside.putStatus, logger);
         this.feed = new StateFeed(store, schema, view, {
             onRetirements: names => this.retirement.note(names),
-            onJobs: objects => this.coordinator?.noteJobs(objects),
+            onJobs: objects => {
+                this.coordinator?.noteJobs(objects);
+                this.sweeper.noteJobs(objects);
+            },
         }, logger);
         this.link = new CoordinatorLink(this.rpc, {
             newRequest: (isFull, waitMs) => this.newSyncRequest(isFull, waitMs),
@@ -164,6 +172,13 @@
         const onAnnouncement = ({ coordinator, epoch }: Announcement) => this.onHolder(coordinator, epoch);
         const getDeciding = () => this.getDeciding();
         addPeerMethods(this.rpcServer, { getCoordinator, getDeciding, view, runner, reader, onAnnouncement });
+        this.sweeper = new Sweeper({
+            store,
+            jobs: jobStore,
+            getMembers,
+            getJobReadableMs: () => this.settings.jobReadableMs,
+            logger,
+        });
         this.learning = new PeerLearning({
             rpc,
             view,
@@ -174,6 +189,9 @@
             isStopping: () => this.isStopping,
         });
         view.onChange(part => {
+            if (part === "members") {
+                this.registerIfGone();
+            }
             if (part === "endpoints") {
                 endpoints.forgetOthers(new Set(view.getEndpoints().map(({ endpointId }) => endpointId)));
             }
@@ -191,13 +209,13 @@
         logger.info({ event: "started", incarnation: this.self.incarnation });
         this.feed.setScope("essentials");
         void this.learning.run();
-        void registerMember(this.outside.store, this.self, () => this.isStopping, logger)
-            .then(() => this.feed.readMembers());
+        void this.register().then(() => this.feed.readMembers());
         this.lease.start(this.getFirstDelayMs());
         this.timers = [
             setInterval(() => this.review(), REVIEW_INTERVAL_MS),
             setInterval(() => this.adoptOwnJobs(), ADOPTION_INTERVAL_MS),
             setInterval(() => this.logStatus(), STATUS_INTERVAL_MS),
+            setInterval(() => this.sweep(), SWEEP_INTERVAL_MS),
         ];
         const metricsAddress = { host: settings.host, port: settings.metricsPort };
         void serveMetrics(metricsAddress, () => this.metrics.render(), logger);
@@ -353,6 +371,27 @@
         }
     }
 
+    private sweep(): void {
+        if (this.coordinator !== undefined && this.lease.isHolder && !this.feed.isStoreFailing) {
+            void this.sweeper.sweep(this.coordinator);
+        }
+    }
+
+    private async register(): Promise<void> {
+        this.isRegistering = true;
+        await registerMember(this.outside.store, this.self, () => this.isStopping, this.logger);
+        this.isRegistering = false;
+    }
+
+    /** An instance that was silent for long may have been taken for gone. */
+    private registerIfGone(): void {
+        const isListed = this.view.members.some(({ incarnation }) => incarnation === this.self.incarnation);
+        if (!isListed && this.wasListed && !this.isRegistering && !this.isStopping) {
+            void this.register();
+        }
+        this.wasListed = isListed;
+    }
+
     private logStatus(): void {
         this.logger.info({
             event: "status",
--- a/packages/gateway/src/jobStore.ts
+++ b/packages/gateway/src/jobStore.ts
@@ -12,6 +12,8 @@
 const REPEAT_AFTER_MS = 350;
 const RETRY_MS = 120;
 const MAX_STATE_WRITES = 6;
+/** Jobs of which the version that was written is remembered. */
+const MAX_WRITTEN = 1_000;
 
 /** An item without its body. */
 export type JobItem = Omit<SubmittedItem, "bodyBase64">;
@@ -78,6 +80,9 @@
                 return "existed";
             }
             this.written.set(manifest.jobId, { manifest, version });
+            if (this.written.size > MAX_WRITTEN) {
+                this.written.delete(this.written.keys().next().value ?? "");
+            }
             return "created";
         });
     }
@@ -277,7 +282,11 @@
     }
 }
 
-function toManifest(object: StoredObject): JobManifest | undefined {
+/**
+ * @param object - A job object.
+ * @returns The job, if the object is whole.
+ */
+export function toManifest(object: StoredObject): JobManifest | undefined {
     return readSummary(object.value) === undefined ? undefined : object.value as unknown as JobManifest;
 }
 
--- a/standins/operators/fleet.ts
+++ b/standins/operators/fleet.ts
@@ -84,15 +84,21 @@
      * @param name - Its name.
      * @param dataCentre - Its data centre.
      * @param isFirstStart - Whether the whole system starts for the first time.
+     * @param jobReadableS - How long jobs stay readable.
      * @returns The gateway.
      */
-    async addGateway(name: string, dataCentre: string, isFirstStart = true): Promise<GatewayProcess> {
+    async addGateway(
+        name: string,
+        dataCentre: string,
+        isFirstStart = true,
+        jobReadableS = 120,
+    ): Promise<GatewayProcess> {
         const [port = 0, readyPort = 0, controlPort = 0, metricsPort = 0] = await findPorts(4);
         const settingsPath = join(this.folder, `${name}.toml`);
         const seeds = [...this.gateways.map(other => other.controlPort), controlPort].slice(0, 3);
         writeFileSync(
             settingsPath,
-            newSettings(name, dataCentre, this.storePort, isFirstStart, seeds, {
+            newSettings(name, dataCentre, this.storePort, isFirstStart, jobReadableS, seeds, {
                 port,
                 readyPort,
                 controlPort,
@@ -199,6 +205,7 @@
     dataCentre: string,
     storePort: number,
     isFirstStart: boolean,
+    jobReadableS: number,
     seeds: readonly number[],
     ports: { port: number; readyPort: number; controlPort: number; metricsPort: number; },
 ): string {
@@ -229,7 +236,7 @@
 revokeMs = 5000
 graceS = 8
 drainMs = 2000
-statusS = 120
+statusS = ${jobReadableS}
 quotaWindowS = 5
 quotaOver = 0.1
 quotaSlack = 20
