Prefer endpoints that don't fail part of their requests; give items up too late rather than too early

Change: the part of failed requests, fading within some seconds, adds to an endpoint's cost; such a request counts as failed; 3 s of margin for clocks.

--- a/packages/fleet/src/endpointHealth.ts
+++ b/packages/fleet/src/endpointHealth.ts
@@ -9,6 +9,20 @@
 /** Failures of one endpoint in a row after which it is taken for failing altogether. */
 const FAILURES_FOR_PAUSE = 6;
 
+/** Weight of the last request in the part of requests that fail. */
+const FAILURE_SMOOTHING = 0.15;
+/** An endpoint that is left alone is given a new chance after some of these, in milliseconds. */
+const FAILURE_MEMORY_MS = 5_000;
+/** How much each kind of end counts as a failure; kinds that are left out say nothing. */
+const FAILURE_WEIGHTS: Partial<Record<PlaceEnd, number>> = {
+    done: 0,
+    rejected: 0.5,
+    failed: 1,
+    broken: 1,
+    silent: 1,
+    unreachable: 1,
+};
+
 /** What the ends of requests tell about one endpoint. */
 export class EndpointHealth {
     private consecutivePauses = 0;
@@ -16,12 +30,25 @@
     private consecutiveFailures = 0;
     private pausedUntilMs = 0;
     private isOnTrial = false;
+    private failing = 0;
+    private failingAtMs = performance.now();
+
+    /** Part of the last requests that failed, the latest counting most. */
+    get failurePart(): number {
+        return this.failing * Math.exp((this.failingAtMs - performance.now()) / FAILURE_MEMORY_MS);
+    }
 
     /**
      * @param end - How a request there ended.
      * @returns Whether the endpoint is paused because of it.
      */
     note(end: PlaceEnd): boolean {
+        const weight = FAILURE_WEIGHTS[end];
+        if (weight !== undefined) {
+            const before = this.failurePart;
+            this.failing = before + FAILURE_SMOOTHING * (weight - before);
+            this.failingAtMs = performance.now();
+        }
         switch (end) {
             case "done":
                 this.consecutivePauses = 0;
--- a/packages/fleet/src/endpointPool.ts
+++ b/packages/fleet/src/endpointPool.ts
@@ -7,6 +7,9 @@
 /** An endpoint of another data centre is taken only when those of the own one are full. */
 const REMOTE_COST = 1;
 
+/** Cost of an endpoint that fails all requests; one that fails some is taken when better ones are full. */
+const FAILURE_COST = 4;
+
 /** A place in use. */
 export interface Place {
     readonly placeId: string;
@@ -182,7 +185,8 @@
         let bestCost = Infinity;
         for (const state of this.byService.get(ask.service) ?? []) {
             const isRemote = state.entry.dataCentre !== ask.dataCentre;
-            const cost = state.running.size / state.entry.slots + (isRemote ? REMOTE_COST : 0);
+            const cost = state.running.size / state.entry.slots + (isRemote ? REMOTE_COST : 0)
+                + state.health.failurePart * FAILURE_COST;
             if (cost < bestCost && this.hasRoom(state) && this.isAllowed(state, ask)) {
                 best = state;
                 bestCost = cost;
--- a/packages/fleet/tests/decisions.test.ts
+++ b/packages/fleet/tests/decisions.test.ts
@@ -4,6 +4,7 @@
     CrashBook,
     type EndpointEntry,
     EndpointHealth,
+    EndpointPool,
     EndpointRoster,
     getElapsedMs,
     getRateAlone,
@@ -206,6 +207,59 @@
     });
 });
 
+describe("an endpoint that fails part of its requests", () => {
+    it.each(
+        [
+            { ends: ["failed", "done", "broken", "done", "failed"], isPreferred: false },
+            { ends: ["silent"], isPreferred: false },
+            { ends: ["done", "done", "done"], isPreferred: true },
+            { ends: ["lost", "lost", "lost"], isPreferred: true },
+        ] as const,
+    )("after $ends: preferred to one of another data centre is $isPreferred", ({ ends, isPreferred }) => {
+        const pool = new EndpointPool({
+            getCapacity: ({ slots }) => slots,
+            getColdRatePerS: () => 0,
+            getRegion: () => "",
+        });
+        pool.setEntries([newEntry("near"), newEntry("far", { dataCentre: "west" })]);
+        for (const [index, end] of ends.entries()) {
+            const place = {
+                placeId: `p${index}`,
+                endpointId: "near",
+                instanceId: "i",
+                service: "lm",
+                workClass: "online" as const,
+                organisation: "alpha",
+                sinceMs: 0,
+                dueAtMs: 0,
+                finishAtMs: 0,
+                isCalledBack: false,
+            };
+            pool.addPlace(place);
+            pool.removePlace(place, end);
+        }
+        const ask = {
+            askId: "a",
+            instanceId: "i",
+            dataCentre: "east",
+            service: "lm",
+            workClass: "online" as const,
+            organisation: "alpha",
+            priority: 0,
+            usefulForMs: 300,
+            targetLatencyMs: 300,
+            giveUpAfterMs: 1_000,
+            dueInMs: 0,
+            remainingMs: 0,
+            excluded: [],
+            allowedRegions: [],
+            fingerprint: "",
+            rate: undefined,
+        };
+        expect(pool.pick(ask)?.entry.endpointId).toBe(isPreferred ? "near" : "far");
+    });
+});
+
 describe("the rate that a cold endpoint bears", () => {
     it("holds in every second", () => {
         const window = new SendWindow();
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -15,6 +15,8 @@
 
 /** Longest wait for a place before asking anew, with the place in line that the due time gives; in milliseconds. */
 const ASK_MS = 4_000;
+/** Times of day differ between instances, and may be set; an item is given up too late rather than too early. */
+const CLOCK_MARGIN_MS = 3_000;
 /** Pause after a run that failed, in milliseconds. */
 const FAILURE_PAUSE_MS = 100;
 /** Pause while the item can't be run anywhere, in milliseconds. */
@@ -108,7 +110,7 @@
     async run(): Promise<ItemResult | undefined> {
         while (!this.signal.aborted) {
             const route = this.surroundings.findRoute();
-            if (route !== undefined && Date.now() > this.job.submittedAt + route.retentionMs) {
+            if (route !== undefined && Date.now() > this.job.submittedAt + route.retentionMs + CLOCK_MARGIN_MS) {
                 return this.newDead();
             }
             if (route === undefined || !this.surroundings.mayRun()) {
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -250,7 +250,10 @@
         clearTimeout(silence);
         this.ending.signal.removeEventListener("abort", onEnding);
         const firstAnswerMs = this.firstAnswerAtMs === undefined ? undefined : this.firstAnswerAtMs - sentAtMs;
-        place.release(sending.signal.reason === "silent" ? "silent" : this.toPlaceEnd(outcome), firstAnswerMs);
+        place.release(
+            sending.signal.reason === "silent" ? "silent" : this.toPlaceEnd(outcome, sentAtMs),
+            firstAnswerMs,
+        );
         return outcome;
     }
 
@@ -287,10 +290,11 @@
         return { kind: "answered", status };
     }
 
-    /** A request that the caller or the clock ended says nothing about the endpoint. */
-    private toPlaceEnd(outcome: SendOutcome): PlaceEnd {
+    /** A request that the caller or the clock ended says nothing about the endpoint, unless that was silent. */
+    private toPlaceEnd(outcome: SendOutcome, sentAtMs: number): PlaceEnd {
         if (outcome.kind === "answered" || this.ending.signal.aborted) {
-            return "done";
+            const wasSilent = this.firstAnswerAtMs === undefined && performance.now() - sentAtMs > SILENCE_MS;
+            return outcome.kind === "ended" && wasSilent ? "failed" : "done";
         }
         return outcome.end === "broken" && this.relay.eventCount > 1 ? "lost" : outcome.end;
     }
