Hear of leaving endpoints within their bound when the store forgets a watch

Watches of endpoints waited 2 s and were given up 0.8 s after that, so one that the store had forgotten was noticed too late.

--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -33,7 +33,11 @@
 
 /** The configuration must be known to be current every second, so its watch waits no longer. */
 const CONFIG_WAIT_MS = 1_000;
-/** A watch that waits proves nothing; shorter waits bound how long a dead connection stays unnoticed. */
+/**
+ * A watch that waits proves nothing, and one that the store forgets is noticed only when its time is over: an endpoint
+ * that leaves must have been heard of within two seconds, a list and a second try included.
+ */
+const ENDPOINT_WAIT_MS = 700;
 const STATE_WAIT_MS = 2_000;
 const SLOW_STATE_WAIT_MS = 5_000;
 /** Jobs come and end in quick succession; whoever must know of one at once is told directly. */
@@ -212,7 +216,11 @@
                 CONFIG_WAIT_MS,
                 (objects, revision, ageMs) => this.readConfig(objects, revision, ageMs),
             ),
-            newFeed(schema.endpointKind, STATE_WAIT_MS, (objects, revision) => this.readEndpoints(objects, revision)),
+            newFeed(
+                schema.endpointKind,
+                ENDPOINT_WAIT_MS,
+                (objects, revision) => this.readEndpoints(objects, revision),
+            ),
             newFeed(
                 schema.evacuationKind,
                 STATE_WAIT_MS,
--- a/standins/operators/objectApi.ts
+++ b/standins/operators/objectApi.ts
@@ -25,6 +25,8 @@
     lostPart: number;
     /** Calls whose kind begins so are refused. */
     refusedKinds: readonly string[];
+    /** Watches of these kinds are never answered, whatever changes. */
+    forgottenKinds: readonly string[];
 }
 
 const PAGE_SIZE = 500;
@@ -32,7 +34,7 @@
 
 /** Stand-in for the operators' store: objects with revisions, watches with a history that may be dropped, faults. */
 export class ObjectApi {
-    readonly faults: ObjectApiFaults = { isDown: false, delayMs: 0, lostPart: 0, refusedKinds: [] };
+    readonly faults: ObjectApiFaults = { isDown: false, delayMs: 0, lostPart: 0, refusedKinds: [], forgottenKinds: [] };
     readonly calls = new Map<string, number>();
     private readonly objects = new Map<string, Map<string, WireObject>>();
     private readonly changes: Change[] = [];
@@ -142,6 +144,9 @@
     private async watch(kind: string, after: number, waitMs: number, response: http.ServerResponse): Promise<void> {
         const endAtMs = Date.now() + Math.min(waitMs, MS_PER_WAIT_LIMIT);
         for (;;) {
+            if (this.faults.forgottenKinds.includes(kind)) {
+                return;
+            }
             if (after < this.oldestRevision) {
                 sendJson(response, 410, { error: "history is gone" });
                 return;
--- a/standins/operators/soak.ts
+++ b/standins/operators/soak.ts
@@ -70,7 +70,13 @@
         ];
         await Promise.all(loops);
         await Promise.all(this.ended);
-        Object.assign(fleet.store.faults, { isDown: false, delayMs: 0, lostPart: 0, refusedKinds: [] });
+        Object.assign(fleet.store.faults, {
+            isDown: false,
+            delayMs: 0,
+            lostPart: 0,
+            refusedKinds: [],
+            forgottenKinds: [],
+        });
         await Promise.all(fleet.gateways.map(gateway => fleet.waitReady(gateway)));
         await load.checkJobs(SETTLE_MS);
         return { seed: this.seed, faults: this.faults, counts: load.counts, violations: load.violations };
@@ -86,6 +92,7 @@
             () => this.strikeStore({ delayMs: 250 }, lengthMs),
             () => this.strikeStore({ lostPart: 0.4 }, lengthMs),
             () => this.strikeStore({ refusedKinds: ["heatherline-job"] }, lengthMs),
+            () => this.strikeStore({ forgottenKinds: ["servers", "config"] }, lengthMs),
             () => this.fleet.store.compact(),
             () => this.strikeEngine(lengthMs),
             () => this.fleet.writeConfig(),
@@ -124,7 +131,13 @@
         this.note(`store ${JSON.stringify(faults)}`, lengthMs);
         Object.assign(this.fleet.store.faults, faults);
         this.later(lengthMs, async () => {
-            Object.assign(this.fleet.store.faults, { isDown: false, delayMs: 0, lostPart: 0, refusedKinds: [] });
+            Object.assign(this.fleet.store.faults, {
+                isDown: false,
+                delayMs: 0,
+                lostPart: 0,
+                refusedKinds: [],
+                forgottenKinds: [],
+            });
         });
     }
 
