Give a share that may be used again what has gathered since

An ask in between, as for tokens in advance, sets the owner's bucket to a rate and burst of zero and so to no tokens; when the share is usable again the bucket filled from the next ask on, not from when the share was usable, so that the next request was refused with a pause of 2 ms. Change: a bucket whose share may not be used is closed; opened again, it holds what gathered since the share may be used, since nothing was handed out meanwhile, less what is still out.

--- a/packages/limits/src/limitOwner.ts
+++ b/packages/limits/src/limitOwner.ts
@@ -71,7 +71,7 @@
         }
         const bounds = this.getUsableBounds(ask.subject, ask.bounds);
         if (bounds === undefined) {
-            this.buckets.get(ask.subject)?.setBounds({ ratePerS: 0, burst: 0 });
+            this.buckets.get(ask.subject)?.close();
             return this.describeMissingShare(ask);
         }
         return this.getBucket(ask.subject, bounds).answer(ask);
@@ -92,7 +92,12 @@
             bucket = new SharedBucket(bounds, bounds.startLevel);
             this.buckets.set(subject, bucket);
         }
-        bucket.setBounds(bounds);
+        if (bucket.isClosed) {
+            bucket.open(bounds, bounds.startLevel);
+        }
+        else {
+            bucket.setBounds(bounds);
+        }
         return bucket;
     }
 
--- a/packages/limits/src/sharedBucket.ts
+++ b/packages/limits/src/sharedBucket.ts
@@ -55,6 +55,27 @@
         this.level = Math.max(0, Math.min(this.level, bounds.burst - this.countHeld()));
     }
 
+    /** Hands out nothing until it is opened again: the share that it stands for may not be used. */
+    close(): void {
+        this.setBounds({ ratePerS: 0, burst: 0 });
+    }
+
+    /** Whether the bucket is closed. */
+    get isClosed(): boolean {
+        return this.bounds.burst === 0;
+    }
+
+    /**
+     * Opens a closed bucket. Nothing was handed out while it was closed, so that it holds what has gathered.
+     *
+     * @param bounds - The bounds from now on.
+     * @param level - Tokens that have gathered since the share may be used again.
+     */
+    open(bounds: LimitBounds, level: number): void {
+        this.setBounds(bounds);
+        this.level = Math.max(0, Math.min(level, bounds.burst - this.countHeld()));
+    }
+
     /**
      * @param ask - An instance's ask.
      * @returns Tokens for it; `undefined` for an ask that newer ones have overtaken.
