Let endpoints that leave go, unless an outage explains that their entries went

Any failed call of any instance to the store, told on to all with the news, counted as an outage, and for 2.5 s after the entry had gone, not after the outage had ended, the entry was kept: a coordinator heard of an instance that was cut off at 17.4 s, the entry went at 20.0 s and was used until 22.5 s. Ruled out: a forgotten watch and its second try (1.3 s at most), the news (one hop). Seen too: a place at an endpoint that the asking instance no longer knew was answered with 503. Change: an entry that has gone is kept only where its reader was itself out of reach of the store for two renewals, or where more than half of a service's entries go at once after any outage; until 2 s after the store's return. Entries that are kept are told with the news instead of the trouble. The table of the roster in decisions.test.ts is replaced: it held that any failed call keeps any entry; the new one holds both ways, and the end-to-end test of a whole fleet's entries lapsing in a short outage stays as it was.

--- a/packages/fleet/src/endpointRoster.ts
+++ b/packages/fleet/src/endpointRoster.ts
@@ -1,35 +1,52 @@
 import type { EndpointEntry } from "./types";
 
 /** Entries that lapse while the store is away are back this soon after its return if their endpoint lives. */
-const RETURN_GRACE_MS = 2_500;
+const RETURN_GRACE_MS = 2_000;
+/** An endpoint misses at least this many renewals before its entry lapses. */
+const MISSED_RENEWALS = 2;
+/** Where more than this part of a service's entries goes at once after an outage, they have lapsed. */
+const LAPSED_PART = 0.5;
 
-interface Lapsed {
+/** An entry that the store doesn't list any more and that is still gone by. */
+export interface LapsedEndpoint {
     readonly entry: EndpointEntry;
-    readonly sinceMs: number;
+    /** How much longer it is gone by, in milliseconds. */
+    readonly leftMs: number;
 }
 
 /**
- * The endpoints that are registered. An entry that disappears is gone at once, except around an outage of the store:
- * then the registration may have lapsed only because the endpoint couldn't renew it.
+ * The endpoints that are registered. An entry that disappears is gone at once, except after an outage of the store:
+ * then the registration may have lapsed only because the endpoint couldn't renew it. An outage that was too short for
+ * that, or that only this instance saw, hides endpoints that have left, so that they are kept only where a whole
+ * service would lose its endpoints.
  */
 export class EndpointRoster {
     private listed = new Map<string, EndpointEntry>();
-    private readonly lapsed = new Map<string, Lapsed>();
-    private troubleEndedAtMs = -Infinity;
+    private readonly lapsed = new Map<string, { readonly entry: EndpointEntry; readonly untilMs: number; }>();
+    private outageMs = 0;
+    private returnedAtMs = -Infinity;
 
-    /** Notes that a call to the store has failed or took very long. */
-    noteStoreTrouble(): void {
-        this.troubleEndedAtMs = performance.now();
+    /**
+     * Notes that the store is back, before what it lists now is taken over.
+     *
+     * @param outageMs - How long it was out of reach.
+     */
+    noteReturn(outageMs: number): void {
+        this.outageMs = outageMs;
+        this.returnedAtMs = performance.now();
     }
 
     /**
      * @param entries - All entries as the store lists them now.
+     * @param renewalMs - How often an endpoint renews its entry, in milliseconds.
      */
-    replaceAll(entries: readonly EndpointEntry[]): void {
+    replaceAll(entries: readonly EndpointEntry[], renewalMs: number): void {
         const next = new Map(entries.map(entry => [entry.endpointId, entry]));
-        for (const entry of this.listed.values()) {
-            if (!next.has(entry.endpointId)) {
-                this.noteGone(entry);
+        const gone = [...this.listed.values()].filter(({ endpointId }) => !next.has(endpointId));
+        const untilMs = this.returnedAtMs + RETURN_GRACE_MS;
+        for (const entry of gone) {
+            if (entry.state === "ready" && performance.now() < untilMs && this.hasLapsedWith(gone, entry, renewalMs)) {
+                this.lapsed.set(entry.endpointId, { entry, untilMs });
             }
         }
         this.listed = next;
@@ -39,33 +56,32 @@
     }
 
     /**
-     * @param entry - An entry that was written.
+     * Keeps entries that another instance goes by although the store doesn't list them.
+     *
+     * @param endpoints - The entries.
      */
-    put(entry: EndpointEntry): void {
-        this.listed.set(entry.endpointId, entry);
-        this.lapsed.delete(entry.endpointId);
-    }
-
-    /**
-     * @param endpointId - Name of an entry that was removed, or that can't be read any more.
-     */
-    remove(endpointId: string): void {
-        const entry = this.listed.get(endpointId);
-        if (entry !== undefined) {
-            this.listed.delete(endpointId);
-            this.noteGone(entry);
+    keep(endpoints: readonly LapsedEndpoint[]): void {
+        for (const { entry, leftMs } of endpoints) {
+            if (!this.listed.has(entry.endpointId)) {
+                this.lapsed.set(entry.endpointId, { entry, untilMs: performance.now() + leftMs });
+            }
         }
     }
 
     /** @returns The entries to go by now. */
     getEntries(): EndpointEntry[] {
+        return [...this.listed.values(), ...this.getLapsed().map(({ entry }) => entry)];
+    }
+
+    /** @returns Entries that are gone by although the store doesn't list them. */
+    getLapsed(): LapsedEndpoint[] {
         const nowMs = performance.now();
-        for (const [endpointId, { sinceMs }] of this.lapsed) {
-            if (nowMs >= Math.max(sinceMs, this.troubleEndedAtMs) + RETURN_GRACE_MS) {
+        for (const [endpointId, { untilMs }] of this.lapsed) {
+            if (nowMs >= untilMs) {
                 this.lapsed.delete(endpointId);
             }
         }
-        return [...this.listed.values(), ...[...this.lapsed.values()].map(({ entry }) => entry)];
+        return [...this.lapsed.values()].map(({ entry, untilMs }) => ({ entry, leftMs: untilMs - nowMs }));
     }
 
     /** Whether entries are kept that the store doesn't list. */
@@ -73,10 +89,12 @@
         return this.lapsed.size > 0;
     }
 
-    private noteGone(entry: EndpointEntry): void {
-        const sinceTroubleMs = performance.now() - this.troubleEndedAtMs;
-        if (entry.state === "ready" && sinceTroubleMs < RETURN_GRACE_MS) {
-            this.lapsed.set(entry.endpointId, { entry, sinceMs: performance.now() });
+    /** Whether the outage explains that an entry has gone, together with others. */
+    private hasLapsedWith(gone: readonly EndpointEntry[], { service }: EndpointEntry, renewalMs: number): boolean {
+        if (this.outageMs >= MISSED_RENEWALS * renewalMs) {
+            return true;
         }
+        const before = [...this.listed.values()].filter(entry => entry.service === service).length;
+        return gone.filter(entry => entry.service === service).length > LAPSED_PART * before;
     }
 }
--- a/packages/fleet/src/placement.ts
+++ b/packages/fleet/src/placement.ts
@@ -15,6 +15,10 @@
 const RELEASE_TIMEOUT_MS = 500;
 /** An endpoint that this instance can't reach is left out of its own asks for this long, in milliseconds. */
 const UNREACHABLE_MS = 1_500;
+/** The coordinator may lag behind in what it knows of endpoints, but hardly of this many that are free at once. */
+const MAX_UNKNOWN_ENDPOINTS = 3;
+/** By then the coordinator and this instance have the same endpoints, in milliseconds. */
+const UNKNOWN_RETRY_MS = 500;
 
 /** A place that this instance holds. */
 export interface HeldPlace {
@@ -47,6 +51,13 @@
     readonly signal: AbortSignal;
 };
 
+/** A place at an endpoint that has left, by what this instance knows. */
+interface UnknownEndpoint {
+    readonly kind: "unknown-endpoint";
+    readonly endpointId: string;
+    readonly decidedBy: "coordinator" | "alone";
+}
+
 interface Held {
     readonly ask: PlaceAsk;
     readonly endpointId: string;
@@ -103,6 +114,27 @@
      * @returns A place to be released, or a refusal.
      */
     async ask(given: PlacementAsk): Promise<PlacementOutcome> {
+        const startedAtMs = performance.now();
+        const unknown: string[] = [];
+        for (;;) {
+            const excluded = [...given.excluded ?? [], ...unknown];
+            const spentMs = performance.now() - startedAtMs;
+            // The rate was counted with the first ask.
+            const rate = unknown.length === 0 ? given.rate : undefined;
+            const outcome = await this.askOnce({ ...shorten(given, spentMs), excluded, rate });
+            if (outcome.kind !== "unknown-endpoint") {
+                return outcome;
+            }
+            unknown.push(outcome.endpointId);
+            this.logger.info({ event: "place-unusable", endpoint: outcome.endpointId, decidedBy: outcome.decidedBy });
+            if (unknown.length === MAX_UNKNOWN_ENDPOINTS) {
+                const detail = `endpoints ${unknown.join()} are not known here`;
+                return { ...outcome, kind: "refused", reason: "unavailable", retryAfterMs: UNKNOWN_RETRY_MS, detail };
+            }
+        }
+    }
+
+    private async askOnce(given: PlacementAsk): Promise<PlacementOutcome | UnknownEndpoint> {
         const { signal, ...rest } = given;
         const ask: PlaceAsk = {
             ...rest,
@@ -116,8 +148,7 @@
         if (decided !== undefined) {
             return this.toOutcome(ask, decided, "coordinator", signal);
         }
-        const spentMs = performance.now() - startedAtMs;
-        const left = { ...ask, usefulForMs: ask.usefulForMs - spentMs, giveUpAfterMs: ask.giveUpAfterMs - spentMs };
+        const left = shorten(ask, performance.now() - startedAtMs);
         return this.toOutcome(ask, await this.askAlone(left, signal), "alone", signal);
     }
 
@@ -226,7 +257,7 @@
         outcome: PlaceOutcome,
         decidedBy: "coordinator" | "alone",
         signal: AbortSignal,
-    ): PlacementOutcome {
+    ): PlacementOutcome | UnknownEndpoint {
         if (outcome.kind === "refused") {
             return { ...outcome, decidedBy };
         }
@@ -234,10 +265,19 @@
         const endpoint = this.view.getEndpoints().find(entry => entry.endpointId === endpointId);
         const calling = new AbortController();
         this.held.set(placeId, { ask, endpointId, givenBy: decidedBy, calling });
-        if (endpoint === undefined || signal.aborted) {
+        if (signal.aborted) {
+            this.release(placeId, "lost");
+            return {
+                kind: "refused",
+                reason: "unavailable",
+                retryAfterMs: 0,
+                detail: "the caller has gone",
+                decidedBy,
+            };
+        }
+        if (endpoint === undefined) {
             this.release(placeId, "lost");
-            const detail = endpoint === undefined ? `endpoint ${endpointId} is not known here` : "the caller has gone";
-            return { kind: "refused", reason: "unavailable", retryAfterMs: 0, detail, decidedBy };
+            return { kind: "unknown-endpoint", endpointId, decidedBy };
         }
         const release = (end: PlaceEnd, firstAnswerMs?: number) => this.release(placeId, end, firstAnswerMs);
         const noteSilent = () => this.noteSilent(placeId);
@@ -327,3 +367,8 @@
         return [...this.unreachableUntilMs.keys()];
     }
 }
+
+/** Takes the time that was spent from the time that an ask has left. */
+function shorten<Ask extends Pick<PlaceAsk, "usefulForMs" | "giveUpAfterMs">>(ask: Ask, spentMs: number): Ask {
+    return { ...ask, usefulForMs: ask.usefulForMs - spentMs, giveUpAfterMs: ask.giveUpAfterMs - spentMs };
+}
--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -1,6 +1,7 @@
 import { type Logger, startLoop, withJitter } from "@heatherline/common";
 import type { ObjectStore, StoredObject, StoreError, StoreEvent } from "@heatherline/store";
 import type { Result } from "neverthrow";
+import { getElapsedMs, type Moment, newMoment } from "./freshness";
 import type { EndpointEntry, MemberEntry, RoutingConfig } from "./types";
 import type { FleetView } from "./view";
 
@@ -45,6 +46,17 @@
 const FIRST_RETRY_MS = 120;
 const MAX_RETRY_MS = 600;
 
+/** What a read of one kind of object has shown. */
+export interface KindReading {
+    /** All objects of the kind, by name. */
+    readonly objects: ReadonlyMap<string, StoredObject>;
+    readonly revision: number;
+    /** How long ago the read began, or the wait of a quiet watch ended, in milliseconds. */
+    readonly ageMs: number;
+    /** How long the store was out of reach before this read; 0 if it was not, in milliseconds. */
+    readonly outageMs: number;
+}
+
 /** Objects of one kind, kept up to date by listing and watching. */
 export class KindFeed {
     private readonly objects = new Map<string, StoredObject>();
@@ -53,6 +65,7 @@
     /** Whether the last read was a watch that waited its whole time for nothing, and so was answered at its end. */
     private isQuiet = false;
     private hadContact = true;
+    private lastContactAt: Moment = newMoment();
     private stopLoop: (() => Promise<void>) | undefined;
 
     /**
@@ -69,8 +82,7 @@
         private readonly waitMs: number,
         private readonly pauseMs: number,
         private readonly hooks: {
-            /** Called with all objects after a read that began `ageMs` ago. */
-            readonly onRead: (objects: ReadonlyMap<string, StoredObject>, revision: number, ageMs: number) => void;
+            readonly onRead: (reading: KindReading) => void;
             readonly onFailure: (error: StoreError) => void;
         },
         private readonly logger: Logger,
@@ -78,6 +90,7 @@
 
     /** Starts reading. */
     start(): void {
+        this.lastContactAt = newMoment();
         this.stopLoop ??= startLoop(() => this.getPauseMs(), signal => this.readOnce(signal));
     }
 
@@ -96,11 +109,13 @@
             return;
         }
         if (failure === undefined) {
+            const outageMs = this.getOutageMs();
             this.failures = 0;
+            this.lastContactAt = newMoment();
             this.noteContact(true, "");
             const tookMs = Math.max(performance.now() - sentAtMs, Date.now() - sentAtWallMs);
             const ageMs = this.isQuiet && tookMs >= this.waitMs ? tookMs - this.waitMs : tookMs;
-            this.hooks.onRead(this.objects, this.revision, ageMs);
+            this.hooks.onRead({ objects: this.objects, revision: this.revision, ageMs, outageMs });
             return;
         }
         if (failure.kind === "compacted") {
@@ -153,6 +168,15 @@
         }
     }
 
+    /** One failed call shows no longer an outage than the call may wait: its answer may just be lost. */
+    private getOutageMs(): number {
+        if (this.failures === 0) {
+            return 0;
+        }
+        const withoutContactMs = getElapsedMs(this.lastContactAt);
+        return this.failures === 1 ? Math.min(withoutContactMs, this.waitMs) : withoutContactMs;
+    }
+
     private getPauseMs(): number {
         return this.failures === 0
             ? this.pauseMs
@@ -198,44 +222,47 @@
         const newFeed = (
             kind: string,
             waitMs: number,
-            onRead: (objects: ReadonlyMap<string, StoredObject>, revision: number, ageMs: number) => void,
+            onRead: (reading: KindReading) => void,
             pauseMs = 0,
         ) => new KindFeed(store, kind, waitMs, pauseMs, {
-            onRead: (objects, revision, ageMs) => {
+            onRead: reading => {
                 this.lastReadAtMs = performance.now();
-                onRead(objects, revision, ageMs);
+                onRead(reading);
             },
             onFailure: () => {
                 this.lastFailureAtMs = performance.now();
-                view.noteStoreTrouble();
             },
         }, logger);
         this.essentials = [
             newFeed(
                 schema.configKind,
                 CONFIG_WAIT_MS,
-                (objects, revision, ageMs) => this.readConfig(objects, revision, ageMs),
+                reading => this.readConfig(reading),
             ),
             newFeed(
                 schema.endpointKind,
                 ENDPOINT_WAIT_MS,
-                (objects, revision) => this.readEndpoints(objects, revision),
+                reading => this.readEndpoints(reading),
             ),
             newFeed(
                 schema.evacuationKind,
                 STATE_WAIT_MS,
-                (objects, revision) => view.applyEvacuated({ revision, value: [...objects.keys()] }),
+                ({ objects, revision }) => view.applyEvacuated({ revision, value: [...objects.keys()] }),
             ),
         ];
         this.extras = [
             newFeed(
                 MEMBER_KIND,
                 SLOW_STATE_WAIT_MS,
-                (objects, revision) =>
+                ({ objects, revision }) =>
                     view.applyMembers({ revision, value: [...objects.values()].flatMap(readMember) }),
             ),
-            newFeed(schema.retirementKind, SLOW_STATE_WAIT_MS, objects => listeners.onRetirements([...objects.keys()])),
-            newFeed(JOB_KIND, STATE_WAIT_MS, objects => listeners.onJobs(objects), JOB_PAUSE_MS),
+            newFeed(
+                schema.retirementKind,
+                SLOW_STATE_WAIT_MS,
+                ({ objects }) => listeners.onRetirements([...objects.keys()]),
+            ),
+            newFeed(JOB_KIND, STATE_WAIT_MS, ({ objects }) => listeners.onJobs(objects), JOB_PAUSE_MS),
         ];
     }
 
@@ -265,14 +292,14 @@
     async readMembers(): Promise<void> {
         const listing = await this.store.list(MEMBER_KIND);
         if (listing.isErr()) {
-            this.view.noteStoreTrouble();
+            this.logger.info({ event: "members-not-read", cause: listing.error.toString() });
             return;
         }
         const { revision, objects } = listing.value;
         this.view.applyMembers({ revision, value: objects.flatMap(readMember) });
     }
 
-    private readConfig(objects: ReadonlyMap<string, StoredObject>, revision: number, ageMs: number): void {
+    private readConfig({ objects, ageMs }: KindReading): void {
         const object = objects.get(this.schema.configName);
         if (object === undefined) {
             return;
@@ -289,7 +316,10 @@
         this.view.noteConfigCurrent(ageMs);
     }
 
-    private readEndpoints(objects: ReadonlyMap<string, StoredObject>, revision: number): void {
+    private readEndpoints({ objects, revision, outageMs }: KindReading): void {
+        if (outageMs > 0) {
+            this.view.noteStoreReturn(outageMs);
+        }
         const entries: EndpointEntry[] = [];
         for (const [name, object] of objects) {
             const entry = this.schema.decodeEndpoint(name, object.value);
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -1,4 +1,4 @@
-import { EndpointRoster } from "./endpointRoster";
+import { EndpointRoster, type LapsedEndpoint } from "./endpointRoster";
 import { AgeClock } from "./freshness";
 import { RouteTable } from "./routeTable";
 import type { EndpointEntry, MemberEntry, RoutingConfig } from "./types";
@@ -13,12 +13,12 @@
 export interface FleetNews {
     readonly config?: Section<RoutingConfig>;
     readonly endpoints?: Section<readonly EndpointEntry[]>;
+    /** Endpoints that the sender goes by although the store doesn't list them. */
+    readonly lapsedEndpoints?: readonly LapsedEndpoint[];
     readonly evacuated?: Section<readonly string[]>;
     readonly members?: Section<readonly MemberEntry[]>;
     /** Age of the configuration at the sender, in milliseconds. */
     readonly configAgeMs: number;
-    /** Time since the sender last had trouble with the store, in milliseconds. */
-    readonly storeTroubleAgeMs: number;
 }
 
 /** Revisions that an instance has; 0 where it has nothing. */
@@ -44,12 +44,16 @@
     private readonly revisions: Record<ViewPart, number> = { config: 0, endpoints: 0, evacuated: 0, members: 0 };
     private readonly roster = new EndpointRoster();
     private readonly configAge = new AgeClock();
-    private readonly trouble = new AgeClock();
     private listedEndpoints: readonly EndpointEntry[] = [];
     private evacuatedDataCentres: ReadonlySet<string> = new Set();
     private memberEntries: readonly MemberEntry[] = [];
     private readonly listeners: ((part: ViewPart) => void)[] = [];
 
+    /**
+     * @param endpointRenewalMs - How often an endpoint renews its registration, in milliseconds.
+     */
+    constructor(private readonly endpointRenewalMs: number) {}
+
     /** The configuration in force, where one is known. */
     get routes(): RouteTable | undefined {
         return this.routeTable;
@@ -70,16 +74,16 @@
         return this.roster.getEntries();
     }
 
+    /** @returns Names of the endpoints among those that the store doesn't list any more. */
+    getLapsedIds(): string[] {
+        return this.roster.getLapsed().map(({ entry }) => entry.endpointId);
+    }
+
     /** @returns Milliseconds since the configuration was known to be current. */
     getConfigAgeMs(): number {
         return this.configAge.getAgeMs();
     }
 
-    /** @returns Milliseconds since there was trouble with the store. */
-    getStoreTroubleAgeMs(): number {
-        return this.trouble.getAgeMs();
-    }
-
     /**
      * @param listener - Called after a part has changed.
      */
@@ -99,10 +103,13 @@
         this.configAge.noteCurrent(ageMs);
     }
 
-    /** Notes that a call to the store failed. */
-    noteStoreTrouble(): void {
-        this.roster.noteStoreTrouble();
-        this.trouble.noteCurrent(0);
+    /**
+     * Notes that the store is back, before the endpoints that it lists now are applied.
+     *
+     * @param outageMs - How long it was out of reach.
+     */
+    noteStoreReturn(outageMs: number): void {
+        this.roster.noteReturn(outageMs);
     }
 
     /**
@@ -121,12 +128,14 @@
 
     /**
      * @param section - All endpoints that are registered.
+     * @param lapsed - Endpoints that are gone by although they aren't registered any more.
      */
-    applyEndpoints(section: Section<readonly EndpointEntry[]>): void {
+    applyEndpoints(section: Section<readonly EndpointEntry[]>, lapsed: readonly LapsedEndpoint[] = []): void {
         if (section.revision > this.revisions.endpoints) {
             this.revisions.endpoints = section.revision;
             this.listedEndpoints = section.value;
-            this.roster.replaceAll(section.value);
+            this.roster.replaceAll(section.value, this.endpointRenewalMs);
+            this.roster.keep(lapsed);
             this.tell("endpoints");
         }
     }
@@ -162,12 +171,14 @@
         const config = this.routeTable?.config;
         return {
             configAgeMs: Math.min(MAX_AGE_MS, this.getConfigAgeMs()),
-            storeTroubleAgeMs: Math.min(MAX_AGE_MS, this.getStoreTroubleAgeMs()),
             ...config !== undefined && revisions.config > known.config
                 ? { config: { revision: revisions.config, value: config } }
                 : {},
             ...revisions.endpoints > known.endpoints
-                ? { endpoints: { revision: revisions.endpoints, value: this.listedEndpoints } }
+                ? {
+                    endpoints: { revision: revisions.endpoints, value: this.listedEndpoints },
+                    lapsedEndpoints: this.roster.getLapsed(),
+                }
                 : {},
             ...revisions.evacuated > known.evacuated
                 ? { evacuated: { revision: revisions.evacuated, value: [...this.evacuatedDataCentres] } }
@@ -193,14 +204,11 @@
      * @param transitMs - Time that the news was on its way at most.
      */
     applyNews(news: FleetNews, transitMs: number): void {
-        if (news.storeTroubleAgeMs < MAX_AGE_MS && news.storeTroubleAgeMs < this.getStoreTroubleAgeMs()) {
-            this.noteStoreTrouble();
-        }
         if (news.config !== undefined) {
             this.applyConfig(news.config);
         }
         if (news.endpoints !== undefined) {
-            this.applyEndpoints(news.endpoints);
+            this.applyEndpoints(news.endpoints, news.lapsedEndpoints);
         }
         if (news.evacuated !== undefined) {
             this.applyEvacuated(news.evacuated);
--- a/packages/fleet/tests/decisions.test.ts
+++ b/packages/fleet/tests/decisions.test.ts
@@ -6,6 +6,7 @@
     EndpointHealth,
     EndpointPool,
     EndpointRoster,
+    FleetView,
     getElapsedMs,
     getRateAlone,
     getSlotsAlone,
@@ -19,6 +20,9 @@
     SendWindow,
 } from "../src";
 
+/** How often endpoints renew their registrations. */
+const RENEWAL_MS = 1_200;
+
 beforeEach(() => {
     vi.useFakeTimers();
 });
@@ -47,31 +51,67 @@
 
 describe("the roster of endpoints", () => {
     it.each([
-        { what: "in calm times", troubleAgeMs: undefined, waitMs: 0, isKept: false },
-        { what: "during an outage of the store", troubleAgeMs: 0, waitMs: 0, isKept: true },
-        { what: "just after one", troubleAgeMs: 1_000, waitMs: 0, isKept: true },
-        { what: "long after one", troubleAgeMs: 3_000, waitMs: 0, isKept: false },
-        { what: "when it did not come back", troubleAgeMs: 0, waitMs: 2_600, isKept: false },
-    ])("an entry that disappears $what: kept is $isKept", ({ troubleAgeMs, waitMs, isKept }) => {
+        { what: "in calm times", outageMs: 0, returnAgeMs: 0, waitMs: 0, gone: 1, isKept: false },
+        { what: "in a long outage", outageMs: 3_000, returnAgeMs: 0, waitMs: 0, gone: 1, isKept: true },
+        { what: "just after one", outageMs: 3_000, returnAgeMs: 1_900, waitMs: 0, gone: 1, isKept: true },
+        { what: "well after one", outageMs: 3_000, returnAgeMs: 2_100, waitMs: 0, gone: 1, isKept: false },
+        { what: "and did not come back", outageMs: 3_000, returnAgeMs: 0, waitMs: 2_100, gone: 1, isKept: false },
+        {
+            what: "1.9 s after one, for 0.2 s",
+            outageMs: 3_000,
+            returnAgeMs: 1_900,
+            waitMs: 200,
+            gone: 1,
+            isKept: false,
+        },
+        { what: "in an outage too short to lapse", outageMs: 1_270, returnAgeMs: 0, waitMs: 0, gone: 1, isKept: false },
+        { what: "in a short one with most others", outageMs: 400, returnAgeMs: 0, waitMs: 0, gone: 2, isKept: true },
+        { what: "in calm times with all others", outageMs: 0, returnAgeMs: 0, waitMs: 0, gone: 3, isKept: false },
+    ])("an entry that disappears $what: kept is $isKept", ({ outageMs, returnAgeMs, waitMs, gone, isKept }) => {
         const roster = new EndpointRoster();
-        roster.replaceAll([newEntry("a"), newEntry("b")]);
-        if (troubleAgeMs !== undefined) {
-            roster.noteStoreTrouble();
-            vi.advanceTimersByTime(troubleAgeMs);
+        const entries = ["a", "b", "c"].map(id => newEntry(id));
+        roster.replaceAll(entries, RENEWAL_MS);
+        if (outageMs > 0) {
+            roster.noteReturn(outageMs);
         }
-        roster.replaceAll([newEntry("b")]);
+        vi.advanceTimersByTime(returnAgeMs);
+        roster.replaceAll(entries.slice(gone), RENEWAL_MS);
         vi.advanceTimersByTime(waitMs);
         const ids = roster.getEntries().map(({ endpointId }) => endpointId).sort();
-        expect(ids).toEqual(isKept ? ["a", "b"] : ["b"]);
+        expect(ids).toEqual(isKept ? ["a", "b", "c"] : ["a", "b", "c"].slice(gone));
     });
 
     it("keeps none that was leaving", () => {
         const roster = new EndpointRoster();
-        roster.replaceAll([newEntry("a", { state: "draining" })]);
-        roster.noteStoreTrouble();
-        roster.replaceAll([]);
+        roster.replaceAll([newEntry("a", { state: "draining" })], RENEWAL_MS);
+        roster.noteReturn(3_000);
+        roster.replaceAll([], RENEWAL_MS);
         expect(roster.getEntries()).toEqual([]);
     });
+
+    it("keeps for as long as the instance does from which it heard", () => {
+        const sender = new FleetView(RENEWAL_MS);
+        sender.applyEndpoints({ revision: 1, value: [newEntry("a"), newEntry("b")] });
+        sender.noteStoreReturn(3_000);
+        vi.advanceTimersByTime(1_500);
+        sender.applyEndpoints({ revision: 2, value: [newEntry("b")] });
+        const receiver = new FleetView(RENEWAL_MS);
+        receiver.applyNews(sender.newNews(receiver.getRevisions()), 0);
+        expect(receiver.getEndpoints().map(({ endpointId }) => endpointId)).toEqual(["b", "a"]);
+        vi.advanceTimersByTime(501);
+        expect(receiver.getEndpoints().map(({ endpointId }) => endpointId)).toEqual(["b"]);
+    });
+
+    it("goes by the list of an instance that reached the store, whatever trouble others had with it", () => {
+        const reader = new FleetView(RENEWAL_MS);
+        reader.applyEndpoints({ revision: 1, value: [newEntry("a"), newEntry("b"), newEntry("c")] });
+        const cutOff = new FleetView(RENEWAL_MS);
+        cutOff.applyNews(reader.newNews(cutOff.getRevisions()), 0);
+        cutOff.noteStoreReturn(3_000);
+        reader.applyNews(cutOff.newNews(reader.getRevisions()), 0);
+        reader.applyEndpoints({ revision: 2, value: [newEntry("b"), newEntry("c")] });
+        expect(reader.getEndpoints().map(({ endpointId }) => endpointId)).toEqual(["b", "c"]);
+    });
 });
 
 describe("ages", () => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import { Admission } from "./admission";
 import { BatchApi } from "./batchApi";
 import { EndpointClient } from "./endpointClient";
+import { EndpointLog } from "./endpointLog";
 import type { ChangeableSettings, GatewayOutside, GatewaySettings } from "./gatewaySettings";
 import { Ingress } from "./ingress";
 import { JobReader } from "./jobReader";
@@ -51,7 +52,7 @@
 /** One instance that stands between callers and endpoints. */
 export class Gateway {
     private readonly self: MemberEntry;
-    private readonly view = new FleetView();
+    private readonly view: FleetView;
     private readonly admission: Admission;
     private readonly feed: StateFeed;
     private readonly lease: CoordinatorLease;
@@ -83,7 +84,8 @@
     ) {
         const { instanceId, host, dataCentre, peers, processorShare } = settings;
         const { store, schema, wire } = outside;
-        const { view } = this;
+        const view = new FleetView(settings.endpointRenewalMs);
+        this.view = view;
         this.self = { instanceId, incarnation: newId(), host, rpcPort: peers.port, dataCentre, processorShare };
         this.admission = new Admission(view, settings.revokeMs);
         this.rpc = new RpcPeerTransport(() => undefined, "");
@@ -188,11 +190,13 @@
             onDeciding: deciding => this.onHolder(deciding.coordinator, deciding.epoch),
             isStopping: () => this.isStopping,
         });
+        const endpointLog = new EndpointLog(logger);
         view.onChange(part => {
             if (part === "members") {
                 this.registerIfGone();
             }
             if (part === "endpoints") {
+                endpointLog.note(view);
                 endpoints.forgetOthers(new Set(view.getEndpoints().map(({ endpointId }) => endpointId)));
             }
             this.placement.noteViewChanged();
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -17,6 +17,8 @@
     readonly seeds: readonly { readonly host: string; readonly port: number; }[];
     /** Whether the whole system starts for the first time. */
     readonly isFirstStart: boolean;
+    /** How often an endpoint renews its registration, in milliseconds. */
+    readonly endpointRenewalMs: number;
     readonly revokeMs: number;
     readonly graceMs: number;
     readonly jobReadableMs: number;
