Let batch items that can be in time ask past those that are late

After an outage its overdue items have the earliest due times, so that they held all eight asks: one instance ran 13 items of a job overdue since 50 s while 30 items that were due at 68 s and 70 s waited until 73 s and came 5 to 9 s late. An item that was called back queued again behind fresh ones with the same due time, so that what was begun was spread over many items. At the coordinator only the first of the line was looked at for whether it is late. Change: ItemAskQueue has eight asks for items that can be in time, in the order in which places are given (one function for both), and two for late ones; 256 instead of 64 items of an instance run or wait; the line looks at all items for lateness; a new coordinator hears how much items still need.

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -317,7 +317,7 @@
                 organisation: summary.organisation,
                 sinceMs: nowMs,
                 dueAtMs: nowMs + summary.dueInMs,
-                finishAtMs: nowMs,
+                finishAtMs: nowMs + summary.remainingMs,
                 isCalledBack: false,
             });
         }
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -3,6 +3,7 @@
 import { BatchLedger } from "./batchLedger";
 import { EndpointPool, type EndpointState, type Place, type PoolSurroundings } from "./endpointPool";
 import { type LineState, WaitForecast } from "./forecast";
+import { getItemRank } from "./itemOrder";
 import type { EndpointEntry, PlaceAsk, PlaceEnd, PlaceOutcome } from "./types";
 import { type Waiter, WaitingLine } from "./waitingLine";
 
@@ -12,8 +13,6 @@
 const RETURN_CREDIT_MS = 1_000;
 /** Part of the latency objective within which a refusal leaves the caller time to be served elsewhere in time. */
 const EARLY_REFUSAL_PART = 0.22;
-/** Items with little left go before others that are due at the same time, so that what was begun gets finished. */
-const REMAINING_WEIGHT = 2;
 /** Each item that an organisation has running makes its next one count as due this much later, in milliseconds. */
 const FAIRNESS_STEP_MS = 300;
 /** Longest pause for callers while a service has no endpoint at all, in milliseconds. */
@@ -225,7 +224,7 @@
     private getRank(ask: PlaceAsk, nowMs: number): number {
         if (ask.workClass === "batch") {
             const running = this.batch.getRunning(ask.organisation);
-            return nowMs + ask.dueInMs + REMAINING_WEIGHT * ask.remainingMs + running * FAIRNESS_STEP_MS;
+            return getItemRank(nowMs + ask.dueInMs, ask.remainingMs) + running * FAIRNESS_STEP_MS;
         }
         const isReturning = this.getService(ask.service).forecast.takeReturn(ask.fingerprint);
         return nowMs + ask.priority * PRIORITY_STEP_MS - (isReturning ? RETURN_CREDIT_MS : 0);
@@ -305,6 +304,9 @@
             return;
         }
         let left = this.pool.count(service, undefined).free - this.getService(service).arrivals.getExpected(RESERVE_MS);
+        if (left < 1) {
+            return;
+        }
         for (const waiter of line.getBatch()) {
             if (left < 1) {
                 return;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./floors";
 export * from "./forecast";
 export * from "./freshness";
+export * from "./itemOrder";
 export * from "./jobBoard";
 export * from "./lease";
 export * from "./messages";
--- a/packages/fleet/src/placement.ts
+++ b/packages/fleet/src/placement.ts
@@ -63,6 +63,7 @@
     readonly endpointId: string;
     readonly givenBy: "coordinator" | "alone";
     readonly calling: AbortController;
+    readonly placedAtMs: number;
 }
 
 /**
@@ -166,13 +167,15 @@
 
     /** @returns All places in use, for a coordinator that may not know them. */
     getPlaces(): PlaceSummary[] {
-        return [...this.held].map(([placeId, { ask, endpointId }]) => ({
+        const nowMs = performance.now();
+        return [...this.held].map(([placeId, { ask, endpointId, placedAtMs }]) => ({
             placeId,
             endpointId,
             service: ask.service,
             workClass: ask.workClass,
             organisation: ask.organisation,
-            dueInMs: ask.dueInMs,
+            dueInMs: placedAtMs + ask.dueInMs - nowMs,
+            remainingMs: Math.max(0, placedAtMs + ask.remainingMs - nowMs),
         }));
     }
 
@@ -264,7 +267,7 @@
         const { placeId, endpointId } = outcome;
         const endpoint = this.view.getEndpoints().find(entry => entry.endpointId === endpointId);
         const calling = new AbortController();
-        this.held.set(placeId, { ask, endpointId, givenBy: decidedBy, calling });
+        this.held.set(placeId, { ask, endpointId, givenBy: decidedBy, calling, placedAtMs: performance.now() });
         if (signal.aborted) {
             this.release(placeId, "lost");
             return {
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -201,6 +201,8 @@
     readonly workClass: WorkClass;
     readonly organisation: string;
     readonly dueInMs: number;
+    /** Batch: expected time until the item there is finished. */
+    readonly remainingMs: number;
 }
 
 /** How far a job is at the instance that runs it. */
--- a/packages/fleet/src/waitingLine.ts
+++ b/packages/fleet/src/waitingLine.ts
@@ -74,8 +74,9 @@
     /** @returns Batch items in the order in which they get places: the ones that can be in time first. */
     getBatch(): Waiter[] {
         const nowMs = performance.now();
-        while ((this.batch[0]?.startByMs ?? Infinity) < nowMs) {
-            insertByRank(this.lateBatch, this.batch.shift() as Waiter);
+        for (const waiter of this.batch.filter(({ startByMs }) => startByMs < nowMs)) {
+            removeFrom(this.batch, waiter);
+            insertByRank(this.lateBatch, waiter);
         }
         return [...this.batch, ...this.lateBatch];
     }
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -1,14 +1,8 @@
 import { sleep } from "@heatherline/common";
-import {
-    type HeldPlace,
-    pickService,
-    type PlaceEnd,
-    type Placement,
-    type PlacementOutcome,
-    type Route,
-} from "@heatherline/fleet";
+import { type HeldPlace, pickService, type PlaceEnd, type Placement, type Route } from "@heatherline/fleet";
 import type { EndpointClient } from "./endpointClient";
 import { EventReader, readEventData } from "./eventReader";
+import type { ItemAskQueue } from "./itemAskQueue";
 import type { ItemPace } from "./itemPace";
 import type { JobItem } from "./jobStore";
 import type { ItemResult, WireCodec } from "./wireCodec";
@@ -36,8 +30,7 @@
     readonly endpoints: EndpointClient;
     readonly wire: WireCodec;
     readonly pace: ItemPace;
-    /** Lets only a few items of an instance wait for places at once, the ones that are due first. */
-    readonly queueAsk: (dueInMs: number, ask: () => Promise<PlacementOutcome>) => Promise<PlacementOutcome>;
+    readonly asks: ItemAskQueue;
     /** The route that the item's path has now. */
     readonly findRoute: () => Route | undefined;
     readonly getBody: () => Promise<Buffer | undefined>;
@@ -149,8 +142,9 @@
         if (service === undefined || body === undefined) {
             return "stopped";
         }
-        const dueInMs = this.job.submittedAt + route.completionTargetMs - Date.now();
-        const outcome = await this.surroundings.queueAsk(dueInMs, () =>
+        const remainingMs = this.surroundings.pace.getRemainingMs(this.data.length);
+        const timing = { dueInMs: this.getDueInMs(route), remainingMs };
+        const outcome = await this.surroundings.asks.add(timing, () =>
             this.surroundings.placement.ask({
                 service,
                 workClass: "batch",
@@ -159,8 +153,8 @@
                 usefulForMs: ASK_MS,
                 targetLatencyMs: ASK_MS,
                 giveUpAfterMs: ASK_MS,
-                remainingMs: this.surroundings.pace.getRemainingMs(this.data.length),
-                dueInMs: this.job.submittedAt + route.completionTargetMs - Date.now(),
+                remainingMs,
+                dueInMs: this.getDueInMs(route),
                 allowedRegions: route.allowedRegions,
                 fingerprint: `${this.job.jobId}/${this.item.itemId}`,
                 rate: undefined,
@@ -194,6 +188,10 @@
         return end;
     }
 
+    private getDueInMs(route: Route): number {
+        return this.job.submittedAt + route.completionTargetMs - Date.now();
+    }
+
     private async runAt(place: HeldPlace, body: Buffer): Promise<RunEnd> {
         const { wire, endpoints } = this.surroundings;
         const ending = new AbortController();
--- a/packages/gateway/src/jobRunner.ts
+++ b/packages/gateway/src/jobRunner.ts
@@ -5,11 +5,11 @@
     type MemberEntry,
     METHODS,
     type Placement,
-    type PlacementOutcome,
     type RpcCaller,
 } from "@heatherline/fleet";
 import PQueue from "p-queue";
 import type { EndpointClient } from "./endpointClient";
+import { ItemAskQueue } from "./itemAskQueue";
 import { ItemPace } from "./itemPace";
 import type { ItemSurroundings } from "./itemRun";
 import { type JobHandover, JobRun } from "./jobRun";
@@ -17,10 +17,8 @@
 import type { GatewayMetrics } from "./metrics";
 import type { WireCodec } from "./wireCodec";
 
-/** Items of an instance that run or wait for a place at once. */
-const ITEMS_AT_ONCE = 64;
-/** Items of an instance that wait for places at the coordinator at once. */
-const ASKS_AT_ONCE = 8;
+/** Items of an instance that run or wait for a place at once; one that waits takes little beside its job's body. */
+const ITEMS_AT_ONCE = 256;
 /** Bytes of results of finished jobs that are kept for readers. */
 const MAX_KEPT_BYTES = 16_000_000;
 const HANDOVER_TIMEOUT_MS = 500;
@@ -48,7 +46,7 @@
     private readonly runs = new Map<string, JobRun>();
     private readonly loading = new Set<string>();
     private readonly queue = new PQueue({ concurrency: ITEMS_AT_ONCE });
-    private readonly asks = new PQueue({ concurrency: ASKS_AT_ONCE });
+    private readonly asks = new ItemAskQueue();
     private readonly pace = new ItemPace();
     private isStopping = false;
 
@@ -221,10 +219,7 @@
             endpoints: parts.endpoints,
             wire: parts.wire,
             pace: this.pace,
-            queueAsk: async (dueInMs, ask) => {
-                const dueAtMs = performance.now() + dueInMs;
-                return await this.asks.add(ask, { priority: -dueAtMs }) as PlacementOutcome;
-            },
+            asks: this.asks,
             findRoute: () => parts.view.routes?.findRoute(manifest.host, item.path),
             getBody,
             mayRun: () => !this.isStopping && parts.isCurrent(),
