Compare four ways of placing on nine load patterns in virtual time

npm run bench -- overload [SEED] [--svg]: static parts, credits of endpoints' owners, a queue a data centre and one queue, each built of the product's own Dispatcher, RateBook and parts of slots, on steps, a burst, a hot organisation, a third of the endpoints lost, all cold, more batch than fits, a data centre cut, the decider killed and a herd kill. Tests: one queue serves no less in time than any other way on every pattern; an endpoint never has more than its slots while all hear who decides; an organisation at five times its rate gets its rate and the others lose nothing; RateBook against the ideal bucket by property. The bounds of the replays that were there are unchanged.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,6 +4,7 @@
 import { benchHarvest } from "./harvest";
 import { benchLimits } from "./limits";
 import { benchOverhead } from "./overhead";
+import { benchOverload } from "./overload";
 import { benchTail } from "./tail";
 
 const BENCHES: Record<string, () => Promise<void>> = {
@@ -13,6 +14,7 @@
     control: benchControl,
     harvest: benchHarvest,
     batch: benchBatch,
+    overload: benchOverload,
     capacity: printCapacity,
 };
 
--- /dev/null
+++ b/bench/overload.ts
@@ -0,0 +1,57 @@
+import { mkdirSync, writeFileSync } from "node:fs";
+import { type LoadPattern, PATTERNS } from "../standins/load/pattern";
+import { LoadReplay } from "../standins/load/replay";
+import { VirtualTime } from "../standins/load/virtualTime";
+import { WAYS } from "../standins/load/ways";
+import { type FigureRow, printTable } from "./output";
+import { drawOverload, type WaySamples } from "./overloadChart";
+
+const DEFAULT_SEED = 20261204;
+const PICTURES = "docs/pictures";
+
+/**
+ * Compares ways to place requests on the same load, in virtual time: `npm run bench -- overload [SEED] [--svg]`. With
+ * `--svg` it draws each pattern into `docs/pictures`.
+ */
+export async function benchOverload(): Promise<void> {
+    const [seedText] = process.argv.slice(3).filter(argument => /^\d+$/.test(argument));
+    const seed = seedText === undefined ? DEFAULT_SEED : Number(seedText);
+    const isDrawing = process.argv.includes("--svg");
+    for (const [key, pattern] of Object.entries(PATTERNS)) {
+        const { rows, ways } = await compare(pattern, seed);
+        printTable(`${pattern.name} (seed ${seed})`, rows);
+        if (isDrawing) {
+            mkdirSync(PICTURES, { recursive: true });
+            writeFileSync(`${PICTURES}/overload-${key}.svg`, drawOverload(pattern.name, ways));
+        }
+    }
+}
+
+async function compare(pattern: LoadPattern, seed: number): Promise<{ rows: FigureRow[]; ways: WaySamples[]; }> {
+    const rows: FigureRow[] = [];
+    const ways: WaySamples[] = [];
+    for (const newWay of WAYS) {
+        const cpuBefore = process.cpuUsage();
+        const time = new VirtualTime();
+        const replay = new LoadReplay(pattern, newWay, seed, ms => time.advance(ms));
+        const report = await replay.run().finally(() => time.end());
+        const cpu = process.cpuUsage(cpuBefore);
+        const asked = report.inTime + report.late + report.refusedAgain;
+        rows.push({
+            way: replay.wayName,
+            "in time %": 100 * report.inTime / asked,
+            "late %": 100 * report.late / asked,
+            refused: report.refused,
+            "refused again": report.refusedAgain,
+            "idle places, place s": report.idleWhileWaitingMs / 1_000,
+            "longest wait ms": Math.round(report.longestWaitMs),
+            "items in time": report.itemsInTime,
+            "limited admitted": report.limitedAdmitted,
+            overfull: report.mostOverfull,
+            messages: report.messages,
+            "cpu ms": Math.round((cpu.user + cpu.system) / 1_000),
+        });
+        ways.push({ way: replay.wayName, samples: replay.samples });
+    }
+    return { rows, ways };
+}
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import ts from "typescript-eslint";
 
 export default ts.config(
-    { ignores: ["dist/", "node_modules/"] },
+    { ignores: ["dist/", "node_modules/", "target/"] },
     ...ts.configs.strict,
     {
         files: ["**/*.ts"],
--- a/packages/fleet/tests/overload.test.ts
+++ b/packages/fleet/tests/overload.test.ts
@@ -1,56 +1,30 @@
-import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { Dispatcher, getSlotsAlone, type MemberEntry } from "../src";
-import { type LoadPattern, LoadReplay, type NewDesks, type ReplayReport } from "./loadReplay";
+import fc from "fast-check";
+import { describe, expect, it, vi } from "vitest";
+import { judgeByIdealBucket } from "../../../standins/idealBucket";
+import { LIMITED, type LoadPattern, PATTERNS } from "../../../standins/load/pattern";
+import { LoadReplay, type ReplayReport } from "../../../standins/load/replay";
+import { VirtualTime } from "../../../standins/load/virtualTime";
+import { type NewWay, OneQueue, OwnerCredits, QueuePerDataCentre, StaticParts } from "../../../standins/load/ways";
+import { RateBook } from "../src";
 
 const SEED = 20261204;
-const INSTANCES = 6;
+const PROPERTY_SEED = 7;
+/** Sums of parts of tokens are off by this much at most. */
+const ROUNDING = 1e-6;
 
-const members: MemberEntry[] = Array.from({ length: INSTANCES }, (_, index) => ({
-    instanceId: `instance-${index}`,
-    incarnation: "1",
-    host: "127.0.0.1",
-    rpcPort: 1,
-    dataCentre: `dc-${index % 3}`,
-    processorShare: 1,
-}));
+const oneQueue: NewWay = surroundings => new OneQueue(surroundings);
+const staticParts: NewWay = surroundings => new StaticParts(surroundings);
+const ownerCredits: NewWay = surroundings => new OwnerCredits(surroundings);
+const queuePerDataCentre: NewWay = surroundings => new QueuePerDataCentre(surroundings);
 
-/** One queue for all instances. */
-const oneQueue: NewDesks = callBack => [
-    new Dispatcher({
-        getCapacity: ({ slots }) => slots,
-        getColdRatePerS: () => 0,
-        getRegion: () => "",
-        callBack: ({ placeId }) => callBack(placeId),
-    }),
-];
-
-/** Each instance queues for its own part of each endpoint: what the one queue replaces. */
-const staticParts: NewDesks = callBack =>
-    members.map(({ instanceId }) =>
-        new Dispatcher({
-            getCapacity: entry => getSlotsAlone(entry, instanceId, members),
-            getColdRatePerS: () => 0,
-            getRegion: () => "",
-            callBack: ({ placeId }) => callBack(placeId),
-        })
-    );
-
-const trough = { lengthMs: 3_800, onlinePerS: 14, endpoints: 6 };
-const peak = { lengthMs: 2_800, onlinePerS: 62, endpoints: 6 };
-const steps: LoadPattern = { name: "steps", phases: [trough, peak, trough, peak], batchItems: 60 };
-const endpointsLost: LoadPattern = {
-    name: "a third of the endpoints lost at a peak",
-    phases: [trough, { ...peak, endpoints: 4 }, trough],
-    batchItems: 40,
-};
-const flood: LoadPattern = {
-    name: "three times what the endpoints serve, for a second",
-    phases: [trough, { lengthMs: 1_000, onlinePerS: 200, endpoints: 6 }, { ...trough, lengthMs: 5_000 }],
-    batchItems: 20,
-};
-
-async function replay(pattern: LoadPattern, newDesks: NewDesks): Promise<ReplayReport> {
-    return new LoadReplay(pattern, newDesks, SEED).run();
+async function replay(pattern: LoadPattern, newWay: NewWay): Promise<ReplayReport> {
+    const time = new VirtualTime();
+    try {
+        return await new LoadReplay(pattern, newWay, SEED, ms => time.advance(ms)).run();
+    }
+    finally {
+        time.end();
+    }
 }
 
 function getShareInTime({ inTime, late, refusedAgain }: ReplayReport): number {
@@ -58,24 +32,34 @@
 }
 
 describe("load at its worst, replayed in virtual time", () => {
-    beforeEach(() => {
-        vi.useFakeTimers();
-    });
-
-    afterEach(() => {
-        vi.useRealTimers();
-    });
-
     it.each([
-        { pattern: steps, minInTime: 0.97 },
-        { pattern: endpointsLost, minInTime: 0.85 },
-        { pattern: flood, minInTime: 0.6 },
+        { pattern: PATTERNS.steps, minInTime: 0.97 },
+        { pattern: PATTERNS.endpointsLost, minInTime: 0.85 },
+        { pattern: PATTERNS.burst, minInTime: 0.6 },
+        { pattern: PATTERNS.hotOrganisation, minInTime: 0.97 },
+        { pattern: PATTERNS.dataCentreCut, minInTime: 0.97 },
+        { pattern: PATTERNS.deciderKilled, minInTime: 0.97 },
+        { pattern: PATTERNS.herdKilled, minInTime: 0.9 },
     ])("serves in time what one queue can: $pattern.name", async ({ pattern, minInTime }) => {
         const report = await replay(pattern, oneQueue);
         expect(getShareInTime(report), JSON.stringify(report)).toBeGreaterThanOrEqual(minInTime);
     });
 
-    it.each([{ pattern: steps }, { pattern: endpointsLost }])(
+    it.each(
+        Object.values(PATTERNS).flatMap(pattern => [
+            { name: pattern.name, pattern, other: "static parts", newWay: staticParts },
+            { name: pattern.name, pattern, other: "credits of owners", newWay: ownerCredits },
+            { name: pattern.name, pattern, other: "a queue a data centre", newWay: queuePerDataCentre },
+        ]),
+    )("serves no less in time than $other do: $name", async ({ pattern, newWay }) => {
+        const together = await replay(pattern, oneQueue);
+        const apart = await replay(pattern, newWay);
+        const figures = JSON.stringify({ together, apart });
+        expect(getShareInTime(together), figures).toBeGreaterThanOrEqual(getShareInTime(apart));
+        expect(together.refusedAgain, figures).toBeLessThanOrEqual(apart.refusedAgain);
+    });
+
+    it.each([{ pattern: PATTERNS.steps }, { pattern: PATTERNS.endpointsLost }])(
         "serves more in time than parts of each endpoint do: $pattern.name",
         async ({ pattern }) => {
             const together = await replay(pattern, oneQueue);
@@ -87,19 +71,67 @@
     );
 
     it("leaves no place idle while an online request waits", async () => {
-        const report = await replay(steps, oneQueue);
+        const report = await replay(PATTERNS.steps, oneQueue);
         // Preemption takes some milliseconds, in which the place is neither idle nor the request's.
         expect(report.idleWhileWaitingMs, JSON.stringify(report)).toBeLessThan(1_000);
     });
 
     it("gives batch what online leaves", async () => {
-        const report = await replay(steps, oneQueue);
+        const report = await replay(PATTERNS.steps, oneQueue);
         expect(report.itemsDone, JSON.stringify(report)).toBeGreaterThanOrEqual(40);
     });
 
     it("refuses early what can't be in time, and serves it when it comes back", async () => {
-        const report = await replay(flood, oneQueue);
+        const report = await replay(PATTERNS.burst, oneQueue);
         expect(report.refused, JSON.stringify(report)).toBeGreaterThan(0);
         expect(report.refusedAgain / report.refused, JSON.stringify(report)).toBeLessThan(0.4);
     });
+
+    // After a cut or a death, requests run on that were placed before, beside what instances place alone.
+    it("never gives an endpoint more than its slots while all instances hear who decides", async () => {
+        for (const pattern of Object.values(PATTERNS).filter(({ name }) => !/kill|cut/.test(name))) {
+            expect((await replay(pattern, oneQueue)).mostOverfull, pattern.name).toBe(0);
+        }
+    });
+
+    it("an organisation far beyond its rate gets its rate, and the others what they would get without it", async () => {
+        const { phases, ...rest } = PATTERNS.hotOrganisation;
+        const lengthS = phases.reduce((sum, { lengthMs }) => sum + lengthMs, 0) / 1_000;
+        const report = await replay(PATTERNS.hotOrganisation, oneQueue);
+        const calm = await replay(
+            { ...rest, phases: phases.map(phase => ({ ...phase, limitedPerS: 0 })) },
+            oneQueue,
+        );
+        const allowed = LIMITED.burst + LIMITED.ratePerS * lengthS;
+        expect(report.limitedAdmitted, JSON.stringify(report)).toBeLessThanOrEqual(allowed);
+        expect(report.limitedRefused).toBeGreaterThan(0);
+        expect(report.refusedAgain, JSON.stringify({ report, calm })).toBeLessThanOrEqual(calm.refusedAgain);
+    });
+});
+
+describe("the rate of one organisation", () => {
+    it("is admitted exactly as by one ideal bucket, at any multiple of its usual load", () => {
+        const gaps = fc.array(fc.nat({ max: 400 }), { minLength: 20, maxLength: 200 });
+        const bounds = fc.record({ ratePerS: fc.integer({ min: 1, max: 50 }), burst: fc.integer({ min: 1, max: 20 }) });
+        fc.assert(
+            fc.property(gaps, bounds, (gapsMs, rate) => {
+                vi.useFakeTimers();
+                const book = new RateBook(whole => whole, ({ burst }) => burst);
+                const requests = gapsMs.map(gapMs => {
+                    vi.advanceTimersByTime(gapMs);
+                    const nowMs = performance.now();
+                    return {
+                        arrivedAtMs: nowMs,
+                        decidedAtMs: nowMs,
+                        isAdmitted: book.take("studio", rate).isTaken,
+                    };
+                });
+                vi.useRealTimers();
+                const { overdrawn, wronglyRefused } = judgeByIdealBucket(rate, requests);
+                expect(overdrawn).toBeLessThan(ROUNDING);
+                expect(wronglyRefused).toBe(0);
+            }),
+            { seed: PROPERTY_SEED },
+        );
+    });
 });
--- /dev/null
+++ b/standins/load/replay.ts
@@ -0,0 +1,375 @@
+import type { EndpointEntry, MemberEntry, PlaceAsk, PlaceOutcome } from "../../packages/fleet/src";
+import { newSeededRandom } from "../random";
+import {
+    BATCH_DUE_MS,
+    BATCH_HOLD_MS,
+    LIMITED,
+    type LoadEvent,
+    type LoadPattern,
+    type LoadPhase,
+    ONLINE_HOLD_MS,
+    SLOTS,
+    TARGET_MS,
+} from "./pattern";
+import { type Conditions, type NewWay, type PlacingWay, SERVICE } from "./ways";
+
+/** How the requests of a replay fared. */
+export interface ReplayReport {
+    inTime: number;
+    late: number;
+    /** Refusals for want of a place; a caller that is refused comes back once. */
+    refused: number;
+    /** Requests refused when they came back. */
+    refusedAgain: number;
+    /** Requests of the organisation with a rate that got a place. */
+    limitedAdmitted: number;
+    /** Requests over the organisation's rate, refused. */
+    limitedRefused: number;
+    itemsDone: number;
+    itemsInTime: number;
+    /** Time that places were free while an online request waited, in place milliseconds. */
+    idleWhileWaitingMs: number;
+    /** Most requests that an endpoint had beyond its slots. */
+    mostOverfull: number;
+    /** Longest wait of an online request that was placed, in milliseconds. */
+    longestWaitMs: number;
+    /** Messages between instances. */
+    messages: number;
+}
+
+/** What a replay looks like at a moment. */
+export interface ReplaySample {
+    readonly atMs: number;
+    readonly waiting: number;
+    readonly online: number;
+    readonly batch: number;
+    readonly places: number;
+    /** Refusals since the sample before. */
+    readonly refusals: number;
+}
+
+/** Lets virtual time pass. */
+export type Advance = (ms: number) => Promise<void>;
+
+const INSTANCES = 6;
+const DATA_CENTRES = 3;
+/** The data centre that is cut off, which isn't the one of the first instance. */
+const CUT_DATA_CENTRE = "dc-2";
+const FIRST_EVENT_MS = 40;
+const CALLER_PATIENCE_MS = 2_000;
+const PREEMPTION_MS = 4;
+const RESTART_MS = 1_000;
+const STEP_MS = 1;
+const SAMPLE_MS = 100;
+/** Callers prefer some instances: the higher, the more. */
+const SKEW = 1.5;
+
+interface Running {
+    readonly endpointId: string;
+    readonly instanceId: string;
+    readonly isOnline: boolean;
+    /** Ends the run; the place is lost when its endpoint or its instance is. */
+    readonly end: (cause: "called-back" | "lost") => void;
+}
+
+/** Replays one load pattern against one way of placing. Timers and clocks of the process must be virtual. */
+export class LoadReplay {
+    readonly report: ReplayReport = {
+        inTime: 0,
+        late: 0,
+        refused: 0,
+        refusedAgain: 0,
+        limitedAdmitted: 0,
+        limitedRefused: 0,
+        itemsDone: 0,
+        itemsInTime: 0,
+        idleWhileWaitingMs: 0,
+        mostOverfull: 0,
+        longestWaitMs: 0,
+        messages: 0,
+    };
+    readonly samples: ReplaySample[] = [];
+    private readonly random: () => number;
+    private readonly way: PlacingWay;
+    private readonly conditions: Conditions = { coldRatePerS: 0, cutDataCentre: undefined, dead: new Set() };
+    private readonly members: readonly MemberEntry[] = Array.from({ length: INSTANCES }, (_, index) => ({
+        instanceId: `instance-${index}`,
+        incarnation: "1",
+        host: "127.0.0.1",
+        rpcPort: 1,
+        dataCentre: `dc-${index % DATA_CENTRES}`,
+        processorShare: 1,
+    }));
+    private readonly running = new Map<string, Running>();
+    private endpointCount = 0;
+    private waiting = 0;
+    private refusalsInSample = 0;
+    private count = 0;
+    private isOver = false;
+
+    /**
+     * @param pattern - The load.
+     * @param newWay - The way of placing.
+     * @param seed - Of the arrivals.
+     * @param advance - Lets virtual time pass.
+     */
+    constructor(
+        private readonly pattern: LoadPattern,
+        newWay: NewWay,
+        seed: number,
+        private readonly advance: Advance,
+    ) {
+        this.random = newSeededRandom(seed);
+        this.way = newWay({
+            members: this.members,
+            conditions: this.conditions,
+            callBack: placeId => this.running.get(placeId)?.end("called-back"),
+        });
+    }
+
+    /** Name of the way of placing. */
+    get wayName(): string {
+        return this.way.name;
+    }
+
+    /** @returns How the requests fared. */
+    async run(): Promise<ReplayReport> {
+        this.setEndpoints(this.pattern.phases[0]?.endpoints ?? 0);
+        for (let item = 0; item < this.pattern.batchItems; item += 1) {
+            void this.runItem(BATCH_HOLD_MS);
+        }
+        const events = [...this.pattern.events ?? []];
+        for (const phase of this.pattern.phases) {
+            this.setEndpoints(phase.endpoints);
+            await this.runPhase(phase, events);
+        }
+        this.isOver = true;
+        await this.advance(CALLER_PATIENCE_MS * 3);
+        this.way.clear();
+        this.report.messages = this.way.messageCount;
+        return this.report;
+    }
+
+    private async runPhase(phase: LoadPhase, events: LoadEvent[]): Promise<void> {
+        const { limitedPerS = 0 } = phase;
+        let nextMs = this.newGapMs(phase.onlinePerS);
+        let nextLimitedMs = this.newGapMs(limitedPerS);
+        for (let atMs = 0; atMs < phase.lengthMs; atMs += STEP_MS) {
+            for (; nextMs <= atMs; nextMs += this.newGapMs(phase.onlinePerS)) {
+                void this.runOnline({ isLimited: false, isFirst: true, fingerprint: this.newFingerprint() });
+            }
+            for (; nextLimitedMs <= atMs; nextLimitedMs += this.newGapMs(limitedPerS)) {
+                void this.runOnline({ isLimited: true, isFirst: true, fingerprint: this.newFingerprint() });
+            }
+            while ((events[0]?.atMs ?? Infinity) <= performance.now()) {
+                this.apply(events.shift() as LoadEvent);
+            }
+            this.observe();
+            await this.advance(STEP_MS);
+        }
+    }
+
+    private observe(): void {
+        const places = this.endpointCount * SLOTS;
+        const free = places - this.running.size;
+        this.report.idleWhileWaitingMs += Math.max(0, Math.min(free, this.waiting)) * STEP_MS;
+        if (Math.round(performance.now()) % SAMPLE_MS !== 0) {
+            return;
+        }
+        const online = [...this.running.values()].filter(({ isOnline }) => isOnline).length;
+        this.samples.push({
+            atMs: Math.round(performance.now()),
+            waiting: this.waiting,
+            online,
+            batch: this.running.size - online,
+            places,
+            refusals: this.refusalsInSample,
+        });
+        this.refusalsInSample = 0;
+    }
+
+    private apply(event: LoadEvent): void {
+        switch (event.kind) {
+            case "decider-killed":
+                this.way.killDecider();
+                break;
+            case "instances-killed":
+                this.killInstances(Math.round(this.members.length * event.part));
+                break;
+            case "data-centre-cut":
+                this.conditions.cutDataCentre = CUT_DATA_CENTRE;
+                setTimeout(() => {
+                    this.conditions.cutDataCentre = undefined;
+                    this.way.noteConditions();
+                }, event.forMs);
+                break;
+            case "endpoints-cold":
+                this.conditions.coldRatePerS = event.ratePerS;
+                setTimeout(() => {
+                    this.conditions.coldRatePerS = 0;
+                    this.way.noteConditions();
+                }, event.forMs);
+                break;
+        }
+        this.way.noteConditions();
+    }
+
+    private killInstances(count: number): void {
+        const victims = this.members.slice(0, count).map(({ instanceId }) => instanceId);
+        victims.forEach(instanceId => this.conditions.dead.add(instanceId));
+        this.way.killDecider();
+        for (const { instanceId, end } of this.running.values()) {
+            if (this.conditions.dead.has(instanceId)) {
+                end("lost");
+            }
+        }
+        setTimeout(() => {
+            victims.forEach(instanceId => this.conditions.dead.delete(instanceId));
+            this.way.noteConditions();
+        }, RESTART_MS);
+    }
+
+    private setEndpoints(count: number): void {
+        this.endpointCount = count;
+        const entries = Array.from({ length: count }, (_, index): EndpointEntry => ({
+            endpointId: `endpoint-${index}`,
+            service: SERVICE,
+            host: "127.0.0.1",
+            port: 1,
+            dataCentre: `dc-${index % DATA_CENTRES}`,
+            slots: SLOTS,
+            state: "ready",
+            coldLeftMs: 0,
+        }));
+        this.way.setEndpoints(entries);
+        for (const { endpointId, end } of this.running.values()) {
+            if (!entries.some(entry => entry.endpointId === endpointId)) {
+                end("lost");
+            }
+        }
+    }
+
+    private newGapMs(perS: number): number {
+        return perS === 0 ? Infinity : -Math.log(1 - this.random()) * 1_000 / perS;
+    }
+
+    private newFingerprint(): string {
+        this.count += 1;
+        return `request-${this.count}`;
+    }
+
+    /** Callers are spread unevenly over the instances that live. */
+    private pickInstance(): MemberEntry {
+        const live = this.members.filter(({ instanceId }) => !this.conditions.dead.has(instanceId));
+        return live[Math.floor(this.random() ** SKEW * live.length)] as MemberEntry;
+    }
+
+    private async runOnline(
+        request: { readonly isLimited: boolean; readonly isFirst: boolean; readonly fingerprint: string; },
+    ): Promise<void> {
+        const ask = this.newAsk(request.fingerprint, this.pickInstance(), request.isLimited);
+        const askedAtMs = performance.now();
+        this.waiting += 1;
+        const outcome = await this.way.place(ask);
+        this.waiting -= 1;
+        if (outcome.kind === "refused") {
+            await this.comeBack(outcome, request);
+            return;
+        }
+        const waitedMs = performance.now() - askedAtMs;
+        this.report.longestWaitMs = Math.max(this.report.longestWaitMs, waitedMs);
+        this.report.limitedAdmitted += request.isLimited ? 1 : 0;
+        if (!request.isLimited) {
+            this.report[waitedMs + FIRST_EVENT_MS <= TARGET_MS ? "inTime" : "late"] += 1;
+        }
+        await this.occupy(outcome, ask, ONLINE_HOLD_MS * (0.7 + 0.6 * this.random()));
+    }
+
+    private async comeBack(
+        outcome: Extract<PlaceOutcome, { kind: "refused"; }>,
+        request: { readonly isLimited: boolean; readonly isFirst: boolean; readonly fingerprint: string; },
+    ): Promise<void> {
+        this.refusalsInSample += 1;
+        if (outcome.reason === "rate-limited") {
+            this.report.limitedRefused += 1;
+            return;
+        }
+        this.report.refused += request.isLimited ? 0 : 1;
+        if (!request.isFirst) {
+            this.report.refusedAgain += request.isLimited ? 0 : 1;
+            return;
+        }
+        await sleep(outcome.retryAfterMs);
+        await this.runOnline({ ...request, isFirst: false });
+    }
+
+    /** An item goes on where it was, whatever took its place away. */
+    private async runItem(leftMs: number): Promise<void> {
+        const ask: PlaceAsk = {
+            ...this.newAsk("", this.pickInstance(), false),
+            workClass: "batch",
+            usefulForMs: Infinity,
+            giveUpAfterMs: CALLER_PATIENCE_MS * 30,
+            remainingMs: leftMs,
+            dueInMs: BATCH_DUE_MS - performance.now(),
+        };
+        const outcome = await this.way.place(ask);
+        if (outcome.kind === "refused" || this.isOver) {
+            return;
+        }
+        const startedAtMs = performance.now();
+        if (await this.occupy(outcome, ask, leftMs) !== "done") {
+            await this.runItem(Math.max(1, leftMs - (performance.now() - startedAtMs)));
+            return;
+        }
+        this.report.itemsDone += 1;
+        this.report.itemsInTime += performance.now() <= BATCH_DUE_MS ? 1 : 0;
+    }
+
+    private async occupy(
+        { placeId, endpointId }: Extract<PlaceOutcome, { kind: "placed"; }>,
+        { instanceId, workClass }: PlaceAsk,
+        holdMs: number,
+    ): Promise<"done" | "called-back" | "lost"> {
+        let end: (cause: "done" | "called-back" | "lost") => void = () => undefined;
+        const ended = new Promise<"done" | "called-back" | "lost">(resolve => {
+            end = resolve;
+        });
+        this.running.set(placeId, { endpointId, instanceId, isOnline: workClass === "online", end });
+        const atEndpoint = [...this.running.values()].filter(other => other.endpointId === endpointId).length;
+        this.report.mostOverfull = Math.max(this.report.mostOverfull, atEndpoint - SLOTS);
+        const timer = setTimeout(() => end("done"), holdMs);
+        const cause = await ended;
+        clearTimeout(timer);
+        await sleep(cause === "called-back" ? PREEMPTION_MS : 0);
+        this.running.delete(placeId);
+        this.way.release(placeId, cause === "lost" ? "lost" : "done");
+        return cause;
+    }
+
+    private newAsk(fingerprint: string, { instanceId, dataCentre }: MemberEntry, isLimited: boolean): PlaceAsk {
+        this.count += 1;
+        return {
+            askId: `ask-${this.count}`,
+            instanceId,
+            dataCentre,
+            service: SERVICE,
+            workClass: "online",
+            organisation: isLimited ? "limited" : "studio",
+            priority: 0,
+            usefulForMs: TARGET_MS,
+            targetLatencyMs: TARGET_MS,
+            giveUpAfterMs: CALLER_PATIENCE_MS,
+            remainingMs: 0,
+            dueInMs: TARGET_MS,
+            excluded: [],
+            allowedRegions: [],
+            fingerprint,
+            rate: isLimited ? LIMITED : undefined,
+        };
+    }
+}
+
+function sleep(delayMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, delayMs));
+}
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -2,7 +2,7 @@
 import { readFileSync } from "node:fs";
 import { build } from "esbuild";
 
-const { dependencies } = JSON.parse(readFileSync(new URL("../package.json", import.meta.url), "utf8"));
+const { dependencies, devDependencies } = JSON.parse(readFileSync(new URL("../package.json", import.meta.url), "utf8"));
 
 await build({
     entryPoints: {
@@ -24,6 +24,6 @@
     target: "node20",
     format: "esm",
     sourcemap: true,
-    external: Object.keys(dependencies),
+    external: [...Object.keys(dependencies), ...Object.keys(devDependencies)],
     logLevel: "warning",
 });
