Hold requests while an instance starts, and take keys for nine tenths of their bound

In a zone cut off from the store keys were taken for 0.75 of the time that they may be, although the age is counted from when the store was asked, so that a request that is let in at the bound was sent before it. Refusals before admission (size, no id) have their line.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -9,7 +9,7 @@
 import { newRefusal, type Refusal } from "./refusal";
 
 /** Part of the time after which a withdrawn key must not be taken any more; the rest is for what is on its way. */
-const KEY_AGE_PART = 0.75;
+const KEY_AGE_PART = 0.9;
 
 /** What a request says of itself that decides whether it may run. */
 export interface AdmissionRequest {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import { registerMember } from "./registration";
 import { RetirementDesk } from "./retirement";
 import { serveMetrics, serveReadiness } from "./sideListeners";
+import { StartGate } from "./startGate";
 import { Sweeper } from "./sweeper";
 
 /** Age of the configuration beyond which an instance reads the store itself, in milliseconds. */
@@ -68,6 +69,7 @@
     private isRegistering = false;
     private wasListed = false;
     private readonly metrics: GatewayMetrics;
+    private readonly startGate = new StartGate(() => this.isReady && !this.placement.isAlone);
     private coordinator: Coordinator | undefined;
     private isStopping = false;
     private timers: NodeJS.Timeout[] = [];
@@ -99,7 +101,10 @@
         }, logger);
         this.link = new CoordinatorLink(this.rpc, {
             newRequest: (isFull, waitMs) => this.newSyncRequest(isFull, waitMs),
-            onNews: (reply, transitMs) => this.applyNews(reply, transitMs),
+            onNews: (reply, transitMs) => {
+                this.applyNews(reply, transitMs);
+                this.startGate.check();
+            },
             onConnection: () => this.review(),
             onDead: incarnation => this.lease.noteDead(incarnation),
             onStepDown: () => this.lease.noteStepDown(),
@@ -169,6 +174,7 @@
                 logger,
             }),
             isStopping: () => this.isStopping,
+            startGate: this.startGate,
             logger,
         });
         const onAnnouncement = ({ coordinator, epoch }: Announcement) => this.onHolder(coordinator, epoch);
@@ -201,6 +207,7 @@
             }
             this.placement.noteViewChanged();
             this.coordinator?.noteViewChanged();
+            this.startGate.check();
         });
     }
 
@@ -208,6 +215,7 @@
     async start(): Promise<void> {
         const { settings, logger } = this;
         await this.rpcServer.listen(settings.peers.host, settings.peers.port);
+        this.startGate.start();
         await this.ingress.listen(settings.callers.host, settings.callers.port);
         await serveReadiness(settings.readiness, this.outside.wire.readinessPath, () => this.isReady);
         logger.info({ event: "started", incarnation: this.self.incarnation });
@@ -339,6 +347,7 @@
             this.coordinator.adoptOwn(this.placement.getPlaces());
             this.announce(this.lease.epoch);
         }
+        this.startGate.check();
         this.review();
     }
 
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -5,7 +5,8 @@
 import type { BatchApi, BatchCall } from "./batchApi";
 import { CallerAnswer } from "./callerAnswer";
 import type { OnlineHandler } from "./onlineHandler";
-import { newRefusal } from "./refusal";
+import { newRefusal, type Refusal } from "./refusal";
+import type { StartGate } from "./startGate";
 import type { WireCodec } from "./wireCodec";
 
 /** Until the configuration says otherwise. */
@@ -24,6 +25,7 @@
     readonly online: OnlineHandler;
     readonly batch: BatchApi;
     readonly isStopping: () => boolean;
+    readonly startGate: StartGate;
     readonly logger: Logger;
 }
 
@@ -91,7 +93,8 @@
             return;
         }
         if (body === "too-large") {
-            answer.refuse(newRefusal("body-too-large"));
+            const detail = `more than ${this.getMaxBodyBytes()} bytes`;
+            this.refuse(caller.requestId, answer, newRefusal("body-too-large", detail));
             return;
         }
         const url = request.url ?? "/";
@@ -111,6 +114,7 @@
 
     private async answer(call: BatchCall, request: http.IncomingMessage, callerGone: AbortSignal): Promise<void> {
         const { caller, path, body, answer, arrivedAtMs } = call;
+        await this.parts.startGate.wait();
         const batchTarget = this.parts.wire.readBatchPath(path);
         if (batchTarget !== undefined) {
             await this.parts.batch.handle(call, batchTarget);
@@ -118,19 +122,11 @@
         }
         const admitted = this.parts.admission.admit({ host: caller.host, path, apiKey: caller.apiKey });
         if (admitted.isErr()) {
-            this.parts.logger.info({
-                event: "request",
-                requestId: caller.requestId,
-                outcome: "refused",
-                status: admitted.error.status,
-                reason: admitted.error.reason,
-                detail: admitted.error.detail,
-            });
-            answer.refuse(admitted.error);
+            this.refuse(caller.requestId, answer, admitted.error);
             return;
         }
         if (caller.requestId === undefined) {
-            answer.refuse(newRefusal("bad-request", "the request has no id"));
+            this.refuse(undefined, answer, newRefusal("bad-request", "the request has no id"));
             return;
         }
         if (admitted.value.route.kind === "batch") {
@@ -141,6 +137,12 @@
         await this.parts.online.handle(online, admitted.value);
     }
 
+    private refuse(requestId: string | undefined, answer: CallerAnswer, refusal: Refusal): void {
+        const { status, reason, detail } = refusal;
+        this.parts.logger.info({ event: "request", requestId, outcome: "refused", status, reason, detail });
+        answer.refuse(refusal);
+    }
+
     private getMaxBodyBytes(): number {
         return this.parts.view.routes?.config.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
     }
