Give each decision its line, keep lines of state when requests flood the log

At ten times the bound of lines the last count of left out lines was never written, and changes of state were left out like requests. The wait for a place and the forecast's error are histograms in the metrics.

--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -14,7 +14,20 @@
 const MAX_WAITING_BYTES = 1_000_000;
 /** Lines a second; what comes beyond them is dropped and counted. */
 const MAX_LINES_PER_S = 600;
+/** Of these, lines about single requests and items; the rest stays free for changes of what a process believes. */
+const MAX_WORK_LINES_PER_S = 500;
 const WINDOW_MS = 1_000;
+/** Lines that come with each request, item or job. */
+const WORK_EVENTS: ReadonlySet<unknown> = new Set([
+    "attempt-ended",
+    "item-run",
+    "job-call-refused",
+    "job-finished",
+    "job-started",
+    "job-submitted",
+    "request",
+    "results-written",
+]);
 
 interface StreamHandle {
     readonly _handle?: { setBlocking?: (isBlocking: boolean) => void; };
@@ -26,7 +39,9 @@
     private timer: NodeJS.Timeout | undefined;
     private windowStartMs = 0;
     private linesInWindow = 0;
+    private workLinesInWindow = 0;
     private dropped = 0;
+    private droppedTimer: NodeJS.Timeout | undefined;
 
     constructor() {
         process.on("exit", () => this.flush());
@@ -34,18 +49,20 @@
         (process.stdout as unknown as StreamHandle)._handle?.setBlocking?.(false);
     }
 
-    write(line: string): void {
+    write(record: object): void {
         const nowMs = performance.now();
         if (nowMs - this.windowStartMs >= WINDOW_MS) {
             this.startWindow(nowMs);
         }
-        this.linesInWindow += 1;
-        if (this.linesInWindow > MAX_LINES_PER_S || process.stdout.writableLength > MAX_WAITING_BYTES) {
+        const isWork = "event" in record && WORK_EVENTS.has(record.event);
+        if (!this.hasRoom(isWork)) {
             this.dropped += 1;
+            this.droppedTimer ??= setTimeout(() => this.startWindow(performance.now()), WINDOW_MS).unref();
             return;
         }
-        this.lines += line;
-        this.timer ??= setTimeout(() => this.flush(), FLUSH_INTERVAL_MS).unref();
+        this.linesInWindow += 1;
+        this.workLinesInWindow += isWork ? 1 : 0;
+        this.add(record);
     }
 
     /** @returns Lines dropped since the process started. */
@@ -53,16 +70,30 @@
         return totalDropped + this.dropped;
     }
 
+    private hasRoom(isWork: boolean): boolean {
+        return this.linesInWindow < MAX_LINES_PER_S
+            && (!isWork || this.workLinesInWindow < MAX_WORK_LINES_PER_S)
+            && process.stdout.writableLength <= MAX_WAITING_BYTES;
+    }
+
     private startWindow(nowMs: number): void {
+        clearTimeout(this.droppedTimer);
+        this.droppedTimer = undefined;
         this.windowStartMs = nowMs;
         this.linesInWindow = 0;
+        this.workLinesInWindow = 0;
         if (this.dropped > 0) {
-            this.lines += `${JSON.stringify({ event: "lines-dropped", count: this.dropped, time: new Date() })}\n`;
+            this.add({ event: "lines-dropped", count: this.dropped, time: new Date() });
             totalDropped += this.dropped;
             this.dropped = 0;
         }
     }
 
+    private add(record: object): void {
+        this.lines += `${JSON.stringify(record, bunyan.safeCycles())}\n`;
+        this.timer ??= setTimeout(() => this.flush(), FLUSH_INTERVAL_MS).unref();
+    }
+
     private flush(): void {
         clearTimeout(this.timer);
         this.timer = undefined;
@@ -89,7 +120,7 @@
     buffer ??= new LineBuffer();
     return bunyan.createLogger({
         name,
-        streams: [{ level, stream: buffer as unknown as NodeJS.WritableStream }],
+        streams: [{ level, type: "raw", stream: buffer as unknown as NodeJS.WritableStream }],
         ...fields,
     });
 }
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -89,6 +89,7 @@
                 this.getService(ask.service).arrivals.note();
                 const line = this.getLine(ask, waiter.rank);
                 const waitMs = this.getService(ask.service).forecast.getWaitMs(line);
+                waiter.expectedWaitMs = Math.min(waitMs, ask.giveUpAfterMs);
                 const isLateAnyway = performance.now() > waiter.usefulUntilMs;
                 const latestMs = isLateAnyway ? performance.now() + LATE_PATIENCE_MS : waiter.usefulUntilMs;
                 if (line.free === 0 && performance.now() + waitMs > latestMs) {
@@ -217,6 +218,7 @@
             rank: this.getRank(ask, nowMs),
             usefulUntilMs: nowMs + ask.usefulForMs - forecast.getFirstAnswerMs(),
             startByMs: nowMs + ask.dueInMs - ask.remainingMs,
+            expectedWaitMs: 0,
             timers: [],
         };
     }
@@ -340,7 +342,8 @@
         };
         this.addPlace(place);
         state.sent.note();
-        settle(waiter, { kind: "placed", placeId: place.placeId, endpointId: place.endpointId });
+        const { placeId, endpointId } = place;
+        settle(waiter, { kind: "placed", placeId, endpointId, expectedWaitMs: waiter.expectedWaitMs });
     }
 
     private addPlace(place: Place): void {
--- a/packages/fleet/src/placement.ts
+++ b/packages/fleet/src/placement.ts
@@ -26,6 +26,8 @@
     readonly endpoint: EndpointEntry;
     /** Who gave it: the coordinator, or this instance alone. */
     readonly givenBy: "coordinator" | "alone";
+    /** The wait that was forecast when the place was asked for, in milliseconds. */
+    readonly expectedWaitMs: number;
     /** Aborted when the place is to be given up at once. */
     readonly calledBack: AbortSignal;
     /** Tells that nothing has come from the endpoint for too long; the request there goes on. */
@@ -264,7 +266,7 @@
         if (outcome.kind === "refused") {
             return { ...outcome, decidedBy };
         }
-        const { placeId, endpointId } = outcome;
+        const { placeId, endpointId, expectedWaitMs } = outcome;
         const endpoint = this.view.getEndpoints().find(entry => entry.endpointId === endpointId);
         const calling = new AbortController();
         this.held.set(placeId, { ask, endpointId, givenBy: decidedBy, calling, placedAtMs: performance.now() });
@@ -285,7 +287,10 @@
         const release = (end: PlaceEnd, firstAnswerMs?: number) => this.release(placeId, end, firstAnswerMs);
         const noteSilent = () => this.noteSilent(placeId);
         const calledBack = calling.signal;
-        return { kind: "placed", place: { placeId, endpoint, givenBy: decidedBy, calledBack, noteSilent, release } };
+        return {
+            kind: "placed",
+            place: { placeId, endpoint, givenBy: decidedBy, expectedWaitMs, calledBack, noteSilent, release },
+        };
     }
 
     private release(placeId: string, end: PlaceEnd, firstAnswerMs?: number): void {
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -162,7 +162,13 @@
 
 /** The answer to a {@link PlaceAsk}. */
 export type PlaceOutcome =
-    | { readonly kind: "placed"; readonly placeId: string; readonly endpointId: string; }
+    | {
+        readonly kind: "placed";
+        readonly placeId: string;
+        readonly endpointId: string;
+        /** Online: the wait that was forecast when the place was asked for, in milliseconds. */
+        readonly expectedWaitMs: number;
+    }
     | {
         readonly kind: "refused";
         readonly reason: RefusalReason;
--- a/packages/fleet/src/waitingLine.ts
+++ b/packages/fleet/src/waitingLine.ts
@@ -10,6 +10,8 @@
     readonly usefulUntilMs: number;
     /** Batch: when the item must have its place to be finished in time. */
     readonly startByMs: number;
+    /** Online: the wait that was forecast on arrival, in milliseconds. */
+    expectedWaitMs: number;
     readonly timers: NodeJS.Timeout[];
 }
 
--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -14,6 +14,7 @@
 export class StreamRelay {
     private lastEventId: number | undefined;
     private count = 0;
+    private lastEventAtMs = performance.now();
 
     /**
      * @param answer - The caller's answer.
@@ -33,6 +34,11 @@
         return this.lastEventId;
     }
 
+    /** Time since the last event, or since the relay began, in milliseconds. */
+    get quietMs(): number {
+        return performance.now() - this.lastEventAtMs;
+    }
+
     /** Events that were relayed. */
     get eventCount(): number {
         return this.count;
@@ -52,6 +58,7 @@
                     }
                     this.begin(status, incoming.rawHeaders);
                     this.count += 1;
+                    this.lastEventAtMs = performance.now();
                     this.onEvent();
                     this.lastEventId = eventId ?? this.lastEventId;
                     const isFull = this.answer.write(bytes);
--- a/packages/gateway/src/batchApi.ts
+++ b/packages/gateway/src/batchApi.ts
@@ -86,6 +86,7 @@
             requestId: caller.requestId,
             organisation: admitted.organisation?.name,
             outcome,
+            status: refusal?.status,
             reason: refusal?.reason,
             detail: refusal?.detail,
             durationMs,
--- a/packages/gateway/src/jobRun.ts
+++ b/packages/gateway/src/jobRun.ts
@@ -288,7 +288,11 @@
         while (this.isFinished && !this.isClosed && !this.isStopped) {
             const closed = await this.surroundings.store.close(this.manifest.jobId, false);
             this.isClosed = closed.isOk();
-            if (!this.isClosed) {
+            if (this.isClosed) {
+                const { jobId, items } = this.manifest;
+                this.surroundings.logger.info({ event: "job-finished", job: jobId, items: items.length });
+            }
+            else {
                 await sleep(RETRY_MS, this.stopping.signal);
             }
         }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -2,6 +2,8 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 const DURATION_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 300, 500, 1_000, 2_000, 5_000, 15_000];
+/** Below nought the wait was shorter than forecast. */
+const FORECAST_ERROR_BUCKETS_MS = [-500, -200, -100, -50, -20, -5, 5, 20, 50, 100, 200, 500];
 
 /** Values that are read when the metrics are. */
 export interface MetricSources {
@@ -17,6 +19,8 @@
     private readonly registry = new Registry();
     private readonly requests: Counter;
     private readonly durations: Histogram;
+    private readonly waits: Histogram;
+    private readonly forecastErrors: Histogram;
     private readonly items: Counter;
 
     /**
@@ -37,6 +41,18 @@
             buckets: DURATION_BUCKETS_MS,
             registers,
         });
+        this.waits = new Histogram({
+            name: "heatherline_place_wait_ms",
+            help: "Time that online requests waited for their place at an endpoint",
+            buckets: DURATION_BUCKETS_MS,
+            registers,
+        });
+        this.forecastErrors = new Histogram({
+            name: "heatherline_wait_forecast_error_ms",
+            help: "Wait of online requests for their place, less the wait that was forecast",
+            buckets: FORECAST_ERROR_BUCKETS_MS,
+            registers,
+        });
         this.items = new Counter({
             name: "heatherline_batch_runs_total",
             help: "Runs of batch items by how they ended",
@@ -57,6 +73,15 @@
         this.durations.observe({ kind, outcome }, durationMs);
     }
 
+    /**
+     * @param waitedMs - How long an online request waited for its place.
+     * @param expectedMs - How long it was forecast to wait.
+     */
+    noteWait(waitedMs: number, expectedMs: number): void {
+        this.waits.observe(waitedMs);
+        this.forecastErrors.observe(waitedMs - expectedMs);
+    }
+
     /**
      * @param end - How a run of a batch item ended.
      */
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -86,6 +86,7 @@
     private firstAnswerAtMs: number | undefined;
     private placedAfterMs: number | undefined;
     private lastEndpoint = "";
+    private lastPlace: { readonly givenBy: string; readonly expectedWaitMs: number; } | undefined;
 
     constructor(
         private readonly parts: OnlineParts,
@@ -157,6 +158,7 @@
                 end: outcome.end,
                 reason: outcome.reason,
                 events: this.relay.eventCount,
+                quietMs: Math.round(this.relay.quietMs),
                 mayRepeat,
             });
             if (this.ending.signal.aborted || !mayRepeat || isBegunForGood) {
@@ -202,8 +204,12 @@
             excluded: this.excluded,
             signal: this.ending.signal,
         });
+        const waitedMs = performance.now() - nowMs;
         this.placedAfterMs ??= performance.now() - this.request.arrivedAtMs;
         if (outcome.kind === "placed") {
+            const { givenBy, expectedWaitMs } = outcome.place;
+            this.lastPlace = { givenBy, expectedWaitMs: Math.round(expectedWaitMs) };
+            this.parts.metrics.noteWait(waitedMs, expectedWaitMs);
             return outcome.place;
         }
         const detail = `${outcome.detail}; decided by ${outcome.decidedBy}`;
@@ -342,6 +348,7 @@
             detail,
             attempts: this.attempts,
             endpoint: this.lastEndpoint,
+            ...this.lastPlace,
             events: this.relay.eventCount,
             placedAfterMs: this.placedAfterMs === undefined ? undefined : Math.round(this.placedAfterMs),
             durationMs,
--- a/standins/operators/fleet.ts
+++ b/standins/operators/fleet.ts
@@ -6,8 +6,8 @@
 import { Engine, type EngineOptions } from "./engine";
 import { ObjectApi } from "./objectApi";
 
-/** Beside the stand-in's bundle, or two folders above its source. */
-const PROGRAM = ["../target/gateway.cjs", "../../target/gateway.cjs"]
+/** The gateway's program, beside the stand-in's bundle or two folders above its source. */
+export const PROGRAM = ["../target/gateway.cjs", "../../target/gateway.cjs"]
     .map(path => new URL(path, import.meta.url).pathname)
     .find(path => existsSync(path)) ?? "";
 const READY_TIMEOUT_MS = 15_000;
@@ -200,7 +200,17 @@
     return child;
 }
 
-function newSettings(
+/**
+ * @param name - Name of the instance.
+ * @param dataCentre - Its data centre.
+ * @param storePort - Port of the store.
+ * @param isFirstStart - Whether the whole system starts for the first time.
+ * @param jobReadableS - How long jobs stay readable, in seconds.
+ * @param seeds - Ports of instances to ask first.
+ * @param ports - The instance's own ports.
+ * @returns A settings file in the platform's format.
+ */
+export function newSettings(
     name: string,
     dataCentre: string,
     storePort: number,
