--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -1,10 +1,10 @@
 import type { Logger } from "@heatherline/common";
 import type { StoredObject } from "@heatherline/store";
+import { Attendance } from "./attendance";
 import { CrashBook } from "./crashBook";
 import { Dispatcher } from "./dispatcher";
 import type { Place } from "./endpointPool";
 import { getSlotsAlone, getStartAfterTakeover } from "./floors";
-import { getElapsedMs, type Moment, newMoment } from "./freshness";
 import { JobBoard, type ProgressAnswer } from "./jobBoard";
 import type { PlaceReply, ReleaseRequest, SyncReply, SyncRequest } from "./messages";
 import { NewsDesk } from "./newsDesk";
@@ -20,26 +20,9 @@
 } from "./types";
 import type { FleetView } from "./view";
 
-/** An instance that is silent for this long may be deciding alone, in milliseconds. */
-const SILENT_MS = 900;
-/** Places of an instance that is silent for this long are given to others, in milliseconds. */
-const PLACES_KEPT_MS = 1_500;
 /** A place that its instance doesn't report may just have been given to it, in milliseconds. */
 const PLACE_IN_TRANSIT_MS = 1_200;
 const REVIEW_INTERVAL_MS = 150;
-/** Time for the other instances to turn up before the coordinator judges whom it hears, in milliseconds. */
-const SETTLING_MS = 4_000;
-/** Time for stronger instances to turn up, in milliseconds. */
-const STRENGTH_DELAY_MS = 2_500;
-/** Part of the strongest instance's processor that the coordinator has at least. */
-const MIN_STRENGTH_PART = 0.7;
-
-interface Heard {
-    incarnation: string;
-    at: Moment;
-    isStoreFailing: boolean;
-    jobs: readonly string[];
-}
 
 /** What a coordinator is told about its surroundings. */
 export interface CoordinatorSurroundings {
@@ -58,24 +41,21 @@
 /** Decides for all instances, as long as this one holds the lease. */
 export class Coordinator {
     readonly jobs = new JobBoard();
+    readonly attendance: Attendance;
     private readonly dispatcher: Dispatcher;
     private readonly rates: RateBook;
     private readonly crashes = new CrashBook();
-    private readonly heard = new Map<string, Heard>();
-    /** When instances were heard last that are silent by now. */
-    private readonly lastHeard = new Map<string, Moment>();
     private readonly news: NewsDesk;
-    private readonly startedAt = newMoment();
     private readonly reviewTimer: NodeJS.Timeout;
     /** Computed anew after each change of endpoints, instances, or who is silent. */
     private readonly capacities = new Map<string, number>();
-    private silentInstances: ReadonlySet<string> = new Set();
 
     /**
      * @param epoch - Epoch of the lease.
      * @param surroundings - The rest of the instance.
      */
     constructor(readonly epoch: number, private readonly surroundings: CoordinatorSurroundings) {
+        this.attendance = new Attendance(surroundings.self, surroundings.view, surroundings.isStoreFailing);
         this.news = new NewsDesk(surroundings.view);
         this.dispatcher = new Dispatcher({
             getCapacity: entry => this.getCapacity(entry),
@@ -112,7 +92,7 @@
             const decision = this.rates.take(ask.organisation, ask.rate);
             if (!decision.isTaken) {
                 const detail =
-                    `rate ${ask.rate.ratePerS}/s burst ${ask.rate.burst}, silent ${this.silentInstances.size}`;
+                    `rate ${ask.rate.ratePerS}/s burst ${ask.rate.burst}, silent ${this.attendance.silent.size}`;
                 return { kind: "refused", reason: "rate-limited", retryAfterMs: decision.retryAfterMs, detail };
             }
         }
@@ -201,60 +181,11 @@
         this.reconcile(this.surroundings.self.instanceId, places);
     }
 
-    /**
-     * @param instanceId - An instance.
-     * @returns How long it has been silent, at most since this coordinator began; 0 for this instance.
-     */
-    getSilenceMs(instanceId: string): number {
-        if (instanceId === this.surroundings.self.instanceId) {
-            return 0;
-        }
-        return getElapsedMs(this.heard.get(instanceId)?.at ?? this.lastHeard.get(instanceId) ?? this.startedAt);
-    }
-
-    /** Whether no other instance could take over, since none reaches the store and all are heard. */
-    isTakeoverExcluded(): boolean {
-        const others = this.getOthers();
-        return this.surroundings.isStoreFailing()
-            && others.every(({ instanceId }) =>
-                this.isHeard(instanceId) && this.heard.get(instanceId)?.isStoreFailing === true
-            );
-    }
-
-    /** Whether most instances are out of hearing while the store is there for one of them to take over. */
-    hearsTooFew(): boolean {
-        if (getElapsedMs(this.startedAt) < SETTLING_MS || this.surroundings.isStoreFailing()) {
-            return false;
-        }
-        const others = this.getOthers();
-        const heard = others.filter(({ instanceId }) => this.isHeard(instanceId)).length;
-        return (heard + 1) * 2 < others.length + 1;
-    }
-
-    /** Whether an instance with clearly more processor than this one is heard, which had better decide. */
-    hearsStronger(): boolean {
-        const { self, view } = this.surroundings;
-        return getElapsedMs(this.startedAt) > STRENGTH_DELAY_MS &&
-            view.members.some(member =>
-                self.processorShare < member.processorShare * MIN_STRENGTH_PART && this.isHeard(member.instanceId)
-            );
-    }
-
     /** @returns Figures for metrics. */
     describe(): { service: string; online: number; batch: number; free: number; }[] {
         return this.dispatcher.getServices().map(service => ({ service, ...this.dispatcher.describe(service) }));
     }
 
-    private getOthers(): MemberEntry[] {
-        const { self, view } = this.surroundings;
-        return view.members.filter(({ instanceId }) => instanceId !== self.instanceId);
-    }
-
-    private isHeard(instanceId: string): boolean {
-        const heard = this.heard.get(instanceId);
-        return heard !== undefined && getElapsedMs(heard.at) < SILENT_MS;
-    }
-
     /** Slots that silent instances may use by themselves are kept back. */
     private getCapacity(entry: EndpointEntry): number {
         let capacity = this.capacities.get(entry.endpointId);
@@ -271,7 +202,7 @@
             return 0;
         }
         let capacity = entry.slots;
-        for (const instanceId of this.silentInstances) {
+        for (const instanceId of this.attendance.silent) {
             capacity -= getSlotsAlone(entry, instanceId, view.members);
         }
         return Math.max(0, capacity);
@@ -279,26 +210,19 @@
 
     private scale(bounds: RateBounds): RateBounds {
         const memberCount = Math.max(1, this.surroundings.view.members.length);
-        const part = 1 - this.silentInstances.size / memberCount;
+        const part = 1 - this.attendance.silent.size / memberCount;
         return { ratePerS: Math.max(bounds.ratePerS * part, bounds.ratePerS / memberCount), burst: bounds.burst };
     }
 
-    private noteHeard(request: SyncRequest): void {
-        const { instanceId, incarnation } = request.member;
-        const before = this.heard.get(instanceId);
-        if (before !== undefined && before.incarnation !== incarnation) {
+    private noteHeard({ member, isStoreFailing, places }: SyncRequest): void {
+        const { instanceId } = member;
+        if (this.attendance.note(member, isStoreFailing)) {
             this.freePlaces(instanceId, "its process started anew");
         }
-        this.heard.set(instanceId, {
-            incarnation,
-            at: newMoment(),
-            isStoreFailing: request.isStoreFailing,
-            jobs: request.jobs.map(({ jobId }) => jobId),
-        });
-        if (request.places !== undefined) {
-            this.reconcile(instanceId, request.places);
+        if (places !== undefined) {
+            this.reconcile(instanceId, places);
         }
-        if (this.silentInstances.has(instanceId)) {
+        if (this.attendance.silent.has(instanceId)) {
             this.review();
         }
     }
@@ -374,27 +298,16 @@
      * @returns Jobs that it is to run.
      */
     assignJobs(instanceId: string): string[] {
-        const live = [...this.heard.keys()].filter(other => this.isHeard(other));
-        return this.jobs.assign(instanceId, [...live, this.surroundings.self.instanceId]);
+        return this.jobs.assign(instanceId, [...this.attendance.getHeard(), this.surroundings.self.instanceId]);
     }
 
     private review(): void {
-        const silent = this.getOthers()
-            .map(({ instanceId }) => instanceId)
-            .filter(instanceId => !this.isHeard(instanceId));
-        for (const [instanceId, { at }] of this.heard) {
-            if (getElapsedMs(at) > PLACES_KEPT_MS) {
-                this.heard.delete(instanceId);
-                this.lastHeard.set(instanceId, at);
-                this.news.drop(instanceId);
-                this.freePlaces(instanceId, "it is silent");
-            }
+        for (const instanceId of this.attendance.takeGone()) {
+            this.news.drop(instanceId);
+            this.freePlaces(instanceId, "it is silent");
         }
-        const hasChanged = silent.length !== this.silentInstances.size
-            || silent.some(instanceId => !this.silentInstances.has(instanceId));
-        if (hasChanged) {
-            this.surroundings.logger.info({ event: "silent-instances", silent });
-            this.silentInstances = new Set(silent);
+        if (this.attendance.review()) {
+            this.surroundings.logger.info({ event: "silent-instances", silent: [...this.attendance.silent] });
             this.capacities.clear();
             this.dispatcher.pumpAll();
         }
--- a/packages/fleet/src/crashBook.ts
+++ b/packages/fleet/src/crashBook.ts
@@ -1,3 +1,5 @@
+import { LRUCache } from "lru-cache";
+
 /** How long a request is held back after its second crash, third crash and so on, in milliseconds. */
 const HOLDS_MS = [3_000, 20_000, 60_000];
 /** A request that has not come back for this long is forgotten, in milliseconds. */
@@ -15,7 +17,7 @@
  * them. Endpoints also go away by themselves, so a request is only held back, longer each time. An answer clears it.
  */
 export class CrashBook {
-    private readonly suspicions = new Map<string, Suspicion>();
+    private readonly suspicions = new LRUCache<string, Suspicion>({ max: MAX_REMEMBERED });
 
     /**
      * @param fingerprint - The request whose connection broke after it had been sent.
@@ -25,11 +27,7 @@
             return;
         }
         const crashes = (this.suspicions.get(fingerprint)?.crashes ?? 0) + 1;
-        this.suspicions.delete(fingerprint);
         this.suspicions.set(fingerprint, { crashes, lastAtMs: performance.now() });
-        if (this.suspicions.size > MAX_REMEMBERED) {
-            this.suspicions.delete(this.suspicions.keys().next().value ?? "");
-        }
     }
 
     /**
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./attendance";
 export * from "./coordinator";
 export * from "./coordinatorLink";
 export * from "./crashBook";
--- a/packages/fleet/src/jobBoard.ts
+++ b/packages/fleet/src/jobBoard.ts
@@ -1,4 +1,5 @@
 import type { StoredObject } from "@heatherline/store";
+import { LRUCache } from "lru-cache";
 import type { AdmitJobReply, AdmitJobRequest } from "./messages";
 import type { JobProgress, JobSummary } from "./types";
 
@@ -38,7 +39,7 @@
 export class JobBoard {
     private readonly jobs = new Map<string, BoardEntry>();
     private readonly reservations = new Map<string, Reservation>();
-    private readonly lastRunners = new Map<string, string>();
+    private readonly lastRunners = new LRUCache<string, string>({ max: MAX_LAST_RUNNERS });
     private hasRead = false;
 
     /** Whether the jobs in the store are known. */
@@ -174,9 +175,6 @@
         this.jobs.delete(jobId);
         if (runner !== undefined) {
             this.lastRunners.set(jobId, runner);
-            if (this.lastRunners.size > MAX_LAST_RUNNERS) {
-                this.lastRunners.delete(this.lastRunners.keys().next().value ?? "");
-            }
         }
     }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,12 +2,8 @@
 import { type Logger, newId, sleep } from "@heatherline/common";
 import {
     type Announcement,
-    Coordinator,
-    CoordinatorLease,
-    CoordinatorLink,
     FleetView,
     type MemberEntry,
-    METHODS,
     Placement,
     StateFeed,
     type SyncReply,
@@ -15,6 +11,7 @@
 } from "@heatherline/fleet";
 import { Admission } from "./admission";
 import { BatchApi } from "./batchApi";
+import { CoordinatorRole } from "./coordinatorRole";
 import { EndpointClient } from "./endpointClient";
 import { EndpointLog } from "./endpointLog";
 import type { ChangeableSettings, GatewayOutside, GatewaySettings } from "./gatewaySettings";
@@ -41,7 +38,6 @@
 const REVIEW_INTERVAL_MS = 200;
 const ADOPTION_INTERVAL_MS = 500;
 const FIRST_START_DELAY_MS = 500;
-const ANNOUNCE_TIMEOUT_MS = 400;
 const SWEEP_INTERVAL_MS = 3_000;
 const STATUS_INTERVAL_MS = 10_000;
 /** Time after the request to stop in which the balancer may still send new connections, in milliseconds. */
@@ -56,8 +52,7 @@
     private readonly view: FleetView;
     private readonly admission: Admission;
     private readonly feed: StateFeed;
-    private readonly lease: CoordinatorLease;
-    private readonly link: CoordinatorLink;
+    private readonly role: CoordinatorRole;
     private readonly rpc: RpcPeerTransport;
     private readonly rpcServer = new RpcPeerServer("");
     private readonly placement: Placement;
@@ -70,7 +65,6 @@
     private wasListed = false;
     private readonly metrics: GatewayMetrics;
     private readonly startGate = new StartGate(() => this.isReady && !this.placement.isAlone);
-    private coordinator: Coordinator | undefined;
     private isStopping = false;
     private timers: NodeJS.Timeout[] = [];
 
@@ -95,40 +89,44 @@
         this.feed = new StateFeed(store, schema, view, {
             onRetirements: names => this.retirement.note(names),
             onJobs: objects => {
-                this.coordinator?.noteJobs(objects);
+                this.role.own?.noteJobs(objects);
                 this.sweeper.noteJobs(objects);
             },
         }, logger);
-        this.link = new CoordinatorLink(this.rpc, {
-            newRequest: (isFull, waitMs) => this.newSyncRequest(isFull, waitMs),
+        const getRegion = (zone: string) => this.settings.regions[zone] ?? zone;
+        this.role = new CoordinatorRole({
+            self: this.self,
+            view,
+            store,
+            rpc: this.rpc,
+            getRegion,
+            getRateTolerance: () => this.settings.rateTolerance,
+            isStoreFailing: () => this.feed.isStoreFailing,
+            getPlaces: () => this.placement.getPlaces(),
+            callBackOwn: placeId => this.placement.callBack(placeId),
+            newSyncRequest: (isFull, waitMs) => this.newSyncRequest(isFull, waitMs),
             onNews: (reply, transitMs) => {
                 this.applyNews(reply, transitMs);
                 this.startGate.check();
             },
-            onConnection: () => this.review(),
-            onDead: incarnation => this.lease.noteDead(incarnation),
-            onStepDown: () => this.lease.noteStepDown(),
-        }, logger);
-        this.lease = new CoordinatorLease(store, this.self, {
-            getMembers: () => view.members,
-            isTakeoverExcluded: () => this.coordinator?.isTakeoverExcluded() ?? false,
-            onChange: (isHolder, reason) => this.onLeaseChange(isHolder, reason),
-            onHolder: (holder, epoch) => this.onHolder(holder, epoch),
-            isServed: () => this.link.coordinator !== undefined,
+            onChange: () => {
+                this.startGate.check();
+                this.review();
+            },
         }, logger);
-        const getCoordinator = () => this.lease.isHolder ? this.coordinator : undefined;
-        const getRegion = (zone: string) => this.settings.regions[zone] ?? zone;
-        this.placement = new Placement(this.self, view, this.link, getCoordinator, getRegion, logger);
+        const { link, lease } = this.role;
+        const getCoordinator = () => this.role.deciding;
+        this.placement = new Placement(this.self, view, link, getCoordinator, getRegion, logger);
         const jobStore = new JobStore(store, logger);
         const endpoints = new EndpointClient(wire);
         this.metrics = new GatewayMetrics({
-            getLines: () => this.coordinator?.describe() ?? [],
+            getLines: () => this.role.own?.describe() ?? [],
             getConfigAgeMs: () => view.getConfigAgeMs(),
             getStoreCalls: outside.getStoreCalls,
             getJobs: () => this.runner.describe(),
-            isCoordinator: () => this.lease.isHolder,
+            isCoordinator: () => lease.isHolder,
         });
-        const { metrics, placement, admission, link, rpc } = this;
+        const { metrics, placement, admission, rpc } = this;
         this.runner = new JobRunner({
             instanceId,
             store: jobStore,
@@ -151,7 +149,7 @@
             rpc,
             getMember,
             self: this.self,
-            isOnlyRunner: () => this.lease.isHolder || link.newsAgeMs < MAX_RUNNER_NEWS_AGE_MS,
+            isOnlyRunner: () => lease.isHolder || link.newsAgeMs < MAX_RUNNER_NEWS_AGE_MS,
         });
         const getMembers = () => view.members;
         this.ingress = new Ingress({
@@ -177,8 +175,8 @@
             startGate: this.startGate,
             logger,
         });
-        const onAnnouncement = ({ coordinator, epoch }: Announcement) => this.onHolder(coordinator, epoch);
-        const getDeciding = () => this.getDeciding();
+        const onAnnouncement = ({ coordinator, epoch }: Announcement) => this.role.follow(coordinator, epoch);
+        const getDeciding = () => this.role.getAnnouncement();
         addPeerMethods(this.rpcServer, { getCoordinator, getDeciding, view, runner, reader, onAnnouncement });
         this.sweeper = new Sweeper({
             store,
@@ -193,7 +191,7 @@
             own: peers,
             getSeeds: () => this.settings.seeds,
             lacksSomething: () => this.lacksSomething,
-            onDeciding: deciding => this.onHolder(deciding.coordinator, deciding.epoch),
+            onDeciding: onAnnouncement,
             isStopping: () => this.isStopping,
         });
         const endpointLog = new EndpointLog(logger);
@@ -206,7 +204,7 @@
                 endpoints.forgetOthers(new Set(view.getEndpoints().map(({ endpointId }) => endpointId)));
             }
             this.placement.noteViewChanged();
-            this.coordinator?.noteViewChanged();
+            this.role.own?.noteViewChanged();
             this.startGate.check();
         });
     }
@@ -222,7 +220,7 @@
         this.feed.setScope("essentials");
         void this.learning.run();
         void this.register().then(() => this.feed.readMembers());
-        this.lease.start(this.getFirstDelayMs());
+        this.role.lease.start(this.getFirstDelayMs());
         this.timers = [
             setInterval(() => this.review(), REVIEW_INTERVAL_MS),
             setInterval(() => this.adoptOwnJobs(), ADOPTION_INTERVAL_MS),
@@ -252,7 +250,7 @@
         const startedAtMs = performance.now();
         this.isStopping = true;
         this.logger.info({ event: "stopping", openRequests: this.ingress.openCount });
-        await this.lease.stop();
+        await this.role.lease.stop();
         void this.runner.handOver(this.getOthers());
         const endAtMs = startedAtMs + this.settings.graceMs - KILL_MARGIN_MS;
         while (performance.now() < endAtMs) {
@@ -262,7 +260,7 @@
             }
             await sleep(STOP_POLL_MS);
         }
-        this.link.stop("stopping");
+        this.role.link.stop("stopping");
         this.timers.forEach(timer => clearInterval(timer));
         this.logger.info({ event: "stopped", cut: this.ingress.openCount });
         this.ingress.close();
@@ -278,8 +276,7 @@
 
     /** Whether other instances may know what this one doesn't. */
     private get lacksSomething(): boolean {
-        const hasCoordinator = this.coordinator !== undefined || this.link.coordinator !== undefined;
-        return !hasCoordinator || !this.admission.isCurrent || this.view.getEndpoints().length === 0;
+        return !this.role.isKnown || !this.admission.isCurrent || this.view.getEndpoints().length === 0;
     }
 
     /** Whether callers are served better here than elsewhere. */
@@ -300,7 +297,7 @@
 
     private applyNews(reply: Extract<SyncReply, { kind: "news"; }>, transitMs: number): void {
         this.view.applyNews(reply.news, transitMs);
-        this.lease.noteTold(reply.coordinator, reply.epoch, reply.leaseVersion);
+        this.role.lease.noteTold(reply.coordinator, reply.epoch, reply.leaseVersion);
         for (const decision of reply.decisions) {
             this.placement.noteDecision(decision);
         }
@@ -318,75 +315,29 @@
         }
     }
 
-    private onHolder(holder: MemberEntry, epoch: number): void {
-        if (holder.incarnation !== this.self.incarnation) {
-            this.link.follow(holder, epoch);
-        }
-    }
-
-    private onLeaseChange(isHolder: boolean, reason: string): void {
-        this.logger.info({
-            event: isHolder ? "coordinator-begins" : "coordinator-ends",
-            epoch: this.lease.epoch,
-            reason,
-        });
-        this.coordinator?.stop();
-        this.coordinator = undefined;
-        if (isHolder) {
-            this.link.stop("this instance is the coordinator");
-            this.coordinator = new Coordinator(this.lease.epoch, {
-                self: this.self,
-                view: this.view,
-                getRegion: zone => this.settings.regions[zone] ?? zone,
-                getRateTolerance: () => this.settings.rateTolerance,
-                getLeaseVersion: () => this.lease.version,
-                isStoreFailing: () => this.feed.isStoreFailing,
-                callBackOwn: placeId => this.placement.callBack(placeId),
-                logger: this.logger,
-            });
-            this.coordinator.adoptOwn(this.placement.getPlaces());
-            this.announce(this.lease.epoch);
-        }
-        this.startGate.check();
-        this.review();
-    }
-
     /** Instances that may take over what this one runs, the coordinator last, since it has more to do. */
     private getOthers(): MemberEntry[] {
-        const { coordinator } = this.link;
+        const { coordinator } = this.role.link;
         const others = this.view.members.filter(({ instanceId }) => instanceId !== this.self.instanceId);
         const rest = others.filter(({ instanceId }) => instanceId !== coordinator?.instanceId);
         return coordinator === undefined ? rest : [...rest, coordinator];
     }
 
-    private announce(epoch: number): void {
-        const announcement: Announcement = { coordinator: this.self, epoch };
-        for (const { instanceId, host, rpcPort } of this.view.members) {
-            if (instanceId !== this.self.instanceId) {
-                void this.rpc.callAddress(host, rpcPort, METHODS.announce, announcement, ANNOUNCE_TIMEOUT_MS);
-            }
-        }
-    }
-
     /** Chooses how much to read from the store, by what the coordinator tells. */
     private review(): void {
         if (this.isStopping) {
             return;
         }
-        const isTold = this.link.coordinator !== undefined && this.view.getConfigAgeMs() < MAX_TOLD_AGE_MS;
-        this.feed.setScope(this.coordinator !== undefined ? "everything" : isTold ? "nothing" : "essentials");
+        const isTold = this.role.link.coordinator !== undefined && this.view.getConfigAgeMs() < MAX_TOLD_AGE_MS;
+        this.feed.setScope(this.role.own !== undefined ? "everything" : isTold ? "nothing" : "essentials");
         this.view.dropLapsedEndpoints();
-        if (this.coordinator?.hearsTooFew() === true) {
-            void this.lease.abstain("most instances are out of hearing");
-        }
-        else if (this.coordinator?.hearsStronger() === true) {
-            void this.lease.abstain("an instance with more processor is there");
-        }
+        this.role.review();
     }
 
     private sweep(): void {
-        if (this.coordinator !== undefined && this.lease.isHolder && !this.feed.isStoreFailing) {
-            void this.sweeper.sweep(this.coordinator);
+        const coordinator = this.role.deciding;
+        if (coordinator !== undefined && !this.feed.isStoreFailing) {
+            void this.sweeper.sweep(coordinator);
         }
     }
 
@@ -410,7 +361,7 @@
             event: "status",
             configVersion: this.view.routes?.config.version,
             configAgeMs: Math.round(this.view.getConfigAgeMs()),
-            coordinator: this.coordinator === undefined ? this.link.coordinator?.instanceId : this.self.instanceId,
+            coordinator: this.role.holderId,
             endpoints: this.view.getEndpoints().length,
             members: this.view.members.length,
             openRequests: this.ingress.openCount,
@@ -421,8 +372,8 @@
     }
 
     private adoptOwnJobs(): void {
-        const { coordinator } = this;
-        if (coordinator !== undefined && this.lease.isHolder && !this.isStopping) {
+        const coordinator = this.role.deciding;
+        if (coordinator !== undefined && !this.isStopping) {
             const { closed, taken } = coordinator.jobs.noteProgress(this.self.instanceId, this.runner.getProgress());
             void this.runner.check(closed);
             taken.forEach(jobId => this.runner.yield(jobId));
@@ -434,11 +385,4 @@
             void this.runner.check(this.runner.getOpenIds());
         }
     }
-
-    /** Who decides, as far as this instance knows. */
-    private getDeciding(): Announcement | undefined {
-        return this.coordinator === undefined
-            ? this.link.deciding
-            : { coordinator: this.self, epoch: this.coordinator.epoch };
-    }
 }
--- a/packages/gateway/src/jobReader.ts
+++ b/packages/gateway/src/jobReader.ts
@@ -8,6 +8,7 @@
     newMoment,
     type RpcCaller,
 } from "@heatherline/fleet";
+import { LRUCache } from "lru-cache";
 import { err, ok, type Result } from "neverthrow";
 import { newPage } from "./jobRun";
 import type { JobRunner } from "./jobRunner";
@@ -54,11 +55,15 @@
 
 /** Reads results: from the runner while there is one, otherwise from the store. */
 export class JobReader {
-    private readonly runners = new Map<string, { readonly member: MemberEntry; readonly atMs: number; }>();
-    private readonly manifests = new Map<string, JobManifest>();
-    private readonly chunks = new Map<string, ResultChunk>();
-    private readonly missing = new Map<string, Moment>();
-    private cachedBytes = 0;
+    private readonly runners = new LRUCache<string, { readonly member: MemberEntry; readonly atMs: number; }>({
+        max: MAX_REMEMBERED,
+    });
+    private readonly manifests = new LRUCache<string, JobManifest>({ max: MAX_REMEMBERED });
+    private readonly chunks = new LRUCache<string, ResultChunk>({
+        maxSize: MAX_CACHED_BYTES,
+        sizeCalculation: getSize,
+    });
+    private readonly missing = new LRUCache<string, Moment>({ max: MAX_REMEMBERED });
 
     /**
      * @param parts - What reading depends on.
@@ -114,7 +119,7 @@
         if (read.value === undefined) {
             return err(newRefusal("not-found", "a fresh read of the store shows no such job"));
         }
-        rememberBounded(this.manifests, jobId, read.value.manifest, MAX_REMEMBERED);
+        this.manifests.set(jobId, read.value.manifest);
         return ok(read.value.manifest);
     }
 
@@ -149,7 +154,7 @@
             : own.jobs.findRunner(jobId);
         const member = instanceId === undefined || instanceId === null ? undefined : this.parts.getMember(instanceId);
         if (member !== undefined) {
-            rememberBounded(this.runners, jobId, { member, atMs: performance.now() }, MAX_REMEMBERED);
+            this.runners.set(jobId, { member, atMs: performance.now() });
         }
         return member;
     }
@@ -194,37 +199,17 @@
             return err(newRefusal("store-unavailable", read.error.toString()));
         }
         if (read.value === undefined) {
-            rememberBounded(this.missing, name, sentAt, MAX_REMEMBERED);
+            this.missing.set(name, sentAt);
         }
         else {
             this.missing.delete(name);
-            this.cache(name, read.value);
+            this.chunks.set(name, read.value);
         }
         return ok(read.value);
     }
-
-    private cache(name: string, chunk: ResultChunk): void {
-        this.chunks.set(name, chunk);
-        this.cachedBytes += getSize(chunk);
-        for (const [oldest, old] of this.chunks) {
-            if (this.cachedBytes <= MAX_CACHED_BYTES) {
-                break;
-            }
-            this.chunks.delete(oldest);
-            this.cachedBytes -= getSize(old);
-        }
-    }
-}
-
-/** Keeps the newest entries of a map. */
-function rememberBounded<Value>(map: Map<string, Value>, key: string, value: Value, most: number): void {
-    map.delete(key);
-    map.set(key, value);
-    if (map.size > most) {
-        map.delete(map.keys().next().value ?? "");
-    }
 }
 
+/** Bytes of a chunk, never nought. */
 function getSize({ results }: ResultChunk): number {
-    return results.reduce((sum, { output }) => sum + output.length, 0);
+    return results.reduce((sum, { output }) => sum + output.length, 1);
 }
--- a/packages/gateway/src/jobStore.ts
+++ b/packages/gateway/src/jobStore.ts
@@ -1,6 +1,7 @@
 import { type Logger, newId, sleep } from "@heatherline/common";
 import { JOB_KIND, type JobSummary, readSummary } from "@heatherline/fleet";
 import { type ObjectStore, type StoredObject, StoreError } from "@heatherline/store";
+import { LRUCache } from "lru-cache";
 import { err, ok, type Result } from "neverthrow";
 import type { ItemResult, SubmittedItem } from "./wireCodec";
 
@@ -46,7 +47,9 @@
 /** Batch jobs in the platform's store. Whatever is written once is never written again. */
 export class JobStore {
     /** Jobs that this instance created, until they are closed. */
-    private readonly written = new Map<string, { readonly manifest: JobManifest; readonly version: number; }>();
+    private readonly written = new LRUCache<string, { readonly manifest: JobManifest; readonly version: number; }>({
+        max: MAX_WRITTEN,
+    });
 
     /**
      * @param store - The store.
@@ -80,9 +83,6 @@
                 return "existed";
             }
             this.written.set(manifest.jobId, { manifest, version });
-            if (this.written.size > MAX_WRITTEN) {
-                this.written.delete(this.written.keys().next().value ?? "");
-            }
             return "created";
         });
     }
