Resume streams that stall, and wait for an endpoint whose pause ends in time

With two endpoints of a service, one of them paused for 150 ms, a request that broke at the other was refused at once, though a place would have been there in time; and nobody looked again when a pause for silence ended. Change: a stream that may be resumed is resumed elsewhere after 0.8 s without an event, unless its caller is slow to read; others run on until their time is over. The first of the line waits for a paused endpoint where that is in time.

--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -140,9 +140,7 @@
             this.learn(place, end, firstAnswerMs);
         }
         const pauseMs = this.pool.removePlace(place, end);
-        if (pauseMs !== undefined) {
-            setTimeout(() => this.pump(place.service), pauseMs + 1).unref();
-        }
+        this.pumpAfter(place.service, pauseMs);
         this.pump(place.service);
         return { place, isPaused: pauseMs !== undefined };
     }
@@ -155,7 +153,9 @@
      */
     noteSilent(placeId: string): boolean {
         const place = this.places.get(placeId);
-        return place !== undefined && this.pool.noteSilent(place);
+        const pauseMs = place === undefined ? undefined : this.pool.noteSilent(place);
+        this.pumpAfter(place?.service ?? "", pauseMs);
+        return pauseMs !== undefined;
     }
 
     /**
@@ -268,9 +268,9 @@
     }
 
     private getLine(ask: PlaceAsk, rank: number): LineState {
-        const { total, free, preemptable } = this.pool.count(ask.service, ask);
+        const { total, free, preemptable, reopensInMs } = this.pool.count(ask.service, ask);
         const ahead = this.getService(ask.service).line.countOnlineBefore(rank);
-        return { places: total, free, atOnce: free + preemptable, ahead };
+        return { places: total, free, atOnce: free + preemptable, reopensInMs, ahead };
     }
 
     /** Places the waiting requests, as far as there are places; then calls back from batch what online lacks. */
@@ -301,6 +301,13 @@
         }
     }
 
+    /** An endpoint whose pause is over may take who waits. */
+    private pumpAfter(service: string, pauseMs: number | undefined): void {
+        if (pauseMs !== undefined) {
+            setTimeout(() => this.pump(service), pauseMs + 1).unref();
+        }
+    }
+
     private placeBatch(service: string, line: WaitingLine): void {
         if (line.batchCount === 0) {
             return;
--- a/packages/fleet/src/endpointPool.ts
+++ b/packages/fleet/src/endpointPool.ts
@@ -63,6 +63,8 @@
     free: number;
     /** Places that batch gives up at once. */
     preemptable: number;
+    /** Time until an endpoint that is paused may be tried again; infinite where none is paused. In milliseconds. */
+    reopensInMs: number;
 }
 
 /** The endpoints of all services, and where one more request fits. */
@@ -151,11 +153,13 @@
      * takes long, so an endpoint that has answered others since is not paused.
      *
      * @param place - The place of the request.
-     * @returns Whether the endpoint is paused because of it.
+     * @returns Time until the endpoint may be used again, if it is paused because of it; in milliseconds.
      */
-    noteSilent(place: Place): boolean {
+    noteSilent(place: Place): number | undefined {
         const state = this.byId.get(place.endpointId);
-        return state !== undefined && state.lastSignAtMs <= place.sinceMs && state.health.note("silent");
+        return state !== undefined && state.lastSignAtMs <= place.sinceMs && state.health.note("silent")
+            ? state.health.getPauseLeftMs()
+            : undefined;
     }
 
     /**
@@ -164,13 +168,19 @@
      * @returns Its places.
      */
     count(service: string, ask: PlaceAsk | undefined): PlaceCount {
-        const count: PlaceCount = { total: 0, free: 0, preemptable: 0 };
+        const count: PlaceCount = { total: 0, free: 0, preemptable: 0, reopensInMs: Infinity };
         for (const state of this.byService.get(service) ?? []) {
             if (ask === undefined || this.isAllowed(state, ask)) {
                 const capacity = this.getUsableCapacity(state);
                 count.total += capacity;
                 count.free += Math.max(0, capacity - state.running.size);
                 count.preemptable += capacity === 0 ? 0 : state.batchCount;
+                const pauseLeftMs = state.health.getPauseLeftMs();
+                if (
+                    pauseLeftMs > 0 && state.entry.state === "ready" && this.surroundings.getCapacity(state.entry) > 0
+                ) {
+                    count.reopensInMs = Math.min(count.reopensInMs, pauseLeftMs);
+                }
             }
         }
         return count;
--- a/packages/fleet/src/forecast.ts
+++ b/packages/fleet/src/forecast.ts
@@ -22,6 +22,8 @@
     readonly atOnce: number;
     /** Places that are free. */
     readonly free: number;
+    /** Time until a paused endpoint may be tried again, where there are no places; in milliseconds. */
+    readonly reopensInMs: number;
     /** Requests that will be served before the one in question. */
     readonly ahead: number;
 }
@@ -56,11 +58,12 @@
 
     /**
      * @param line - Places and requests.
-     * @returns The expected wait in milliseconds; infinite where there are no places.
+     * @returns The expected wait in milliseconds; infinite where there are no places. An endpoint that was paused is
+     * tried with one request, so that only the first of the line may count on it.
      */
     getWaitMs(line: LineState): number {
         if (line.places === 0) {
-            return Infinity;
+            return line.ahead === 0 ? line.reopensInMs : Infinity;
         }
         const missing = line.ahead + 1 - line.atOnce;
         if (missing > 0) {
--- a/packages/fleet/tests/decisions.test.ts
+++ b/packages/fleet/tests/decisions.test.ts
@@ -2,6 +2,7 @@
 import {
     AgeClock,
     CrashBook,
+    Dispatcher,
     type EndpointEntry,
     EndpointHealth,
     EndpointPool,
@@ -16,6 +17,7 @@
     JobBoard,
     type MemberEntry,
     newMoment,
+    type PlaceAsk,
     RateBook,
     SendWindow,
 } from "../src";
@@ -411,3 +413,58 @@
         expect(board.noteProgress("x", unknown)).toEqual({ closed: ["gone"], taken: [] });
     });
 });
+
+describe("a service whose only endpoint is paused", () => {
+    async function pauseOnly(): Promise<Dispatcher> {
+        const dispatcher = new Dispatcher({
+            getCapacity: ({ slots }) => slots,
+            getColdRatePerS: () => 0,
+            getRegion: () => "",
+            callBack: () => undefined,
+        });
+        dispatcher.setEndpoints([newEntry("a")]);
+        const outcome = await dispatcher.place(newAsk("first"));
+        dispatcher.release(outcome.kind === "placed" ? outcome.placeId : "", "unreachable");
+        return dispatcher;
+    }
+
+    it("holds the first request until the endpoint may be tried again, and refuses the next one at once", async () => {
+        const dispatcher = await pauseOnly();
+        const askedAtMs = performance.now();
+        const held = dispatcher.place(newAsk("held")).then(({ kind }) => [kind, performance.now() - askedAtMs]);
+        vi.advanceTimersByTime(1);
+        const next = await dispatcher.place(newAsk("next"));
+        expect(next).toMatchObject({ kind: "refused", reason: "no-endpoint" });
+        await vi.advanceTimersByTimeAsync(200);
+        const [kind, waitedMs] = await held;
+        expect(kind).toBe("placed");
+        expect(waitedMs).toBeLessThanOrEqual(160);
+    });
+
+    it("refuses a request at once that the pause would make late", async () => {
+        const dispatcher = await pauseOnly();
+        const outcome = await dispatcher.place({ ...newAsk("hurried"), usefulForMs: 100 });
+        expect(outcome).toMatchObject({ kind: "refused", reason: "no-endpoint" });
+    });
+});
+
+function newAsk(fingerprint: string): PlaceAsk {
+    return {
+        askId: fingerprint,
+        instanceId: "east-1",
+        dataCentre: "east",
+        service: "lm",
+        workClass: "online",
+        organisation: "studio",
+        priority: 0,
+        usefulForMs: 300,
+        targetLatencyMs: 300,
+        giveUpAfterMs: 2_000,
+        dueInMs: 300,
+        remainingMs: 0,
+        excluded: [],
+        allowedRegions: [],
+        fingerprint,
+        rate: undefined,
+    };
+}
--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -15,6 +15,7 @@
     private lastEventId: number | undefined;
     private count = 0;
     private lastEventAtMs = performance.now();
+    private isWaitingForCaller = false;
 
     /**
      * @param answer - The caller's answer.
@@ -34,9 +35,9 @@
         return this.lastEventId;
     }
 
-    /** Time since the last event, or since the relay began, in milliseconds. */
+    /** Time since the last event, or since the relay began; nought while the caller is slow. In milliseconds. */
     get quietMs(): number {
-        return performance.now() - this.lastEventAtMs;
+        return this.isWaitingForCaller ? 0 : performance.now() - this.lastEventAtMs;
     }
 
     /** Events that were relayed. */
@@ -63,7 +64,10 @@
                     this.lastEventId = eventId ?? this.lastEventId;
                     const isFull = this.answer.write(bytes);
                     if (isFull !== undefined) {
+                        this.isWaitingForCaller = true;
                         await isFull;
+                        this.isWaitingForCaller = false;
+                        this.lastEventAtMs = performance.now();
                     }
                 }
             }
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -18,6 +18,9 @@
 const FAILURE_STATUS = 500;
 /** An endpoint that has a place free answers within some ten milliseconds; this long means that it is gone. */
 const SILENCE_MS = 600;
+/** Events of a stream come every few ten milliseconds, some hundred on a slow endpoint. */
+const STALL_MS = 800;
+const STALL_POLL_MS = 200;
 
 /** One request on its way. */
 export interface OnlineRequest {
@@ -227,15 +230,7 @@
         this.ending.signal.addEventListener("abort", onEnding, { once: true });
         const sentAtMs = performance.now();
         this.firstAnswerAtMs = undefined;
-        const silence = setTimeout(() => {
-            if (this.firstAnswerAtMs === undefined) {
-                place.noteSilent();
-                const isQuiet = this.parts.endpoints.getLastAnswerMs(place.endpoint.endpointId) < sentAtMs;
-                if (isQuiet && this.repeat.mayRepeatSilent()) {
-                    sending.abort("silent");
-                }
-            }
-        }, SILENCE_MS);
+        const stopWatching = this.watchSilence(place, sending, sentAtMs);
         const answer = await this.parts.endpoints.send({
             requestId: caller.requestId ?? "",
             endpoint: place.endpoint,
@@ -253,7 +248,7 @@
             signal: sending.signal,
         });
         const outcome = await this.take(answer);
-        clearTimeout(silence);
+        stopWatching();
         this.ending.signal.removeEventListener("abort", onEnding);
         const firstAnswerMs = this.firstAnswerAtMs === undefined ? undefined : this.firstAnswerAtMs - sentAtMs;
         place.release(
@@ -263,6 +258,34 @@
         return outcome;
     }
 
+    /** Gives a send up for another where nothing comes and the request may be repeated. */
+    private watchSilence(place: HeldPlace, sending: AbortController, sentAtMs: number): () => void {
+        const giveUp = () => {
+            if (this.repeat.mayRepeatSilent()) {
+                sending.abort("silent");
+            }
+        };
+        const first = setTimeout(() => {
+            if (this.firstAnswerAtMs === undefined) {
+                place.noteSilent();
+                const isQuiet = this.parts.endpoints.getLastAnswerMs(place.endpoint.endpointId) < sentAtMs;
+                if (isQuiet) {
+                    giveUp();
+                }
+            }
+        }, SILENCE_MS);
+        const stall = setInterval(() => {
+            const hasEvents = this.admitted.route.kind === "streaming" && this.firstAnswerAtMs !== undefined;
+            if (hasEvents && this.relay.quietMs > STALL_MS) {
+                giveUp();
+            }
+        }, STALL_POLL_MS);
+        return () => {
+            clearTimeout(first);
+            clearInterval(stall);
+        };
+    }
+
     private async take(answer: Result<EndpointAnswer, SendFailure>): Promise<SendOutcome> {
         if (answer.isErr()) {
             const { kind, reason } = answer.error;
--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -7,6 +7,8 @@
     | "CRASH"
     /** Breaks off in the middle of an event. */
     | "BREAK"
+    /** Sends some events and then nothing more, with the connection left open. */
+    | "STALL"
     /** Answers that it did not run the request. */
     | "FULL"
     /** Answers with a failure. */
@@ -166,6 +168,9 @@
                 response.write(`id: ${eventId}\ndata: half`, () => response.socket?.destroy());
                 return;
             }
+            if (trouble.includes("STALL") && eventId === from + 2) {
+                return;
+            }
             response.write(`id: ${eventId}\ndata: event ${eventId} of ${entry.requestId}\n\n`);
             entry.events += 1;
             await sleep(this.options.eventGapMs ?? DEFAULT_GAP_MS);
