Reach the store through the coordinator where an instance's own way to it fails

Such an instance can't write results of what it runs either. Lease, registration and feeds keep to the own way, which is what they are to show.

--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -13,6 +13,7 @@
     readJob: "jobs.read",
     endJob: "jobs.end",
     takeOverJob: "jobs.takeOver",
+    callStore: "store.call",
 } as const;
 
 /** Tells the coordinator how an instance is, and asks for news. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import { PeerLearning } from "./peerLearning";
 import { addPeerMethods } from "./peerMethods";
 import { registerMember } from "./registration";
+import { RelayedStore } from "./relayedStore";
 import { RetirementDesk } from "./retirement";
 import { serveMetrics, serveReadiness } from "./sideListeners";
 import { StartGate } from "./startGate";
@@ -117,7 +118,8 @@
         const { link, lease } = this.role;
         const getCoordinator = () => this.role.deciding;
         this.placement = new Placement(this.self, view, link, getCoordinator, getRegion, logger);
-        const jobStore = new JobStore(store, logger);
+        const getHelper = () => this.role.own === undefined ? link.coordinator : undefined;
+        const jobStore = new JobStore(new RelayedStore({ own: store, rpc: this.rpc, getHelper, logger }), logger);
         const endpoints = new EndpointClient(wire);
         this.metrics = new GatewayMetrics({
             getLines: () => this.role.own?.describe() ?? [],
@@ -177,7 +179,7 @@
         });
         const onAnnouncement = ({ coordinator, epoch }: Announcement) => this.role.follow(coordinator, epoch);
         const getDeciding = () => this.role.getAnnouncement();
-        addPeerMethods(this.rpcServer, { getCoordinator, getDeciding, view, runner, reader, onAnnouncement });
+        addPeerMethods(this.rpcServer, { getCoordinator, getDeciding, view, runner, reader, store, onAnnouncement });
         this.sweeper = new Sweeper({
             store,
             jobs: jobStore,
--- a/packages/gateway/src/peerMethods.ts
+++ b/packages/gateway/src/peerMethods.ts
@@ -14,8 +14,10 @@
     type SyncReply,
     type SyncRequest,
 } from "@heatherline/fleet";
+import type { ObjectStore } from "@heatherline/store";
 import type { JobReader, ReadJobRequest } from "./jobReader";
 import type { JobHandover, JobRunner } from "./jobRunner";
+import { answerStoreCall, type StoreCall, type StoreCallReply } from "./relayedStore";
 
 /** What other instances' calls are answered from. */
 export interface PeerParts {
@@ -25,6 +27,8 @@
     readonly view: FleetView;
     readonly runner: JobRunner;
     readonly reader: JobReader;
+    /** This instance's own way to the store. */
+    readonly store: ObjectStore;
     readonly onAnnouncement: (announcement: Announcement) => void;
 }
 
@@ -35,7 +39,7 @@
  * @param parts - What the calls are answered from.
  */
 export function addPeerMethods(server: RpcPeerServer, parts: PeerParts): void {
-    const { getCoordinator, getDeciding, view, runner, reader, onAnnouncement } = parts;
+    const { getCoordinator, getDeciding, view, runner, reader, store, onAnnouncement } = parts;
     server.addMethod(METHODS.announce, onAnnouncement);
     server.addMethod(METHODS.takeOverJob, (handover: JobHandover) => runner.takeOver(handover));
     server.addMethod<SyncRequest, SyncReply>(
@@ -57,5 +61,6 @@
     });
     server.addMethod(METHODS.findRunner, ({ jobId }: { jobId: string; }) => getCoordinator()?.jobs.findRunner(jobId));
     server.addMethod(METHODS.readJob, (request: ReadJobRequest) => reader.readOwn(request));
+    server.addMethod<StoreCall, StoreCallReply>(METHODS.callStore, call => answerStoreCall(store, call));
     server.addMethod(METHODS.endJob, ({ jobId }: { jobId: string; }) => runner.end(jobId));
 }
--- a/standins/operators/fleet.ts
+++ b/standins/operators/fleet.ts
@@ -85,6 +85,7 @@
      * @param dataCentre - Its data centre.
      * @param isFirstStart - Whether the whole system starts for the first time.
      * @param jobReadableS - How long jobs stay readable.
+     * @param storePort - Where it reaches the store.
      * @returns The gateway.
      */
     async addGateway(
@@ -92,13 +93,14 @@
         dataCentre: string,
         isFirstStart = true,
         jobReadableS = 120,
+        storePort = this.storePort,
     ): Promise<GatewayProcess> {
         const [port = 0, readyPort = 0, controlPort = 0, metricsPort = 0] = await findPorts(4);
         const settingsPath = join(this.folder, `${name}.toml`);
         const seeds = [...this.gateways.map(other => other.controlPort), controlPort].slice(0, 3);
         writeFileSync(
             settingsPath,
-            newSettings(name, dataCentre, this.storePort, isFirstStart, jobReadableS, seeds, {
+            newSettings(name, dataCentre, storePort, isFirstStart, jobReadableS, seeds, {
                 port,
                 readyPort,
                 controlPort,
--- a/standins/operators/objectApi.ts
+++ b/standins/operators/objectApi.ts
@@ -32,6 +32,14 @@
 const PAGE_SIZE = 500;
 const MS_PER_WAIT_LIMIT = 30_000;
 
+/** An address of the store for some of the instances. */
+export interface StoreDoor {
+    port: number;
+    /** Whether calls that come this way are refused. */
+    isRefusing: boolean;
+    server: http.Server;
+}
+
 /** Stand-in for the operators' store: objects with revisions, watches with a history that may be dropped, faults. */
 export class ObjectApi {
     readonly faults: ObjectApiFaults = { isDown: false, delayMs: 0, lostPart: 0, refusedKinds: [], forgottenKinds: [] };
@@ -42,16 +50,32 @@
     private revision = 1;
     private oldestRevision = 0;
     private readonly server = http.createServer((request, response) => void this.handle(request, response));
+    private readonly doors: StoreDoor[] = [];
 
     /** @returns The port that it listens on. */
     listen(): Promise<number> {
         return listenOnLoopback(this.server);
     }
 
+    /** @returns Another address of the store, which may fail alone. */
+    async addDoor(): Promise<StoreDoor> {
+        const door: StoreDoor = { port: 0, isRefusing: false, server: this.server };
+        door.server = http.createServer((request, response) => {
+            if (door.isRefusing) {
+                sendJson(response, 503, { error: "unavailable" });
+                return;
+            }
+            void this.handle(request, response);
+        });
+        door.port = await listenOnLoopback(door.server);
+        this.doors.push(door);
+        return door;
+    }
+
     /** Closes all connections. */
-    close(): Promise<void> {
+    async close(): Promise<void> {
         this.wake();
-        return closeServer(this.server);
+        await Promise.all([this.server, ...this.doors.map(({ server }) => server)].map(closeServer));
     }
 
     /**
