Let one kind of object find out when the store is back

Change: without any read for 1.5 s only the configuration is tried, each 0.8 s with jitter; the other kinds wait for the next read of any kind, which starts them at once and tells them how long the outage was. A kind that is refused alone is tried as before.

--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -44,7 +44,11 @@
 /** Jobs come and end in quick succession; whoever must know of one at once is told directly. */
 const JOB_PAUSE_MS = 500;
 const FIRST_RETRY_MS = 120;
-const MAX_RETRY_MS = 600;
+const MAX_RETRY_MS = 800;
+/** Without any read for this long the store is taken for away, in milliseconds. */
+const AWAY_MS = 1_500;
+/** While one kind of object finds out when the store is back, the others wait for it, but no longer; in milliseconds. */
+const PARKED_RETRY_MS = 6_000;
 
 /** What a read of one kind of object has shown. */
 export interface KindReading {
@@ -55,6 +59,8 @@
     readonly ageMs: number;
     /** How long the store was out of reach before this read; 0 if it was not, in milliseconds. */
     readonly outageMs: number;
+    /** Failures in a row before this read. */
+    readonly failuresBefore: number;
 }
 
 /** Objects of one kind, kept up to date by listing and watching. */
@@ -84,6 +90,8 @@
         private readonly hooks: {
             readonly onRead: (reading: KindReading) => void;
             readonly onFailure: (error: StoreError) => void;
+            /** @returns Pause after so many failures in a row, in milliseconds. */
+            readonly getRetryMs: (failures: number) => number;
         },
         private readonly logger: Logger,
     ) {}
@@ -91,7 +99,20 @@
     /** Starts reading. */
     start(): void {
         this.lastContactAt = newMoment();
-        this.stopLoop ??= startLoop(() => this.getPauseMs(), signal => this.readOnce(signal));
+        this.stopLoop ??= this.startReading();
+    }
+
+    /**
+     * Reads at once, if the last read failed.
+     *
+     * @param failures - Failures in a row that another kind has had, which count for this one, too.
+     */
+    retry(failures: number): void {
+        if (this.stopLoop !== undefined && this.failures > 0) {
+            void this.stopLoop();
+            this.failures = Math.max(this.failures, failures);
+            this.stopLoop = this.startReading();
+        }
     }
 
     /** Stops; a read that is under way is ignored. The next start lists anew. */
@@ -101,6 +122,10 @@
         this.revision = 0;
     }
 
+    private startReading(): () => Promise<void> {
+        return startLoop(() => this.getPauseMs(), signal => this.readOnce(signal));
+    }
+
     private async readOnce(signal: AbortSignal): Promise<void> {
         const sentAtMs = performance.now();
         const sentAtWallMs = Date.now();
@@ -110,12 +135,13 @@
         }
         if (failure === undefined) {
             const outageMs = this.getOutageMs();
+            const failuresBefore = this.failures;
             this.failures = 0;
             this.lastContactAt = newMoment();
             this.noteContact(true, "");
             const tookMs = Math.max(performance.now() - sentAtMs, Date.now() - sentAtWallMs);
             const ageMs = this.isQuiet && tookMs >= this.waitMs ? tookMs - this.waitMs : tookMs;
-            this.hooks.onRead({ objects: this.objects, revision: this.revision, ageMs, outageMs });
+            this.hooks.onRead({ objects: this.objects, revision: this.revision, ageMs, outageMs, failuresBefore });
             return;
         }
         if (failure.kind === "compacted") {
@@ -180,7 +206,7 @@
     private getPauseMs(): number {
         return this.failures === 0
             ? this.pauseMs
-            : withJitter(Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.failures - 1)));
+            : withJitter(this.hooks.getRetryMs(this.failures));
     }
 
     private noteContact(hasContact: boolean, cause: string): void {
@@ -201,6 +227,7 @@
     private scope: FeedScope = "nothing";
     private lastReadAtMs = -Infinity;
     private lastFailureAtMs = -Infinity;
+    private hasParked = false;
 
     /**
      * @param store - The store.
@@ -224,21 +251,20 @@
             waitMs: number,
             onRead: (reading: KindReading) => void,
             pauseMs = 0,
+            getRetryMs = (failures: number) => this.park() ?? getBackoffMs(failures),
         ) => new KindFeed(store, kind, waitMs, pauseMs, {
             onRead: reading => {
                 this.lastReadAtMs = performance.now();
                 onRead(reading);
+                this.unpark(reading.failuresBefore);
             },
             onFailure: () => {
                 this.lastFailureAtMs = performance.now();
             },
+            getRetryMs,
         }, logger);
         this.essentials = [
-            newFeed(
-                schema.configKind,
-                CONFIG_WAIT_MS,
-                reading => this.readConfig(reading),
-            ),
+            newFeed(schema.configKind, CONFIG_WAIT_MS, reading => this.readConfig(reading), 0, getBackoffMs),
             newFeed(
                 schema.endpointKind,
                 ENDPOINT_WAIT_MS,
@@ -266,6 +292,21 @@
         ];
     }
 
+    /** @returns The pause of a kind that leaves it to the configuration to find out when the store is back. */
+    private park(): number | undefined {
+        const isAway = performance.now() - this.lastReadAtMs > AWAY_MS;
+        this.hasParked ||= isAway;
+        return isAway ? PARKED_RETRY_MS : undefined;
+    }
+
+    /** The store is back. */
+    private unpark(failures: number): void {
+        if (this.hasParked) {
+            this.hasParked = false;
+            [...this.essentials, ...this.extras].forEach(feed => feed.retry(failures));
+        }
+    }
+
     /** Whether the last call to the store failed. */
     get isStoreFailing(): boolean {
         return this.lastFailureAtMs > this.lastReadAtMs;
@@ -331,6 +372,10 @@
     }
 }
 
+function getBackoffMs(failures: number): number {
+    return Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (failures - 1));
+}
+
 function setRunning(feed: KindFeed, isRunning: boolean): void {
     if (isRunning) {
         feed.start();
--- /dev/null
+++ b/packages/fleet/tests/stateFeed.test.ts
@@ -0,0 +1,120 @@
+import { newLogger } from "@heatherline/common";
+import { type ObjectStore, StoreError } from "@heatherline/store";
+import { err, ok } from "neverthrow";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { type EndpointEntry, FleetView, StateFeed, type StateSchema } from "../src";
+
+const RENEWAL_MS = 1_200;
+const OUTAGE_MS = 10_000;
+/** The longest pause of the kind that tries all the time, with its jitter. */
+const NOTICE_MS = 1_300;
+
+const schema: StateSchema = {
+    configKind: "config",
+    configName: "main",
+    endpointKind: "endpoints",
+    evacuationKind: "evacuations",
+    retirementKind: "retirements",
+    retiredStatus: {},
+    decodeConfig: () => err("not needed"),
+    decodeEndpoint: (endpointId, value) => ({ endpointId, ...value as object } as EndpointEntry),
+};
+
+/** A store that counts calls by kind, and may be away. */
+class CountingStore implements ObjectStore {
+    isAway = false;
+    refusedKind = "";
+    endpoints: readonly string[] = ["a", "b", "c"];
+    readonly calls = new Map<string, number>();
+    private revision = 1;
+
+    async get() {
+        return ok(undefined);
+    }
+
+    async list(prefix: string) {
+        return this.answer(prefix, () => ({
+            revision: this.revision += 1,
+            objects: prefix === "endpoints"
+                ? this.endpoints.map(name => ({
+                    path: `endpoints/${name}`,
+                    value: { service: "lm", state: "ready", dataCentre: "east", slots: 8 },
+                    version: 1,
+                }))
+                : [],
+        }));
+    }
+
+    async put() {
+        return ok(1);
+    }
+
+    async delete() {
+        return ok(undefined);
+    }
+
+    async watch(prefix: string, afterRevision: number, waitMs: number) {
+        await new Promise(resolve => setTimeout(resolve, this.isAway ? 0 : waitMs));
+        return this.answer(prefix, () => ({ revision: afterRevision, events: [] }));
+    }
+
+    private answer<Value>(kind: string, newValue: () => Value) {
+        this.calls.set(kind, (this.calls.get(kind) ?? 0) + 1);
+        return this.isAway || kind === this.refusedKind
+            ? err(new StoreError("unavailable", "status 503"))
+            : ok(newValue());
+    }
+}
+
+let store: CountingStore;
+let view: FleetView;
+let feed: StateFeed;
+
+beforeEach(async () => {
+    vi.useFakeTimers();
+    store = new CountingStore();
+    view = new FleetView(RENEWAL_MS);
+    const listeners = { onRetirements: () => undefined, onJobs: () => undefined };
+    feed = new StateFeed(store, schema, view, listeners, newLogger("test", "fatal"));
+    feed.setScope("essentials");
+    await vi.advanceTimersByTimeAsync(3_000);
+});
+
+afterEach(() => {
+    feed.setScope("nothing");
+    vi.useRealTimers();
+});
+
+describe("while the store is away", () => {
+    it("one kind tries often, the others seldom", async () => {
+        store.isAway = true;
+        store.calls.clear();
+        await vi.advanceTimersByTimeAsync(OUTAGE_MS);
+        const [config = 0, endpoints = 0, evacuations = 0] = ["config", "endpoints", "evacuations"]
+            .map(kind => store.calls.get(kind));
+        expect(config).toBeGreaterThanOrEqual(OUTAGE_MS / NOTICE_MS);
+        expect(endpoints + evacuations).toBeLessThan(config);
+    });
+
+    it("endpoints may lapse, and all kinds are read soon after its return", async () => {
+        store.isAway = true;
+        await vi.advanceTimersByTimeAsync(OUTAGE_MS);
+        store.isAway = false;
+        store.endpoints = ["b"];
+        store.calls.clear();
+        await vi.advanceTimersByTimeAsync(NOTICE_MS);
+        expect([...store.calls.keys()].sort()).toEqual(["config", "endpoints", "evacuations"]);
+        expect(view.getLapsedIds().sort()).toEqual(["a", "c"]);
+        expect(view.getEndpoints()).toHaveLength(3);
+    });
+});
+
+describe("while the store refuses one kind", () => {
+    it("an endpoint that leaves is heard of within two seconds", async () => {
+        store.refusedKind = "config";
+        await vi.advanceTimersByTimeAsync(OUTAGE_MS);
+        const refreshes = store.calls.get("endpoints") ?? 0;
+        await vi.advanceTimersByTimeAsync(OUTAGE_MS);
+        expect((store.calls.get("endpoints") ?? 0) - refreshes).toBeGreaterThanOrEqual(OUTAGE_MS / 2_000);
+    });
+});
