Read results that no runner has through one instance, and never from memory of their absence

Change: nothing remembers absence; a job that no instance has at hand is read through the instance that ranks first for it, which keeps what it read; who can't hear that one reads the store itself.

--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -11,6 +11,7 @@
     admitJob: "jobs.admit",
     findRunner: "jobs.findRunner",
     readJob: "jobs.read",
+    readStored: "jobs.readStored",
     endJob: "jobs.end",
     takeOverJob: "jobs.takeOver",
     callStore: "store.call",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -150,6 +150,7 @@
             getCoordinator,
             rpc,
             getMember,
+            getMembers: () => view.members,
             self: this.self,
             isOnlyRunner: () => lease.isHolder || link.newsAgeMs < MAX_RUNNER_NEWS_AGE_MS,
         });
--- a/packages/gateway/src/jobReader.ts
+++ b/packages/gateway/src/jobReader.ts
@@ -1,13 +1,5 @@
-import {
-    type Coordinator,
-    type CoordinatorLink,
-    getElapsedMs,
-    type MemberEntry,
-    METHODS,
-    type Moment,
-    newMoment,
-    type RpcCaller,
-} from "@heatherline/fleet";
+import { rankByRendezvous } from "@heatherline/common";
+import { type Coordinator, type CoordinatorLink, type MemberEntry, METHODS, type RpcCaller } from "@heatherline/fleet";
 import { LRUCache } from "lru-cache";
 import { err, ok, type Result } from "neverthrow";
 import { newPage } from "./jobRun";
@@ -20,10 +12,12 @@
 const MAX_PAGE_BYTES = 900_000;
 const FIND_TIMEOUT_MS = 300;
 const READ_GRACE_MS = 400;
+/** Longest wait for an instance that reads the store for others; some calls to the store, in milliseconds. */
+const HOME_TIMEOUT_MS = 600;
+/** An instance that did not answer is not asked again for this long, in milliseconds. */
+const HOME_SILENT_MS = 3_000;
 /** How long a runner is asked without asking the coordinator for it again, in milliseconds. */
 const RUNNER_MEMORY_MS = 4_000;
-/** A chunk that was missing this recently is not looked for again: readers must see one within a second. */
-const MISSING_MEMORY_MS = 600;
 const MAX_REMEMBERED = 500;
 const MAX_CACHED_BYTES = 8_000_000;
 
@@ -47,6 +41,7 @@
     /** The coordinator, while it is this instance. */
     readonly getCoordinator: () => Coordinator | undefined;
     readonly rpc: RpcCaller;
+    readonly getMembers: () => readonly MemberEntry[];
     readonly getMember: (instanceId: string) => MemberEntry | undefined;
     readonly self: MemberEntry;
     /** Whether no other instance can be running the jobs of this one. */
@@ -63,7 +58,7 @@
         maxSize: MAX_CACHED_BYTES,
         sizeCalculation: getSize,
     });
-    private readonly missing = new LRUCache<string, Moment>({ max: MAX_REMEMBERED });
+    private readonly silentHomes = new Map<string, number>();
 
     /**
      * @param parts - What reading depends on.
@@ -79,10 +74,19 @@
         if (own.kind === "page") {
             return ok(own);
         }
-        const remote = await this.readRemote(request);
+        const remote = await this.readRemote(request) ?? await this.readAtHome(request);
         return remote === undefined ? this.readStore(request) : ok(remote);
     }
 
+    /**
+     * @param request - What to read of a job that no instance has at hand.
+     * @returns The results as the store has them.
+     */
+    async readStored(request: ReadJobRequest): Promise<ReadJobReply> {
+        const read = await this.readStore(request);
+        return read.isOk() ? read.value : { kind: "not-here" };
+    }
+
     /**
      * @param request - What to read.
      * @returns The results, if the job runs here.
@@ -123,6 +127,27 @@
         return ok(read.value.manifest);
     }
 
+    /** Reads through the one instance that keeps what has been read of a job, so that not each instance reads it. */
+    private async readAtHome(
+        request: ReadJobRequest,
+    ): Promise<Extract<ReadJobReply, { kind: "page"; }> | undefined> {
+        const { self, getMembers, rpc } = this.parts;
+        const members = getMembers();
+        const [homeId] = rankByRendezvous(request.jobId, members.map(({ instanceId }) => instanceId));
+        const home = members.find(({ instanceId }) => instanceId === homeId);
+        const isSilent = performance.now() < (this.silentHomes.get(homeId ?? "") ?? 0);
+        if (home === undefined || home.instanceId === self.instanceId || isSilent) {
+            return undefined;
+        }
+        const { host, rpcPort } = home;
+        const reply = await rpc.callAddress<ReadJobReply>(host, rpcPort, METHODS.readStored, request, HOME_TIMEOUT_MS);
+        if (reply.isErr()) {
+            this.silentHomes.set(home.instanceId, performance.now() + HOME_SILENT_MS);
+            return undefined;
+        }
+        return reply.value.kind === "page" ? reply.value : undefined;
+    }
+
     private async readRemote(request: ReadJobRequest): Promise<Extract<ReadJobReply, { kind: "page"; }> | undefined> {
         const member = await this.findRunner(request.jobId);
         if (member === undefined || member.instanceId === this.parts.self.instanceId) {
@@ -182,27 +207,18 @@
         return ok({ kind: "page", organisation: manifest.value.organisation, page });
     }
 
-    /** A chunk never changes once it is written. */
+    /** A chunk never changes once it is written; one that is missing may be there for the next reader. */
     private async readChunk(jobId: string, index: number): Promise<Result<ResultChunk | undefined, Refusal>> {
         const name = `${jobId}.${index}`;
         const cached = this.chunks.get(name);
         if (cached !== undefined) {
             return ok(cached);
         }
-        const missingAt = this.missing.get(name);
-        if (missingAt !== undefined && getElapsedMs(missingAt) < MISSING_MEMORY_MS) {
-            return ok(undefined);
-        }
-        const sentAt = newMoment();
         const read = await this.parts.store.readChunk(jobId, index);
         if (read.isErr()) {
             return err(newRefusal("store-unavailable", read.error.toString()));
         }
-        if (read.value === undefined) {
-            this.missing.set(name, sentAt);
-        }
-        else {
-            this.missing.delete(name);
+        if (read.value !== undefined) {
             this.chunks.set(name, read.value);
         }
         return ok(read.value);
--- a/packages/gateway/src/peerMethods.ts
+++ b/packages/gateway/src/peerMethods.ts
@@ -61,6 +61,7 @@
     });
     server.addMethod(METHODS.findRunner, ({ jobId }: { jobId: string; }) => getCoordinator()?.jobs.findRunner(jobId));
     server.addMethod(METHODS.readJob, (request: ReadJobRequest) => reader.readOwn(request));
+    server.addMethod(METHODS.readStored, (request: ReadJobRequest) => reader.readStored(request));
     server.addMethod<StoreCall, StoreCallReply>(METHODS.callStore, call => answerStoreCall(store, call));
     server.addMethod(METHODS.endJob, ({ jobId }: { jobId: string; }) => runner.end(jobId));
 }
--- /dev/null
+++ b/packages/gateway/tests/jobReader.test.ts
@@ -0,0 +1,110 @@
+import { PeerError } from "@heatherline/agreement";
+import { newLogger, rankByRendezvous } from "@heatherline/common";
+import type { CoordinatorLink, MemberEntry } from "@heatherline/fleet";
+import { MemoryStore } from "@heatherline/store";
+import { err, ok } from "neverthrow";
+import { beforeEach, describe, expect, it } from "vitest";
+import { JobReader, type ReadJobRequest } from "../src/jobReader";
+import type { JobRunner } from "../src/jobRunner";
+import { type JobManifest, JobStore } from "../src/jobStore";
+
+const JOB = "job-1";
+const READ: ReadJobRequest = { jobId: JOB, after: 0, waitMs: 0 };
+const MEMBERS = ["east-1", "east-2", "west-1"].map((instanceId, index): MemberEntry => ({
+    instanceId,
+    incarnation: "1",
+    host: "127.0.0.1",
+    rpcPort: index,
+    dataCentre: "east",
+    processorShare: 1,
+}));
+const MANIFEST: JobManifest = {
+    jobId: JOB,
+    organisation: "alpha",
+    route: "jobs",
+    submittedAt: 0,
+    itemTokens: [1],
+    state: "open",
+    host: "api",
+    items: [{ itemId: "item-1", path: "/jobs/1", headers: [], tokens: 1 }] as unknown as JobManifest["items"],
+    bodyParts: 1,
+    isEndedByCaller: false,
+};
+
+let storeReads = 0;
+let store: JobStore;
+let readers: Map<string, JobReader>;
+
+/** Counts the calls of one instance to the store. */
+class CountingStore extends MemoryStore {
+    override get(path: string) {
+        storeReads += 1;
+        return super.get(path);
+    }
+}
+
+function newReader(self: MemberEntry): JobReader {
+    return new JobReader({
+        runner: { getReadable: () => undefined } as unknown as JobRunner,
+        store,
+        link: { call: async () => undefined } as unknown as CoordinatorLink,
+        getCoordinator: () => undefined,
+        rpc: {
+            callAddress: async (_host: string, port: number, _method: string, request: object) => {
+                const reader = readers.get(MEMBERS[port]?.instanceId ?? "");
+                return reader === undefined
+                    ? err(new PeerError("unreachable", "nobody listens"))
+                    : ok(await reader.readStored(request as ReadJobRequest) as never);
+            },
+        },
+        getMembers: () => MEMBERS,
+        getMember: () => undefined,
+        self,
+        isOnlyRunner: () => false,
+    });
+}
+
+async function read(instanceId: string): Promise<string[]> {
+    const outcome = await (readers.get(instanceId) as JobReader).read(READ);
+    return outcome._unsafeUnwrap().page.results.map(({ itemId }) => itemId);
+}
+
+beforeEach(async () => {
+    store = new JobStore(new CountingStore(), newLogger("test", "fatal"));
+    readers = new Map(MEMBERS.map(member => [member.instanceId, newReader(member)]));
+    await store.create(MANIFEST, new Map([["item-1", ""]]), performance.now() + 1_000);
+    storeReads = 0;
+});
+
+describe("results of a job that no instance has at hand", () => {
+    it("are there for each reader as soon as they are written, whatever was read before", async () => {
+        for (const { instanceId } of MEMBERS) {
+            expect(await read(instanceId)).toEqual([]);
+        }
+        const results = [{ itemId: "item-1", state: "completed" as const, output: "" }];
+        await store.writeChunk(JOB, 0, results, new AbortController().signal);
+        for (const { instanceId } of MEMBERS) {
+            expect(await read(instanceId)).toEqual(["item-1"]);
+        }
+    });
+
+    it("are read from the store by one instance for all", async () => {
+        const results = [{ itemId: "item-1", state: "completed" as const, output: "" }];
+        await store.writeChunk(JOB, 0, results, new AbortController().signal);
+        storeReads = 0;
+        for (const { instanceId } of [...MEMBERS, ...MEMBERS]) {
+            expect(await read(instanceId)).toEqual(["item-1"]);
+        }
+        // The job and its one chunk.
+        expect(storeReads).toBe(2);
+    });
+
+    it("are read from the store by each instance that can't hear the one", async () => {
+        const [home] = rankByRendezvous(JOB, MEMBERS.map(({ instanceId }) => instanceId));
+        const other = MEMBERS.find(({ instanceId }) => instanceId !== home) as MemberEntry;
+        readers.delete(home ?? "");
+        const results = [{ itemId: "item-1", state: "completed" as const, output: "" }];
+        await store.writeChunk(JOB, 0, results, new AbortController().signal);
+        expect(await read(other.instanceId)).toEqual(["item-1"]);
+    });
+});
