Split daemon.ts and agreement.ts by job

daemon.ts (502 lines) keeps the wiring: methods for other instances, policies by name and the data centres by their documents are modules of their own; 426 lines are left. agreement.ts (521): the table that an instance acts on, with its validity and owners, is OwnTable; 496 are left.

--- a/packages/agreement/src/agreement.ts
+++ b/packages/agreement/src/agreement.ts
@@ -1,7 +1,8 @@
-import { type Logger, monotonicMs, rankByRendezvous, startLoop, withJitter } from "@heatherline/common";
+import { type Logger, monotonicMs, startLoop, withJitter } from "@heatherline/common";
 import type { ObjectStore, StoredObject } from "@heatherline/store";
 import { HolderLease } from "./holderLease";
 import { MemberRoster } from "./memberRoster";
+import { OwnTable } from "./ownTable";
 import {
     type AgreementIdentity,
     type Heartbeat,
@@ -72,17 +73,13 @@
     private observation: Observation | undefined;
     private lease: HolderLease | undefined;
     private readonly roster: MemberRoster;
-    private table: MemberTable | undefined;
-    /** The newest table heard of, also while this instance has no part in it. */
-    private knownTable: MemberTable | undefined;
-    private partValidUntilMs = 0;
+    private readonly table: OwnTable;
     private acknowledged: Heartbeat["acknowledged"];
     private promise = { epoch: 0, untilMs: 0 };
     /** Holders of this epoch and below never get a promise again. */
     private renouncedEpoch = 0;
     private isLeaving = false;
     private lastReplyAtMs = -Infinity;
-    private readonly ownerCache = new Map<string, string>();
     private readonly stops: (() => Promise<void>)[] = [];
 
     /**
@@ -100,6 +97,7 @@
         private readonly logger: Logger,
     ) {
         this.roster = new MemberRoster(identity);
+        this.table = new OwnTable(table => surroundings.onTable(table));
         this.path = `leases/${identity.dataCentre}`;
     }
 
@@ -113,7 +111,7 @@
     async stop(): Promise<void> {
         this.isLeaving = true;
         // Nothing is decided here any more before others hear that they may decide.
-        this.partValidUntilMs = 0;
+        this.table.lapse();
         for (const stop of this.stops) {
             void stop();
         }
@@ -128,7 +126,7 @@
 
     /** @returns The table this instance acts on, or `undefined` when its part has lapsed. */
     getTable(): MemberTable | undefined {
-        return monotonicMs() < this.partValidUntilMs ? this.table : undefined;
+        return this.table.valid;
     }
 
     /** @returns The table of the lease that this instance holds now. */
@@ -138,7 +136,7 @@
 
     /** @returns The newest table known, whether or not this instance has a valid part in it. */
     getLastTable(): MemberTable | undefined {
-        return this.knownTable ?? this.table;
+        return this.table.known;
     }
 
     /**
@@ -146,9 +144,7 @@
      * @returns The owner by the newest table known: whom to ask, though not who decides.
      */
     getLikelyOwner(subject: string): string | undefined {
-        const table = this.getLastTable();
-        return this.getOwner(subject) ??
-            (table === undefined ? undefined : rankByRendezvous(subject, table.members)[0]);
+        return this.table.getLikelyOwner(subject);
     }
 
     /** @returns Whether this instance holds the lease now. */
@@ -179,18 +175,7 @@
      * @returns The owner by the table this instance acts on.
      */
     getOwner(subject: string): string | undefined {
-        const table = this.getTable();
-        if (table === undefined) {
-            return undefined;
-        }
-        let owner = this.ownerCache.get(subject);
-        if (owner === undefined) {
-            owner = rankByRendezvous(subject, table.members)[0];
-            if (owner !== undefined) {
-                this.ownerCache.set(subject, owner);
-            }
-        }
-        return owner;
+        return this.table.getOwner(subject);
     }
 
     /**
@@ -407,7 +392,7 @@
         if (record?.epoch !== lease.record.epoch || record.incarnation !== this.identity.incarnation) {
             this.logger.warn({ epoch: lease.record.epoch, newEpoch: record?.epoch }, "lease was taken over");
             this.lease = undefined;
-            this.partValidUntilMs = 0;
+            this.table.lapse();
             return;
         }
         // This holder wrote it, but when is not known: it counts for the members, not for the term.
@@ -428,8 +413,8 @@
         const heartbeat: Heartbeat = {
             from: this.identity.instanceId,
             incarnation: this.identity.incarnation,
-            epoch: Math.max(this.table?.epoch ?? 0, this.knownTable?.epoch ?? 0, this.renouncedEpoch),
-            tableVersion: this.table?.version ?? 0,
+            epoch: Math.max(this.table.last?.epoch ?? 0, this.table.known?.epoch ?? 0, this.renouncedEpoch),
+            tableVersion: this.table.last?.version ?? 0,
             syncedVersion: this.surroundings.getSyncedVersion(),
             acknowledged: (this.acknowledged?.epoch ?? 0) > this.renouncedEpoch ? this.acknowledged : undefined,
             isLeaving: this.isLeaving,
@@ -461,7 +446,7 @@
             }
             const reply = await this.transport.call<MemberTable | undefined>(peer, TABLE_METHOD, {}, CALL_TIMEOUT_MS);
             if (reply.isOk() && reply.value && reply.value.epoch > (this.getLastTable()?.epoch ?? 0)) {
-                this.knownTable = reply.value;
+                this.table.noteKnown(reply.value);
                 return;
             }
         }
@@ -469,7 +454,7 @@
 
     private noteReply(reply: HeartbeatReply, sentAtMs: number): void {
         const { table } = reply;
-        if (table.epoch <= this.renouncedEpoch || table.epoch < (this.table?.epoch ?? 0)) {
+        if (table.epoch <= this.renouncedEpoch || table.epoch < (this.table.last?.epoch ?? 0)) {
             return;
         }
         if (reply.remainingMs > 0) {
@@ -481,10 +466,10 @@
         }
         // The promise starts now, later than the stamp that the holder will count it from.
         this.promise = { epoch: table.epoch, untilMs: monotonicMs() + LEASE_TERM_MS };
-        this.knownTable = table;
+        this.table.noteKnown(table);
         this.acknowledged = { epoch: table.epoch, stamp: reply.stamp };
         if (reply.remainingMs > 0 && !this.isLeaving) {
-            this.adoptTable(table, sentAtMs + reply.remainingMs);
+            this.table.adopt(table, sentAtMs + reply.remainingMs);
             if (reply.isSettled) {
                 this.surroundings.onSettled(table.version);
             }
@@ -498,22 +483,12 @@
             return;
         }
         const table = getTableOf(this.lease.record);
-        this.adoptTable(table, monotonicMs() + Math.min(remainingMs, LEASE_TERM_MS));
+        this.table.adopt(table, monotonicMs() + Math.min(remainingMs, LEASE_TERM_MS));
         if (this.roster.isSettled(table)) {
             this.surroundings.onSettled(table.version);
         }
         this.surroundings.onNotes(this.surroundings.getNotes(), monotonicMs());
     }
-
-    private adoptTable(table: MemberTable, validUntilMs: number): void {
-        if (this.table?.version !== table.version) {
-            this.surroundings.onTable(table);
-            this.ownerCache.clear();
-        }
-        this.table = table;
-        this.knownTable = table;
-        this.partValidUntilMs = validUntilMs;
-    }
 }
 
 function getTableOf({ epoch, version, holder, members, coverage }: LeaseRecord): MemberTable {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,4 +1,4 @@
-import { DataCentreAgreement, type Heartbeat, RpcPeerServer, RpcPeerTransport } from "@heatherline/agreement";
+import { DataCentreAgreement, RpcPeerServer, RpcPeerTransport } from "@heatherline/agreement";
 import { JobRunner } from "@heatherline/batch";
 import { getInvariantCounts, type Logger, newId, onInvariantViolation, sleep } from "@heatherline/common";
 import { VERSION } from "@heatherline/common";
@@ -11,34 +11,25 @@
     parseDocuments,
     type ServiceDocument,
 } from "@heatherline/config";
-import { GrantLimiter, newShareEntry, type RateLimiter, StaticSplitLimiter } from "@heatherline/limits";
+import { GrantLimiter, type RateLimiter, StaticSplitLimiter } from "@heatherline/limits";
 import { AuditLog, AuditReader, type SloThresholds, SloTracker } from "@heatherline/reports";
 import {
     AttemptFilter,
-    type BatchAdmission,
-    type Claim,
-    CreditAdmission,
     CreditHolder,
     DeduplicateFilter,
-    FixedAdmission,
     getEndpointKey,
     HttpDispatcher,
     HttpOrderTransport,
     IdentifyFilter,
     InFlightRegistry,
-    LatencyAdmission,
-    LeastOutstandingPolicy,
     LimitFilter,
     newPipeline,
     OrderKeeper,
     type Pipeline,
-    PrefixAffinityPolicy,
     RecordFilter,
     Refusal,
     ResolveFilter,
     RetryBudget,
-    RoundRobinPolicy,
-    type RoutePolicy,
     Scheduler,
 } from "@heatherline/serving";
 import { HttpStore, MemoryStore, type ObjectStore } from "@heatherline/store";
@@ -48,15 +39,18 @@
 import { BatchApi, getJobSubject } from "./batchApi";
 import { PipelineExecutor } from "./batchExecutor";
 import { CallerServer } from "./callerServer";
-import { type ClaimSync, ClaimWiring } from "./claimWiring";
+import { ClaimWiring } from "./claimWiring";
 import { ConfigDisk } from "./configDisk";
-import { type CreditEntry, CreditWiring } from "./creditWiring";
+import { CreditWiring } from "./creditWiring";
+import { DataCentres } from "./dataCentres";
 import { FleetReports } from "./fleetReports";
 import { DaemonMetrics } from "./metrics";
 import { OwnerLocator } from "./ownerLocator";
 import { type Hello, PeerBook } from "./peerBook";
-import { QuarantineWiring, type SuspectNews } from "./quarantineWiring";
-import { type BorrowRequest, type RateNotes, RateWiring } from "./rateWiring";
+import { addPeerMethods } from "./peerMethods";
+import { newBatchAdmission, newRoutePolicy } from "./policies";
+import { QuarantineWiring } from "./quarantineWiring";
+import { type RateNotes, RateWiring } from "./rateWiring";
 import type { DaemonSettings } from "./settings";
 
 const SYNC_TIMEOUT_MS = 1_500;
@@ -71,6 +65,7 @@
     private readonly store: ObjectStore;
     private readonly platform: HttpStore | undefined;
     private readonly replica = new ConfigReplica();
+    private readonly dataCentres: DataCentres;
     private readonly writer: ConfigWriter;
     private readonly transport: RpcPeerTransport;
     private readonly peerServer: RpcPeerServer;
@@ -104,6 +99,7 @@
         const { instance, dataCentre } = settings;
         this.platform = settings.storeUrl === undefined ? undefined : new HttpStore(settings.storeUrl, instance);
         this.store = this.platform ?? new MemoryStore();
+        this.dataCentres = new DataCentres(this.replica, dataCentre);
         this.writer = new ConfigWriter(this.store, this.replica);
         this.transport = new RpcPeerTransport(peerId => this.book.getAddress(peerId), settings.peerSecret);
         this.peerServer = new RpcPeerServer(settings.peerSecret);
@@ -133,9 +129,9 @@
         const { agreement } = this;
         this.locator = new OwnerLocator(dataCentre, agreement, this.book, transport);
         const { locator } = this;
-        const getDataCentres = () => this.getDataCentres();
+        const getDataCentres = () => this.dataCentres.getAll();
         const common = { instanceId: instance, dataCentre, agreement, locator, transport, logger, getDataCentres };
-        this.rates = new RateWiring({ ...common, getShareEntries: () => this.getShareEntries() });
+        this.rates = new RateWiring({ ...common, getShareEntries: () => this.dataCentres.getShareEntries() });
         this.claims = new ClaimWiring(common);
         this.credits = new CreditWiring({ ...common, replica: this.replica, onHint: () => this.holder.wantRefresh() });
         this.quarantine = new QuarantineWiring(this.writer, this.book, transport, logger);
@@ -193,7 +189,22 @@
     async start(): Promise<{ port: number; peerPort: number; }> {
         const { settings } = this;
         onInvariantViolation((name, detail) => this.logger.fatal({ invariant: name, detail }, "invariant violated"));
-        this.addRpcMethods();
+        const { book, spreader, agreement, rates, credits, holder, claims, quarantine, runner, slo, replica } = this;
+        addPeerMethods(this.peerServer, {
+            book,
+            spreader,
+            agreement,
+            rates,
+            credits,
+            holder,
+            claims,
+            quarantine,
+            runner,
+            slo,
+            replica,
+            getHello: () => this.getHello(),
+            getStatus: () => this.getStatus(),
+        });
         this.peerPort = await this.peerServer.listen(settings.listenAddress, settings.peerPort);
         if (settings.dataDir !== undefined) {
             await new ConfigDisk(settings.dataDir, this.replica, ageMs => this.spreader.noteAge(ageMs), this.logger)
@@ -317,51 +328,6 @@
         });
     }
 
-    private addRpcMethods(): void {
-        const server = this.peerServer;
-        server.addMethod<Hello, Hello>("peer.hello", hello => {
-            if (hello.peerPort > 0) {
-                this.book.noteHeard(hello);
-            }
-            return this.getHello();
-        });
-        server.addMethod<ConfigSyncRequest, ConfigSyncReply>(
-            "config.sync",
-            request => this.spreader.handleSync(request),
-        );
-        server.addMethod<Heartbeat, unknown>(
-            "agreement.heartbeat",
-            heartbeat => this.agreement.handleHeartbeat(heartbeat),
-        );
-        server.addMethod<{ epoch: number; }, boolean>(
-            "agreement.consent",
-            ({ epoch }) => this.agreement.handleConsent(epoch),
-        );
-        server.addMethod("agreement.table", () => this.agreement.getTable());
-        server.addMethod("limits.ask", (ask: Parameters<RateWiring["handleAsk"]>[0]) => this.rates.handleAsk(ask));
-        server.addMethod<BorrowRequest, unknown>("shares.borrow", request => this.rates.handleBorrow(request));
-        server.addMethod<{ entries: CreditEntry[]; }, unknown>(
-            "credits.request",
-            ({ entries }) => this.credits.handleRequest(entries),
-        );
-        server.addMethod("credits.hint", () => this.holder.wantRefresh());
-        server.addMethod<Claim, unknown>("claims.begin", claim => this.claims.handleBegin(claim));
-        server.addMethod<{ key: string; requestId: string; end: Parameters<ClaimWiring["handleEnd"]>[2]; }, unknown>(
-            "claims.end",
-            ({ key, requestId, end }) => this.claims.handleEnd(key, requestId, end),
-        );
-        server.addMethod<ClaimSync, unknown>("claims.sync", sync => this.claims.handleSync(sync));
-        server.addMethod<{ key: string; requestId: string; }, unknown>(
-            "claims.drop",
-            ({ key, requestId }) => this.claims.handleDrop(key, requestId),
-        );
-        server.addMethod<SuspectNews, unknown>("suspects.note", news => this.quarantine.handleNews(news));
-        server.addMethod("batch.wake", () => this.runner.wake());
-        server.addMethod("report.slo", () => this.slo.export());
-        server.addMethod("status.get", () => this.getStatus());
-        server.addMethod<{ path: string; }, number>("status.version", ({ path }) => this.replica.getVersion(path));
-    }
-
     private async applyInitialDocuments(): Promise<void> {
         for (const file of this.settings.documents) {
             const parsed = parseDocuments(await readFile(file, "utf8"));
@@ -405,27 +371,7 @@
     }
 
     private getJobDataCentre(jobId: string): string {
-        return this.rates.chooseDataCentre(
-            jobId,
-            this.getDataCentres().filter(other => !this.replica.isDataCentreOut(other)),
-        );
-    }
-
-    /** Data centres by their documents; where there are none, this one alone. */
-    private getDataCentres(): readonly string[] {
-        const named = this.replica.getAll("data-centre").flatMap(document =>
-            document.kind === "data-centre" ? [document.dataCentre] : []
-        );
-        return named.length > 0 ? named.sort() : [this.settings.dataCentre];
-    }
-
-    /** A data centre that has ended has no share; the others then use the whole. */
-    private getShareEntries(): readonly string[] {
-        const documents = this.replica.getAll("data-centre").filter(document => document.kind === "data-centre");
-        const entries = documents
-            .filter(({ state }) => state !== "ended")
-            .map(({ dataCentre, generation }) => newShareEntry(dataCentre, generation));
-        return documents.length > 0 ? entries.sort() : [newShareEntry(this.settings.dataCentre, 0)];
+        return this.rates.chooseDataCentre(jobId, this.dataCentres.getInUse());
     }
 
     private getConfigAgeMs(): number {
@@ -478,25 +424,3 @@
         return { firstByteMs: find("first-byte"), durationMs: find("duration") };
     }
 }
-
-function newBatchAdmission(settings: DaemonSettings): BatchAdmission {
-    switch (settings.batchAdmission) {
-        case "credits":
-            return new CreditAdmission();
-        case "fixed":
-            return new FixedAdmission(settings.batchFixedConcurrency);
-        case "latency":
-            return new LatencyAdmission();
-    }
-}
-
-function newRoutePolicy(name: DaemonSettings["routePolicy"]): RoutePolicy {
-    switch (name) {
-        case "prefix-affinity":
-            return new PrefixAffinityPolicy();
-        case "least-outstanding":
-            return new LeastOutstandingPolicy();
-        case "round-robin":
-            return new RoundRobinPolicy();
-    }
-}
--- /dev/null
+++ b/packages/daemon/src/dataCentres.ts
@@ -0,0 +1,35 @@
+import type { ConfigReplica } from "@heatherline/config";
+import { newShareEntry } from "@heatherline/limits";
+
+/** The data centres of the fleet by the documents in force; where there are none, the own one alone. */
+export class DataCentres {
+    /**
+     * @param replica - The documents.
+     * @param own - The data centre of this instance.
+     */
+    constructor(private readonly replica: ConfigReplica, private readonly own: string) {}
+
+    /** @returns All data centres, sorted. */
+    getAll(): readonly string[] {
+        const names = this.getDocuments().map(({ dataCentre }) => dataCentre);
+        return names.length > 0 ? names.sort() : [this.own];
+    }
+
+    /** @returns Those that get new work. */
+    getInUse(): readonly string[] {
+        return this.getAll().filter(dataCentre => !this.replica.isDataCentreOut(dataCentre));
+    }
+
+    /** @returns Entries of those that have a share of each rate; one that has ended leaves its share to the others. */
+    getShareEntries(): readonly string[] {
+        const documents = this.getDocuments();
+        const entries = documents
+            .filter(({ state }) => state !== "ended")
+            .map(({ dataCentre, generation }) => newShareEntry(dataCentre, generation));
+        return documents.length > 0 ? entries.sort() : [newShareEntry(this.own, 0)];
+    }
+
+    private getDocuments() {
+        return this.replica.getAll("data-centre").filter(document => document.kind === "data-centre");
+    }
+}
