Take no more requests once the balancer sends none to an instance that stops

Change: 2.6 s after the request to stop, when the balancer has taken the instance out, it stops listening and closes connections without a request; what runs has the rest of the time.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -256,11 +256,10 @@
         await this.role.lease.stop();
         void this.runner.handOver(this.getOthers());
         const endAtMs = startedAtMs + this.settings.graceMs - KILL_MARGIN_MS;
-        while (performance.now() < endAtMs) {
-            const isQuiet = performance.now() - startedAtMs > BALANCER_LAG_MS && this.ingress.openCount === 0;
-            if (isQuiet) {
-                break;
-            }
+        await sleep(Math.min(BALANCER_LAG_MS, endAtMs - performance.now()));
+        // Callers may keep connections open; a request on one of them would be cut if it came late enough.
+        this.ingress.stopTaking();
+        while (this.ingress.openCount > 0 && performance.now() < endAtMs) {
             await sleep(STOP_POLL_MS);
         }
         this.role.link.stop("stopping");
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -67,6 +67,12 @@
         return listen(this.server, host, port);
     }
 
+    /** Takes no more connections, and closes those without a request; what runs ends. */
+    stopTaking(): void {
+        this.server.close();
+        this.server.closeIdleConnections();
+    }
+
     /** Closes all connections. */
     close(): void {
         this.server.close();
