--- a/packages/fleet/tests/overload.test.ts
+++ b/packages/fleet/tests/overload.test.ts
@@ -3,8 +3,10 @@
 import { judgeByIdealBucket } from "../../../standins/idealBucket";
 import { LIMITED, type LoadPattern, PATTERNS } from "../../../standins/load/pattern";
 import { LoadReplay, type ReplayReport } from "../../../standins/load/replay";
+import { StaticParts } from "../../../standins/load/staticParts";
 import { VirtualTime } from "../../../standins/load/virtualTime";
-import { type NewWay, OneQueue, OwnerCredits, QueuePerDataCentre, StaticParts } from "../../../standins/load/ways";
+import type { NewWay } from "../../../standins/load/way";
+import { OneQueue, OwnerCredits, QueuePerDataCentre } from "../../../standins/load/ways";
 import { RateBook } from "../src";
 
 const SEED = 20261204;
--- a/standins/load/replay.ts
+++ b/standins/load/replay.ts
@@ -11,7 +11,7 @@
     SLOTS,
     TARGET_MS,
 } from "./pattern";
-import { type Conditions, type NewWay, type PlacingWay, SERVICE } from "./ways";
+import { type Conditions, type NewWay, type PlacingWay, SERVICE } from "./way";
 
 /** How the requests of a replay fared. */
 export interface ReplayReport {
