Keep the length of an outage when an instance becomes the coordinator

Cause (found on reading): starting the feeds of a wider scope starts those again that run already, which reset since when they had no contact. An instance that takes the lease as the store returns then took a long outage for a short one and let endpoints go whose entries had only lapsed. Before: stateFeed.test.ts 'still knows how long the outage was' red ([] for [a]); after: 4 of 4.

--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -98,8 +98,10 @@
 
     /** Starts reading. */
     start(): void {
-        this.lastContactAt = newMoment();
-        this.stopLoop ??= this.startReading();
+        if (this.stopLoop === undefined) {
+            this.lastContactAt = newMoment();
+            this.stopLoop = this.startReading();
+        }
     }
 
     /**
--- a/packages/fleet/tests/stateFeed.test.ts
+++ b/packages/fleet/tests/stateFeed.test.ts
@@ -109,6 +109,19 @@
     });
 });
 
+describe("an instance that becomes the coordinator as the store returns", () => {
+    it("still knows how long the outage was", async () => {
+        store.isAway = true;
+        await vi.advanceTimersByTimeAsync(OUTAGE_MS);
+        feed.setScope("everything");
+        store.isAway = false;
+        store.endpoints = ["b", "c"];
+        await vi.advanceTimersByTimeAsync(NOTICE_MS);
+        // One of three is too few to be taken for lapsed after a short outage.
+        expect(view.getLapsedIds()).toEqual(["a"]);
+    });
+});
+
 describe("while the store refuses one kind", () => {
     it("an endpoint that leaves is heard of within two seconds", async () => {
         store.refusedKind = "config";
