--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -65,7 +65,10 @@
     private isRegistering = false;
     private wasListed = false;
     private readonly metrics: GatewayMetrics;
-    private readonly startGate = new StartGate(() => this.isReady && !this.placement.isAlone);
+    private readonly startGate = new StartGate({
+        hearsCoordinator: () => this.role.isKnown,
+        canDecideAlone: () => this.isReady && this.view.members.length > 0,
+    });
     private isStopping = false;
     private timers: NodeJS.Timeout[] = [];
 
--- a/packages/gateway/src/startGate.ts
+++ b/packages/gateway/src/startGate.ts
@@ -1,28 +1,45 @@
+/** Within this the coordinator is heard in most starts, and callers' latency objectives leave room for it; in milliseconds. */
+const COORDINATOR_PATIENCE_MS = 150;
 /** Callers would rather hear of another try than wait longer than this for an instance that has just started. */
 const PATIENCE_MS = 600;
 
+/** What an instance that has just started knows. */
+export interface StartKnowledge {
+    /** @returns Whether it is known who decides for all. */
+    hearsCoordinator(): boolean;
+    /** @returns Whether configuration, endpoints and instances are known, so that this one can decide alone. */
+    canDecideAlone(): boolean;
+}
+
 /**
- * Holds requests that arrive just after the start until this instance knows what it needs to answer them. After a loss
- * of power of all instances that takes a fraction of the callers' latency objective, while a refusal costs them all of
- * it.
+ * Holds requests that arrive just after the start until this instance knows what it needs to decide about them. After a
+ * loss of power of all instances that takes a fraction of the callers' latency objective, while a refusal costs them all
+ * of it. It doesn't hold them long for a coordinator: that would get all at once, with rates that it must begin low.
  */
 export class StartGate {
     private isOpen = false;
+    private mayOpenAlone = false;
     private readonly waiting: (() => void)[] = [];
 
     /**
-     * @param isReady - Whether this instance knows what it needs.
+     * @param knowledge - What this instance knows.
      */
-    constructor(private readonly isReady: () => boolean) {}
+    constructor(private readonly knowledge: StartKnowledge) {}
 
     /** Begins to count the time; afterwards requests are answered with what is known. */
     start(): void {
+        setTimeout(() => {
+            this.mayOpenAlone = true;
+            this.check();
+        }, COORDINATOR_PATIENCE_MS).unref();
         setTimeout(() => this.open(), PATIENCE_MS).unref();
     }
 
-    /** Looks whether the instance is ready by now. */
+    /** Looks whether enough is known by now. */
     check(): void {
-        if (!this.isOpen && this.isReady()) {
+        const { knowledge } = this;
+        const isEnough = knowledge.hearsCoordinator() || this.mayOpenAlone;
+        if (!this.isOpen && knowledge.canDecideAlone() && isEnough) {
             this.open();
         }
     }
