--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -1,7 +1,7 @@
 import { newRequestId } from "@heatherline/common";
 import { ArrivalRate } from "./arrivalRate";
 import { BatchLedger } from "./batchLedger";
-import { EndpointPool, type EndpointState, type Place, type PoolSurroundings } from "./endpointPool";
+import { EndpointPool, type EndpointState, newPlace, type Place, type PoolSurroundings } from "./endpointPool";
 import { type LineState, WaitForecast } from "./forecast";
 import { getItemRank } from "./itemOrder";
 import type { EndpointEntry, PlaceAsk, PlaceEnd, PlaceOutcome } from "./types";
@@ -268,7 +268,8 @@
     }
 
     private getLine(ask: PlaceAsk, rank: number): LineState {
-        const { total, free, preemptable, reopensInMs } = this.pool.count(ask.service, ask);
+        const { total, free, preemptable } = this.pool.count(ask.service, ask);
+        const reopensInMs = total === 0 ? this.pool.getReopensInMs(ask) : 0;
         const ahead = this.getService(ask.service).line.countOnlineBefore(rank);
         return { places: total, free, atOnce: free + preemptable, reopensInMs, ahead };
     }
@@ -334,19 +335,7 @@
 
     private give(waiter: Waiter, state: EndpointState): void {
         const { ask } = waiter;
-        const nowMs = performance.now();
-        const place: Place = {
-            placeId: newRequestId(),
-            endpointId: state.entry.endpointId,
-            instanceId: ask.instanceId,
-            service: ask.service,
-            workClass: ask.workClass,
-            organisation: ask.organisation,
-            sinceMs: nowMs,
-            dueAtMs: nowMs + ask.dueInMs,
-            finishAtMs: nowMs + ask.remainingMs,
-            isCalledBack: false,
-        };
+        const place = newPlace(ask, newRequestId(), state.entry.endpointId);
         this.addPlace(place);
         state.sent.note();
         const { placeId, endpointId } = place;
--- a/packages/fleet/src/endpointPool.ts
+++ b/packages/fleet/src/endpointPool.ts
@@ -26,6 +26,28 @@
     isCalledBack: boolean;
 }
 
+/**
+ * @param ask - A request.
+ * @param placeId - Name of its place.
+ * @param endpointId - Where it is.
+ * @returns The place, from now on.
+ */
+export function newPlace(ask: PlaceAsk, placeId: string, endpointId: string): Place {
+    const nowMs = performance.now();
+    return {
+        placeId,
+        endpointId,
+        instanceId: ask.instanceId,
+        service: ask.service,
+        workClass: ask.workClass,
+        organisation: ask.organisation,
+        sinceMs: nowMs,
+        dueAtMs: nowMs + ask.dueInMs,
+        finishAtMs: nowMs + ask.remainingMs,
+        isCalledBack: false,
+    };
+}
+
 /** One endpoint with what runs there. */
 export interface EndpointState {
     entry: EndpointEntry;
@@ -63,8 +85,6 @@
     free: number;
     /** Places that batch gives up at once. */
     preemptable: number;
-    /** Time until an endpoint that is paused may be tried again; infinite where none is paused. In milliseconds. */
-    reopensInMs: number;
 }
 
 /** The endpoints of all services, and where one more request fits. */
@@ -168,24 +188,30 @@
      * @returns Its places.
      */
     count(service: string, ask: PlaceAsk | undefined): PlaceCount {
-        const count: PlaceCount = { total: 0, free: 0, preemptable: 0, reopensInMs: Infinity };
+        const count: PlaceCount = { total: 0, free: 0, preemptable: 0 };
         for (const state of this.byService.get(service) ?? []) {
             if (ask === undefined || this.isAllowed(state, ask)) {
                 const capacity = this.getUsableCapacity(state);
                 count.total += capacity;
                 count.free += Math.max(0, capacity - state.running.size);
                 count.preemptable += capacity === 0 ? 0 : state.batchCount;
-                const pauseLeftMs = state.health.getPauseLeftMs();
-                if (
-                    pauseLeftMs > 0 && state.entry.state === "ready" && this.surroundings.getCapacity(state.entry) > 0
-                ) {
-                    count.reopensInMs = Math.min(count.reopensInMs, pauseLeftMs);
-                }
             }
         }
         return count;
     }
 
+    /**
+     * @param ask - A request that has no place anywhere.
+     * @returns Time until a paused endpoint may be tried with it; infinite where none is paused. In milliseconds.
+     */
+    getReopensInMs(ask: PlaceAsk): number {
+        const pausesMs = (this.byService.get(ask.service) ?? [])
+            .filter(state => state.entry.state === "ready" && this.isAllowed(state, ask))
+            .filter(({ entry, health }) => health.getPauseLeftMs() > 0 && this.surroundings.getCapacity(entry) > 0)
+            .map(({ health }) => health.getPauseLeftMs());
+        return Math.min(Infinity, ...pausesMs);
+    }
+
     /**
      * @param ask - A request.
      * @returns Where it fits best now.
--- a/packages/fleet/src/endpointRoster.ts
+++ b/packages/fleet/src/endpointRoster.ts
@@ -73,6 +73,16 @@
         return [...this.listed.values(), ...this.getLapsed().map(({ entry }) => entry)];
     }
 
+    /**
+     * @param endpointId - An endpoint.
+     * @returns Its entry, if it is gone by now.
+     */
+    get(endpointId: string): EndpointEntry | undefined {
+        const lapsed = this.lapsed.get(endpointId);
+        const isKept = lapsed !== undefined && performance.now() < lapsed.untilMs;
+        return this.listed.get(endpointId) ?? (isKept ? lapsed.entry : undefined);
+    }
+
     /** @returns Entries that are gone by although the store doesn't list them. */
     getLapsed(): LapsedEndpoint[] {
         const nowMs = performance.now();
--- a/packages/fleet/src/placement.ts
+++ b/packages/fleet/src/placement.ts
@@ -267,7 +267,7 @@
             return { ...outcome, decidedBy };
         }
         const { placeId, endpointId, expectedWaitMs } = outcome;
-        const endpoint = this.view.getEndpoints().find(entry => entry.endpointId === endpointId);
+        const endpoint = this.view.getEndpoint(endpointId);
         const calling = new AbortController();
         this.held.set(placeId, { ask, endpointId, givenBy: decidedBy, calling, placedAtMs: performance.now() });
         if (signal.aborted) {
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -74,6 +74,14 @@
         return this.roster.getEntries();
     }
 
+    /**
+     * @param endpointId - An endpoint.
+     * @returns Its entry, if it is to be gone by now.
+     */
+    getEndpoint(endpointId: string): EndpointEntry | undefined {
+        return this.roster.get(endpointId);
+    }
+
     /** @returns Names of the endpoints among those that the store doesn't list any more. */
     getLapsedIds(): string[] {
         return this.roster.getLapsed().map(({ entry }) => entry.endpointId);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -145,19 +145,17 @@
             logger,
         });
         const { runner } = this;
-        const getMember = (id: string) => view.members.find(member => member.instanceId === id);
+        const getMembers = () => view.members;
         const reader = new JobReader({
             runner,
             store: jobStore,
             link,
             getCoordinator,
             rpc,
-            getMember,
-            getMembers: () => view.members,
+            getMembers,
             self: this.self,
             isOnlyRunner: () => lease.isHolder || link.newsAgeMs < MAX_RUNNER_NEWS_AGE_MS,
         });
-        const getMembers = () => view.members;
         this.ingress = new Ingress({
             admission,
             view,
--- a/packages/gateway/src/jobReader.ts
+++ b/packages/gateway/src/jobReader.ts
@@ -42,7 +42,6 @@
     readonly getCoordinator: () => Coordinator | undefined;
     readonly rpc: RpcCaller;
     readonly getMembers: () => readonly MemberEntry[];
-    readonly getMember: (instanceId: string) => MemberEntry | undefined;
     readonly self: MemberEntry;
     /** Whether no other instance can be running the jobs of this one. */
     readonly isOnlyRunner: () => boolean;
@@ -177,7 +176,7 @@
         const instanceId = own === undefined
             ? await this.parts.link.call<string | undefined>(METHODS.findRunner, { jobId }, FIND_TIMEOUT_MS)
             : own.jobs.findRunner(jobId);
-        const member = instanceId === undefined || instanceId === null ? undefined : this.parts.getMember(instanceId);
+        const member = this.parts.getMembers().find(other => other.instanceId === instanceId);
         if (member !== undefined) {
             this.runners.set(jobId, { member, atMs: performance.now() });
         }
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -274,9 +274,9 @@
                 }
             }
         }, SILENCE_MS);
-        const stall = setInterval(() => {
-            const hasEvents = this.admitted.route.kind === "streaming" && this.firstAnswerAtMs !== undefined;
-            if (hasEvents && this.relay.quietMs > STALL_MS) {
+        const mayResume = this.admitted.route.kind === "streaming" && this.repeat.mayRepeatSilent();
+        const stall = !mayResume ? undefined : setInterval(() => {
+            if (this.firstAnswerAtMs !== undefined && this.relay.quietMs > STALL_MS) {
                 giveUp();
             }
         }, STALL_POLL_MS);
--- a/packages/gateway/tests/jobReader.test.ts
+++ b/packages/gateway/tests/jobReader.test.ts
@@ -58,7 +58,6 @@
             },
         },
         getMembers: () => MEMBERS,
-        getMember: () => undefined,
         self,
         isOnlyRunner: () => false,
     });
--- a/standins/load/replay.ts
+++ b/standins/load/replay.ts
@@ -1,3 +1,4 @@
+import { sleep } from "../../packages/common/src";
 import type { EndpointEntry, MemberEntry, PlaceAsk, PlaceOutcome } from "../../packages/fleet/src";
 import { newSeededRandom } from "../random";
 import {
@@ -369,7 +370,3 @@
         };
     }
 }
-
-function sleep(delayMs: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, delayMs));
-}
--- a/standins/load/sharedQueue.ts
+++ b/standins/load/sharedQueue.ts
@@ -1,9 +1,10 @@
+import { sleep } from "../../packages/common/src";
 import {
     type Dispatcher,
     type EndpointEntry,
     getSlotsAlone,
     getStartAfterTakeover,
-    type Place,
+    newPlace,
     type PlaceAsk,
     type PlaceEnd,
     type PlaceOutcome,
@@ -60,7 +61,7 @@
             return this.placeAlone({ ...left, rate: undefined });
         }
         if (outcome.kind === "placed") {
-            this.given.set(outcome.placeId, newPlace(ask, outcome));
+            this.given.set(outcome.placeId, newPlace(ask, outcome.placeId, outcome.endpointId));
         }
         return outcome;
     }
@@ -149,23 +150,3 @@
         );
     }
 }
-
-function newPlace(ask: PlaceAsk, { placeId, endpointId }: Extract<PlaceOutcome, { kind: "placed"; }>): Place {
-    const nowMs = performance.now();
-    return {
-        placeId,
-        endpointId,
-        instanceId: ask.instanceId,
-        service: ask.service,
-        workClass: ask.workClass,
-        organisation: ask.organisation,
-        sinceMs: nowMs,
-        dueAtMs: nowMs + ask.dueInMs,
-        finishAtMs: nowMs + ask.remainingMs,
-        isCalledBack: false,
-    };
-}
-
-function sleep(delayMs: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, delayMs));
-}
--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -1,3 +1,4 @@
+import { sleep } from "@heatherline/common";
 import http from "node:http";
 import { closeServer, listenOnLoopback, readBody } from "./httpServer";
 
@@ -178,7 +179,3 @@
         response.end();
     }
 }
-
-function sleep(delayMs: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, delayMs));
-}
--- a/standins/operators/fleet.ts
+++ b/standins/operators/fleet.ts
@@ -46,6 +46,22 @@
         this.storePort = await this.store.listen();
     }
 
+    /**
+     * Starts the store, engines of a model and of a plain service in two data centres, and a gateway in each.
+     *
+     * @returns The gateways.
+     */
+    async startPair(): Promise<{ readonly east: GatewayProcess; readonly west: GatewayProcess; }> {
+        await this.start();
+        this.writeConfig();
+        for (const dataCentre of ["east", "west"]) {
+            await this.addEngine({ service: "lm", dataCentre });
+            await this.addEngine({ service: "plain", dataCentre });
+        }
+        const east = await this.addGateway("east-1", "east");
+        return { east, west: await this.addGateway("west-1", "west") };
+    }
+
     /** Ends all that was started here. */
     async stop(): Promise<void> {
         for (const { child } of this.gateways) {
--- a/standins/operators/objectApi.ts
+++ b/standins/operators/objectApi.ts
@@ -32,6 +32,14 @@
 const PAGE_SIZE = 500;
 const MS_PER_WAIT_LIMIT = 30_000;
 
+const NO_FAULTS: Readonly<ObjectApiFaults> = {
+    isDown: false,
+    delayMs: 0,
+    lostPart: 0,
+    refusedKinds: [],
+    forgottenKinds: [],
+};
+
 /** An address of the store for some of the instances. */
 export interface StoreDoor {
     port: number;
@@ -42,7 +50,7 @@
 
 /** Stand-in for the operators' store: objects with revisions, watches with a history that may be dropped, faults. */
 export class ObjectApi {
-    readonly faults: ObjectApiFaults = { isDown: false, delayMs: 0, lostPart: 0, refusedKinds: [], forgottenKinds: [] };
+    readonly faults: ObjectApiFaults = { ...NO_FAULTS };
     readonly calls = new Map<string, number>();
     private readonly objects = new Map<string, Map<string, WireObject>>();
     private readonly changes: Change[] = [];
@@ -57,6 +65,11 @@
         return listenOnLoopback(this.server);
     }
 
+    /** Ends all faults. */
+    clearFaults(): void {
+        Object.assign(this.faults, NO_FAULTS);
+    }
+
     /** @returns Another address of the store, which may fail alone. */
     async addDoor(): Promise<StoreDoor> {
         const door: StoreDoor = { port: 0, isRefusing: false, server: this.server };
--- a/standins/operators/soak.ts
+++ b/standins/operators/soak.ts
@@ -70,13 +70,7 @@
         ];
         await Promise.all(loops);
         await Promise.all(this.ended);
-        Object.assign(fleet.store.faults, {
-            isDown: false,
-            delayMs: 0,
-            lostPart: 0,
-            refusedKinds: [],
-            forgottenKinds: [],
-        });
+        fleet.store.clearFaults();
         await Promise.all(fleet.gateways.map(gateway => fleet.waitReady(gateway)));
         await load.checkJobs(SETTLE_MS);
         return { seed: this.seed, faults: this.faults, counts: load.counts, violations: load.violations };
