Complete an answer under an idempotency key only when its claim has ended

Cause (the known red of a call repeated at once, 409 for the third of three): the claim's owner was told of the end only after the caller had its whole answer, so that a caller that asks again on it may come first. Change: what would complete the answer (its end, or the last bytes of a known length) waits for the owner's word, 0.2 s at most; all before it goes out as it comes.

--- a/packages/serving/src/filters/deduplicate.ts
+++ b/packages/serving/src/filters/deduplicate.ts
@@ -1,4 +1,4 @@
-import { sha256Hex } from "@heatherline/common";
+import { sha256Hex, sleep } from "@heatherline/common";
 import { err, ok } from "neverthrow";
 import type { Claim, ClaimDecision, ClaimEnd, KeptAnswer } from "../claims";
 import { Refusal } from "../errors";
@@ -23,6 +23,8 @@
 const MAX_KEPT_BYTES = 65_536;
 const RETRY_AFTER_MS = 1_000;
 const CLAIM_GRACE_MS = 5_000;
+/** Longest that the end of an answer waits for the claim's owner; a message between instances takes a few milliseconds. */
+const MAX_HOLD_MS = 200;
 
 /** Makes sure that a non-idempotent request that comes again with the same idempotency key never runs twice. */
 export class DeduplicateFilter implements Filter {
@@ -51,7 +53,11 @@
         const recorder = new RecordingSink(exchange.sink);
         exchange.sink = recorder;
         const outcome = await next(exchange);
-        await this.claims.end(claim, getClaimEnd(outcome, recorder));
+        const ending = this.claims.end(claim, getClaimEnd(outcome, recorder));
+        // Whoever sends the request again on the complete answer must find its claim ended.
+        await Promise.race([ending, sleep(MAX_HOLD_MS)]);
+        recorder.finish();
+        await ending;
         return outcome;
     }
 }
@@ -106,13 +112,15 @@
     }
 }
 
-/** Keeps a copy of a short answer while it goes to the caller. */
+/** Keeps a copy of a short answer while it goes to the caller, and holds back what would complete it there. */
 class RecordingSink implements AnswerSink {
     private readonly chunks: Buffer[] = [];
     private sizeBytes = 0;
     private status = 0;
     private headers: Record<string, string> = {};
     private isComplete = false;
+    private lengthBytes = Infinity;
+    private held: Buffer | undefined;
 
     constructor(private readonly target: AnswerSink) {}
 
@@ -123,6 +131,7 @@
     begin(status: number, headers: Record<string, string>): void {
         this.status = status;
         this.headers = headers;
+        this.lengthBytes = Number(headers["content-length"] ?? Infinity);
         this.target.begin(status, headers);
     }
 
@@ -131,18 +140,32 @@
         if (this.sizeBytes <= MAX_KEPT_BYTES) {
             this.chunks.push(chunk);
         }
+        if (this.sizeBytes >= this.lengthBytes) {
+            this.held = chunk;
+            return undefined;
+        }
         return this.target.write(chunk);
     }
 
     end(): void {
         this.isComplete = true;
-        this.target.end();
     }
 
     breakOff(): void {
+        this.held = undefined;
         this.target.breakOff();
     }
 
+    /** Lets the caller have the rest of the answer. */
+    finish(): void {
+        if (this.held !== undefined) {
+            void this.target.write(this.held);
+        }
+        if (this.isComplete) {
+            this.target.end();
+        }
+    }
+
     getAnswer(): KeptAnswer | undefined {
         if (!this.isComplete || this.sizeBytes > MAX_KEPT_BYTES) {
             return undefined;
