Wait for a token that is due within milliseconds instead of refusing

Cause: a share that may be used again starts without tokens. A request that arrives within some 2 ms found no whole token gathered, and its caller was refused although the token was due sooner than the caller could return (known red: "reaches an instance that is cut off from the store"). Ruled out: starting the bucket earlier. Prefetched tokens of the borrower may be spent until the share is usable again, so tokens gathered before that could exceed the bound. Change: a requesting instance keeps a request whose token is due within 10 ms, once, and asks again when it is due; requests that arrive meanwhile wait without a call to the owner.

--- a/packages/limits/src/grantLimiter.ts
+++ b/packages/limits/src/grantLimiter.ts
@@ -29,6 +29,8 @@
 
 interface Waiter {
     readonly sinceMs: number;
+    /** Whether it has been kept waiting for a token that was due soon. */
+    hasWaitedForToken: boolean;
     readonly settle: (result: Result<RatePermit, LimitError>) => void;
 }
 
@@ -58,6 +60,8 @@
 /** Longest wait for an owner that can't be reached or may not decide yet. */
 const MAX_OWNER_WAIT_MS = 4_500;
 const OWNER_RETRY_MS = 100;
+/** A token that is due within this time is waited for, since a refused caller would need longer to return. */
+const MAX_TOKEN_WAIT_MS = 10;
 /** Delay before the next token request after a response that names another owner. */
 const REDIRECT_DELAY_MS = 5;
 const MAINTENANCE_INTERVAL_MS = 250;
@@ -111,7 +115,7 @@
             return ok(this.spend(account));
         }
         const exhaustedForMs = account.exhaustedUntilMs - monotonicMs();
-        if (exhaustedForMs > 0) {
+        if (exhaustedForMs > MAX_TOKEN_WAIT_MS) {
             return err(newExceededError(account, exhaustedForMs));
         }
         return this.wait(account, signal);
@@ -121,6 +125,7 @@
         return new Promise(resolve => {
             const waiter: Waiter = {
                 sinceMs: monotonicMs(),
+                hasWaitedForToken: false,
                 settle: result => {
                     signal.removeEventListener("abort", onAbort);
                     resolve(result);
@@ -160,6 +165,10 @@
 
     /** @returns Delay before the next request to the owner, in milliseconds. */
     private async requestOnce(account: SubjectAccount): Promise<number> {
+        const exhaustedForMs = account.exhaustedUntilMs - monotonicMs();
+        if (account.waiters.length > 0 && exhaustedForMs > 0) {
+            return exhaustedForMs;
+        }
         const owner = await this.ownerClient.resolve(account.subject);
         if (owner === undefined) {
             this.refuseTimedOutWaiters(account);
@@ -224,10 +233,24 @@
             return;
         }
         account.exhaustedUntilMs = sentAtMs + grant.retryAfterMs;
+        this.refuseOrKeepWaiting(account, grant.retryAfterMs, refusedCount);
+    }
+
+    /** Refuses the first waiters, except those whose token is due soon and that have not been kept waiting before. */
+    private refuseOrKeepWaiting(account: SubjectAccount, retryAfterMs: number, count: number): void {
         const perTokenMs = 1_000 / account.bounds.ratePerS;
-        for (const [position, waiter] of account.waiters.splice(0, refusedCount).entries()) {
-            waiter.settle(err(newExceededError(account, grant.retryAfterMs + position * perTokenMs)));
+        const kept: Waiter[] = [];
+        for (const [position, waiter] of account.waiters.splice(0, count).entries()) {
+            const dueInMs = retryAfterMs + position * perTokenMs;
+            if (dueInMs <= MAX_TOKEN_WAIT_MS && !waiter.hasWaitedForToken) {
+                waiter.hasWaitedForToken = true;
+                kept.push(waiter);
+            }
+            else {
+                waiter.settle(err(newExceededError(account, dueInMs)));
+            }
         }
+        account.waiters.unshift(...kept);
     }
 
     private getImmediateTtlMs(owner: string): number {
