Send other instances only what has changed of the fleet's lists

By reading: each of 165 registrations changed the list of instances; each change answered all 165 long polls at once with the whole list (19 KB). Change: entries of endpoints and instances carry the revision at which they changed, and a receiver that accepts changes is sent only later ones; a change of the registered instances no longer answers long polls, it goes with the next message (a quarter of a second at most). The feed of registrations pauses 200 ms between reads. Instances of the build before get whole lists, as they ask.

--- a/packages/fleet/src/fleetView.ts
+++ b/packages/fleet/src/fleetView.ts
@@ -1,4 +1,5 @@
 import { AgeTracker } from "./ageTracker";
+import { applyChanges, ChangeLog, type ListChanges } from "./changeLog";
 import { EndpointRegistry, type LapsedEndpoint } from "./endpointRegistry";
 import { FallbackShares } from "./fallbackShares";
 import { RouteTable } from "./routeTable";
@@ -18,6 +19,9 @@
     readonly lapsedEndpoints?: readonly LapsedEndpoint[];
     readonly evacuated?: Versioned<readonly string[]>;
     readonly members?: Versioned<readonly MemberEntry[]>;
+    /** In place of `endpoints` and `members` for an instance that accepts changes. */
+    readonly endpointChanges?: ListChanges<EndpointEntry>;
+    readonly memberChanges?: ListChanges<MemberEntry>;
     /** Age of the configuration at the sender, in milliseconds. */
     readonly configAgeMs: number;
 }
@@ -28,10 +32,15 @@
     readonly endpoints: number;
     readonly evacuated: number;
     readonly members: number;
+    /** Whether the instance accepts changes of a list in place of the whole one. */
+    readonly acceptsChanges?: boolean;
 }
 
 /** Part of the fleet view whose changes listeners are notified of. */
-export type ViewPart = keyof KnownRevisions;
+export type ViewPart = "config" | "endpoints" | "evacuated" | "members";
+
+/** Parts whose changes other instances need at once; those of registered instances can wait for the next message. */
+const URGENT_PARTS: readonly ViewPart[] = ["config", "endpoints", "evacuated"];
 
 /** Larger ages are sent as this one, since JSON has no infinity; in milliseconds. */
 const MAX_AGE_MS = 3_600_000;
@@ -49,6 +58,8 @@
     private evacuatedDataCentres: ReadonlySet<string> = new Set();
     private memberEntries: readonly MemberEntry[] = [];
     private shares = new FallbackShares([]);
+    private readonly endpointLog = new ChangeLog<EndpointEntry>(getEndpointId);
+    private readonly memberLog = new ChangeLog<MemberEntry>(getMemberId);
     private readonly listeners: ((part: ViewPart) => void)[] = [];
 
     /**
@@ -108,7 +119,7 @@
 
     /** @returns The revisions of all parts. */
     getRevisions(): KnownRevisions {
-        return { ...this.revisions };
+        return { ...this.revisions, acceptsChanges: true };
     }
 
     /**
@@ -149,6 +160,7 @@
         if (endpoints.revision > this.revisions.endpoints) {
             this.revisions.endpoints = endpoints.revision;
             this.listedEndpoints = endpoints.value;
+            this.endpointLog.replaceAll(endpoints.value, endpoints.revision);
             this.registry.replaceAll(endpoints.value, this.endpointRenewalMs);
             this.registry.keepLapsed(lapsed);
             this.notify("endpoints");
@@ -173,6 +185,7 @@
         if (members.revision > this.revisions.members) {
             this.revisions.members = members.revision;
             this.memberEntries = members.value;
+            this.memberLog.replaceAll(members.value, members.revision);
             this.shares = new FallbackShares(members.value);
             this.notify("members");
         }
@@ -190,27 +203,35 @@
             ...config !== undefined && revisions.config > known.config
                 ? { config: { revision: revisions.config, value: config } }
                 : {},
-            ...revisions.endpoints > known.endpoints
-                ? {
-                    endpoints: { revision: revisions.endpoints, value: this.listedEndpoints },
-                    lapsedEndpoints: this.registry.getLapsed(),
-                }
-                : {},
+            ...revisions.endpoints > known.endpoints ? this.newEndpointsUpdate(known) : {},
             ...revisions.evacuated > known.evacuated
                 ? { evacuated: { revision: revisions.evacuated, value: [...this.evacuatedDataCentres] } }
                 : {},
-            ...revisions.members > known.members
-                ? { members: { revision: revisions.members, value: this.memberEntries } }
-                : {},
+            ...revisions.members > known.members ? this.newMembersUpdate(known) : {},
         };
     }
 
+    private newEndpointsUpdate({ endpoints, acceptsChanges }: KnownRevisions): Partial<FleetUpdate> {
+        const lapsedEndpoints = this.registry.getLapsed();
+        const endpointChanges = acceptsChanges === true ? this.endpointLog.getChangesSince(endpoints) : undefined;
+        return endpointChanges === undefined
+            ? { endpoints: { revision: this.revisions.endpoints, value: this.listedEndpoints }, lapsedEndpoints }
+            : { endpointChanges, lapsedEndpoints };
+    }
+
+    private newMembersUpdate({ members, acceptsChanges }: KnownRevisions): Partial<FleetUpdate> {
+        const memberChanges = acceptsChanges === true ? this.memberLog.getChangesSince(members) : undefined;
+        return memberChanges === undefined
+            ? { members: { revision: this.revisions.members, value: this.memberEntries } }
+            : { memberChanges };
+    }
+
     /**
      * @param known - Revisions that another instance has.
-     * @returns Whether any of them is outdated.
+     * @returns Whether a part of them is outdated that the instance needs at once.
      */
-    hasUpdateFor(known: KnownRevisions): boolean {
-        return (Object.keys(this.revisions) as ViewPart[]).some(part => this.revisions[part] > known[part]);
+    hasUrgentUpdateFor(known: KnownRevisions): boolean {
+        return URGENT_PARTS.some(part => this.revisions[part] > known[part]);
     }
 
     /**
@@ -232,11 +253,24 @@
         if (update.members !== undefined) {
             this.applyMembers(update.members);
         }
+        this.applyListChanges(update);
         if (this.routeTable !== undefined) {
             this.markConfigCurrent(update.configAgeMs + transitMs);
         }
     }
 
+    /** Changes of a list that this instance doesn't have at their first revision are ignored; the whole list follows. */
+    private applyListChanges({ endpointChanges, memberChanges, lapsedEndpoints }: FleetUpdate): void {
+        if (endpointChanges !== undefined && endpointChanges.since <= this.revisions.endpoints) {
+            const value = applyChanges(this.listedEndpoints, endpointChanges, getEndpointId);
+            this.applyEndpoints({ revision: endpointChanges.revision, value }, lapsedEndpoints);
+        }
+        if (memberChanges !== undefined && memberChanges.since <= this.revisions.members) {
+            const value = applyChanges(this.memberEntries, memberChanges, getMemberId);
+            this.applyMembers({ revision: memberChanges.revision, value });
+        }
+    }
+
     /** Drops lapsed endpoints whose time is over, and notifies listeners if there were any lapsed ones. */
     dropLapsedEndpoints(): void {
         if (this.registry.hasLapsed) {
@@ -251,3 +285,11 @@
         }
     }
 }
+
+function getEndpointId({ endpointId }: EndpointEntry): string {
+    return endpointId;
+}
+
+function getMemberId({ instanceId }: MemberEntry): string {
+    return instanceId;
+}
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./ageTracker";
+export * from "./changeLog";
 export * from "./coordinator";
 export * from "./coordinatorLease";
 export * from "./coordinatorLink";
@@ -18,6 +19,7 @@
 export * from "./routeTable";
 export * from "./sendWindow";
 export * from "./stateFeed";
+export * from "./syncOutbox";
 export * from "./tokenBuckets";
 export * from "./types";
 export * from "./waitForecast";
--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -43,6 +43,8 @@
 const SLOW_WATCH_MS = 5_000;
 /** Jobs change in quick succession, so watches are spaced; those that must know of a change at once get an RPC. */
 const JOB_PAUSE_MS = 500;
+/** Instances register in quick succession when many start, and changes are needed less soon than they come. */
+const MEMBER_PAUSE_MS = 200;
 const FIRST_RETRY_MS = 120;
 const MAX_RETRY_MS = 800;
 /** Without a successful read for this long the store counts as down, in milliseconds. */
@@ -115,6 +117,7 @@
                 SLOW_WATCH_MS,
                 ({ objects, revision }) =>
                     view.applyMembers({ revision, value: [...objects.values()].flatMap(decodeMember) }),
+                MEMBER_PAUSE_MS,
             ),
             newFeed(
                 schema.retirementKind,
--- a/packages/fleet/src/syncOutbox.ts
+++ b/packages/fleet/src/syncOutbox.ts
@@ -15,7 +15,7 @@
 
 /**
  * Queues messages for each instance until its next sync reply, and holds back sync replies (long polls) while there is
- * nothing to send.
+ * nothing urgent to send.
  */
 export class SyncOutbox {
     private readonly outboxes = new Map<string, Outbox>();
@@ -110,7 +110,7 @@
     }
 
     private hasUpdateFor({ member, known }: SyncRequest): boolean {
-        return this.outboxes.has(member.instanceId) || this.view.hasUpdateFor(known);
+        return this.outboxes.has(member.instanceId) || this.view.hasUrgentUpdateFor(known);
     }
 
     private getOutbox(instanceId: string): Outbox {
