Keep the coordinator's lease through an outage of the store while all others promise not to take it

At 35.1 the lease went to an instance with 0.32 of a core, since all ranks had waited long enough during the outage; it lost 31 of its followers within a second and stepped down at 37.9. Between 33 and 39 s nearly all online requests were refused. Change: each sync reply has a stamp, and its receipt is a promise not to take the lease over for 1.2 s, whatever its state in the store. The holder counts a promise from when it sent the stamp, so delays only shorten it; while every other instance's promise holds, it keeps the lease beyond its term. The delay by rank starts again when the store is reachable after an outage.

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -201,9 +201,10 @@
         return coldRatePerS * this.getEndpointShare(entry).coldRateFraction;
     }
 
-    private recordSync({ member, isStoreFailing, places }: SyncRequest): void {
+    private recordSync({ member, promise, places }: SyncRequest): void {
         const { instanceId } = member;
-        if (this.heartbeats.recordHeartbeat(member, isStoreFailing)) {
+        const promisedAtStamp = promise?.epoch === this.epoch ? promise.stamp : undefined;
+        if (this.heartbeats.recordHeartbeat(member, promisedAtStamp)) {
             this.releasePlacesOf(instanceId, "its process restarted");
         }
         if (places !== undefined) {
@@ -274,6 +275,7 @@
             coordinator: self,
             epoch: this.epoch,
             leaseVersion: getLeaseVersion(),
+            stamp: this.heartbeats.newStamp(),
             news: view.newUpdateFor(known),
             calledBack,
             endedJobs: progress.closed,
--- a/packages/fleet/src/coordinatorLease.ts
+++ b/packages/fleet/src/coordinatorLease.ts
@@ -17,6 +17,11 @@
 /** Longest random delay before an instance creates the lease on the first start of the fleet, in milliseconds. */
 const FIRST_START_JITTER_MS = 40;
 const READ_RETRY_MS = 200;
+/**
+ * How long an instance that got a reply from the coordinator doesn't take the lease over, even if it expires meanwhile;
+ * in milliseconds.
+ */
+export const TAKEOVER_PROMISE_MS = 1_200;
 /** An instance that stepped down doesn't take the lease for this long, in milliseconds. */
 const STEP_DOWN_MS = 3_000;
 
@@ -57,6 +62,9 @@
     private steppedDownAt: Timestamp | undefined;
     private isStopped = false;
     private isReleasing = false;
+    /** Since when the store can be read, after a failed read. */
+    private readableSince: Timestamp | undefined;
+    private promisedAt: Timestamp | undefined;
     /** Incarnation of a holder whose process is known to have ended. */
     private endedIncarnation = "";
 
@@ -136,8 +144,17 @@
         }
     }
 
+    /**
+     * Promises not to take the lease over for `TAKEOVER_PROMISE_MS`, because the coordinator has replied, or another
+     * instance is in contact with it.
+     */
+    promise(): void {
+        this.promisedAt = newTimestamp();
+    }
+
     /** Records that the last known holder no longer holds the lease. */
     recordStepDown(): void {
+        this.promisedAt = undefined;
         if (this.observed !== undefined) {
             const record = { ...this.observed.record, isReleased: true };
             this.observed = { ...this.observed, record, seenAt: newTimestamp() };
@@ -212,8 +229,10 @@
         }
         const read = await this.store.get(LEASE_PATH);
         if (read.isErr()) {
+            this.readableSince = undefined;
             return withJitter(READ_RETRY_MS);
         }
+        this.readableSince ??= newTimestamp();
         if (read.value === undefined) {
             await sleep(Math.random() * FIRST_START_JITTER_MS);
             await this.acquire(0, 1);
@@ -235,10 +254,18 @@
             return Math.max(0, stepDownMs);
         }
         const { record, seenAt } = observed;
+        const isEnded = record.holder.incarnation === this.endedIncarnation;
         const wasOwn = record.holder.instanceId === this.self.instanceId;
-        const isFree = record.isReleased || wasOwn || record.holder.incarnation === this.endedIncarnation;
+        const isFree = record.isReleased || wasOwn || isEnded;
         const termMs = isFree ? 0 : TERM_MS + TAKEOVER_MARGIN_MS;
-        return Math.max(stepDownMs, termMs + (wasOwn ? 0 : this.getRankDelayMs()) - getElapsedMs(seenAt));
+        const rankDelayMs = wasOwn ? 0 : this.getRankDelayMs();
+        return Math.max(
+            stepDownMs,
+            termMs + rankDelayMs - getElapsedMs(seenAt),
+            // All ranks have waited long enough when the store is reachable again, so they wait from then on.
+            this.readableSince === undefined ? 0 : rankDelayMs - getElapsedMs(this.readableSince),
+            isEnded || this.promisedAt === undefined ? 0 : TAKEOVER_PROMISE_MS - getElapsedMs(this.promisedAt),
+        );
     }
 
     /** Instances with more CPU go first, since the coordinator's work takes CPU. */
--- a/packages/fleet/src/heartbeatMonitor.ts
+++ b/packages/fleet/src/heartbeatMonitor.ts
@@ -1,4 +1,5 @@
 import { getElapsedMs, newTimestamp, type Timestamp } from "./ageTracker";
+import { TAKEOVER_PROMISE_MS } from "./coordinatorLease";
 import type { MemberEntry } from "./types";
 
 /** An instance without a heartbeat for this long may be in fallback mode and counts as silent, in milliseconds. */
@@ -12,10 +13,14 @@
 /** The coordinator has at least this fraction of the CPU of any live instance, or steps down. */
 const MIN_PROCESSOR_FRACTION = 0.7;
 
+/** Replies whose times are kept; promises that refer to earlier ones have expired. */
+const MAX_STAMPS = 5_000;
+
 interface Heartbeat {
     readonly incarnation: string;
     readonly receivedAt: Timestamp;
-    readonly isStoreFailing: boolean;
+    /** When the reply was sent with which the promise not to take the lease over began. */
+    readonly promisedAt: Timestamp | undefined;
 }
 
 /** Tracks heartbeats of the registered instances for a coordinator, and which instances are live or silent. */
@@ -25,6 +30,8 @@
     private readonly lastHeartbeatAt = new Map<string, Timestamp>();
     private readonly startedAt = newTimestamp();
     private silentIds: ReadonlySet<string> = new Set();
+    private readonly stampTimes = new Map<number, Timestamp>();
+    private lastStamp = 0;
 
     /**
      * @param self - The coordinator.
@@ -44,15 +51,24 @@
 
     /**
      * @param member - The instance that sent a heartbeat.
-     * @param isStoreFailing - Whether its calls to the store fail.
+     * @param promisedAtStamp - Stamp of the reply with which its promise not to take the lease over began.
      * @returns Whether its process has restarted since its last heartbeat.
      */
-    recordHeartbeat({ instanceId, incarnation }: MemberEntry, isStoreFailing: boolean): boolean {
+    recordHeartbeat({ instanceId, incarnation }: MemberEntry, promisedAtStamp: number | undefined): boolean {
         const before = this.heartbeats.get(instanceId);
-        this.heartbeats.set(instanceId, { incarnation, receivedAt: newTimestamp(), isStoreFailing });
+        const promisedAt = promisedAtStamp === undefined ? undefined : this.stampTimes.get(promisedAtStamp);
+        this.heartbeats.set(instanceId, { incarnation, receivedAt: newTimestamp(), promisedAt });
         return before !== undefined && before.incarnation !== incarnation;
     }
 
+    /** @returns The stamp of a reply that is sent now. */
+    newStamp(): number {
+        this.lastStamp += 1;
+        this.stampTimes.set(this.lastStamp, newTimestamp());
+        this.stampTimes.delete(this.lastStamp - MAX_STAMPS);
+        return this.lastStamp;
+    }
+
     /** @returns Live instances, without the coordinator. */
     getLiveInstances(): string[] {
         return [...this.heartbeats.keys()].filter(instanceId => this.isLive(instanceId));
@@ -71,12 +87,15 @@
         );
     }
 
-    /** Whether no other instance could take over: all are live, and neither they nor this one reach the store. */
+    /**
+     * Whether no other instance takes the lease over although it has expired, because all have promised so. A promise
+     * counts from when the reply was sent that it answers, so it never lasts longer here than at the other instance.
+     */
     isTakeoverImpossible(): boolean {
-        return this.isStoreFailing() &&
-            this.getOthers().every(({ instanceId }) =>
-                this.isLive(instanceId) && this.heartbeats.get(instanceId)?.isStoreFailing === true
-            );
+        return this.getOthers().every(({ instanceId }) => {
+            const promisedAt = this.heartbeats.get(instanceId)?.promisedAt;
+            return promisedAt !== undefined && getElapsedMs(promisedAt) < TAKEOVER_PROMISE_MS;
+        });
     }
 
     /** Whether most instances are silent although the store is reachable, so that one of them could take over. */
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -20,6 +20,14 @@
     callStore: "store.call",
 } as const;
 
+/** An instance's promise to a coordinator not to take the lease over for `TAKEOVER_PROMISE_MS` after a reply. */
+export interface TakeoverPromise {
+    /** Epoch of the coordinator. */
+    readonly epoch: number;
+    /** `stamp` of the reply. */
+    readonly stamp: number;
+}
+
 /** Heartbeat of an instance to the coordinator, which also asks for updates (long poll). */
 export interface SyncRequest {
     readonly member: MemberEntry;
@@ -28,6 +36,8 @@
     readonly places: readonly PlaceSummary[] | undefined;
     readonly jobs: readonly JobProgress[];
     readonly isStoreFailing: boolean;
+    /** Promise not to take the lease over; absent until a coordinator has replied. */
+    readonly promise?: TakeoverPromise | undefined;
     /** How long the reply may be held back while there is no update. */
     readonly waitMs: number;
 }
@@ -40,6 +50,8 @@
         readonly coordinator: MemberEntry;
         readonly epoch: number;
         readonly leaseVersion: number;
+        /** Number of the reply; absent from instances of earlier releases. */
+        readonly stamp?: number;
         readonly news: FleetUpdate;
         /** Places of batch items that are preempted. */
         readonly calledBack: readonly string[];
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
     StateFeed,
     type SyncReply,
     type SyncRequest,
+    type TakeoverPromise,
 } from "@heatherline/fleet";
 import { Admission } from "./admission";
 import { BatchApi } from "./batchApi";
@@ -71,6 +72,8 @@
     private wasRegistered = false;
     private wasCoordinatorKnown = false;
     private lastUpdatedAtMs = -Infinity;
+    /** Promise to the coordinator that replied last. */
+    private promise: TakeoverPromise | undefined;
     private readonly metrics: GatewayMetrics;
     private readonly startupGate = new StartupGate({
         isCoordinatorKnown: () => this.role.isCoordinatorKnown,
@@ -357,12 +360,15 @@
             places: isFull ? this.placement.getPlaces() : undefined,
             jobs: this.runner.getProgress(),
             isStoreFailing: this.feed.isStoreFailing,
+            promise: this.promise,
             waitMs,
         };
     }
 
     private applySyncReply(reply: Extract<SyncReply, { kind: "news"; }>, transitMs: number): void {
         this.role.lease.recordHolder(reply.coordinator, reply.epoch, reply.leaseVersion);
+        this.role.lease.promise();
+        this.promise = reply.stamp === undefined ? undefined : { epoch: reply.epoch, stamp: reply.stamp };
         this.applyMessages(reply, transitMs);
         for (const jobId of reply.assignedJobs) {
             void this.runner.adopt(jobId);
