Let hundreds of instances connect to one coordinator without overloading it

Each retried every 0.09 s with a timeout of 0.45 s, so that a busy coordinator worked only on syncs whose senders had given up. Idle, a sync costs a coordinator about 1 ms of CPU (0.4% of a core for each follower at 4 syncs a second, real processes): 165 followers are two thirds of a core, all of a front's share. Change: failed syncs double their timeout and pause up to 8 times; first syncs are spread over 2 ms for each instance; the long poll grows with the fleet (250 ms up to 83 instances, 495 ms at 165), and with it the times after which an instance counts as silent and its jobs as unclaimed; candidates of low rank read the lease every 1.5 s while it can't be read, and ranks are told apart up to 3 s. On the first start of the fleet, instances other than seeds don't list the store's objects unless others have sent nothing for 1.5 s.

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -42,7 +42,7 @@
  * decides on jobs.
  */
 export class Coordinator {
-    readonly jobs = new JobTracker();
+    readonly jobs: JobTracker;
     readonly heartbeats: HeartbeatMonitor;
     private readonly dispatcher: Dispatcher;
     private readonly crashTracker = new CrashTracker();
@@ -56,6 +56,7 @@
      * @param deps - What the coordinator needs from the rest of the instance.
      */
     constructor(readonly epoch: number, private readonly deps: CoordinatorDependencies) {
+        this.jobs = new JobTracker(() => deps.scope.getMembers().length);
         this.heartbeats = new HeartbeatMonitor(deps.self, () => deps.scope.getMembers(), deps.isStoreFailing);
         this.outbox = new SyncOutbox(deps.view);
         this.dispatcher = new Dispatcher({
--- a/packages/fleet/src/coordinatorLease.ts
+++ b/packages/fleet/src/coordinatorLease.ts
@@ -13,10 +13,16 @@
 const RENEWAL_RETRY_MS = 120;
 /** Delay between candidates of adjacent rank, so that usually only one tries to take the lease; in milliseconds. */
 const RANK_DELAY_MS = 60;
-const MAX_RANK_DELAY_MS = 900;
+const MAX_RANK_DELAY_MS = 3_000;
 /** Longest random delay before an instance creates the lease on the first start of the fleet, in milliseconds. */
 const FIRST_START_JITTER_MS = 40;
 const READ_RETRY_MS = 200;
+/** Longest pause between two reads of a candidate of high rank, given their jitter, in milliseconds. */
+const MAX_READ_RETRY_MS = 1.5 * READ_RETRY_MS;
+/** Candidates of lower rank read the lease less often while the store can't be read, in milliseconds. */
+const LOW_RANK_READ_RETRY_MS = 1_500;
+/** Candidates that always read the lease often. */
+const HIGH_RANKS = 8;
 /**
  * How long an instance that got a reply from the coordinator doesn't take the lease over, even if it expires meanwhile;
  * in milliseconds.
@@ -62,7 +68,8 @@
     private steppedDownAt: Timestamp | undefined;
     private isStopped = false;
     private isReleasing = false;
-    /** Since when the store can be read, after a failed read. */
+    private hasReadFailed = false;
+    /** Since when the store can be read again after a failed read. */
     private readableSince: Timestamp | undefined;
     private promisedAt: Timestamp | undefined;
     /** Incarnation of a holder whose process is known to have ended. */
@@ -229,10 +236,13 @@
         }
         const read = await this.store.get(LEASE_PATH);
         if (read.isErr()) {
-            this.readableSince = undefined;
-            return withJitter(READ_RETRY_MS);
+            this.hasReadFailed = true;
+            return withJitter(this.getRank() < HIGH_RANKS ? READ_RETRY_MS : LOW_RANK_READ_RETRY_MS);
+        }
+        if (this.hasReadFailed) {
+            this.hasReadFailed = false;
+            this.readableSince = newTimestamp();
         }
-        this.readableSince ??= newTimestamp();
         if (read.value === undefined) {
             await sleep(Math.random() * FIRST_START_JITTER_MS);
             await this.acquire(0, 1);
@@ -262,14 +272,28 @@
         return Math.max(
             stepDownMs,
             termMs + rankDelayMs - getElapsedMs(seenAt),
-            // All ranks have waited long enough when the store is reachable again, so they wait from then on.
-            this.readableSince === undefined ? 0 : rankDelayMs - getElapsedMs(this.readableSince),
+            this.getRecoveryDelayMs(rankDelayMs),
             isEnded || this.promisedAt === undefined ? 0 : TAKEOVER_PROMISE_MS - getElapsedMs(this.promisedAt),
         );
     }
 
-    /** Instances with more CPU go first, since the coordinator's work takes CPU. */
+    /**
+     * After an outage of the store, all ranks have waited long enough for the lease. They wait again, and until the
+     * candidates of higher rank have noticed that the store is reachable.
+     */
+    private getRecoveryDelayMs(rankDelayMs: number): number {
+        if (this.readableSince === undefined || rankDelayMs === 0) {
+            return 0;
+        }
+        return rankDelayMs + MAX_READ_RETRY_MS - getElapsedMs(this.readableSince);
+    }
+
     private getRankDelayMs(): number {
+        return Math.min(MAX_RANK_DELAY_MS, RANK_DELAY_MS * this.getRank());
+    }
+
+    /** Instances with more CPU go first, since the coordinator's work takes CPU. */
+    private getRank(): number {
         const candidates = this.deps.getMembers()
             .filter(({ instanceId }) => instanceId !== this.observed?.record.holder.instanceId);
         const order = rankByRendezvous(LEASE_PATH, candidates.map(({ instanceId }) => instanceId));
@@ -278,8 +302,7 @@
             right.processorShare - left.processorShare
             || (position.get(left.instanceId) ?? 0) - (position.get(right.instanceId) ?? 0)
         );
-        const rank = ranked.findIndex(({ instanceId }) => instanceId === this.self.instanceId);
-        return Math.min(MAX_RANK_DELAY_MS, RANK_DELAY_MS * Math.max(0, rank));
+        return Math.max(0, ranked.findIndex(({ instanceId }) => instanceId === this.self.instanceId));
     }
 
     private observe(object: StoredObject): void {
--- a/packages/fleet/src/coordinatorLink.ts
+++ b/packages/fleet/src/coordinatorLink.ts
@@ -1,16 +1,19 @@
 import type { PeerError } from "@heatherline/agreement";
-import { type Logger, sleep } from "@heatherline/common";
+import { type Logger, sleep, withJitter } from "@heatherline/common";
 import type { Result } from "neverthrow";
 import { setMaxListeners } from "node:events";
 import { getElapsedMs, newTimestamp, type Timestamp } from "./ageTracker";
 import type { Announcement, SyncReply, SyncRequest } from "./messages";
+import { getLongPollMs } from "./syncTiming";
 import type { MemberEntry } from "./types";
 
-/** How long the coordinator may hold back a sync reply while there is no update, in milliseconds. */
-const LONG_POLL_MS = 250;
 /** Without a reply for this long beyond the long poll, the coordinator counts as unreachable, in milliseconds. */
 const REPLY_TIMEOUT_MS = 450;
 const RETRY_MS = 90;
+/** Each failed sync doubles the timeout and the pause before the next one, up to this factor. */
+const MAX_BACKOFF_FACTOR = 8;
+/** CPU time of a coordinator for one first sync; those of all instances are spread over that much time for each. */
+const FIRST_SYNC_COST_MS = 2;
 /** One in this many sync requests reports all places in use. */
 const SYNCS_PER_FULL_REPORT = 4;
 /** Consecutive refused connections after which the coordinator's process counts as ended. */
@@ -38,6 +41,8 @@
 /** What the link needs from the rest of the instance. */
 export interface LinkDependencies {
     readonly newSyncRequest: (isFull: boolean, waitMs: number) => SyncRequest;
+    /** @returns Number of instances that follow the same one. */
+    readonly getFollowerCount: () => number;
     readonly onSyncReply: (reply: Extract<SyncReply, { kind: "news"; }>, transitMs: number) => void;
     readonly onConnectionChange: (isConnected: boolean, reason: string) => void;
     readonly onProcessEnded: (incarnation: string) => void;
@@ -146,11 +151,13 @@
     private async syncLoop(generation: number): Promise<void> {
         let syncCount = 0;
         let consecutiveRefusals = 0;
+        let backoffFactor = 1;
+        await sleep(Math.random() * this.deps.getFollowerCount() * FIRST_SYNC_COST_MS);
         while (generation === this.generation && this.target !== undefined) {
             const { member, epoch } = this.target;
             const isFull = !this.isConnected || syncCount % SYNCS_PER_FULL_REPORT === 0;
             syncCount += 1;
-            const waitMs = this.isConnected ? LONG_POLL_MS : 0;
+            const waitMs = this.isConnected ? getLongPollMs(this.deps.getFollowerCount()) : 0;
             const sentAt = newTimestamp();
             const request = this.deps.newSyncRequest(isFull, waitMs);
             const reply = await this.rpc.callAddress<SyncReply>(
@@ -158,13 +165,14 @@
                 member.rpcPort,
                 this.syncMethod,
                 request,
-                waitMs + REPLY_TIMEOUT_MS,
+                waitMs + REPLY_TIMEOUT_MS * backoffFactor,
             );
             if (generation !== this.generation) {
                 return;
             }
             if (reply.isOk() && reply.value.kind === "news" && reply.value.epoch === epoch) {
                 consecutiveRefusals = 0;
+                backoffFactor = 1;
                 this.lastReplyAt = sentAt;
                 this.markConnected();
                 this.deps.onSyncReply(reply.value, getElapsedMs(sentAt));
@@ -184,7 +192,9 @@
             if (consecutiveRefusals >= REFUSALS_FOR_ENDED_PROCESS && isConnectionRefused(reply.error)) {
                 this.deps.onProcessEnded(member.incarnation);
             }
-            await sleep(RETRY_MS);
+            await sleep(backoffFactor === 1 ? RETRY_MS : withJitter(RETRY_MS * backoffFactor));
+            // An overloaded coordinator replies late; tries that are given up too soon would keep it overloaded.
+            backoffFactor = Math.min(MAX_BACKOFF_FACTOR, 2 * backoffFactor);
         }
     }
 
--- a/packages/fleet/src/heartbeatMonitor.ts
+++ b/packages/fleet/src/heartbeatMonitor.ts
@@ -1,11 +1,8 @@
 import { getElapsedMs, newTimestamp, type Timestamp } from "./ageTracker";
 import { TAKEOVER_PROMISE_MS } from "./coordinatorLease";
+import { getPlaceExpiryMs, getSilenceTimeoutMs } from "./syncTiming";
 import type { MemberEntry } from "./types";
 
-/** An instance without a heartbeat for this long may be in fallback mode and counts as silent, in milliseconds. */
-const SILENCE_TIMEOUT_MS = 900;
-/** Places of an instance that is silent for this long are given to others, in milliseconds. */
-const PLACE_EXPIRY_MS = 1_500;
 /** Time for instances to connect to a new coordinator before it checks for a majority, in milliseconds. */
 const STARTUP_GRACE_MS = 4_000;
 /** Time for larger instances to connect before the coordinator compares itself with them, in milliseconds. */
@@ -134,8 +131,9 @@
     /** @returns Instances silent for so long that their places are to be freed; each is returned once. */
     takeExpired(): string[] {
         const expired: string[] = [];
+        const expiryMs = getPlaceExpiryMs(this.getMembers().length);
         for (const [instanceId, { receivedAt }] of this.heartbeats) {
-            if (getElapsedMs(receivedAt) > PLACE_EXPIRY_MS) {
+            if (getElapsedMs(receivedAt) > expiryMs) {
                 this.heartbeats.delete(instanceId);
                 this.lastHeartbeatAt.set(instanceId, receivedAt);
                 expired.push(instanceId);
@@ -150,6 +148,7 @@
 
     private isLive(instanceId: string): boolean {
         const heartbeat = this.heartbeats.get(instanceId);
-        return heartbeat !== undefined && getElapsedMs(heartbeat.receivedAt) < SILENCE_TIMEOUT_MS;
+        return heartbeat !== undefined
+            && getElapsedMs(heartbeat.receivedAt) < getSilenceTimeoutMs(this.getMembers().length);
     }
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -20,6 +20,7 @@
 export * from "./sendWindow";
 export * from "./stateFeed";
 export * from "./syncOutbox";
+export * from "./syncTiming";
 export * from "./tokenBuckets";
 export * from "./types";
 export * from "./waitForecast";
--- a/packages/fleet/src/jobTracker.ts
+++ b/packages/fleet/src/jobTracker.ts
@@ -1,10 +1,9 @@
 import type { StoredObject } from "@heatherline/store";
 import { LRUCache } from "lru-cache";
 import type { AdmitJobReply, AdmitJobRequest } from "./messages";
+import { getUnclaimedMs } from "./syncTiming";
 import type { JobProgress, JobSummary } from "./types";
 
-/** A job that no instance reports for this long is unclaimed and assigned to one, in milliseconds. */
-const UNCLAIMED_MS = 1_200;
 /** An assignment expires if the instance doesn't report the job for this long, in milliseconds. */
 const ASSIGNMENT_MS = 1_500;
 /** An admitted job whose object hasn't appeared in the store after this long was not written, in milliseconds. */
@@ -42,6 +41,11 @@
     private readonly lastRunners = new LRUCache<string, string>({ max: MAX_LAST_RUNNERS });
     private hasLoaded = false;
 
+    /**
+     * @param getInstanceCount - Returns the number of instances, on which it depends how often they report.
+     */
+    constructor(private readonly getInstanceCount: () => number) {}
+
     /** Whether the jobs have been read from the store. */
     get isLoaded(): boolean {
         return this.hasLoaded;
@@ -98,7 +102,7 @@
                 continue;
             }
             const isRunElsewhere = entry.runner !== undefined && entry.runner !== instanceId
-                && entry.runner !== handedOverBy && nowMs - entry.reportedAtMs < UNCLAIMED_MS;
+                && entry.runner !== handedOverBy && nowMs - entry.reportedAtMs < this.unclaimedMs;
             if (isRunElsewhere) {
                 taken.push(jobId);
                 continue;
@@ -122,7 +126,7 @@
         const nowMs = performance.now();
         const assigned: string[] = [];
         for (const [jobId, entry] of this.jobs) {
-            const isUnclaimed = nowMs - entry.reportedAtMs > UNCLAIMED_MS;
+            const isUnclaimed = nowMs - entry.reportedAtMs > this.unclaimedMs;
             const isAssigned = entry.assignedTo !== undefined && nowMs - entry.assignedAtMs < ASSIGNMENT_MS;
             if (!isUnclaimed || (isAssigned && entry.assignedTo !== instanceId)) {
                 continue;
@@ -163,7 +167,7 @@
         if (entry === undefined) {
             return this.lastRunners.get(jobId);
         }
-        return performance.now() - entry.reportedAtMs < UNCLAIMED_MS ? entry.runner : undefined;
+        return performance.now() - entry.reportedAtMs < this.unclaimedMs ? entry.runner : undefined;
     }
 
     /** @returns Number of open jobs. */
@@ -171,6 +175,11 @@
         return this.jobs.size;
     }
 
+    /** A job that no instance reports for this long is assigned to one, in milliseconds. */
+    private get unclaimedMs(): number {
+        return getUnclaimedMs(this.getInstanceCount());
+    }
+
     /** Keeps the last runner of an ended job, which still has its results available for readers. */
     private recordEnd(jobId: string): void {
         const runner = this.jobs.get(jobId)?.runner;
--- a/packages/gateway/src/coordinatorRole.ts
+++ b/packages/gateway/src/coordinatorRole.ts
@@ -55,6 +55,7 @@
         const { rpc, store, self, view, newSyncRequest, onSyncReply, onChange } = deps;
         this.link = new CoordinatorLink("coordinator", METHODS.sync, rpc, {
             newSyncRequest,
+            getFollowerCount: () => view.members.length,
             onSyncReply,
             onConnectionChange: onChange,
             onProcessEnded: incarnation => this.lease.markHolderEnded(incarnation),
--- a/packages/gateway/src/deputyRole.ts
+++ b/packages/gateway/src/deputyRole.ts
@@ -53,6 +53,7 @@
         this.scope = new DataCentreScope(view, self.dataCentre);
         this.link = new CoordinatorLink("deputy", METHODS.deputySync, rpc, {
             newSyncRequest,
+            getFollowerCount: () => this.scope.getMembers().length,
             onSyncReply,
             onConnectionChange: onChange,
             onProcessEnded: () => undefined,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import {
     type Announcement,
     FleetView,
+    getMaxReplyAgeMs,
     type MemberEntry,
     METHODS,
     PlacementClient,
@@ -37,13 +38,13 @@
 const MAX_CONFIG_AGE_MS = 2_200;
 /** No new runs of batch items start while the knowledge of closed jobs is older than this. */
 const MAX_JOB_STATE_AGE_MS = 2_000;
-/** Without an update from the coordinator for this long, another instance may have taken over jobs of this one. */
-const MAX_COORDINATOR_UPDATE_AGE_MS = 900;
 /** After the contact to the coordinator is lost, the deputy takes over the updates within this time. */
 const UPDATE_HANDOVER_MS = 500;
 const CHECK_INTERVAL_MS = 200;
 const JOB_SYNC_INTERVAL_MS = 500;
 const LEASE_START_DELAY_MS = 500;
+/** On the first start of the fleet, instances other than seeds get the state from others within this time. */
+const FIRST_STATE_WAIT_MS = 1_500;
 const SWEEP_INTERVAL_MS = 3_000;
 const STATUS_INTERVAL_MS = 10_000;
 /** Time after the request to stop during which the load balancer may still send new connections. */
@@ -72,6 +73,7 @@
     private wasRegistered = false;
     private wasCoordinatorKnown = false;
     private lastUpdatedAtMs = -Infinity;
+    private readStoreAfterMs = -Infinity;
     /** Promise to the coordinator that replied last. */
     private promise: TakeoverPromise | undefined;
     private readonly metrics: GatewayMetrics;
@@ -199,7 +201,7 @@
             rpc,
             getMembers,
             self: this.self,
-            isSoleRunner: () => lease.isHolder || link.lastReplyAgeMs < MAX_COORDINATOR_UPDATE_AGE_MS,
+            isSoleRunner: () => lease.isHolder || link.lastReplyAgeMs < getMaxReplyAgeMs(view.members.length),
         });
         this.ingress = new Ingress({
             admission,
@@ -280,10 +282,14 @@
         await this.ingress.listen(settings.callers.host, settings.callers.port);
         await serveReadiness(settings.readiness, this.deps.wire.readinessPath, () => this.isReady);
         logger.info({ event: "started", incarnation: this.self.incarnation });
-        this.feed.setScope("essentials");
+        const waitsForOthers = this.settings.isFirstStart && !this.isSeed;
+        this.readStoreAfterMs = waitsForOthers ? performance.now() + FIRST_STATE_WAIT_MS : -Infinity;
+        this.runChecks();
         void this.statePoller.run();
-        void this.register().then(() => this.feed.readMembers());
-        this.role.lease.start(this.getLeaseStartDelayMs());
+        void this.register()
+            .then(() => sleep(waitsForOthers ? FIRST_STATE_WAIT_MS : 0))
+            .then(() => this.view.members.length === 0 ? this.feed.readMembers() : undefined);
+        this.role.lease.start(waitsForOthers ? LEASE_START_DELAY_MS * (1 + Math.random()) : 0);
         this.timers = [
             setInterval(() => this.runChecks(), CHECK_INTERVAL_MS),
             setInterval(() => this.syncOwnJobs(), JOB_SYNC_INTERVAL_MS),
@@ -334,13 +340,11 @@
     }
 
     /**
-     * On the first start of the fleet, instances other than seeds wait, so that one of the seeds becomes coordinator and
-     * the others learn of it.
+     * Whether others know this instance from the start. On the first start of the fleet, the others wait, so that a seed
+     * becomes coordinator and the others learn of it and get the state from it.
      */
-    private getLeaseStartDelayMs(): number {
-        const { seeds, isFirstStart } = this.settings;
-        const isSeed = seeds.some(seed => this.statePoller.isOwnAddress(seed));
-        return isFirstStart && !isSeed ? LEASE_START_DELAY_MS * (1 + Math.random()) : 0;
+    private get isSeed(): boolean {
+        return this.settings.seeds.some(seed => this.statePoller.isOwnAddress(seed));
     }
 
     /** Whether this instance lacks state that other instances may have. */
@@ -419,8 +423,9 @@
         }
         const isUpdated = performance.now() - this.lastUpdatedAtMs < UPDATE_HANDOVER_MS &&
             this.view.getConfigAgeMs() < MAX_CONFIG_AGE_MS;
+        const readsNothing = isUpdated || performance.now() < this.readStoreAfterMs;
         this.feed.setScope(
-            this.role.localCoordinator !== undefined ? "everything" : isUpdated ? "nothing" : "essentials",
+            this.role.localCoordinator !== undefined ? "everything" : readsNothing ? "nothing" : "essentials",
         );
         this.view.dropLapsedEndpoints();
         this.role.releaseLeaseIfUnfit();
