Read the store less while it is down, and give the lease up to an instance that reaches it

Change: an instance that follows another retries its own read of the configuration every 2.5 s; deputies start to read at an age of 2.2 s, others at 3 s; own jobs are checked every 1.2 s in fallback mode. Since a coordinator now keeps its lease while the store refuses only it, followers report that they have read from the store themselves; it then gives the lease up to one of them (test).

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -202,10 +202,10 @@
         return coldRatePerS * this.getEndpointShare(entry).coldRateFraction;
     }
 
-    private recordSync({ member, promise, places }: SyncRequest): void {
+    private recordSync({ member, promise, isStoreReachable, places }: SyncRequest): void {
         const { instanceId } = member;
         const promisedAtStamp = promise?.epoch === this.epoch ? promise.stamp : undefined;
-        if (this.heartbeats.recordHeartbeat(member, promisedAtStamp)) {
+        if (this.heartbeats.recordHeartbeat(member, promisedAtStamp, isStoreReachable === true)) {
             this.releasePlacesOf(instanceId, "its process restarted");
         }
         if (places !== undefined) {
--- a/packages/fleet/src/heartbeatMonitor.ts
+++ b/packages/fleet/src/heartbeatMonitor.ts
@@ -18,6 +18,7 @@
     readonly receivedAt: Timestamp;
     /** When the reply was sent with which the promise not to take the lease over began. */
     readonly promisedAt: Timestamp | undefined;
+    readonly isStoreReachable: boolean;
 }
 
 /** Tracks heartbeats of the registered instances for a coordinator, and which instances are live or silent. */
@@ -49,12 +50,17 @@
     /**
      * @param member - The instance that sent a heartbeat.
      * @param promisedAtStamp - Stamp of the reply with which its promise not to take the lease over began.
+     * @param isStoreReachable - Whether it has read from the store itself recently.
      * @returns Whether its process has restarted since its last heartbeat.
      */
-    recordHeartbeat({ instanceId, incarnation }: MemberEntry, promisedAtStamp: number | undefined): boolean {
+    recordHeartbeat(
+        { instanceId, incarnation }: MemberEntry,
+        promisedAtStamp: number | undefined,
+        isStoreReachable: boolean,
+    ): boolean {
         const before = this.heartbeats.get(instanceId);
         const promisedAt = promisedAtStamp === undefined ? undefined : this.stampTimes.get(promisedAtStamp);
-        this.heartbeats.set(instanceId, { incarnation, receivedAt: newTimestamp(), promisedAt });
+        this.heartbeats.set(instanceId, { incarnation, receivedAt: newTimestamp(), promisedAt, isStoreReachable });
         return before !== undefined && before.incarnation !== incarnation;
     }
 
@@ -86,12 +92,13 @@
 
     /**
      * Whether no other instance takes the lease over although it has expired, because all have promised so. A promise
-     * counts from when the reply was sent that it answers, so it never lasts longer here than at the other instance.
+     * counts from when the reply was sent that it answers, so it never lasts longer here than at the other instance. If
+     * another instance reaches the store, it should be the coordinator instead, since this one can't renew its lease.
      */
     isTakeoverImpossible(): boolean {
         return this.getOthers().every(({ instanceId }) => {
-            const promisedAt = this.heartbeats.get(instanceId)?.promisedAt;
-            return promisedAt !== undefined && getElapsedMs(promisedAt) < TAKEOVER_PROMISE_MS;
+            const { promisedAt, isStoreReachable = true } = this.heartbeats.get(instanceId) ?? {};
+            return !isStoreReachable && promisedAt !== undefined && getElapsedMs(promisedAt) < TAKEOVER_PROMISE_MS;
         });
     }
 
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -36,6 +36,8 @@
     readonly places: readonly PlaceSummary[] | undefined;
     readonly jobs: readonly JobProgress[];
     readonly isStoreFailing: boolean;
+    /** Whether the instance itself has read from the store recently; absent from instances of earlier releases. */
+    readonly isStoreReachable?: boolean;
     /** Promise not to take the lease over; absent until a coordinator has replied. */
     readonly promise?: TakeoverPromise | undefined;
     /** How long the reply may be held back while there is no update. */
--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -1,4 +1,4 @@
-import type { Logger } from "@heatherline/common";
+import { type Logger, withJitter } from "@heatherline/common";
 import type { ObjectStore, StoredObject } from "@heatherline/store";
 import type { Result } from "neverthrow";
 import type { FleetView } from "./fleetView";
@@ -52,6 +52,9 @@
 /** Retry delay of parked feeds, which wait for the configuration feed to find the store up again, in milliseconds. */
 const PARKED_RETRY_MS = 6_000;
 
+/** Retry delay of an instance that another one sends the state, while neither reaches the store; in milliseconds. */
+const FOLLOWER_RETRY_MS = 2_500;
+
 /** How much an instance reads from the store itself, rather than from the coordinator's updates. */
 export type FeedScope = "nothing" | "essentials" | "everything";
 
@@ -69,6 +72,7 @@
      * @param schema - How the platform stores its objects.
      * @param view - Fleet view to update.
      * @param listeners - Receive objects that only the coordinator handles.
+     * @param isFollower - Whether another instance sends this one the state as soon as it reaches the store.
      * @param logger - Log of the instance.
      */
     constructor(
@@ -79,6 +83,7 @@
             readonly onRetirements: (names: readonly string[]) => void;
             readonly onJobs: (objects: ReadonlyMap<string, StoredObject>) => void;
         },
+        isFollower: () => boolean,
         private readonly logger: Logger,
     ) {
         const newFeed = (
@@ -98,8 +103,10 @@
             },
             getRetryDelayMs,
         }, logger);
+        const getConfigRetryMs = (failures: number) =>
+            isFollower() ? withJitter(FOLLOWER_RETRY_MS) : getBackoffMs(failures);
         this.essentialFeeds = [
-            newFeed(schema.configKind, CONFIG_WATCH_MS, reading => this.applyConfig(reading), 0, getBackoffMs),
+            newFeed(schema.configKind, CONFIG_WATCH_MS, reading => this.applyConfig(reading), 0, getConfigRetryMs),
             newFeed(
                 schema.endpointKind,
                 ENDPOINT_WATCH_MS,
@@ -147,6 +154,11 @@
         }
     }
 
+    /** Whether this instance itself has read from the store recently. */
+    get isStoreReachable(): boolean {
+        return !this.isStoreFailing && performance.now() - this.lastReadAtMs < STORE_DOWN_MS;
+    }
+
     /** Whether the last call to the store failed. */
     get isStoreFailing(): boolean {
         return this.lastFailureAtMs > this.lastReadAtMs;
--- a/packages/fleet/tests/stateFeed.test.ts
+++ b/packages/fleet/tests/stateFeed.test.ts
@@ -75,7 +75,7 @@
     store = new CountingStore();
     view = new FleetView(RENEWAL_MS);
     const listeners = { onRetirements: () => undefined, onJobs: () => undefined };
-    feed = new StateFeed(store, schema, view, listeners, newLogger("test", "fatal"));
+    feed = new StateFeed(store, schema, view, listeners, () => false, newLogger("test", "fatal"));
     feed.setScope("essentials");
     await vi.advanceTimersByTimeAsync(3_000);
 });
--- a/packages/fleet/tests/takeoverPromise.property.test.ts
+++ b/packages/fleet/tests/takeoverPromise.property.test.ts
@@ -18,6 +18,8 @@
 /** One instance: its lease, its path to the store and, while it holds the lease, its view of the others' promises. */
 class SimulatedInstance {
     isStoreDown = false;
+    /** Whether the instance reads from the store itself, as it does once the coordinator's updates are old. */
+    readsStore = false;
     linkDelayMs = LINK_DELAY_MS;
     readonly lease: CoordinatorLease;
     private monitor: HeartbeatMonitor | undefined;
@@ -59,7 +61,9 @@
         const { promise } = this;
         await sleep(this.linkDelayMs);
         const { epoch } = holder.lease;
-        const stamp = holder.lease.isHolder ? holder.receive(this.self, promise) : undefined;
+        const stamp = holder.lease.isHolder
+            ? holder.receive(this.self, promise, this.readsStore && !this.isStoreDown)
+            : undefined;
         await sleep(this.linkDelayMs);
         if (stamp !== undefined) {
             this.lease.promise();
@@ -67,9 +71,13 @@
         }
     }
 
-    private receive(member: MemberEntry, promise: TakeoverPromise | undefined): number | undefined {
+    private receive(
+        member: MemberEntry,
+        promise: TakeoverPromise | undefined,
+        isStoreReachable: boolean,
+    ): number | undefined {
         const stamp = promise?.epoch === this.lease.epoch ? promise.stamp : undefined;
-        this.monitor?.recordHeartbeat(member, stamp);
+        this.monitor?.recordHeartbeat(member, stamp, isStoreReachable);
         return this.monitor?.newStamp();
     }
 }
@@ -143,6 +151,21 @@
         },
     );
 
+    it("is taken over when the coordinator can't renew it and another instance reads from the store", async () => {
+        const instances = startFleet();
+        await run(instances, SETTLE_MS);
+        const [holder] = getHolders(instances);
+        (holder as SimulatedInstance).isStoreDown = true;
+        await run(instances, SETTLE_MS);
+        expect(getHolders(instances)).toEqual([holder]);
+        instances.forEach(instance => instance.readsStore = true);
+        await run(instances, SETTLE_MS);
+        const [successor] = getHolders(instances);
+        expect(successor).toBeDefined();
+        expect(successor).not.toBe(holder);
+        await stop(instances);
+    });
+
     it("is taken over when the coordinator can't renew it and reaches not all others", async () => {
         const instances = startFleet();
         await run(instances, SETTLE_MS);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,14 +34,18 @@
 import { StartupGate } from "./startupGate";
 import { Sweeper } from "./sweeper";
 
-/** Highest age of the configuration at which an instance relies on the coordinator's updates alone. */
-const MAX_CONFIG_AGE_MS = 2_200;
+/** Highest age of the configuration at which a deputy relies on the coordinator's updates alone. */
+const MAX_DEPUTY_CONFIG_AGE_MS = 2_200;
+/** The same for other instances, which get the configuration from the coordinator or deputy that has read it. */
+const MAX_CONFIG_AGE_MS = 3_000;
 /** No new runs of batch items start while the knowledge of closed jobs is older than this. */
 const MAX_JOB_STATE_AGE_MS = 2_000;
 /** After the contact to the coordinator is lost, the deputy takes over the updates within this time. */
 const UPDATE_HANDOVER_MS = 500;
 const CHECK_INTERVAL_MS = 200;
 const JOB_SYNC_INTERVAL_MS = 500;
+/** How often each own job is read in fallback mode to learn whether it is closed. */
+const CLOSED_JOBS_CHECK_MS = 1_200;
 const LEASE_START_DELAY_MS = 500;
 /** On the first start of the fleet, instances other than seeds get the state from others within this time. */
 const FIRST_STATE_WAIT_MS = 1_500;
@@ -74,6 +78,7 @@
     private wasCoordinatorKnown = false;
     private lastUpdatedAtMs = -Infinity;
     private readStoreAfterMs = -Infinity;
+    private closedJobsCheckedAtMs = -Infinity;
     /** Promise to the coordinator that replied last. */
     private promise: TakeoverPromise | undefined;
     private readonly metrics: GatewayMetrics;
@@ -102,13 +107,20 @@
         this.admission = new Admission(view, settings.revokeMs);
         this.rpc = new RpcPeerTransport(() => undefined, "");
         this.retirement = new RetirementAcknowledger(schema, deps.putStatus, logger);
-        this.feed = new StateFeed(store, schema, view, {
-            onRetirements: names => this.retirement.setRequested(names),
-            onJobs: objects => {
-                this.role.localCoordinator?.updateJobs(objects);
-                this.sweeper.setJobs(objects);
+        this.feed = new StateFeed(
+            store,
+            schema,
+            view,
+            {
+                onRetirements: names => this.retirement.setRequested(names),
+                onJobs: objects => {
+                    this.role.localCoordinator?.updateJobs(objects);
+                    this.sweeper.setJobs(objects);
+                },
             },
-        }, logger);
+            () => this.isFollower,
+            logger,
+        );
         const getRegion = (dataCentre: string) => this.settings.regions[dataCentre] ?? dataCentre;
         this.role = new CoordinatorRole({
             self: this.self,
@@ -347,6 +359,11 @@
         return this.settings.seeds.some(seed => this.statePoller.isOwnAddress(seed));
     }
 
+    /** Whether the coordinator or a deputy sends this instance the state. */
+    private get isFollower(): boolean {
+        return (this.role.link.coordinator ?? this.deputy.link.coordinator) !== undefined;
+    }
+
     /** Whether this instance lacks state that other instances may have. */
     private get isStateIncomplete(): boolean {
         return !this.role.isCoordinatorKnown || !this.admission.isConfigFresh || this.view.getEndpoints().length === 0;
@@ -364,6 +381,7 @@
             places: isFull ? this.placement.getPlaces() : undefined,
             jobs: this.runner.getProgress(),
             isStoreFailing: this.feed.isStoreFailing,
+            isStoreReachable: this.feed.isStoreReachable,
             promise: this.promise,
             waitMs,
         };
@@ -418,11 +436,12 @@
             return;
         }
         this.updateDeputy();
-        if ((this.role.link.coordinator ?? this.deputy.link.coordinator) !== undefined) {
+        if (this.isFollower) {
             this.lastUpdatedAtMs = performance.now();
         }
+        const isDeputy = this.view.fallbackShares.getDeputy(this.self.dataCentre)?.instanceId === this.self.instanceId;
         const isUpdated = performance.now() - this.lastUpdatedAtMs < UPDATE_HANDOVER_MS &&
-            this.view.getConfigAgeMs() < MAX_CONFIG_AGE_MS;
+            this.view.getConfigAgeMs() < (isDeputy ? MAX_DEPUTY_CONFIG_AGE_MS : MAX_CONFIG_AGE_MS);
         const readsNothing = isUpdated || performance.now() < this.readStoreAfterMs;
         this.feed.setScope(
             this.role.localCoordinator !== undefined ? "everything" : readsNothing ? "nothing" : "essentials",
@@ -492,7 +511,8 @@
                 void this.runner.adopt(jobId);
             }
         }
-        if (this.placement.isInFallbackMode) {
+        if (this.placement.isInFallbackMode && performance.now() - this.closedJobsCheckedAtMs > CLOSED_JOBS_CHECK_MS) {
+            this.closedJobsCheckedAtMs = performance.now();
             void this.runner.stopClosedJobs(this.runner.getActiveJobIds());
         }
     }
