Cut off endpoints, the store and other instances that send bytes without end

Endless informational heads and chunk sizes ended only with the deadline, bodies that are not needed were read to their end, and 8 MB were buffered for each of any number of responses. Only an event with content shows that a stream goes on.

--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -6,6 +6,8 @@
 
 /** Endpoints in the same region accept a connection within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 250;
+/** Informational heads (1xx) before a response; endpoints send one at most. */
+const MAX_INFORMATIONAL_HEADS = 8;
 
 /** One request to one endpoint. */
 export interface EndpointRequest {
@@ -120,6 +122,16 @@
             request.on("error", (error: NodeJS.ErrnoException) => {
                 resolve(err(toFailure(error, isConnected, signal.aborted)));
             });
+            let informationalHeads = 0;
+            const onInformational = () => {
+                informationalHeads += 1;
+                if (informationalHeads === MAX_INFORMATIONAL_HEADS) {
+                    request.destroy(
+                        Object.assign(new Error("too many informational heads"), { code: "HPE_INFORMATION" }),
+                    );
+                }
+            };
+            request.on("information", onInformational);
             request.on("response", incoming => resolve(this.toResponse(endpointRequest, incoming)));
             request.end(endpointRequest.body);
         });
--- a/packages/gateway/src/eventStreamParser.ts
+++ b/packages/gateway/src/eventStreamParser.ts
@@ -5,37 +5,74 @@
     readonly eventId: number | undefined;
 }
 
+/** An event holds some tokens; one that is longer than this is no event. */
+const MAX_EVENT_BYTES = 1_048_576;
+/** The end of an event, a blank line, takes three bytes at most after the line feed before it. */
+const MAX_END_BYTES = 3;
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 
 /** Splits a stream of server-sent events into complete events. */
 export class EventStreamParser {
-    private remainder: Buffer = Buffer.alloc(0);
+    /** Bytes after the last complete event. */
+    private chunks: Buffer[] = [];
+    private sizeBytes = 0;
 
     /**
      * Adds bytes of the stream.
      *
      * @param chunk - The next bytes.
      * @returns The events that these bytes complete.
+     * @throws Error if an event doesn't end within `MAX_EVENT_BYTES`.
      */
     parse(chunk: Buffer): StreamEvent[] {
-        this.remainder = this.remainder.length === 0 ? chunk : Buffer.concat([this.remainder, chunk]);
-        const events: StreamEvent[] = [];
-        for (;;) {
-            const end = findEventEnd(this.remainder);
-            if (end < 0) {
-                return events;
-            }
-            const bytes = this.remainder.subarray(0, end);
-            this.remainder = this.remainder.subarray(end);
-            events.push({ bytes, eventId: readEventId(bytes) });
+        const mayContainEnd = this.chunks.length === 0 || findEventEnd(this.getTailWith(chunk)) >= 0;
+        this.chunks.push(chunk);
+        this.sizeBytes += chunk.length;
+        const events = mayContainEnd ? this.takeEvents() : [];
+        if (this.sizeBytes > MAX_EVENT_BYTES) {
+            throw new Error(`an event of more than ${MAX_EVENT_BYTES} bytes`);
         }
+        return events;
     }
 
     /** @returns The bytes after the last complete event. */
     getRemainder(): Buffer {
-        return this.remainder;
+        return Buffer.concat(this.chunks);
+    }
+
+    /** The chunk with the bytes before it that may belong to the end of an event. */
+    private getTailWith(chunk: Buffer): Buffer {
+        const tail: Buffer[] = [chunk];
+        let missing = MAX_END_BYTES;
+        for (let index = this.chunks.length - 1; index >= 0 && missing > 0; index -= 1) {
+            const part = (this.chunks[index] as Buffer).subarray(-missing);
+            tail.unshift(part);
+            missing -= part.length;
+        }
+        return Buffer.concat(tail);
     }
+
+    private takeEvents(): StreamEvent[] {
+        const events: StreamEvent[] = [];
+        let rest = this.getRemainder();
+        for (let end = findEventEnd(rest); end >= 0; end = findEventEnd(rest)) {
+            const bytes = rest.subarray(0, end);
+            rest = rest.subarray(end);
+            events.push({ bytes, eventId: readEventId(bytes) });
+        }
+        this.chunks = rest.length === 0 ? [] : [rest];
+        this.sizeBytes = rest.length;
+        return events;
+    }
+}
+
+/**
+ * @param event - An event.
+ * @returns Whether it carries anything; comments and blank lines don't.
+ */
+export function hasContent({ bytes, eventId }: StreamEvent): boolean {
+    return eventId !== undefined || bytes.includes("data:");
 }
 
 /**
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -1,7 +1,9 @@
 import { sleep } from "@heatherline/common";
 import { type HeldPlace, pickService, type PlacementClient, type RequestEnd, type Route } from "@heatherline/fleet";
+import type http from "node:http";
+import { discardBody, readChunks } from "./bodyReader";
 import type { EndpointClient } from "./endpointClient";
-import { EventStreamParser, getEventData } from "./eventStreamParser";
+import { EventStreamParser, getEventData, hasContent } from "./eventStreamParser";
 import type { ItemDurationEstimator } from "./itemDurationEstimator";
 import type { ItemPlacementQueue } from "./itemPlacementQueue";
 import type { JobItem } from "./jobStore";
@@ -248,7 +250,7 @@
             }
             const { status, head, incoming } = result.value;
             if (status !== 200 || !head.isSigned) {
-                incoming.resume();
+                discardBody(incoming);
                 return toErrorEnd(status, head.isNotExecuted);
             }
             const isComplete = await this.readEvents(incoming, silenceTimer);
@@ -271,14 +273,16 @@
      * @returns Whether the response is complete.
      */
     private async readEvents(
-        incoming: AsyncIterable<Buffer> & { readonly complete: boolean; destroy(): unknown; },
+        incoming: http.IncomingMessage,
         silenceTimer: NodeJS.Timeout,
     ): Promise<boolean> {
         const parser = new EventStreamParser();
         try {
-            for await (const chunk of incoming) {
-                silenceTimer.refresh();
+            for await (const chunk of readChunks(incoming)) {
                 for (const event of parser.parse(chunk)) {
+                    if (hasContent(event)) {
+                        silenceTimer.refresh();
+                    }
                     if (event.eventId === undefined || event.eventId > (this.lastEventId ?? -1)) {
                         this.lastEventId = event.eventId ?? this.lastEventId;
                         this.data.push(getEventData(event));
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -3,11 +3,12 @@
 import type { Result } from "neverthrow";
 import type http from "node:http";
 import type { Admission, AdmittedRequest } from "./admission";
+import { discardBody, readFullBody } from "./bodyReader";
 import type { CallerResponse } from "./callerResponse";
 import { type EndpointClient, type EndpointResponse, type SendFailure } from "./endpointClient";
 import type { GatewayMetrics } from "./metrics";
 import { newRefusal, type Refusal } from "./refusal";
-import { readFullBody, StreamRelay } from "./responseRelay";
+import { StreamRelay } from "./responseRelay";
 import { type AttemptEnd, isRetryable, RetryPolicy } from "./retryPolicy";
 import type { CallerRequestHead, WireCodec } from "./wireCodec";
 
@@ -312,7 +313,7 @@
         }
         const { status, head, incoming } = result.value;
         if (head.isNotExecuted || status === 421) {
-            incoming.resume();
+            discardBody(incoming);
             return { kind: "ended", end: "rejected", reason: `status ${status}` };
         }
         if (this.admitted.route.kind === "streaming" && status === 200) {
--- a/packages/gateway/src/responseRelay.ts
+++ b/packages/gateway/src/responseRelay.ts
@@ -1,9 +1,7 @@
+import { readChunks } from "./bodyReader";
 import type { CallerResponse } from "./callerResponse";
 import type { EndpointResponse } from "./endpointClient";
-import { EventStreamParser } from "./eventStreamParser";
-
-/** Limit of non-streaming response bodies, which are buffered in memory. */
-const MAX_BODY_BYTES = 8_388_608;
+import { EventStreamParser, hasContent } from "./eventStreamParser";
 
 /** How relaying one endpoint's response ended. */
 export type RelayOutcome =
@@ -54,15 +52,18 @@
     async relay({ status, incoming }: EndpointResponse): Promise<RelayOutcome> {
         const parser = new EventStreamParser();
         try {
-            for await (const chunk of incoming as AsyncIterable<Buffer>) {
-                for (const { bytes, eventId } of parser.parse(chunk)) {
+            for await (const chunk of readChunks(incoming)) {
+                for (const event of parser.parse(chunk)) {
+                    const { bytes, eventId } = event;
                     if (eventId !== undefined && eventId <= (this.lastEventId ?? -1)) {
                         continue;
                     }
                     this.startIfNeeded(status, incoming.rawHeaders);
-                    this.relayedEvents += 1;
-                    this.lastEventAtMs = performance.now();
-                    this.onEvent();
+                    if (hasContent(event)) {
+                        this.relayedEvents += 1;
+                        this.lastEventAtMs = performance.now();
+                        this.onEvent();
+                    }
                     this.lastEventId = eventId ?? this.lastEventId;
                     const drained = this.response.write(bytes);
                     if (drained !== undefined) {
@@ -94,28 +95,3 @@
         }
     }
 }
-
-/**
- * Reads the body of a non-streaming response.
- *
- * @param upstream - The endpoint's response.
- * @returns The body, or `undefined` if it is incomplete or too large.
- */
-export async function readFullBody({ incoming }: EndpointResponse): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    try {
-        for await (const chunk of incoming as AsyncIterable<Buffer>) {
-            chunks.push(chunk);
-            sizeBytes += chunk.length;
-            if (sizeBytes > MAX_BODY_BYTES) {
-                return undefined;
-            }
-        }
-    }
-    catch {
-        // An aborted connection is reported like a response that ended early.
-        return undefined;
-    }
-    return incoming.complete ? Buffer.concat(chunks) : undefined;
-}
--- a/packages/store/src/httpCall.ts
+++ b/packages/store/src/httpCall.ts
@@ -1,6 +1,9 @@
 import { err, ok, type Result } from "neverthrow";
 import http from "node:http";
 
+/** Limit of a response; the platform's store and other instances send a few megabytes at most. */
+const MAX_REPLY_BYTES = 16_777_216;
+
 /** An HTTP request whose body is in memory. */
 export interface HttpCall {
     readonly url: URL;
@@ -66,7 +69,15 @@
         request.on("error", fail);
         request.on("response", response => {
             const chunks: Buffer[] = [];
-            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            let sizeBytes = 0;
+            response.on("data", (chunk: Buffer) => {
+                sizeBytes += chunk.length;
+                if (sizeBytes > MAX_REPLY_BYTES) {
+                    fail(new Error(`a response of more than ${MAX_REPLY_BYTES} bytes`));
+                    return;
+                }
+                chunks.push(chunk);
+            });
             response.on("error", fail);
             response.on("end", () => {
                 clearTimeout(timer);
--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -10,6 +10,8 @@
     | "BREAK"
     /** Sends some events, then nothing more, and leaves the connection open. */
     | "STALL"
+    /** Sends some events, then a byte of the next one now and then, without end. */
+    | "DRIBBLE"
     /** Responds 503 with the header `Not-Executed`: it did not run the request. */
     | "FULL"
     /** Responds 500. */
@@ -47,6 +49,7 @@
 
 const DEFAULT_EVENT_COUNT = 6;
 const DEFAULT_EVENT_GAP_MS = 10;
+const DRIBBLE_GAP_MS = 100;
 
 /** Ids of all requests that any engine has received; a repeated id gets no fault unless the body says `ALWAYS`. */
 const receivedRequestIds = new Set<string>();
@@ -176,6 +179,10 @@
             if (faultText.includes("STALL") && eventId === firstEventId + 2) {
                 return;
             }
+            if (faultText.includes("DRIBBLE") && eventId === firstEventId + 2) {
+                await dribble(response);
+                return;
+            }
             response.write(`id: ${eventId}\ndata: event ${eventId} of ${entry.requestId}\n\n`);
             entry.events += 1;
             await sleep(this.options.eventGapMs ?? DEFAULT_EVENT_GAP_MS);
@@ -183,3 +190,11 @@
         response.end();
     }
 }
+
+async function dribble(response: http.ServerResponse): Promise<void> {
+    response.write("data: ");
+    while (!response.destroyed) {
+        await sleep(DRIBBLE_GAP_MS);
+        response.write("x");
+    }
+}
