--- a/packages/gateway/src/jobStore.ts
+++ b/packages/gateway/src/jobStore.ts
@@ -12,6 +12,8 @@
 /** A create without a response is sent a second time after this delay; it is conditional, so it takes effect once. */
 const HEDGE_DELAY_MS = 350;
 const RETRY_DELAY_MS = 120;
+/** Each failure doubles the delay before the next try, up to this one. */
+const MAX_RETRY_DELAY_MS = 1_000;
 const MAX_CLOSE_ATTEMPTS = 6;
 /** Jobs created by this instance whose object version is remembered. */
 const MAX_CREATED_JOBS = 1_000;
@@ -154,7 +156,7 @@
     ): Promise<WriteChunkOutcome | undefined> {
         const path = `${RESULT_KIND}/${jobId}.${index}`;
         const chunk: ResultChunk = { results, writeId: newId() };
-        while (!signal.aborted) {
+        for (let failures = 1; !signal.aborted; failures += 1) {
             const written = await this.createHedged(path, { ...chunk }, HEDGE_DELAY_MS);
             if (written.isOk()) {
                 return { kind: "written" };
@@ -166,7 +168,7 @@
                     return isOwn ? { kind: "written" } : { kind: "taken", chunk: existing.value };
                 }
             }
-            await sleep(RETRY_DELAY_MS, signal);
+            await sleep(getRetryDelayMs(failures), signal);
         }
         return undefined;
     }
@@ -246,16 +248,17 @@
         untilMs: number,
     ): Promise<Result<number | undefined, StoreError>> {
         let isUnknown = false;
-        for (;;) {
+        for (let failures = 1;; failures += 1) {
+            const retryDelayMs = getRetryDelayMs(failures);
             const written = await this.createHedged(path, value, HEDGE_DELAY_MS);
             if (written.isOk() || written.error.kind === "conflict") {
                 return ok(written.isOk() ? written.value : undefined);
             }
             isUnknown ||= written.error.kind === "unknown";
-            if (performance.now() + RETRY_DELAY_MS >= untilMs || written.error.kind === "rejected") {
+            if (performance.now() + retryDelayMs >= untilMs || written.error.kind === "rejected") {
                 return err(isUnknown ? new StoreError("unknown", written.error.message, written.error) : written.error);
             }
-            await sleep(RETRY_DELAY_MS);
+            await sleep(retryDelayMs);
         }
     }
 
@@ -318,3 +321,7 @@
     }
     return [...parts, part];
 }
+
+function getRetryDelayMs(failures: number): number {
+    return Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * 2 ** (failures - 1));
+}
