--- a/packages/fleet/src/tokenBuckets.ts
+++ b/packages/fleet/src/tokenBuckets.ts
@@ -14,6 +14,8 @@
 /** Token buckets for the rate limits of organisations. */
 export class TokenBuckets {
     private readonly buckets = new Map<string, Bucket>();
+    /** Tokens of buckets that were not used yet accrue since then. */
+    private startedAtMs = performance.now();
 
     /**
      * @param scaleBounds - Maps a fleet-wide rate limit to the one that these buckets enforce.
@@ -54,6 +56,7 @@
 
     /** Limits all buckets to the tokens that new ones start with, after a time in which others admitted requests. */
     restart(): void {
+        this.startedAtMs = performance.now();
         for (const bucket of this.buckets.values()) {
             bucket.tokens = Math.min(
                 this.refillBucket(bucket, bucket.bounds).tokens,
@@ -65,7 +68,7 @@
     private refill(organisation: string, bounds: RateBounds): Bucket {
         let bucket = this.buckets.get(organisation);
         if (bucket === undefined) {
-            bucket = { tokens: this.getInitialTokens(bounds), refilledAtMs: performance.now(), bounds };
+            bucket = { tokens: this.getInitialTokens(bounds), refilledAtMs: this.startedAtMs, bounds };
             this.buckets.set(organisation, bucket);
         }
         return this.refillBucket(bucket, bounds);
--- a/packages/fleet/tests/decisions.test.ts
+++ b/packages/fleet/tests/decisions.test.ts
@@ -191,6 +191,13 @@
         expect(buckets.take("alpha", bounds).isTaken).toBe(true);
     });
 
+    it("accrue before they are first used", () => {
+        const buckets = new TokenBuckets(same => same, () => 1);
+        vi.advanceTimersByTime(200);
+        const taken = [1, 2, 3, 4].map(() => buckets.take("alpha", { ratePerS: 10, burst: 20 }).isTaken);
+        expect(taken).toEqual([true, true, true, false]);
+    });
+
     it("have no more tokens after a restart than new ones, however long it took", () => {
         const buckets = new TokenBuckets(same => same, () => 2);
         buckets.take("alpha", bounds);
