Keep the places of live instances after the coordinator was blocked, and review once for all that return

That kept it blocked until its term expired; 128 instances lost it at once. Change: a review that comes late frees no places; instances that are heard again are counted by one review 20 ms later; the line has the count and ten ids.

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "@heatherline/common";
 import type { StoredObject } from "@heatherline/store";
+import { getElapsedMs, newTimestamp } from "./ageTracker";
 import type { CoordinatorScope } from "./coordinatorScope";
 import { CrashTracker } from "./crashTracker";
 import { Dispatcher } from "./dispatcher";
@@ -14,6 +15,12 @@
 /** A place younger than this may still be on its way to its instance, and is kept if not reported; in milliseconds. */
 const PLACE_IN_TRANSIT_MS = 1_200;
 const REVIEW_INTERVAL_MS = 150;
+/** A review that comes this much late shows that the process was blocked or suspended, in milliseconds. */
+const MAX_REVIEW_DELAY_MS = 150;
+/** Delay of a review after a silent instance is heard again, so that one review serves many, in milliseconds. */
+const RETURN_REVIEW_DELAY_MS = 20;
+/** Ids of silent instances in one log line. */
+const MAX_LOGGED_IDS = 10;
 
 /** What a coordinator may grant of one endpoint. */
 interface EndpointShare {
@@ -48,6 +55,8 @@
     private readonly crashTracker = new CrashTracker();
     private readonly outbox: SyncOutbox;
     private readonly reviewTimer: NodeJS.Timeout;
+    private returnTimer: NodeJS.Timeout | undefined;
+    private lastReviewAt = newTimestamp();
     /** By endpoint; cleared when endpoints, registered instances or silent instances change. */
     private readonly endpointShares = new Map<string, EndpointShare>();
 
@@ -73,6 +82,7 @@
     /** Stops deciding. Waiting requests are refused, so that their instances request the places elsewhere. */
     stop(): void {
         clearInterval(this.reviewTimer);
+        clearTimeout(this.returnTimer);
         this.dispatcher.refuseAll("the coordinator is stepping down");
         this.outbox.replyToAll();
     }
@@ -212,7 +222,7 @@
             this.reconcile(instanceId, places);
         }
         if (this.heartbeats.silentInstances.has(instanceId)) {
-            this.reviewInstances();
+            this.returnTimer ??= setTimeout(() => this.reviewReturned(), RETURN_REVIEW_DELAY_MS);
         }
     }
 
@@ -297,13 +307,30 @@
         ]);
     }
 
+    /** After this process was blocked, heartbeats that have arrived are read before places are given to others. */
     private reviewInstances(): void {
-        for (const instanceId of this.heartbeats.takeExpired()) {
+        const wasBlocked = getElapsedMs(this.lastReviewAt) > REVIEW_INTERVAL_MS + MAX_REVIEW_DELAY_MS;
+        this.lastReviewAt = newTimestamp();
+        for (const instanceId of wasBlocked ? [] : this.heartbeats.takeExpired()) {
             this.outbox.drop(instanceId);
             this.releasePlacesOf(instanceId, "it is silent");
         }
+        this.updateSilentInstances();
+    }
+
+    private reviewReturned(): void {
+        this.returnTimer = undefined;
+        this.updateSilentInstances();
+    }
+
+    private updateSilentInstances(): void {
         if (this.heartbeats.updateSilentInstances()) {
-            this.deps.logger.info({ event: "silent-instances", silent: [...this.heartbeats.silentInstances] });
+            const silent = [...this.heartbeats.silentInstances];
+            this.deps.logger.info({
+                event: "silent-instances",
+                count: silent.length,
+                silent: silent.slice(0, MAX_LOGGED_IDS),
+            });
             this.deps.scope.setSilentInstances(this.heartbeats.silentInstances);
             this.endpointShares.clear();
             this.dispatcher.dispatchAll();
