Give the lease up at its term unless another instance has seen the outage, too

The coordinator kept its lease by the others' promises until 26.76 s, when the first follower read the configuration itself at an age of 2.2 s. Versions acknowledged at 24.68 were not in force at 26.77. Change: beyond its term a coordinator keeps the lease only if another instance has found the store failing, and none has found it reachable. Sync replies say when the coordinator's own calls fail; deputies then check the store at once. All instances read the store themselves from an age of 2.2 s again.

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -212,10 +212,10 @@
         return coldRatePerS * this.getEndpointShare(entry).coldRateFraction;
     }
 
-    private recordSync({ member, promise, isStoreReachable, places }: SyncRequest): void {
+    private recordSync({ member, promise, storeCheck, places }: SyncRequest): void {
         const { instanceId } = member;
         const promisedAtStamp = promise?.epoch === this.epoch ? promise.stamp : undefined;
-        if (this.heartbeats.recordHeartbeat(member, promisedAtStamp, isStoreReachable === true)) {
+        if (this.heartbeats.recordHeartbeat(member, promisedAtStamp, storeCheck)) {
             this.releasePlacesOf(instanceId, "its process restarted");
         }
         if (places !== undefined) {
@@ -287,6 +287,7 @@
             epoch: this.epoch,
             leaseVersion: getLeaseVersion(),
             stamp: this.heartbeats.newStamp(),
+            isStoreFailing: this.deps.isStoreFailing(),
             news: view.newUpdateFor(known),
             calledBack,
             endedJobs: progress.closed,
--- a/packages/fleet/src/heartbeatMonitor.ts
+++ b/packages/fleet/src/heartbeatMonitor.ts
@@ -1,5 +1,6 @@
 import { getElapsedMs, newTimestamp, type Timestamp } from "./ageTracker";
 import { TAKEOVER_PROMISE_MS } from "./coordinatorLease";
+import type { StoreCheck } from "./messages";
 import { getPlaceExpiryMs, getSilenceTimeoutMs } from "./syncTiming";
 import type { MemberEntry } from "./types";
 
@@ -18,7 +19,7 @@
     readonly receivedAt: Timestamp;
     /** When the reply was sent with which the promise not to take the lease over began. */
     readonly promisedAt: Timestamp | undefined;
-    readonly isStoreReachable: boolean;
+    readonly storeCheck: StoreCheck | undefined;
 }
 
 /** Tracks heartbeats of the registered instances for a coordinator, and which instances are live or silent. */
@@ -50,17 +51,17 @@
     /**
      * @param member - The instance that sent a heartbeat.
      * @param promisedAtStamp - Stamp of the reply with which its promise not to take the lease over began.
-     * @param isStoreReachable - Whether it has read from the store itself recently.
+     * @param storeCheck - What its own reads have shown of the store recently.
      * @returns Whether its process has restarted since its last heartbeat.
      */
     recordHeartbeat(
         { instanceId, incarnation }: MemberEntry,
         promisedAtStamp: number | undefined,
-        isStoreReachable: boolean,
+        storeCheck: StoreCheck | undefined,
     ): boolean {
         const before = this.heartbeats.get(instanceId);
         const promisedAt = promisedAtStamp === undefined ? undefined : this.stampTimes.get(promisedAtStamp);
-        this.heartbeats.set(instanceId, { incarnation, receivedAt: newTimestamp(), promisedAt, isStoreReachable });
+        this.heartbeats.set(instanceId, { incarnation, receivedAt: newTimestamp(), promisedAt, storeCheck });
         return before !== undefined && before.incarnation !== incarnation;
     }
 
@@ -93,13 +94,17 @@
     /**
      * Whether no other instance takes the lease over although it has expired, because all have promised so. A promise
      * counts from when the reply was sent that it answers, so it never lasts longer here than at the other instance. If
-     * another instance reaches the store, it should be the coordinator instead, since this one can't renew its lease.
+     * another instance reaches the store, it should be the coordinator instead, since this one can neither renew its
+     * lease nor read the configuration; so at least one must have found that it doesn't reach the store either.
      */
     isTakeoverImpossible(): boolean {
-        return this.getOthers().every(({ instanceId }) => {
-            const { promisedAt, isStoreReachable = true } = this.heartbeats.get(instanceId) ?? {};
-            return !isStoreReachable && promisedAt !== undefined && getElapsedMs(promisedAt) < TAKEOVER_PROMISE_MS;
-        });
+        const heartbeats = this.getOthers().map(({ instanceId }) => this.heartbeats.get(instanceId));
+        return heartbeats.some(heartbeat => heartbeat?.storeCheck === "failing")
+            && heartbeats.every(heartbeat =>
+                heartbeat?.promisedAt !== undefined
+                && heartbeat.storeCheck !== "reachable"
+                && getElapsedMs(heartbeat.promisedAt) < TAKEOVER_PROMISE_MS
+            );
     }
 
     /** Whether most instances are silent although the store is reachable, so that one of them could take over. */
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -20,6 +20,9 @@
     callStore: "store.call",
 } as const;
 
+/** Result of an instance's own reads from the store. */
+export type StoreCheck = "reachable" | "failing";
+
 /** An instance's promise to a coordinator not to take the lease over for `TAKEOVER_PROMISE_MS` after a reply. */
 export interface TakeoverPromise {
     /** Epoch of the coordinator. */
@@ -36,8 +39,8 @@
     readonly places: readonly PlaceSummary[] | undefined;
     readonly jobs: readonly JobProgress[];
     readonly isStoreFailing: boolean;
-    /** Whether the instance itself has read from the store recently; absent from instances of earlier releases. */
-    readonly isStoreReachable?: boolean;
+    /** What the instance's own reads have shown of the store recently; absent if it has not read. */
+    readonly storeCheck?: StoreCheck | undefined;
     /** Promise not to take the lease over; absent until a coordinator has replied. */
     readonly promise?: TakeoverPromise | undefined;
     /** How long the reply may be held back while there is no update. */
@@ -54,6 +57,8 @@
         readonly leaseVersion: number;
         /** Number of the reply; absent from instances of earlier releases. */
         readonly stamp?: number;
+        /** Whether the coordinator's own calls to the store fail, so that deputies should check theirs. */
+        readonly isStoreFailing?: boolean;
         readonly news: FleetUpdate;
         /** Places of batch items that are preempted. */
         readonly calledBack: readonly string[];
--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -3,6 +3,7 @@
 import type { Result } from "neverthrow";
 import type { FleetView } from "./fleetView";
 import { KindFeed, type KindReading } from "./kindFeed";
+import type { StoreCheck } from "./messages";
 import type { EndpointEntry, MemberEntry, RoutingConfig } from "./types";
 
 /** How the platform stores the objects that this system reads. */
@@ -53,7 +54,7 @@
 const PARKED_RETRY_MS = 6_000;
 
 /** Retry delay of an instance that another one sends the state, while neither reaches the store; in milliseconds. */
-const FOLLOWER_RETRY_MS = 2_500;
+const FOLLOWER_RETRY_MS = 1_200;
 
 /** How much an instance reads from the store itself, rather than from the coordinator's updates. */
 export type FeedScope = "nothing" | "essentials" | "everything";
@@ -154,9 +155,11 @@
         }
     }
 
-    /** Whether this instance itself has read from the store recently. */
-    get isStoreReachable(): boolean {
-        return !this.isStoreFailing && performance.now() - this.lastReadAtMs < STORE_DOWN_MS;
+    /** What this instance's own reads have shown of the store recently; `undefined` if it has not read. */
+    get storeCheck(): StoreCheck | undefined {
+        const lastCallAtMs = Math.max(this.lastReadAtMs, this.lastFailureAtMs);
+        const isRecent = performance.now() - lastCallAtMs < STORE_DOWN_MS;
+        return isRecent ? this.isStoreFailing ? "failing" : "reachable" : undefined;
     }
 
     /** Whether the last call to the store failed. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,10 +34,8 @@
 import { StartupGate } from "./startupGate";
 import { Sweeper } from "./sweeper";
 
-/** Highest age of the configuration at which a deputy relies on the coordinator's updates alone. */
-const MAX_DEPUTY_CONFIG_AGE_MS = 2_200;
-/** The same for other instances, which get the configuration from the coordinator or deputy that has read it. */
-const MAX_CONFIG_AGE_MS = 3_000;
+/** Highest age of the configuration at which an instance relies on the coordinator's updates alone. */
+const MAX_CONFIG_AGE_MS = 2_200;
 /** No new runs of batch items start while the knowledge of closed jobs is older than this. */
 const MAX_JOB_STATE_AGE_MS = 2_000;
 /** After the contact to the coordinator is lost, the deputy takes over the updates within this time. */
@@ -79,6 +77,8 @@
     private lastUpdatedAtMs = -Infinity;
     private readStoreAfterMs = -Infinity;
     private closedJobsCheckedAtMs = -Infinity;
+    /** Whether the store calls of the coordinator that replied last fail. */
+    private isCoordinatorStoreFailing = false;
     /** Promise to the coordinator that replied last. */
     private promise: TakeoverPromise | undefined;
     private readonly metrics: GatewayMetrics;
@@ -381,7 +381,7 @@
             places: isFull ? this.placement.getPlaces() : undefined,
             jobs: this.runner.getProgress(),
             isStoreFailing: this.feed.isStoreFailing,
-            isStoreReachable: this.feed.isStoreReachable,
+            storeCheck: this.feed.storeCheck,
             promise: this.promise,
             waitMs,
         };
@@ -390,6 +390,7 @@
     private applySyncReply(reply: Extract<SyncReply, { kind: "news"; }>, transitMs: number): void {
         this.role.lease.recordHolder(reply.coordinator, reply.epoch, reply.leaseVersion);
         this.role.lease.promise();
+        this.isCoordinatorStoreFailing = reply.isStoreFailing === true;
         this.promise = reply.stamp === undefined ? undefined : { epoch: reply.epoch, stamp: reply.stamp };
         this.applyMessages(reply, transitMs);
         for (const jobId of reply.assignedJobs) {
@@ -441,7 +442,7 @@
         }
         const isDeputy = this.view.fallbackShares.getDeputy(this.self.dataCentre)?.instanceId === this.self.instanceId;
         const isUpdated = performance.now() - this.lastUpdatedAtMs < UPDATE_HANDOVER_MS &&
-            this.view.getConfigAgeMs() < (isDeputy ? MAX_DEPUTY_CONFIG_AGE_MS : MAX_CONFIG_AGE_MS);
+            this.view.getConfigAgeMs() < MAX_CONFIG_AGE_MS && !(isDeputy && this.isCoordinatorStoreFailing);
         const readsNothing = isUpdated || performance.now() < this.readStoreAfterMs;
         this.feed.setScope(
             this.role.localCoordinator !== undefined ? "everything" : readsNothing ? "nothing" : "essentials",
