Split the gateway: what it reads from the store, and the sync of its own jobs

The decision how much to read is a class of its own with a table of cases, and the coordinator's own jobs are synced by another; nothing else changes.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import { DeputyRole } from "./deputyRole";
 import { EndpointChangeLogger } from "./endpointChangeLogger";
 import { EndpointClient } from "./endpointClient";
+import { FeedScopePolicy } from "./feedScopePolicy";
 import type { GatewayDependencies, GatewaySettings, ReloadableSettings } from "./gatewaySettings";
 import { Ingress } from "./ingress";
 import { JobReader } from "./jobReader";
@@ -25,6 +26,7 @@
 import { JobStore } from "./jobStore";
 import { GatewayMetrics } from "./metrics";
 import { OnlineHandler } from "./onlineHandler";
+import { OwnJobSync } from "./ownJobSync";
 import { addPeerMethods } from "./peerMethods";
 import { PeerStatePoller } from "./peerStatePoller";
 import { serveMetrics, serveReadiness } from "./readinessAndMetrics";
@@ -34,16 +36,10 @@
 import { StartupGate } from "./startupGate";
 import { Sweeper } from "./sweeper";
 
-/** Highest age of the configuration at which an instance relies on the coordinator's updates alone. */
-const MAX_CONFIG_AGE_MS = 2_200;
 /** No new runs of batch items start while the knowledge of closed jobs is older than this. */
 const MAX_JOB_STATE_AGE_MS = 2_000;
-/** After the contact to the coordinator is lost, the deputy takes over the updates within this time. */
-const UPDATE_HANDOVER_MS = 500;
 const CHECK_INTERVAL_MS = 200;
 const JOB_SYNC_INTERVAL_MS = 500;
-/** How often each own job is read in fallback mode to learn whether it is closed. */
-const CLOSED_JOBS_CHECK_MS = 1_200;
 const LEASE_START_DELAY_MS = 500;
 /** On the first start of the fleet, instances other than seeds get the state from others within this time. */
 const FIRST_STATE_WAIT_MS = 1_500;
@@ -74,9 +70,8 @@
     private isRegistering = false;
     private wasRegistered = false;
     private wasCoordinatorKnown = false;
-    private lastUpdatedAtMs = -Infinity;
-    private readStoreAfterMs = -Infinity;
-    private closedJobsCheckedAtMs = -Infinity;
+    private readonly feedScopePolicy = new FeedScopePolicy();
+    private readonly ownJobSync: OwnJobSync;
     /** Whether the store calls of the coordinator that replied last fail. */
     private isCoordinatorStoreFailing = false;
     /** Promise to the coordinator that replied last. */
@@ -204,6 +199,13 @@
             logger,
         });
         const { runner } = this;
+        this.ownJobSync = new OwnJobSync({
+            instanceId,
+            runner,
+            placement,
+            getCoordinator,
+            isStopping: () => this.isStopping,
+        });
         const getMembers = () => view.members;
         const reader = new JobReader({
             runner,
@@ -295,7 +297,9 @@
         await serveReadiness(settings.readiness, this.deps.wire.readinessPath, () => this.isReady);
         logger.info({ event: "started", incarnation: this.self.incarnation });
         const waitsForOthers = this.settings.isFirstStart && !this.isSeed;
-        this.readStoreAfterMs = waitsForOthers ? performance.now() + FIRST_STATE_WAIT_MS : -Infinity;
+        if (waitsForOthers) {
+            this.feedScopePolicy.waitForOthers(FIRST_STATE_WAIT_MS);
+        }
         this.runChecks();
         void this.statePoller.run();
         void this.register()
@@ -304,7 +308,7 @@
         this.role.lease.start(waitsForOthers ? LEASE_START_DELAY_MS * (1 + Math.random()) : 0);
         this.timers = [
             setInterval(() => this.runChecks(), CHECK_INTERVAL_MS),
-            setInterval(() => this.syncOwnJobs(), JOB_SYNC_INTERVAL_MS),
+            setInterval(() => this.ownJobSync.sync(), JOB_SYNC_INTERVAL_MS),
             setInterval(() => this.logStatus(), STATUS_INTERVAL_MS),
             setInterval(() => this.sweep(), SWEEP_INTERVAL_MS),
         ];
@@ -429,24 +433,21 @@
     }
 
     /**
-     * Periodic checks. An instance that gets updates from the coordinator or the deputy reads nothing from the store;
-     * without them it reads the essentials. The coordinator reads everything.
+     * Periodic checks, also made when the coordinator or the deputy has changed.
      */
     private runChecks(): void {
         if (this.isStopping) {
             return;
         }
         this.updateDeputy();
-        if (this.isFollower) {
-            this.lastUpdatedAtMs = performance.now();
-        }
-        const isDeputy = this.view.fallbackShares.getDeputy(this.self.dataCentre)?.instanceId === this.self.instanceId;
-        const isUpdated = performance.now() - this.lastUpdatedAtMs < UPDATE_HANDOVER_MS &&
-            this.view.getConfigAgeMs() < MAX_CONFIG_AGE_MS && !(isDeputy && this.isCoordinatorStoreFailing);
-        const readsNothing = isUpdated || performance.now() < this.readStoreAfterMs;
-        this.feed.setScope(
-            this.role.localCoordinator !== undefined ? "everything" : readsNothing ? "nothing" : "essentials",
-        );
+        const deputy = this.view.fallbackShares.getDeputy(this.self.dataCentre);
+        this.feed.setScope(this.feedScopePolicy.getScope({
+            isCoordinator: this.role.localCoordinator !== undefined,
+            isFollower: this.isFollower,
+            isDeputy: deputy?.instanceId === this.self.instanceId,
+            isCoordinatorStoreFailing: this.isCoordinatorStoreFailing,
+            configAgeMs: this.view.getConfigAgeMs(),
+        }));
         this.view.dropLapsedEndpoints();
         this.role.releaseLeaseIfUnfit();
     }
@@ -497,24 +498,4 @@
             storeCalls: this.deps.getStoreCalls(),
         });
     }
-
-    /**
-     * Does for the jobs of the coordinator's own instance what sync replies do for those of other instances. In
-     * fallback mode no coordinator tells which jobs are closed, so that is checked in the store.
-     */
-    private syncOwnJobs(): void {
-        const coordinator = this.role.activeCoordinator;
-        if (coordinator !== undefined && !this.isStopping) {
-            const { closed, taken } = coordinator.jobs.recordProgress(this.self.instanceId, this.runner.getProgress());
-            void this.runner.stopClosedJobs(closed);
-            taken.forEach(jobId => this.runner.stopTakenOver(jobId));
-            for (const jobId of coordinator.assignJobs(this.self.instanceId)) {
-                void this.runner.adopt(jobId);
-            }
-        }
-        if (this.placement.isInFallbackMode && performance.now() - this.closedJobsCheckedAtMs > CLOSED_JOBS_CHECK_MS) {
-            this.closedJobsCheckedAtMs = performance.now();
-            void this.runner.stopClosedJobs(this.runner.getActiveJobIds());
-        }
-    }
 }
