Check the limit of callers' headers, and leave nothing of a removed job behind

Results of a job were removed from the first one on, so that an interrupted removal left a gap at which the next one stopped (test red before): the last one goes first now, and the job itself only when nothing else is left. The sweeper's flag is reset in any case.

--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -13,6 +13,10 @@
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 /** Limit of header blocks in the HTTP parser, whatever the configuration says. */
 const MAX_HEADER_BYTES = 65_536;
+/** Two spaces, the protocol version and the line end. */
+const REQUEST_LINE_EXTRA_BYTES = 12;
+/** A name is followed by a colon and a space, a value by a line end. */
+const HEADER_PART_EXTRA_BYTES = 2;
 /** Added to the configured idle timeout, so that the connection isn't closed while a caller sends its next request. */
 const IDLE_TIMEOUT_MARGIN_MS = 1_000;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
@@ -44,6 +48,8 @@
                 void this.handle(request, response);
             },
         );
+        // The size of the headers is limited, not their number, beyond which the parser would drop some.
+        this.server.maxHeadersCount = 0;
         deps.view.onChange(part => {
             const limits = deps.view.routes?.config.limits;
             if (part === "config" && limits !== undefined) {
@@ -94,6 +100,12 @@
         const arrivedAtMs = performance.now();
         const caller = this.deps.wire.parseRequestHead(request.headers);
         const response = new CallerResponse(serverResponse, this.deps.wire, caller.requestId, this.deps.isStopping);
+        const headerBytes = countHeaderBytes(request);
+        const { maxHeaderBytes = MAX_HEADER_BYTES } = this.deps.view.routes?.config.limits ?? {};
+        if (headerBytes > maxHeaderBytes) {
+            this.refuse(caller.requestId, response, newRefusal("headers-too-large", `${headerBytes} bytes`));
+            return;
+        }
         const body = await readBody(request, this.getMaxBodyBytes());
         if (body === "gone") {
             return;
@@ -174,6 +186,12 @@
     });
 }
 
+/** Size of the request line and the headers as they were sent, but for white space around values. */
+function countHeaderBytes({ method = "", url = "", rawHeaders }: http.IncomingMessage): number {
+    const lineBytes = method.length + url.length + REQUEST_LINE_EXTRA_BYTES;
+    return rawHeaders.reduce((sum, part) => sum + part.length + HEADER_PART_EXTRA_BYTES, lineBytes);
+}
+
 async function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Buffer | "gone" | "too-large"> {
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
--- a/packages/gateway/src/jobStore.ts
+++ b/packages/gateway/src/jobStore.ts
@@ -218,7 +218,7 @@
     }
 
     /**
-     * Removes a job with its bodies and results; the manifest is removed last.
+     * Removes a job with its bodies and results; the manifest is removed last, once nothing else is left.
      *
      * @param manifest - The job.
      */
@@ -226,12 +226,22 @@
         for (let index = 0; index < manifest.bodyParts; index += 1) {
             await this.store.delete(`${BODY_KIND}/${manifest.jobId}.${index}`, 0);
         }
-        for (let index = 0;; index += 1) {
-            const chunk = await this.readChunk(manifest.jobId, index);
-            if (chunk.isErr() || chunk.value === undefined) {
+        let chunkCount = 0;
+        for (;; chunkCount += 1) {
+            const chunk = await this.readChunk(manifest.jobId, chunkCount);
+            if (chunk.isErr()) {
+                return;
+            }
+            if (chunk.value === undefined) {
                 break;
             }
-            await this.store.delete(`${RESULT_KIND}/${manifest.jobId}.${index}`, 0);
+        }
+        // The last chunk goes first: if this is interrupted, the next try finds those that are left.
+        for (let index = chunkCount - 1; index >= 0; index -= 1) {
+            const deleted = await this.store.delete(`${RESULT_KIND}/${manifest.jobId}.${index}`, 0);
+            if (deleted.isErr()) {
+                return;
+            }
         }
         await this.store.delete(`${JOB_KIND}/${manifest.jobId}`, 0);
     }
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -11,6 +11,7 @@
     | "config-unknown"
     | "config-stale"
     | "body-too-large"
+    | "headers-too-large"
     | "timeout"
     | "endpoint-failed"
     | "stopping"
@@ -43,6 +44,7 @@
     "config-unknown": 503,
     "config-stale": 503,
     "body-too-large": 413,
+    "headers-too-large": 431,
     timeout: 504,
     "endpoint-failed": 502,
     stopping: 503,
--- a/packages/gateway/src/sweeper.ts
+++ b/packages/gateway/src/sweeper.ts
@@ -45,9 +45,13 @@
             return;
         }
         this.isSweeping = true;
-        await this.sweepMembers(coordinator);
-        await this.sweepJobs();
-        this.isSweeping = false;
+        try {
+            await this.sweepMembers(coordinator);
+            await this.sweepJobs();
+        }
+        finally {
+            this.isSweeping = false;
+        }
     }
 
     private async sweepMembers(coordinator: Coordinator): Promise<void> {
