--- a/packages/fleet/src/coordinatorLease.ts
+++ b/packages/fleet/src/coordinatorLease.ts
@@ -21,7 +21,7 @@
 const MAX_READ_RETRY_MS = 1.5 * READ_RETRY_MS;
 /** Candidates of lower rank read the lease less often while the store can't be read, in milliseconds. */
 const LOW_RANK_READ_RETRY_MS = 1_500;
-/** Candidates that always read the lease often. */
+/** Number of candidates, those with the most CPU, that read the lease often also while it can't be read. */
 const HIGH_RANKS = 8;
 /**
  * How long an instance that got a reply from the coordinator doesn't take the lease over, even if it expires meanwhile;
@@ -69,9 +69,10 @@
     private isStopped = false;
     private isReleasing = false;
     private hasReadFailed = false;
+    /** When the coordinator last replied; cleared when it has stepped down. */
+    private promisedAt: Timestamp | undefined;
     /** Since when the store can be read again after a failed read. */
     private readableSince: Timestamp | undefined;
-    private promisedAt: Timestamp | undefined;
     /** Incarnation of a holder whose process is known to have ended. */
     private endedIncarnation = "";
 
@@ -152,8 +153,7 @@
     }
 
     /**
-     * Promises not to take the lease over for `TAKEOVER_PROMISE_MS`, because the coordinator has replied, or another
-     * instance is in contact with it.
+     * Promises not to take the lease over for `TAKEOVER_PROMISE_MS`, because the coordinator has replied.
      */
     promise(): void {
         this.promisedAt = newTimestamp();
