--- a/packages/fleet/src/fallbackShares.ts
+++ b/packages/fleet/src/fallbackShares.ts
@@ -18,7 +18,7 @@
 /**
  * Divides slots and rates for the time without a coordinator. Each data centre has a part of each rate and the slots of
  * its own endpoints. Its deputy uses them for the instances that reach it; a smaller part belongs to each instance
- * alone. The shares add up to no more than the whole under any network partition.
+ * alone. The shares of instances that know the same members add up to no more than the whole under any partition.
  */
 export class FallbackShares {
     private readonly byDataCentre = new Map<string, DataCentreMembers>();
--- a/packages/fleet/tests/coordinatorLink.test.ts
+++ b/packages/fleet/tests/coordinatorLink.test.ts
@@ -18,6 +18,8 @@
 /** A coordinator that works through sync requests one at a time, also those whose senders have given up. */
 class BusyCoordinator implements RpcCaller {
     requests = 0;
+    /** Syncs that got no reply in time. */
+    timeouts = 0;
     private freeAtMs = 0;
 
     constructor(private readonly costMs: number) {}
@@ -33,6 +35,7 @@
         const nowMs = performance.now();
         this.freeAtMs = Math.max(nowMs, this.freeAtMs) + this.costMs;
         const replyAfterMs = this.freeAtMs - nowMs + (params as SyncRequest).waitMs;
+        this.timeouts += replyAfterMs <= timeoutMs ? 0 : 1;
         return new Promise(resolve => {
             setTimeout(
                 () =>
@@ -98,6 +101,39 @@
         expect(connected).toBe(followers);
     });
 
+    it("leaves a coordinator that needs 2.5 ms a sync time for 165 instances, none of which loses it", async () => {
+        const rpc = new BusyCoordinator(1.25 * SYNC_COST_MS);
+        const links = follow(rpc, 165);
+        await vi.advanceTimersByTimeAsync(4_000);
+        rpc.timeouts = 0;
+        await vi.advanceTimersByTimeAsync(6_000);
+        links.forEach(link => link.stop("over"));
+        await vi.advanceTimersByTimeAsync(4_000);
+        expect(rpc.timeouts).toBe(0);
+    });
+
+    it("sends a coordinator of 165 instances no more syncs than one core handles at 2.5 ms each", async () => {
+        const rpc = new BusyCoordinator(0);
+        const links = follow(rpc, 165);
+        await vi.advanceTimersByTimeAsync(4_000);
+        rpc.requests = 0;
+        await vi.advanceTimersByTimeAsync(6_000);
+        const { requests } = rpc;
+        links.forEach(link => link.stop("over"));
+        await vi.advanceTimersByTimeAsync(4_000);
+        expect(requests).toBeLessThan(6_000 / (1.25 * SYNC_COST_MS));
+    });
+
+    it("spreads the first syncs of 165 instances over the time that they take", async () => {
+        const rpc = new BusyCoordinator(SYNC_COST_MS);
+        const links = follow(rpc, 165);
+        await vi.advanceTimersByTimeAsync(20);
+        const firstRequests = rpc.requests;
+        links.forEach(link => link.stop("over"));
+        await vi.advanceTimersByTimeAsync(4_000);
+        expect(firstRequests).toBeLessThan(165 / 4);
+    });
+
     it("asks a coordinator that doesn't reply less and less often", async () => {
         const rpc = new BusyCoordinator(Infinity);
         const [link] = follow(rpc, 1);
