Log how an endpoint's response ended: framing, orderly close, bytes after the last event

`request`, `attempt-ended` and `item-run` now have `framing`, `hasPeerEnded` and, for streams, `unfinishedBytes`. No decision changes.

--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -1,3 +1,4 @@
+import { ResponseEndObserver } from "@heatherline/common";
 import type { EndpointEntry } from "@heatherline/fleet";
 import { err, ok, type Result } from "neverthrow";
 import http from "node:http";
@@ -31,6 +32,7 @@
     readonly status: number;
     readonly head: EndpointResponseHead;
     readonly incoming: http.IncomingMessage;
+    readonly endObserver: ResponseEndObserver;
 }
 
 /**
@@ -150,7 +152,12 @@
             incoming.destroy();
             return err({ kind: "invalid-response", reason: `response to request ${head.requestId}` });
         }
-        return ok({ status: incoming.statusCode ?? 0, head, incoming });
+        return ok({
+            status: incoming.statusCode ?? 0,
+            head,
+            incoming,
+            endObserver: new ResponseEndObserver(incoming),
+        });
     }
 }
 
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -1,8 +1,7 @@
-import { sleep } from "@heatherline/common";
+import { type ResponseEnd, sleep } from "@heatherline/common";
 import { type HeldPlace, pickService, type PlacementClient, type RequestEnd, type Route } from "@heatherline/fleet";
-import type http from "node:http";
 import { discardBody, readChunks } from "./bodyReader";
-import type { EndpointClient } from "./endpointClient";
+import type { EndpointClient, EndpointResponse } from "./endpointClient";
 import { EventStreamParser, getEventData, hasContent } from "./eventStreamParser";
 import type { ItemDurationEstimator } from "./itemDurationEstimator";
 import type { ItemPlacementQueue } from "./itemPlacementQueue";
@@ -96,6 +95,8 @@
     private readonly data: string[];
     private lastEventId: number | undefined;
     private failures: number;
+    /** How the response of the latest run ended, for the log. */
+    private lastResponseEnd: ResponseEnd | undefined;
     private routeLastSeenAtMs = performance.now();
 
     /**
@@ -207,6 +208,7 @@
             givenBy: place.givenBy,
             resumedAfter: previousEventCount,
             events: eventCount,
+            ...this.lastResponseEnd,
             durationMs: Math.round(performance.now() - startedAtMs),
         });
         return end;
@@ -218,6 +220,7 @@
 
     private async runAtPlace(place: HeldPlace, body: Buffer): Promise<RunEnd> {
         const { wire, endpoints } = this.deps;
+        this.lastResponseEnd = undefined;
         const abortController = new AbortController();
         const onPreempted = () => abortController.abort("called-back");
         const onStopped = () => abortController.abort("stopped");
@@ -253,7 +256,7 @@
                 discardBody(incoming);
                 return toErrorEnd(status, head.isNotExecuted);
             }
-            const isComplete = await this.readEvents(incoming, silenceTimer);
+            const isComplete = await this.readEvents(result.value, silenceTimer);
             return isComplete ? "complete" : this.toAbortEnd(abortController.signal) ?? "broken";
         }
         finally {
@@ -273,7 +276,7 @@
      * @returns Whether the response is complete.
      */
     private async readEvents(
-        incoming: http.IncomingMessage,
+        { incoming, endObserver }: EndpointResponse,
         silenceTimer: NodeJS.Timeout,
     ): Promise<boolean> {
         const parser = new EventStreamParser();
@@ -294,6 +297,9 @@
             // The caller checks whether this side aborted the run; otherwise the connection broke.
             return false;
         }
+        finally {
+            this.lastResponseEnd = endObserver.responseEnd;
+        }
         return incoming.complete;
     }
 }
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -175,6 +175,7 @@
                 end: outcome.end,
                 reason: outcome.reason,
                 events: this.relay.eventCount,
+                ...this.relay.responseEnd,
                 quietMs: Math.round(this.relay.quietMs),
                 mayRepeat: mayRetry,
             });
@@ -403,6 +404,7 @@
             endpoint: this.lastEndpoint,
             ...this.lastPlace,
             events: this.relay.eventCount,
+            ...this.relay.responseEnd,
             placedAfterMs: this.placedAfterMs === undefined ? undefined : Math.round(this.placedAfterMs),
             durationMs,
         });
--- a/packages/gateway/src/responseRelay.ts
+++ b/packages/gateway/src/responseRelay.ts
@@ -1,3 +1,4 @@
+import type { ResponseEnd } from "@heatherline/common";
 import { readChunks } from "./bodyReader";
 import type { CallerResponse } from "./callerResponse";
 import type { EndpointResponse } from "./endpointClient";
@@ -8,12 +9,19 @@
     | { readonly kind: "complete"; }
     | { readonly kind: "broken"; readonly reason: string; };
 
+/** How an endpoint's stream ended, for the log. */
+export interface StreamEnd extends ResponseEnd {
+    /** Bytes after the last complete event. */
+    readonly unfinishedBytes: number;
+}
+
 /** Relays a stream to the caller event by event; after a failure it can be resumed from another endpoint. */
 export class StreamRelay {
     private lastEventId: number | undefined;
     private relayedEvents = 0;
     private lastEventAtMs = performance.now();
     private isWaitingForCaller = false;
+    private lastResponseEnd: StreamEnd | undefined;
 
     /**
      * @param response - The response to the caller.
@@ -43,13 +51,18 @@
         return this.relayedEvents;
     }
 
+    /** How the latest response ended; `undefined` before the first one has. */
+    get responseEnd(): StreamEnd | undefined {
+        return this.lastResponseEnd;
+    }
+
     /**
      * Relays one endpoint's response; events that the caller has already received are skipped.
      *
      * @param upstream - The endpoint's response.
      * @returns Whether the stream is complete.
      */
-    async relay({ status, incoming }: EndpointResponse): Promise<RelayOutcome> {
+    async relay({ status, incoming, endObserver }: EndpointResponse): Promise<RelayOutcome> {
         const parser = new EventStreamParser();
         try {
             for await (const chunk of readChunks(incoming)) {
@@ -78,6 +91,9 @@
         catch (error) {
             return { kind: "broken", reason: error instanceof Error ? error.message : String(error) };
         }
+        finally {
+            this.lastResponseEnd = { ...endObserver.responseEnd, unfinishedBytes: parser.getRemainder().length };
+        }
         if (!incoming.complete) {
             return { kind: "broken", reason: "the endpoint's response ended early" };
         }
