--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -8,6 +8,8 @@
     | "CRASH"
     /** Closes the connection in the middle of an event. */
     | "BREAK"
+    /** Sends a stream with neither a length nor chunks, so that it ends with its connection; combines with `BREAK`. */
+    | "UNFRAMED"
     /** Sends some events, then nothing more, and leaves the connection open. */
     | "STALL"
     /** Sends some events, then a byte of the next one now and then, without end. */
@@ -161,6 +163,8 @@
             response.writeHead(200, { ...headers, "Content-Length": text.length }).end(text);
             return;
         }
+        // Without chunks, Node.js marks the end of the response by closing the connection.
+        response.useChunkedEncodingByDefault = !faultText.includes("UNFRAMED");
         response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
         await this.stream(entry, response, faultText);
     }
@@ -173,7 +177,7 @@
                 return;
             }
             if (faultText.includes("BREAK") && eventId === firstEventId + 2) {
-                response.write(`id: ${eventId}\ndata: half`, () => response.socket?.destroy());
+                response.write(`id: ${eventId}\ndata: half`, () => response.socket?.end());
                 return;
             }
             if (faultText.includes("STALL") && eventId === firstEventId + 2) {
