Deliver a response that ends with its connection only after an orderly close outside any event

Cause: an endpoint may send a response with neither length nor chunks. Node.js sets `complete` on it whenever its connection ends: by an orderly close, by a reset, and when this side destroys the request. The relay, the body reader, the runs of batch items and the product's own relay trusted `complete`, and the relay passed half an event on at the end. Class of fault: the end of a transport is taken for the end of a message. Change: `ResponseEndObserver` decides in one place: such a response is whole only if the other side closed the connection in an orderly way. A stream that ends inside an event was broken off, whatever its framing; the own interface wants its final event as whole lines at the end. Before, a preempted batch item and a stalled stream of this kind were taken for complete, too. Why it works: the close of the other side is the only end such a response has, and a stream's events end with a blank line; what is broken off is resumed, or aborted towards the caller.

--- a/packages/common/src/responseEnd.ts
+++ b/packages/common/src/responseEnd.ts
@@ -1,8 +1,13 @@
 import type http from "node:http";
 import type { Socket } from "node:net";
 
-/** How the end of a response's body is marked: by its length, by its last chunk, or by the end of the connection. */
-export type BodyFraming = "length" | "chunked" | "connection";
+/**
+ * How the end of a response's body is marked: by its length, by its last chunk, or by the end of the connection; `none`
+ * if the response has no body.
+ */
+export type BodyFraming = "none" | "length" | "chunked" | "connection";
+
+const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 
 /** How a response ended, for the log. */
 export interface ResponseEnd {
@@ -11,17 +16,30 @@
     readonly hasPeerEnded: boolean;
 }
 
-/** Observes how a response ends. To be created before its body is read, while Node.js still knows its connection. */
+/**
+ * Tells whether a response arrived whole. To be created before its body is read, while Node.js still knows its
+ * connection.
+ */
 export class ResponseEndObserver {
     private readonly socket: Socket;
     private readonly framing: BodyFraming;
 
     /**
      * @param incoming - A response whose headers have arrived.
+     * @param method - Method of the request.
      */
-    constructor(incoming: http.IncomingMessage) {
+    constructor(private readonly incoming: http.IncomingMessage, method: string) {
         this.socket = incoming.socket;
-        this.framing = getBodyFraming(incoming);
+        this.framing = getBodyFraming(incoming, method);
+    }
+
+    /**
+     * Whether the response has ended with its last byte. Node.js reports a response that ends with its connection as
+     * complete also after a reset and after this side has closed the connection; only an orderly close by the other
+     * side is its end.
+     */
+    get isComplete(): boolean {
+        return this.incoming.complete && (this.framing !== "connection" || this.socket.readableEnded);
     }
 
     /** How the response ended, or would if it ended now. */
@@ -30,7 +48,10 @@
     }
 }
 
-function getBodyFraming({ headers }: http.IncomingMessage): BodyFraming {
+function getBodyFraming({ headers, statusCode = 0 }: http.IncomingMessage, method: string): BodyFraming {
+    if (method === "HEAD" || STATUSES_WITHOUT_BODY.has(statusCode)) {
+        return "none";
+    }
     if (headers["transfer-encoding"]?.trimEnd().toLowerCase().endsWith("chunked") === true) {
         return "chunked";
     }
--- a/packages/gateway/src/bodyReader.ts
+++ b/packages/gateway/src/bodyReader.ts
@@ -47,7 +47,7 @@
  * @param upstream - The endpoint's response.
  * @returns The body, or `undefined` if it is incomplete or too large.
  */
-export async function readFullBody({ incoming }: EndpointResponse): Promise<Buffer | undefined> {
+export async function readFullBody({ incoming, endObserver }: EndpointResponse): Promise<Buffer | undefined> {
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
     try {
@@ -67,7 +67,7 @@
     finally {
         bufferedBytes -= sizeBytes;
     }
-    return incoming.complete ? Buffer.concat(chunks) : undefined;
+    return endObserver.isComplete ? Buffer.concat(chunks) : undefined;
 }
 
 /**
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -156,7 +156,7 @@
             status: incoming.statusCode ?? 0,
             head,
             incoming,
-            endObserver: new ResponseEndObserver(incoming),
+            endObserver: new ResponseEndObserver(incoming, endpointRequest.method),
         });
     }
 }
--- a/packages/gateway/src/eventStreamParser.ts
+++ b/packages/gateway/src/eventStreamParser.ts
@@ -9,6 +9,8 @@
 const MAX_EVENT_BYTES = 1_048_576;
 /** The end of an event, a blank line, takes three bytes at most after the line feed before it. */
 const MAX_END_BYTES = 3;
+/** Whole lines that are blank or a comment, and thus part of no event. */
+const LINES_OUTSIDE_EVENTS = /^(?:(?::[^\r\n]*)?\r?\n)*$/;
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 
@@ -36,6 +38,11 @@
         return events;
     }
 
+    /** Whether an event has begun that is not complete yet; a stream that ends here was broken off. */
+    get isInsideEvent(): boolean {
+        return !LINES_OUTSIDE_EVENTS.test(this.getRemainder().toString("latin1"));
+    }
+
     /** @returns The bytes after the last complete event. */
     getRemainder(): Buffer {
         return Buffer.concat(this.chunks);
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -300,7 +300,7 @@
         finally {
             this.lastResponseEnd = endObserver.responseEnd;
         }
-        return incoming.complete;
+        return endObserver.isComplete && !parser.isInsideEvent;
     }
 }
 
--- a/packages/gateway/src/responseRelay.ts
+++ b/packages/gateway/src/responseRelay.ts
@@ -94,9 +94,12 @@
         finally {
             this.lastResponseEnd = { ...endObserver.responseEnd, unfinishedBytes: parser.getRemainder().length };
         }
-        if (!incoming.complete) {
+        if (!endObserver.isComplete) {
             return { kind: "broken", reason: "the endpoint's response ended early" };
         }
+        if (parser.isInsideEvent) {
+            return { kind: "broken", reason: "the endpoint's response ended inside an event" };
+        }
         this.startIfNeeded(status, incoming.rawHeaders);
         if (parser.getRemainder().length > 0) {
             void this.response.write(parser.getRemainder());
--- a/packages/serving/src/responseRelay.ts
+++ b/packages/serving/src/responseRelay.ts
@@ -1,3 +1,4 @@
+import { ResponseEndObserver } from "@heatherline/common";
 import { err, ok, type Result } from "neverthrow";
 import type http from "node:http";
 import { DispatchError } from "./errors";
@@ -9,7 +10,8 @@
  */
 const MAX_BUFFERED_BYTES = 1_048_576;
 const EVENT_STREAM = "text/event-stream";
-const FINAL_EVENT = "data: [DONE]";
+/** The final event at the end of a stream; only blank lines and comments may follow. */
+const FINAL_EVENT = /(?:^|\n)data: \[DONE\]\r?\n\r?\n(?:(?::[^\r\n]*)?\r?\n)*$/;
 /** Bytes of the end of a stream that are kept to recognise its final event. */
 const STREAM_TAIL_BYTES = 64;
 
@@ -18,6 +20,7 @@
 /** Relays one response from an endpoint to the caller, and checks that it is complete. */
 export class ResponseRelay {
     private readonly isEventStream: boolean;
+    private readonly endObserver: ResponseEndObserver;
     private buffered: Buffer[] = [];
     private bufferedBytes = 0;
     private tail = "";
@@ -28,6 +31,7 @@
      */
     constructor(private readonly exchange: Exchange, private readonly incoming: http.IncomingMessage) {
         this.isEventStream = String(incoming.headers["content-type"] ?? "").startsWith(EVENT_STREAM);
+        this.endObserver = new ResponseEndObserver(incoming, exchange.method);
     }
 
     /** @returns The delivered response, or why it is incomplete. */
@@ -37,13 +41,10 @@
         const failure = this.isEventStream || mayBeLarge(this.incoming)
             ? await this.streamThrough(status)
             : await this.buffer();
-        if (failure !== undefined) {
+        if (failure !== undefined || !this.endObserver.isComplete) {
             return this.fail(this.exchange.abortController.signal.aborted ? "aborted" : "truncated", failure);
         }
-        if (!this.incoming.complete) {
-            return this.fail("truncated", undefined);
-        }
-        if (this.isEventStream && status === 200 && !this.tail.includes(FINAL_EVENT)) {
+        if (this.isEventStream && status === 200 && !FINAL_EVENT.test(this.tail)) {
             return this.fail("truncated", undefined);
         }
         if (!sink.hasBegun) {
@@ -63,7 +64,10 @@
             });
             this.incoming.on("end", () => resolve(undefined));
             this.incoming.on("error", resolve);
-            this.incoming.on("close", () => resolve(this.incoming.complete ? undefined : new Error("closed early")));
+            this.incoming.on(
+                "close",
+                () => resolve(this.endObserver.isComplete ? undefined : new Error("closed early")),
+            );
         });
     }
 
