--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -1,4 +1,4 @@
-import { type Logger, sha256Hex } from "@heatherline/common";
+import { type Logger, type ResponseEnd, sha256Hex } from "@heatherline/common";
 import { type HeldPlace, pickService, type PlacementClient, type RequestEnd } from "@heatherline/fleet";
 import type { Result } from "neverthrow";
 import type http from "node:http";
@@ -102,6 +102,8 @@
     private firstResponseAtMs: number | undefined;
     /** Time from arrival to the first decision about a place. */
     private placedAfterMs: number | undefined;
+    /** How the latest response that was no stream ended, for the log. */
+    private bodyEnd: ResponseEnd | undefined;
     private lastEndpoint = "";
     private lastPlace: { readonly givenBy: string; readonly expectedWaitMs: number; } | undefined;
 
@@ -175,7 +177,7 @@
                 end: outcome.end,
                 reason: outcome.reason,
                 events: this.relay.eventCount,
-                ...this.relay.responseEnd,
+                ...this.relay.responseEnd ?? this.bodyEnd,
                 quietMs: Math.round(this.relay.quietMs),
                 mayRepeat: mayRetry,
             });
@@ -329,6 +331,7 @@
         }
         this.firstResponseAtMs = performance.now();
         const fullBody = await readFullBody(result.value);
+        this.bodyEnd = result.value.endObserver.responseEnd;
         if (fullBody === undefined || (status < 300 && !head.isSigned)) {
             return {
                 kind: "ended",
@@ -404,7 +407,7 @@
             endpoint: this.lastEndpoint,
             ...this.lastPlace,
             events: this.relay.eventCount,
-            ...this.relay.responseEnd,
+            ...this.relay.responseEnd ?? this.bodyEnd,
             placedAfterMs: this.placedAfterMs === undefined ? undefined : Math.round(this.placedAfterMs),
             durationMs,
         });
