--- a/packages/gateway/tests/brokenOffResponses.test.ts
+++ b/packages/gateway/tests/brokenOffResponses.test.ts
@@ -10,7 +10,7 @@
 import type { WireCodec } from "../src/wireCodec";
 
 /** How the endpoint ends its response, or that this side gives it up. */
-type Ending = "close" | "reset" | "keep" | "abort";
+type Ending = "close" | "reset" | "reset-with-data" | "keep" | "abort";
 
 const EVENTS = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
 const HALF_EVENT = "id: 2\ndata: ha";
@@ -47,6 +47,10 @@
             const response = this.responses[Math.min(this.requests.length, this.responses.length - 1)];
             this.requests.push(bytes.toString("latin1"));
             socket.write(response?.text ?? "");
+            if (response?.ending === "reset-with-data") {
+                socket.resetAndDestroy();
+                return;
+            }
             setTimeout(() => this.end(socket, response?.ending ?? "close"), END_DELAY_MS);
         });
     }
@@ -165,6 +169,19 @@
     });
 });
 
+/** The caller's side reads the last bytes and the reset at once, which Node.js reports as an orderly close. */
+describe("a response that was reset together with its last bytes is not delivered as complete", () => {
+    it("a stream", async () => {
+        await startServer(newHead("connection") + EVENTS, "reset-with-data");
+        expect(await relayStream("reset-with-data")).toEqual({ kind: "broken", text: EVENTS, hasEnded: false });
+    });
+
+    it("a body", async () => {
+        await startServer(`${newHead("connection")}half of it`, "reset-with-data");
+        expect(await readFullBody(await send(server.port, "reset-with-data"))).toBeUndefined();
+    });
+});
+
 describe("a whole stream is ended as complete", () => {
     it.each(
         [
--- a/packages/serving/tests/brokenOffResponses.test.ts
+++ b/packages/serving/tests/brokenOffResponses.test.ts
@@ -3,7 +3,7 @@
 import { type EndpointSlot, type Exchange, HttpDispatcher, newExchange, type ResponseSink } from "../src";
 
 /** How the endpoint ends its response, or that this side gives it up. */
-type Ending = "close" | "reset" | "abort";
+type Ending = "close" | "reset" | "reset-with-data" | "abort";
 
 /** Delay between the body and the end of the connection, so that they don't arrive together. */
 const END_DELAY_MS = 20;
@@ -42,6 +42,10 @@
         socket.on("error", () => undefined);
         socket.once("data", () => {
             socket.write(text);
+            if (ending === "reset-with-data") {
+                socket.resetAndDestroy();
+                return;
+            }
             setTimeout(() => {
                 if (ending === "close") {
                     socket.end();
@@ -115,6 +119,17 @@
     });
 });
 
+/** The caller's side reads the last bytes and the reset at once, which Node.js reports as an orderly close. */
+describe("an endpoint's response that was reset together with its last bytes is not delivered", () => {
+    it.each([
+        { what: "an object", text: `${JSON_HEAD}{"text":"wo` },
+        { what: "a stream", text: STREAM_HEAD + EVENT + FINAL_EVENT },
+    ])("$what", async ({ text }) => {
+        const port = await startServer(text, "reset-with-data");
+        expect(await dispatch(port, "reset-with-data")).toEqual({ kind: "truncated", hasEnded: false });
+    });
+});
+
 describe("an endpoint's whole response with neither length nor chunks is delivered", () => {
     it.each([
         { what: "an object", text: `${JSON_HEAD}{"text":"word"}` },
