Tell a reset from an orderly close when it is read together with the last bytes

Cause: libuv reports the end of the stream when a partial read comes with a hang-up; the reset behind it is never read, so Node.js emits `end` as after an orderly close. Whether this happens depends on whether the reset arrives in the same turn of the loop as the last bytes, so a busy process sees it more often. Class of fault: the end of a transport is taken for that of a message. Change: at `end`, the observer looks up the remote address, which a connection has after an orderly close and no more after a reset. Why it works: after a reset the kernel has no peer for the socket; after a close by the other side alone the connection is half open and still has one. The listener runs before the HTTP client's, which destroys the socket.

--- a/packages/common/src/responseEnd.ts
+++ b/packages/common/src/responseEnd.ts
@@ -12,25 +12,27 @@
 /** How a response ended, for the log. */
 export interface ResponseEnd {
     readonly framing: BodyFraming;
-    /** Whether the other side has closed its half of the connection in an orderly way; false after a reset. */
+    /**
+     * Whether the connection is the end of the response and the other side has closed it in an orderly way; false after
+     * a reset.
+     */
     readonly hasPeerEnded: boolean;
 }
 
-/**
- * Tells whether a response arrived whole. To be created before its body is read, while Node.js still knows its
- * connection.
- */
+/** Tells whether a response arrived whole. To be created as soon as its headers have arrived. */
 export class ResponseEndObserver {
-    private readonly socket: Socket;
     private readonly framing: BodyFraming;
+    private hasPeerEnded = false;
 
     /**
      * @param incoming - A response whose headers have arrived.
      * @param method - Method of the request.
      */
     constructor(private readonly incoming: http.IncomingMessage, method: string) {
-        this.socket = incoming.socket;
         this.framing = getBodyFraming(incoming, method);
+        if (this.framing === "connection") {
+            this.observeEnd(incoming.socket);
+        }
     }
 
     /**
@@ -39,12 +41,21 @@
      * side is its end.
      */
     get isComplete(): boolean {
-        return this.incoming.complete && (this.framing !== "connection" || this.socket.readableEnded);
+        return this.incoming.complete && (this.framing !== "connection" || this.hasPeerEnded);
     }
 
     /** How the response ended, or would if it ended now. */
     get responseEnd(): ResponseEnd {
-        return { framing: this.framing, hasPeerEnded: this.socket.readableEnded };
+        return { framing: this.framing, hasPeerEnded: this.hasPeerEnded };
+    }
+
+    /**
+     * A reset that is read together with the last bytes also looks like an orderly close, but the connection has no
+     * remote address any more then. Node.js looks the address up when it is first asked for, so this is asked for here
+     * only, and before the listener of the HTTP client, which destroys the socket.
+     */
+    private observeEnd(socket: Socket): void {
+        socket.prependOnceListener("end", () => this.hasPeerEnded = socket.remoteAddress !== undefined);
     }
 }
 
--- a/packages/serving/src/httpDispatcher.ts
+++ b/packages/serving/src/httpDispatcher.ts
@@ -1,4 +1,4 @@
-import { monotonicMs } from "@heatherline/common";
+import { monotonicMs, ResponseEndObserver } from "@heatherline/common";
 import { err, ok, type Result } from "neverthrow";
 import http from "node:http";
 import type { CreditPool, EndpointSlot } from "./endpoints/creditPool";
@@ -36,6 +36,12 @@
     "x-timeout-ms",
 ]);
 
+/** An endpoint's response; its body is yet to be read from `incoming`. */
+interface EndpointResponse {
+    readonly incoming: http.IncomingMessage;
+    readonly endObserver: ResponseEndObserver;
+}
+
 /** Runs one attempt over HTTP; online requests and batch items use separate connection pools. */
 export class HttpDispatcher implements Dispatcher {
     private readonly agents: Record<WorkClass, http.Agent> = {
@@ -54,7 +60,7 @@
         if (response.isErr()) {
             return err(response.error);
         }
-        const incoming = response.value;
+        const { incoming, endObserver } = response.value;
         exchange.firstByteMs = monotonicMs() - exchange.startedAtMs;
         const startMark = incoming.headers[ENDPOINT_START_HEADER];
         this.creditPool.recordResponse(
@@ -72,10 +78,10 @@
             incoming.resume();
             return err(new DispatchError("overloaded", `status ${incoming.statusCode}`, true));
         }
-        return new ResponseRelay(exchange, incoming).run();
+        return new ResponseRelay(exchange, incoming, endObserver).run();
     }
 
-    private send(exchange: Exchange, slot: EndpointSlot): Promise<Result<http.IncomingMessage, DispatchError>> {
+    private send(exchange: Exchange, slot: EndpointSlot): Promise<Result<EndpointResponse, DispatchError>> {
         const { signal } = exchange.abortController;
         if (signal.aborted) {
             return Promise.resolve(err(new DispatchError("aborted", "aborted before the request was sent", false)));
@@ -109,7 +115,9 @@
                     markSent();
                 }
             });
-            request.on("response", incoming => resolve(ok(incoming)));
+            request.on("response", incoming => {
+                resolve(ok({ incoming, endObserver: new ResponseEndObserver(incoming, exchange.method) }));
+            });
             request.on("error", (error: NodeJS.ErrnoException) => {
                 resolve(err(toDispatchError(error, isSent, signal.aborted)));
             });
--- a/packages/serving/src/responseRelay.ts
+++ b/packages/serving/src/responseRelay.ts
@@ -1,4 +1,4 @@
-import { ResponseEndObserver } from "@heatherline/common";
+import type { ResponseEndObserver } from "@heatherline/common";
 import { err, ok, type Result } from "neverthrow";
 import type http from "node:http";
 import { DispatchError } from "./errors";
@@ -20,7 +20,6 @@
 /** Relays one response from an endpoint to the caller, and checks that it is complete. */
 export class ResponseRelay {
     private readonly isEventStream: boolean;
-    private readonly endObserver: ResponseEndObserver;
     private buffered: Buffer[] = [];
     private bufferedBytes = 0;
     private tail = "";
@@ -28,10 +27,14 @@
     /**
      * @param exchange - The request.
      * @param incoming - The endpoint's response.
+     * @param endObserver - Tells whether it arrived whole.
      */
-    constructor(private readonly exchange: Exchange, private readonly incoming: http.IncomingMessage) {
+    constructor(
+        private readonly exchange: Exchange,
+        private readonly incoming: http.IncomingMessage,
+        private readonly endObserver: ResponseEndObserver,
+    ) {
         this.isEventStream = String(incoming.headers["content-type"] ?? "").startsWith(EVENT_STREAM);
-        this.endObserver = new ResponseEndObserver(incoming, exchange.method);
     }
 
     /** @returns The delivered response, or why it is incomplete. */
