--- a/packages/store/src/httpCall.ts
+++ b/packages/store/src/httpCall.ts
@@ -1,3 +1,4 @@
+import { ResponseEndObserver } from "@heatherline/common";
 import { err, ok, type Result } from "neverthrow";
 import http from "node:http";
 
@@ -68,6 +69,7 @@
         });
         request.on("error", fail);
         request.on("response", response => {
+            const endObserver = new ResponseEndObserver(response, call.method);
             const chunks: Buffer[] = [];
             let sizeBytes = 0;
             response.on("data", (chunk: Buffer) => {
@@ -81,7 +83,7 @@
             response.on("error", fail);
             response.on("end", () => {
                 clearTimeout(timer);
-                if (!response.complete) {
+                if (!endObserver.isComplete) {
                     fail(new Error("the response ended early"));
                     return;
                 }
