Log the shared parts of a prompt, and whether an endpoint listens after it broke a stream off

`attempt-ended` now has `promptParts`, and `endpoint-checked` says whether the endpoint still accepts connections. No decision changes.

--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -2,6 +2,7 @@
 import type { EndpointEntry } from "@heatherline/fleet";
 import { err, ok, type Result } from "neverthrow";
 import http from "node:http";
+import net from "node:net";
 import { EndpointAgent } from "./endpointAgent";
 import type { EndpointResponseHead, WireCodec } from "./wireCodec";
 
@@ -139,6 +140,25 @@
         });
     }
 
+    /**
+     * Checks whether an endpoint accepts connections.
+     *
+     * @param endpoint - The endpoint.
+     * @returns Whether it has accepted one within the connect timeout.
+     */
+    isListening({ host, port }: EndpointEntry): Promise<boolean> {
+        return new Promise(resolve => {
+            const socket = net.connect({ host, port, timeout: CONNECT_TIMEOUT_MS });
+            const finish = (isListening: boolean) => {
+                socket.destroy();
+                resolve(isListening);
+            };
+            socket.once("connect", () => finish(true));
+            socket.once("timeout", () => finish(false));
+            socket.once("error", () => finish(false));
+        });
+    }
+
     private toResponse(
         endpointRequest: EndpointRequest,
         incoming: http.IncomingMessage,
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -180,13 +180,28 @@
                 ...this.relay.responseEnd ?? this.bodyEnd,
                 quietMs: Math.round(this.relay.quietMs),
                 mayRepeat: mayRetry,
+                promptParts: this.request.caller.sharedPromptParts.join(),
             });
+            if (outcome.end === "broken" && this.relay.eventCount === 0 && !this.abortController.signal.aborted) {
+                void this.logWhetherListening(place);
+            }
             if (this.abortController.signal.aborted || !mayRetry || isResponseCommitted) {
                 return this.newFinalRefusal(outcome);
             }
         }
     }
 
+    /** An endpoint that crashed accepts no connections; one that only lost this one does. */
+    private async logWhetherListening({ endpoint }: HeldPlace): Promise<void> {
+        const isListening = await this.deps.endpoints.isListening(endpoint);
+        this.deps.logger.info({
+            event: "endpoint-checked",
+            endpoint: endpoint.endpointId,
+            requestId: this.request.caller.requestId,
+            isListening,
+        });
+    }
+
     /** Checks again whether the request may run, because the configuration may have changed while it waited. */
     private recheckAdmission(): Refusal | undefined {
         const { caller, path } = this.request;
--- a/packages/gateway/src/wireCodec.ts
+++ b/packages/gateway/src/wireCodec.ts
@@ -16,6 +16,8 @@
     readonly maxOutputTokens: number;
     /** The caller's estimate of the output length, which is often inaccurate. */
     readonly expectedOutputTokens: number | undefined;
+    /** Ids of the parts of the prompt that other requests may share, in order: all but the last. */
+    readonly sharedPromptParts: readonly string[];
 }
 
 /** The headers that the gateway sets on a request to an endpoint. */
