--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -52,6 +52,10 @@
 const DEFAULT_EVENT_COUNT = 6;
 const DEFAULT_EVENT_GAP_MS = 10;
 const DRIBBLE_GAP_MS = 100;
+/** Time for which an engine that has crashed accepts no connections. */
+const RESTART_MS = 600;
+/** Time from the start of a request until it crashes the engine. */
+const CRASH_DELAY_MS = 30;
 
 /** Ids of all requests that any engine has received; a repeated id gets no fault unless the body says `ALWAYS`. */
 const receivedRequestIds = new Set<string>();
@@ -68,6 +72,9 @@
     running = 0;
     /** Whether it accepts requests but sends no responses; connections stay open. */
     isUnresponsive = false;
+    /** Part of prompts that crashes it as soon as it begins to respond to a request with it. */
+    crashingPromptPart: string | undefined;
+    crashes = 0;
     private readonly server = http.createServer((request, response) => void this.handle(request, response));
 
     /**
@@ -131,9 +138,23 @@
             entry.endedAtMs ??= Date.now();
             this.running -= 1;
         });
+        const parts = String(request.headers["prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0]);
+        if (this.crashingPromptPart !== undefined && parts.includes(this.crashingPromptPart)) {
+            await sleep(CRASH_DELAY_MS);
+            this.crash();
+            return;
+        }
         await this.respond(entry, response, faultText);
     }
 
+    /** Closes all connections, and accepts new ones only after a restart. */
+    private crash(): void {
+        this.crashes += 1;
+        this.server.close();
+        this.server.closeAllConnections();
+        setTimeout(() => this.server.listen(this.port, "127.0.0.1"), RESTART_MS);
+    }
+
     private shouldSimulateFault(requestId: string, body: string): boolean {
         const isFirst = !receivedRequestIds.has(requestId);
         receivedRequestIds.add(requestId);
