Block parts of prompts that crash endpoints, found from what their requests have in common

Cause: a request that crashes endpoints was recognised only by its organisation, path and body; requests that shared nothing but a part of the prompt were each new. Class of fault: the unit by which a failure is remembered is not the unit that fails. Change: an instance whose connection broke before a second event checks whether the endpoint still listens; if not, it reports the crash with those shared parts with which it has seen no success within 10 s. The coordinator (a deputy, an instance alone) blocks the parts that all of three crashes of at least two requests have in common, leaving out crashes that a known part explains. Parts that can't be told apart are blocked together, and any success clears its parts. A block is let through seldom (after 6 s, 40 s, ...) to see whether it is right. Blocks are written to the store, so that they outlast all instances; each instance reports its recent crashes to a new coordinator. Batch items are never blocked. Why it works: a sound part succeeds somewhere between crashes, since others use it, and a bad one never does; so what remains after successes and explained crashes is the cause.

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -9,8 +9,17 @@
 import { HeartbeatMonitor } from "./heartbeatMonitor";
 import { type JobsToStop, JobTracker } from "./jobTracker";
 import type { PlaceReply, ReleaseRequest, SyncReply, SyncRequest } from "./messages";
+import { PromptPartTracker } from "./promptPartTracker";
 import { SyncOutbox } from "./syncOutbox";
-import type { EndpointEntry, MemberEntry, PlaceOutcome, PlaceRequest, PlaceSummary } from "./types";
+import type {
+    BlockedPrompt,
+    CrashReport,
+    EndpointEntry,
+    MemberEntry,
+    PlaceOutcome,
+    PlaceRequest,
+    PlaceSummary,
+} from "./types";
 
 /** A place younger than this may still be on its way to its instance, and is kept if not reported; in milliseconds. */
 const PLACE_IN_TRANSIT_MS = 1_200;
@@ -41,6 +50,8 @@
     readonly isStoreFailing: () => boolean;
     /** Preempts a place of this instance. */
     readonly preemptOwnPlace: (placeId: string) => void;
+    /** Stores a block of a prompt, or removes it if it has ended. */
+    readonly saveBlockedPrompt: (prompt: BlockedPrompt, isEnded: boolean) => void;
     readonly logger: Logger;
 }
 
@@ -53,6 +64,7 @@
     readonly heartbeats: HeartbeatMonitor;
     private readonly dispatcher: Dispatcher;
     private readonly crashTracker = new CrashTracker();
+    private readonly promptParts = new PromptPartTracker((prompt, isEnded) => this.onBlockChanged(prompt, isEnded));
     private readonly outbox: SyncOutbox;
     private readonly reviewTimer: NodeJS.Timeout;
     private returnTimer: NodeJS.Timeout | undefined;
@@ -96,6 +108,10 @@
             const detail = "connections to endpoints broke while they ran this request";
             return { kind: "refused", reason: "crashes-endpoints", retryAfterMs: 0, detail };
         }
+        const parts = request.promptParts ?? [];
+        if (this.promptParts.decide(parts, true) === "blocked") {
+            return newBlockedPromptRefusal(parts);
+        }
         if (request.rate !== undefined) {
             const decision = this.deps.scope.tokenBuckets.take(request.organisation, request.rate);
             if (!decision.isTaken) {
@@ -128,7 +144,8 @@
     /**
      * @param request - Places and place requests that are no longer needed.
      */
-    handleRelease({ releases, withdrawnAsks, silentPlaces }: ReleaseRequest): void {
+    handleRelease({ releases, withdrawnAsks, silentPlaces, crashes = [] }: ReleaseRequest): void {
+        this.recordCrashes(crashes);
         for (const placeId of silentPlaces) {
             if (this.dispatcher.recordSilence(placeId)) {
                 this.deps.logger.info({ event: "endpoint-paused", place: placeId, end: "silent" });
@@ -137,7 +154,10 @@
         for (const askId of withdrawnAsks) {
             this.dispatcher.withdraw(askId);
         }
-        for (const { placeId, end, fingerprint, firstAnswerMs } of releases) {
+        for (const { placeId, end, fingerprint, firstAnswerMs, succeededParts } of releases) {
+            if (succeededParts !== undefined) {
+                this.promptParts.recordSuccess(succeededParts);
+            }
             const released = this.dispatcher.release(placeId, end, firstAnswerMs);
             if (end === "broken") {
                 this.crashTracker.recordCrash(fingerprint);
@@ -173,8 +193,16 @@
         this.outbox.replyToReady();
     }
 
+    /**
+     * @param reports - Crashes of endpoints; repeated reports are ignored.
+     */
+    recordCrashes(reports: readonly CrashReport[]): void {
+        reports.forEach(report => this.promptParts.recordCrash(report));
+    }
+
     /** Applies a change of the fleet view. */
     onViewChanged(): void {
+        this.promptParts.adopt(this.deps.view.blockedPrompts);
         this.endpointShares.clear();
         this.dispatcher.setEndpoints(this.deps.view.getEndpoints());
         this.outbox.replyToReady();
@@ -212,8 +240,15 @@
         return coldRatePerS * this.getEndpointShare(entry).coldRateFraction;
     }
 
-    private recordSync({ member, promise, storeCheck, places }: SyncRequest): void {
+    private onBlockChanged(prompt: BlockedPrompt, isEnded: boolean): void {
+        const { parts, trials, blockId } = prompt;
+        this.deps.logger.info({ event: isEnded ? "prompt-unblocked" : "prompt-blocked", blockId, parts, trials });
+        this.deps.saveBlockedPrompt(prompt, isEnded);
+    }
+
+    private recordSync({ member, promise, storeCheck, places, crashes = [] }: SyncRequest): void {
         const { instanceId } = member;
+        this.recordCrashes(crashes);
         const promisedAtStamp = promise?.epoch === this.epoch ? promise.stamp : undefined;
         if (this.heartbeats.recordHeartbeat(member, promisedAtStamp, storeCheck)) {
             this.releasePlacesOf(instanceId, "its process restarted");
@@ -339,6 +374,15 @@
     }
 }
 
+/**
+ * @param parts - Shared parts of a request's prompt, among them blocked ones.
+ * @returns The refusal of the request.
+ */
+export function newBlockedPromptRefusal(parts: readonly string[]): PlaceOutcome {
+    const detail = `endpoints crashed when they began to respond to prompts with parts of ${parts.join()}`;
+    return { kind: "refused", reason: "crashes-endpoints", retryAfterMs: 0, detail };
+}
+
 /** Resolves once all decisions that need no waiting have resolved. */
 function waitForImmediateDecisions(): Promise<undefined> {
     return new Promise(resolve => setImmediate(() => resolve(undefined)));
--- a/packages/fleet/src/fleetView.ts
+++ b/packages/fleet/src/fleetView.ts
@@ -3,7 +3,7 @@
 import { EndpointRegistry, type LapsedEndpoint } from "./endpointRegistry";
 import { FallbackShares } from "./fallbackShares";
 import { RouteTable } from "./routeTable";
-import type { EndpointEntry, MemberEntry, RoutingConfig } from "./types";
+import type { BlockedPrompt, EndpointEntry, MemberEntry, RoutingConfig } from "./types";
 
 /** A part of the fleet view, with the store revision at which it was read. */
 export interface Versioned<Value> {
@@ -19,6 +19,7 @@
     readonly lapsedEndpoints?: readonly LapsedEndpoint[];
     readonly evacuated?: Versioned<readonly string[]>;
     readonly members?: Versioned<readonly MemberEntry[]>;
+    readonly blockedPrompts?: Versioned<readonly BlockedPrompt[]>;
     /** In place of `endpoints` and `members` for an instance that accepts changes. */
     readonly endpointChanges?: ListChanges<EndpointEntry>;
     readonly memberChanges?: ListChanges<MemberEntry>;
@@ -32,15 +33,17 @@
     readonly endpoints: number;
     readonly evacuated: number;
     readonly members: number;
+    /** Absent from instances of earlier releases. */
+    readonly blockedPrompts?: number;
     /** Whether the instance accepts changes of a list in place of the whole one. */
     readonly acceptsChanges?: boolean;
 }
 
 /** Part of the fleet view whose changes listeners are notified of. */
-export type ViewPart = "config" | "endpoints" | "evacuated" | "members";
+export type ViewPart = "config" | "endpoints" | "evacuated" | "members" | "blockedPrompts";
 
 /** Parts whose changes other instances need at once; those of registered instances can wait for the next message. */
-const URGENT_PARTS: readonly ViewPart[] = ["config", "endpoints", "evacuated"];
+const URGENT_PARTS = ["config", "endpoints", "evacuated"] as const satisfies readonly ViewPart[];
 
 /** Larger ages are sent as this one, since JSON has no infinity; in milliseconds. */
 const MAX_AGE_MS = 3_600_000;
@@ -51,12 +54,19 @@
  */
 export class FleetView {
     private routeTable: RouteTable | undefined;
-    private readonly revisions: Record<ViewPart, number> = { config: 0, endpoints: 0, evacuated: 0, members: 0 };
+    private readonly revisions: Record<ViewPart, number> = {
+        config: 0,
+        endpoints: 0,
+        evacuated: 0,
+        members: 0,
+        blockedPrompts: 0,
+    };
     private readonly registry = new EndpointRegistry();
     private readonly configAge = new AgeTracker();
     private listedEndpoints: readonly EndpointEntry[] = [];
     private evacuatedDataCentres: ReadonlySet<string> = new Set();
     private memberEntries: readonly MemberEntry[] = [];
+    private blocked: readonly BlockedPrompt[] = [];
     private shares = new FallbackShares([]);
     private readonly endpointLog = new ChangeLog<EndpointEntry>(getEndpointId);
     private readonly memberLog = new ChangeLog<MemberEntry>(getMemberId);
@@ -87,6 +97,11 @@
         return this.evacuatedDataCentres;
     }
 
+    /** Parts of prompts that crash endpoints, as far as the store lists them. */
+    get blockedPrompts(): readonly BlockedPrompt[] {
+        return this.blocked;
+    }
+
     /** @returns The endpoints in use, including lapsed ones that are still used. */
     getEndpoints(): EndpointEntry[] {
         return this.registry.getEntries();
@@ -191,6 +206,18 @@
         }
     }
 
+    /**
+     * @param blockedPrompts - All blocks of prompts.
+     */
+    applyBlockedPrompts(blockedPrompts: Versioned<readonly BlockedPrompt[]>): void {
+        const isChanged = JSON.stringify(blockedPrompts.value) !== JSON.stringify(this.blocked);
+        if (isChanged && blockedPrompts.revision > this.revisions.blockedPrompts) {
+            this.revisions.blockedPrompts = blockedPrompts.revision;
+            this.blocked = blockedPrompts.value;
+            this.notify("blockedPrompts");
+        }
+    }
+
     /**
      * @param known - Revisions that another instance has.
      * @returns The update that it needs.
@@ -208,6 +235,9 @@
                 ? { evacuated: { revision: revisions.evacuated, value: [...this.evacuatedDataCentres] } }
                 : {},
             ...revisions.members > known.members ? this.newMembersUpdate(known) : {},
+            ...revisions.blockedPrompts > (known.blockedPrompts ?? Infinity)
+                ? { blockedPrompts: { revision: revisions.blockedPrompts, value: this.blocked } }
+                : {},
         };
     }
 
@@ -253,6 +283,9 @@
         if (update.members !== undefined) {
             this.applyMembers(update.members);
         }
+        if (update.blockedPrompts !== undefined) {
+            this.applyBlockedPrompts(update.blockedPrompts);
+        }
         this.applyListChanges(update);
         if (this.routeTable !== undefined) {
             this.markConfigCurrent(update.configAgeMs + transitMs);
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -16,6 +16,7 @@
 export * from "./jobTracker";
 export * from "./messages";
 export * from "./placementClient";
+export * from "./promptPartTracker";
 export * from "./routeTable";
 export * from "./sendWindow";
 export * from "./stateFeed";
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -1,5 +1,13 @@
 import type { FleetUpdate, KnownRevisions } from "./fleetView";
-import type { JobProgress, MemberEntry, PlaceOutcome, PlaceRelease, PlaceRequest, PlaceSummary } from "./types";
+import type {
+    CrashReport,
+    JobProgress,
+    MemberEntry,
+    PlaceOutcome,
+    PlaceRelease,
+    PlaceRequest,
+    PlaceSummary,
+} from "./types";
 
 /** JSON-RPC methods that instances call on each other. */
 export const METHODS = {
@@ -37,6 +45,8 @@
     readonly known: KnownRevisions;
     /** Full report of the places in use; absent from most messages. */
     readonly places: readonly PlaceSummary[] | undefined;
+    /** With a full report of the places: the instance's recent crash reports, which a new coordinator doesn't know. */
+    readonly crashes?: readonly CrashReport[] | undefined;
     readonly jobs: readonly JobProgress[];
     readonly isStoreFailing: boolean;
     /** What the instance's own reads have shown of the store recently; absent if it has not read. */
@@ -113,6 +123,7 @@
     readonly withdrawnAsks: readonly string[];
     /** Places whose endpoint has sent nothing for too long; their requests go on. */
     readonly silentPlaces: readonly string[];
+    readonly crashes?: readonly CrashReport[];
 }
 
 /** Asks whether a job fits within its organisation's limit on waiting tokens. */
--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -1,12 +1,15 @@
 import { type Logger, newRequestId } from "@heatherline/common";
-import type { Coordinator } from "./coordinator";
+import { LRUCache } from "lru-cache";
+import { type Coordinator, newBlockedPromptRefusal } from "./coordinator";
 import type { CoordinatorLink } from "./coordinatorLink";
 import { Dispatcher } from "./dispatcher";
 import { scaleRateBounds } from "./fallbackShares";
 import type { FleetView } from "./fleetView";
 import type { PlaceDecision, PlaceReply, ReleaseRequest } from "./messages";
+import { PromptPartTracker } from "./promptPartTracker";
 import { TokenBuckets } from "./tokenBuckets";
 import type {
+    CrashReport,
     EndpointEntry,
     MemberEntry,
     PlaceOutcome,
@@ -27,6 +30,13 @@
 const MAX_UNKNOWN_ENDPOINTS = 3;
 /** Time after which the coordinator and this instance know the same endpoints again, in milliseconds. */
 const UNKNOWN_ENDPOINT_RETRY_MS = 500;
+/** How long this instance reports a crash to each new coordinator, in milliseconds. */
+const CRASH_REPORT_TTL_MS = 120_000;
+/** Maximum number of remembered crash reports. */
+const MAX_CRASH_REPORTS = 64;
+/** A part of prompts that succeeds often is reported once in this time, in milliseconds. */
+const SUCCESS_REPORT_INTERVAL_MS = 500;
+const MAX_REPORTED_PARTS = 4_096;
 
 /** A place that this instance holds. */
 export interface HeldPlace {
@@ -45,8 +55,11 @@
      *
      * @param end - How the request ended.
      * @param firstAnswerMs - Time from the grant of the place to the first part of the response.
+     * @param hasResponded - Whether the endpoint produced enough to show that the request doesn't crash it.
      */
-    release(end: RequestEnd, firstAnswerMs?: number): void;
+    release(end: RequestEnd, firstAnswerMs?: number, hasResponded?: boolean): void;
+    /** Reports, also after the release, that the endpoint crashed while nothing of the response had arrived. */
+    reportCrash(): void;
 }
 
 /**
@@ -106,6 +119,11 @@
     private pendingReleases: PlaceRelease[] = [];
     private pendingWithdrawals: string[] = [];
     private silentPlaces: string[] = [];
+    private pendingCrashes: CrashReport[] = [];
+    /** What this instance itself has seen of parts of prompts; decides only while nobody else does. */
+    private readonly promptParts = new PromptPartTracker(() => undefined);
+    private readonly successReportedAtMs = new LRUCache<string, number>({ max: MAX_REPORTED_PARTS });
+    private recentCrashes: { readonly report: CrashReport; readonly atMs: number; }[] = [];
 
     /**
      * @param self - This instance.
@@ -191,6 +209,7 @@
 
     /** Applies a change of the fleet view. */
     onViewChanged(): void {
+        this.promptParts.adopt(this.view.blockedPrompts);
         this.fallbackDispatcher.setEndpoints(this.view.getEndpoints());
     }
 
@@ -217,6 +236,13 @@
         }));
     }
 
+    /** @returns Crashes that this instance has seen recently, for a coordinator that may not know of them. */
+    getRecentCrashes(): CrashReport[] {
+        const nowMs = performance.now();
+        this.recentCrashes = this.recentCrashes.filter(({ atMs }) => nowMs - atMs < CRASH_REPORT_TTL_MS);
+        return this.recentCrashes.map(({ report, atMs }) => ({ ...report, ageMs: nowMs - atMs }));
+    }
+
     /** Whether no coordinator is reachable. */
     get isInFallbackMode(): boolean {
         return this.coordinator.getLocal() === undefined && this.coordinator.link.coordinator === undefined;
@@ -293,6 +319,10 @@
     }
 
     private async requestAlone(request: PlaceRequest, signal: AbortSignal): Promise<PlaceOutcome> {
+        const parts = request.promptParts ?? [];
+        if (this.promptParts.decide(parts, false) === "blocked") {
+            return newBlockedPromptRefusal(parts);
+        }
         if (request.rate !== undefined) {
             const decision = this.fallbackTokenBuckets.take(request.organisation, request.rate);
             if (!decision.isTaken) {
@@ -343,7 +373,9 @@
             this.release(placeId, "lost");
             return { kind: "unknown-endpoint", endpointId, decidedBy };
         }
-        const release = (end: RequestEnd, firstAnswerMs?: number) => this.release(placeId, end, firstAnswerMs);
+        const release = (end: RequestEnd, firstAnswerMs?: number, hasResponded = false) =>
+            this.release(placeId, end, firstAnswerMs, hasResponded);
+        const reportCrash = () => this.reportCrash(placeId, endpointId, request);
         const reportSilence = () => this.reportSilence(placeId);
         const preemptSignal = preemptController.signal;
         return {
@@ -356,11 +388,12 @@
                 preemptSignal,
                 reportSilence,
                 release,
+                reportCrash,
             },
         };
     }
 
-    private release(placeId: string, end: RequestEnd, firstAnswerMs?: number): void {
+    private release(placeId: string, end: RequestEnd, firstAnswerMs?: number, hasResponded = false): void {
         const held = this.heldPlaces.get(placeId);
         if (held === undefined) {
             return;
@@ -371,7 +404,39 @@
         }
         this.fallbackDispatcher.release(placeId, end, firstAnswerMs);
         // A coordinator may have adopted places that this instance granted in fallback mode; it ignores unknown ones.
-        this.queueRelease({ placeId, end, fingerprint: held.request.fingerprint, firstAnswerMs });
+        const { fingerprint, promptParts = [] } = held.request;
+        const succeededParts = hasResponded ? this.recordSuccess(promptParts) : [];
+        this.queueRelease({
+            placeId,
+            end,
+            fingerprint,
+            firstAnswerMs,
+            ...succeededParts.length > 0 ? { succeededParts } : {},
+        });
+    }
+
+    /** @returns The parts whose success is to be reported. */
+    private recordSuccess(parts: readonly string[]): string[] {
+        const nowMs = performance.now();
+        this.promptParts.recordSuccess(parts);
+        const unreported = parts.filter(part =>
+            nowMs - (this.successReportedAtMs.get(part) ?? -Infinity) > SUCCESS_REPORT_INTERVAL_MS
+        );
+        unreported.forEach(part => this.successReportedAtMs.set(part, nowMs));
+        return unreported;
+    }
+
+    /** Reports a crash with the parts that are not known to be sound, which a new coordinator doesn't know yet. */
+    private reportCrash(placeId: string, endpointId: string, { fingerprint, promptParts = [] }: PlaceRequest): void {
+        const suspectParts = promptParts.filter(part => !this.promptParts.hasSucceededRecently(part));
+        if (suspectParts.length === 0) {
+            return;
+        }
+        const report = { reportId: placeId, endpointId, fingerprint, promptParts: suspectParts, ageMs: 0 };
+        this.promptParts.recordCrash(report);
+        this.recentCrashes = [...this.recentCrashes, { report, atMs: performance.now() }].slice(-MAX_CRASH_REPORTS);
+        this.pendingCrashes.push(report);
+        this.scheduleFlush();
     }
 
     private reportSilence(placeId: string): void {
@@ -391,7 +456,8 @@
     }
 
     private scheduleFlush(): void {
-        if (this.pendingReleases.length + this.pendingWithdrawals.length + this.silentPlaces.length === 1) {
+        const { pendingReleases, pendingWithdrawals, silentPlaces, pendingCrashes } = this;
+        if (pendingReleases.length + pendingWithdrawals.length + silentPlaces.length + pendingCrashes.length === 1) {
             setImmediate(() => this.flush());
         }
     }
@@ -401,7 +467,9 @@
             releases: this.pendingReleases,
             withdrawnAsks: this.pendingWithdrawals,
             silentPlaces: this.silentPlaces,
+            ...this.pendingCrashes.length > 0 ? { crashes: this.pendingCrashes } : {},
         };
+        this.pendingCrashes = [];
         this.silentPlaces = [];
         this.pendingReleases = [];
         this.pendingWithdrawals = [];
--- /dev/null
+++ b/packages/fleet/src/promptPartTracker.ts
@@ -0,0 +1,238 @@
+import { newRequestId } from "@heatherline/common";
+import { LRUCache } from "lru-cache";
+import type { BlockedPrompt, CrashReport } from "./types";
+
+/** Crashes of endpoints after which a part that all of them have in common is blocked. */
+const CRASHES_TO_BLOCK = 3;
+/** Different requests among them; one request that crashes endpoints again and again says little about its parts. */
+const REQUESTS_TO_BLOCK = 2;
+/** Connections to an endpoint that break within this time belong to one crash, in milliseconds. */
+const CRASH_WINDOW_MS = 2_000;
+/** A part with which a request has succeeded this recently is not to blame, in milliseconds. */
+const SUCCESS_TRUST_MS = 10_000;
+/** Crashes count for this long, in milliseconds. */
+const CRASH_TTL_MS = 600_000;
+const MAX_CRASHES = 512;
+const MAX_REPORTS = 2_048;
+/** Maximum number of parts whose last success is remembered. */
+const MAX_PARTS = 16_384;
+/**
+ * Delays between the block, the first trial request, the second and so on, in milliseconds; a part that is blocked by
+ * mistake is released by the first one, and there are few, since each trial of a bad part crashes an endpoint.
+ */
+const TRIAL_DELAYS_MS = [6_000, 40_000, 300_000, 1_800_000];
+/** A block ends after this time, in milliseconds. */
+const BLOCK_TTL_MS = 86_400_000;
+
+/** One crash of an endpoint, with the requests of which nothing had arrived then. */
+interface Crash {
+    readonly endpointId: string;
+    readonly atMs: number;
+    readonly suspects: { readonly fingerprint: string; readonly parts: readonly string[]; }[];
+}
+
+/** A block with the time of its next trial, on the monotonic clock. */
+interface ActiveBlock {
+    prompt: BlockedPrompt;
+    nextTrialAtMs: number;
+    /** Whether the store has listed it. */
+    isStored: boolean;
+}
+
+/** Whether a request may run; a trial shows whether a block is still right. */
+export type PromptDecision = "run" | "trial" | "blocked";
+
+/**
+ * Finds parts of prompts that crash each endpoint that begins to respond to them, and blocks the requests that have
+ * them. Requests that only ran beside such a request, or share other parts with it, are to be served: a part is blamed
+ * only if it occurs in each of several crashes, and for no crash that a known part explains, and if no request with it
+ * has succeeded since. Parts that can't be told apart are blocked together, in requests that have all of them; a success
+ * of a request with one of them clears that one.
+ */
+export class PromptPartTracker {
+    private readonly crashes = new LRUCache<string, Crash>({ max: MAX_CRASHES });
+    private readonly knownReports = new LRUCache<string, true>({ max: MAX_REPORTS });
+    private readonly lastSuccessAtMs = new LRUCache<string, number>({ max: MAX_PARTS });
+    private readonly blocks = new Map<string, ActiveBlock>();
+
+    /**
+     * @param onChange - Called with each block that begins, changes or, with `isEnded`, ends.
+     */
+    constructor(private readonly onChange: (prompt: BlockedPrompt, isEnded: boolean) => void) {}
+
+    /**
+     * @param part - A part of a prompt.
+     * @returns Whether a request with it has succeeded recently.
+     */
+    hasSucceededRecently(part: string): boolean {
+        return performance.now() - (this.lastSuccessAtMs.get(part) ?? -Infinity) < SUCCESS_TRUST_MS;
+    }
+
+    /**
+     * Decides whether a request may run, and counts it if it is a trial.
+     *
+     * @param parts - Shared parts of its prompt.
+     * @param mayTry - Whether it may be a trial.
+     * @returns The decision.
+     */
+    decide(parts: readonly string[], mayTry: boolean): PromptDecision {
+        const block = parts.length === 0 ? undefined : this.findBlock(parts);
+        if (block === undefined) {
+            return "run";
+        }
+        if (!mayTry || performance.now() < block.nextTrialAtMs) {
+            return "blocked";
+        }
+        this.setPrompt(block, { ...block.prompt, trials: block.prompt.trials + 1 });
+        return "trial";
+    }
+
+    /**
+     * Records that an endpoint crashed while it ran a request of which nothing had arrived. Repeated reports are ignored.
+     *
+     * @param report - The report.
+     */
+    recordCrash({ reportId, endpointId, fingerprint, promptParts, ageMs }: CrashReport): void {
+        if (this.knownReports.has(reportId)) {
+            return;
+        }
+        this.knownReports.set(reportId, true);
+        const atMs = performance.now() - ageMs;
+        const known = [...this.crashes.values()].find(crash =>
+            crash.endpointId === endpointId && Math.abs(crash.atMs - atMs) < CRASH_WINDOW_MS
+        );
+        const crash = known ?? { endpointId, atMs, suspects: [] };
+        crash.suspects.push({ fingerprint, parts: promptParts });
+        if (known === undefined) {
+            this.crashes.set(reportId, crash);
+        }
+        this.blockCommonParts();
+    }
+
+    /**
+     * Records that an endpoint has produced a part of a response, so that the request did not crash it.
+     *
+     * @param parts - Shared parts of the request's prompt.
+     */
+    recordSuccess(parts: readonly string[]): void {
+        const nowMs = performance.now();
+        for (const part of parts) {
+            this.lastSuccessAtMs.set(part, nowMs);
+        }
+        for (const block of [...this.blocks.values()]) {
+            const remaining = block.prompt.parts.filter(part => !parts.includes(part));
+            if (remaining.length === 0) {
+                this.end(block);
+            }
+            else if (remaining.length < block.prompt.parts.length) {
+                this.setPrompt(block, { ...block.prompt, parts: remaining });
+            }
+        }
+    }
+
+    /**
+     * Adopts the blocks that the store lists; blocks that it listed before and no more have ended.
+     *
+     * @param prompts - The blocks.
+     */
+    adopt(prompts: readonly BlockedPrompt[]): void {
+        const listedIds = new Set(prompts.map(({ blockId }) => blockId));
+        for (const [blockId, { isStored }] of this.blocks) {
+            if (isStored && !listedIds.has(blockId)) {
+                this.blocks.delete(blockId);
+            }
+        }
+        for (const prompt of prompts) {
+            const known = this.blocks.get(prompt.blockId);
+            if (known !== undefined) {
+                known.isStored = true;
+            }
+            else if (Date.now() - prompt.blockedAt < BLOCK_TTL_MS) {
+                this.blocks.set(prompt.blockId, newActiveBlock(prompt, true));
+            }
+        }
+    }
+
+    private findBlock(parts: readonly string[]): ActiveBlock | undefined {
+        for (const block of this.blocks.values()) {
+            if (Date.now() - block.prompt.blockedAt > BLOCK_TTL_MS) {
+                this.end(block);
+            }
+            else if (hasAll(parts, block.prompt.parts)) {
+                return block;
+            }
+        }
+        return undefined;
+    }
+
+    private end({ prompt }: ActiveBlock): void {
+        this.blocks.delete(prompt.blockId);
+        this.onChange(prompt, true);
+    }
+
+    private setPrompt(block: ActiveBlock, prompt: BlockedPrompt): void {
+        if (prompt.trials > block.prompt.trials) {
+            block.nextTrialAtMs = performance.now() + getTrialDelayMs(prompt.trials);
+        }
+        block.prompt = prompt;
+        this.onChange(prompt, false);
+    }
+
+    private blockCommonParts(): void {
+        for (let parts = this.findCommonParts(); parts.length > 0; parts = this.findCommonParts()) {
+            const prompt = { blockId: newRequestId(), parts, trials: 0, blockedAt: Date.now() };
+            this.blocks.set(prompt.blockId, newActiveBlock(prompt, false));
+            this.onChange(prompt, false);
+        }
+    }
+
+    /** @returns The parts that occur in the most crashes that no block explains, if these are enough to blame them. */
+    private findCommonParts(): string[] {
+        const crashesByPart = new Map<string, Set<Crash>>();
+        const requestsByPart = new Map<string, Set<string>>();
+        for (const crash of this.getUnexplainedCrashes()) {
+            for (const { fingerprint, parts } of crash.suspects) {
+                for (const part of parts) {
+                    if (
+                        crash.atMs > (this.lastSuccessAtMs.get(part) ?? -Infinity) && !this.hasSucceededRecently(part)
+                    ) {
+                        addTo(crashesByPart, part, crash);
+                        addTo(requestsByPart, part, fingerprint);
+                    }
+                }
+            }
+        }
+        const candidates = [...crashesByPart].filter(([part, crashes]) =>
+            crashes.size >= CRASHES_TO_BLOCK && (requestsByPart.get(part)?.size ?? 0) >= REQUESTS_TO_BLOCK
+        );
+        const most = Math.max(0, ...candidates.map(([, crashes]) => crashes.size));
+        return candidates.filter(([, crashes]) => crashes.size === most).map(([part]) => part);
+    }
+
+    private getUnexplainedCrashes(): Crash[] {
+        const prompts = [...this.blocks.values()].map(({ prompt }) => prompt);
+        const nowMs = performance.now();
+        return [...this.crashes.values()].filter(({ atMs, suspects }) =>
+            nowMs - atMs < CRASH_TTL_MS &&
+            !suspects.some(suspect => prompts.some(prompt => hasAll(suspect.parts, prompt.parts)))
+        );
+    }
+}
+
+function newActiveBlock(prompt: BlockedPrompt, isStored: boolean): ActiveBlock {
+    return { prompt, nextTrialAtMs: performance.now() + getTrialDelayMs(prompt.trials), isStored };
+}
+
+function getTrialDelayMs(trials: number): number {
+    return TRIAL_DELAYS_MS[trials] ?? Infinity;
+}
+
+function hasAll(parts: readonly string[], required: readonly string[]): boolean {
+    return required.every(part => parts.includes(part));
+}
+
+function addTo<Key, Value>(sets: Map<Key, Set<Value>>, key: Key, value: Value): void {
+    const set = sets.get(key) ?? new Set<Value>();
+    set.add(value);
+    sets.set(key, set);
+}
--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -4,7 +4,7 @@
 import type { FleetView } from "./fleetView";
 import { KindFeed, type KindReading } from "./kindFeed";
 import type { StoreCheck } from "./messages";
-import type { EndpointEntry, MemberEntry, RoutingConfig } from "./types";
+import type { BlockedPrompt, EndpointEntry, MemberEntry, RoutingConfig } from "./types";
 
 /** How the platform stores the objects that this system reads. */
 export interface StateSchema {
@@ -32,6 +32,8 @@
 export const MEMBER_KIND = "heatherline-instances";
 /** Kind of the objects that describe batch jobs. */
 export const JOB_KIND = "heatherline-jobs";
+/** Kind of the objects that describe blocked prompts. */
+export const BLOCKED_PROMPT_KIND = "heatherline-blocked-prompts";
 
 /** The configuration must be confirmed as current every second, so its watch lasts no longer. */
 const CONFIG_WATCH_MS = 1_000;
@@ -132,6 +134,12 @@
                 SLOW_WATCH_MS,
                 ({ objects }) => listeners.onRetirements([...objects.keys()]),
             ),
+            newFeed(
+                BLOCKED_PROMPT_KIND,
+                SLOW_WATCH_MS,
+                ({ objects, revision }) =>
+                    view.applyBlockedPrompts({ revision, value: [...objects.values()].flatMap(decodeBlockedPrompt) }),
+            ),
             newFeed(JOB_KIND, WATCH_MS, ({ objects }) => listeners.onJobs(objects), JOB_PAUSE_MS),
         ];
     }
@@ -195,6 +203,17 @@
         this.view.applyMembers({ revision, value: objects.flatMap(decodeMember) });
     }
 
+    /** Reads the blocked prompts once, for an instance that decides about places without a coordinator. */
+    async readBlockedPrompts(): Promise<void> {
+        const listing = await this.store.list(BLOCKED_PROMPT_KIND);
+        if (listing.isErr()) {
+            this.logger.info({ event: "blocked-prompts-not-read", cause: listing.error.toString() });
+            return;
+        }
+        const { revision, objects } = listing.value;
+        this.view.applyBlockedPrompts({ revision, value: objects.flatMap(decodeBlockedPrompt) });
+    }
+
     private applyConfig({ objects, ageMs }: KindReading): void {
         const object = objects.get(this.schema.configName);
         if (object === undefined) {
@@ -247,3 +266,10 @@
         && typeof processorShare === "number";
     return isComplete ? [{ instanceId, incarnation, host, rpcPort, dataCentre, processorShare }] : [];
 }
+
+function decodeBlockedPrompt({ path, value }: StoredObject): BlockedPrompt[] {
+    const { parts, trials, blockedAt } = value;
+    const isComplete = Array.isArray(parts) && parts.length > 0 && parts.every(part => typeof part === "string")
+        && typeof trials === "number" && typeof blockedAt === "number";
+    return isComplete ? [{ blockId: path.slice(path.indexOf("/") + 1), parts, trials, blockedAt }] : [];
+}
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -142,10 +142,34 @@
     readonly allowedRegions: readonly string[];
     /** Identifies a request across its attempts; empty if attempts can't be recognised. */
     readonly fingerprint: string;
+    /** Shared parts of the request's prompt; absent for batch items and from instances of earlier releases. */
+    readonly promptParts?: readonly string[] | undefined;
     /** Rate limit that the request takes a token from; `undefined` if it takes none. */
     readonly rate: RateBounds | undefined;
 }
 
+/** Reports that an endpoint crashed while it ran a request of which no part of a response had arrived. */
+export interface CrashReport {
+    /** Equal in repetitions of a report. */
+    readonly reportId: string;
+    readonly endpointId: string;
+    /** Identifies the request across its attempts. */
+    readonly fingerprint: string;
+    /** Shared parts of its prompt that may be to blame. */
+    readonly promptParts: readonly string[];
+    readonly ageMs: number;
+}
+
+/** Parts of prompts that crash endpoints; requests that have all of them are held back. */
+export interface BlockedPrompt {
+    readonly blockId: string;
+    readonly parts: readonly string[];
+    /** Requests that were let through to see whether they still crash endpoints. */
+    readonly trials: number;
+    /** Milliseconds since the epoch. */
+    readonly blockedAt: number;
+}
+
 /** Rate limit of an organisation. */
 export interface RateBounds {
     readonly ratePerS: number;
@@ -202,6 +226,8 @@
     readonly fingerprint: string;
     /** Time from the grant of the place to the first part of the response; `undefined` if there was none. */
     readonly firstAnswerMs: number | undefined;
+    /** Shared parts of the prompt, if the endpoint has produced a part of the response. */
+    readonly succeededParts?: readonly string[] | undefined;
 }
 
 /** A place in use, as its instance reports it to a coordinator that may not know of it. */
--- a/packages/fleet/tests/blockedCoordinator.test.ts
+++ b/packages/fleet/tests/blockedCoordinator.test.ts
@@ -62,6 +62,7 @@
         getLeaseVersion: () => 1,
         isStoreFailing: () => false,
         preemptOwnPlace: () => undefined,
+        saveBlockedPrompt: () => undefined,
         logger,
     });
     return { coordinator, events };
--- /dev/null
+++ b/packages/gateway/src/blockedPromptStore.ts
@@ -0,0 +1,75 @@
+import { type Logger, sleep, withJitter } from "@heatherline/common";
+import { BLOCKED_PROMPT_KIND, type BlockedPrompt } from "@heatherline/fleet";
+import type { ObjectStore } from "@heatherline/store";
+
+const FIRST_RETRY_MS = 200;
+const MAX_RETRY_MS = 3_000;
+/** Writes that fail this often are given up; the coordinator still holds the block in memory. */
+const MAX_ATTEMPTS = 60;
+
+/** A change of a block that is yet to be written. */
+interface PendingChange {
+    readonly prompt: BlockedPrompt;
+    readonly isEnded: boolean;
+}
+
+/** Writes blocks of prompts to the store, so that they outlast all instances. */
+export class BlockedPromptStore {
+    private readonly pendingChanges = new Map<string, PendingChange>();
+    private readonly writing = new Set<string>();
+
+    /**
+     * @param store - The store.
+     * @param logger - Log of the instance.
+     */
+    constructor(private readonly store: ObjectStore, private readonly logger: Logger) {}
+
+    /**
+     * Writes a block in the background, again and again until the store accepts it or a later change replaces it.
+     *
+     * @param prompt - The block.
+     * @param isEnded - Whether it has ended and is to be removed.
+     */
+    save(prompt: BlockedPrompt, isEnded: boolean): void {
+        this.pendingChanges.set(prompt.blockId, { prompt, isEnded });
+        if (!this.writing.has(prompt.blockId)) {
+            this.writing.add(prompt.blockId);
+            void this.writeChanges(prompt.blockId);
+        }
+    }
+
+    private async writeChanges(blockId: string): Promise<void> {
+        let failures = 0;
+        for (let change = this.pendingChanges.get(blockId); change !== undefined;) {
+            const isWritten = await this.write(change);
+            failures = isWritten ? 0 : failures + 1;
+            if (this.pendingChanges.get(blockId) === change && (isWritten || failures === MAX_ATTEMPTS)) {
+                this.pendingChanges.delete(blockId);
+            }
+            if (failures > 0) {
+                await sleep(withJitter(Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** failures)));
+            }
+            change = this.pendingChanges.get(blockId);
+        }
+        this.writing.delete(blockId);
+    }
+
+    private async write({ prompt, isEnded }: PendingChange): Promise<boolean> {
+        const { blockId, parts, trials, blockedAt } = prompt;
+        const path = `${BLOCKED_PROMPT_KIND}/${blockId}`;
+        const current = await this.store.get(path);
+        const written = current.isErr()
+            ? current
+            : isEnded
+            ? await this.store.delete(path, 0)
+            : await this.store.put(path, { parts, trials, blockedAt }, current.value?.version ?? 0);
+        this.logger.info({
+            event: "blocked-prompt-saved",
+            blockId,
+            isEnded,
+            isSaved: written.isOk(),
+            cause: written.isErr() ? written.error.toString() : "",
+        });
+        return written.isOk();
+    }
+}
--- a/packages/gateway/src/coordinatorRole.ts
+++ b/packages/gateway/src/coordinatorRole.ts
@@ -2,9 +2,11 @@
 import type { Logger } from "@heatherline/common";
 import {
     type Announcement,
+    type BlockedPrompt,
     Coordinator,
     CoordinatorLease,
     CoordinatorLink,
+    type CrashReport,
     FleetScope,
     type FleetView,
     type MemberEntry,
@@ -32,6 +34,10 @@
     readonly getPlaces: () => readonly PlaceSummary[];
     /** Preempts a place that this instance holds. */
     readonly preemptOwnPlace: (placeId: string) => void;
+    /** @returns Crashes of endpoints that this instance has seen recently. */
+    readonly getRecentCrashes: () => readonly CrashReport[];
+    /** Stores a block of a prompt, or removes it if it has ended. */
+    readonly saveBlockedPrompt: (prompt: BlockedPrompt, isEnded: boolean) => void;
     readonly newSyncRequest: (isFull: boolean, waitMs: number) => SyncRequest;
     readonly onSyncReply: (reply: Extract<SyncReply, { kind: "news"; }>, transitMs: number) => void;
     /** Called when the coordinator, or whether it can be reached, has changed. */
@@ -134,7 +140,16 @@
     }
 
     private newCoordinator(epoch: number): Coordinator {
-        const { self, view, getRegion, getRateTolerance, isStoreFailing, preemptOwnPlace, getPlaces } = this.deps;
+        const {
+            self,
+            view,
+            getRegion,
+            getRateTolerance,
+            isStoreFailing,
+            preemptOwnPlace,
+            getPlaces,
+            saveBlockedPrompt,
+        } = this.deps;
         const coordinator = new Coordinator(epoch, {
             self,
             view,
@@ -143,9 +158,11 @@
             getLeaseVersion: () => this.lease.version,
             isStoreFailing,
             preemptOwnPlace,
+            saveBlockedPrompt,
             logger: this.logger,
         });
         coordinator.adoptOwnPlaces(getPlaces());
+        coordinator.recordCrashes(this.deps.getRecentCrashes());
         return coordinator;
     }
 
--- a/packages/gateway/src/deputyRole.ts
+++ b/packages/gateway/src/deputyRole.ts
@@ -1,8 +1,10 @@
 import type { Logger } from "@heatherline/common";
 import {
     type Announcement,
+    type BlockedPrompt,
     Coordinator,
     CoordinatorLink,
+    type CrashReport,
     DataCentreScope,
     type FleetView,
     type MemberEntry,
@@ -27,6 +29,12 @@
     readonly getPlaces: () => readonly PlaceSummary[];
     /** Preempts a place that this instance holds. */
     readonly preemptOwnPlace: (placeId: string) => void;
+    /** @returns Crashes of endpoints that this instance has seen recently. */
+    readonly getRecentCrashes: () => readonly CrashReport[];
+    /** Stores a block of a prompt, or removes it if it has ended. */
+    readonly saveBlockedPrompt: (prompt: BlockedPrompt, isEnded: boolean) => void;
+    /** Reads the blocked prompts from the store once. */
+    readonly readBlockedPrompts: () => void;
     readonly newSyncRequest: (isFull: boolean, waitMs: number) => SyncRequest;
     readonly onSyncReply: (reply: Extract<SyncReply, { kind: "news"; }>, transitMs: number) => void;
     /** @returns The coordinator and its epoch, as far as this instance knows. */
@@ -101,7 +109,8 @@
     }
 
     private begin(): void {
-        const { self, view, getRegion, isStoreFailing, preemptOwnPlace, getPlaces, onChange } = this.deps;
+        const { self, view, getRegion, isStoreFailing, preemptOwnPlace, getPlaces, saveBlockedPrompt, onChange } =
+            this.deps;
         this.logger.info({ event: "deputy-begins", dataCentre: self.dataCentre });
         this.scope.tokenBuckets.restart();
         this.deputy = new Coordinator(0, {
@@ -112,9 +121,12 @@
             getLeaseVersion: () => 0,
             isStoreFailing,
             preemptOwnPlace,
+            saveBlockedPrompt,
             logger: this.logger,
         });
         this.deputy.adoptOwnPlaces(getPlaces());
+        this.deputy.recordCrashes(this.deps.getRecentCrashes());
+        this.deps.readBlockedPrompts();
         onChange();
     }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 } from "@heatherline/fleet";
 import { Admission } from "./admission";
 import { BatchApi } from "./batchApi";
+import { BlockedPromptStore } from "./blockedPromptStore";
 import { CoordinatorRole } from "./coordinatorRole";
 import { DeputyRole } from "./deputyRole";
 import { EndpointChangeLogger } from "./endpointChangeLogger";
@@ -116,6 +117,7 @@
             () => this.isFollower,
             logger,
         );
+        const blockedPrompts = new BlockedPromptStore(store, logger);
         const getRegion = (dataCentre: string) => this.settings.regions[dataCentre] ?? dataCentre;
         this.role = new CoordinatorRole({
             self: this.self,
@@ -127,6 +129,8 @@
             isStoreFailing: () => this.feed.isStoreFailing,
             getPlaces: () => this.placement.getPlaces(),
             preemptOwnPlace: placeId => this.placement.preempt(placeId),
+            getRecentCrashes: () => this.placement.getRecentCrashes(),
+            saveBlockedPrompt: (prompt, isEnded) => blockedPrompts.save(prompt, isEnded),
             newSyncRequest: (isFull, waitMs) => this.newSyncRequest(isFull, waitMs),
             onSyncReply: (reply, transitMs) => {
                 this.applySyncReply(reply, transitMs);
@@ -142,6 +146,9 @@
             isStoreFailing: () => this.feed.isStoreFailing,
             getPlaces: () => this.placement.getPlaces(),
             preemptOwnPlace: placeId => this.placement.preempt(placeId),
+            getRecentCrashes: () => this.placement.getRecentCrashes(),
+            saveBlockedPrompt: (prompt, isEnded) => blockedPrompts.save(prompt, isEnded),
+            readBlockedPrompts: () => void this.feed.readBlockedPrompts(),
             newSyncRequest: (isFull, waitMs) => ({ ...this.newSyncRequest(isFull, waitMs), jobs: [] }),
             onSyncReply: (reply, transitMs) => {
                 this.applyMessages(reply, transitMs);
@@ -383,6 +390,7 @@
             member: this.self,
             known: this.view.getRevisions(),
             places: isFull ? this.placement.getPlaces() : undefined,
+            crashes: isFull ? this.placement.getRecentCrashes() : undefined,
             jobs: this.runner.getProgress(),
             isStoreFailing: this.feed.isStoreFailing,
             storeCheck: this.feed.storeCheck,
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -29,6 +29,8 @@
  */
 const STALL_TIMEOUT_MS = 800;
 const STALL_POLL_MS = 200;
+/** A request that crashes the endpoint does so as soon as the endpoint begins to respond. */
+const MAX_EVENTS_BEFORE_CRASH = 1;
 
 /** An online request with its body read. */
 export interface OnlineRequest {
@@ -182,8 +184,8 @@
                 mayRepeat: mayRetry,
                 promptParts: this.request.caller.sharedPromptParts.join(),
             });
-            if (outcome.end === "broken" && this.relay.eventCount === 0 && !this.abortController.signal.aborted) {
-                void this.logWhetherListening(place);
+            if (outcome.end === "broken" && !this.hasResponded(outcome) && !this.abortController.signal.aborted) {
+                void this.reportIfCrashed(place);
             }
             if (this.abortController.signal.aborted || !mayRetry || isResponseCommitted) {
                 return this.newFinalRefusal(outcome);
@@ -192,8 +194,12 @@
     }
 
     /** An endpoint that crashed accepts no connections; one that only lost this one does. */
-    private async logWhetherListening({ endpoint }: HeldPlace): Promise<void> {
+    private async reportIfCrashed(place: HeldPlace): Promise<void> {
+        const { endpoint } = place;
         const isListening = await this.deps.endpoints.isListening(endpoint);
+        if (!isListening) {
+            place.reportCrash();
+        }
         this.deps.logger.info({
             event: "endpoint-checked",
             endpoint: endpoint.endpointId,
@@ -235,6 +241,7 @@
             remainingMs: 0,
             allowedRegions,
             fingerprint: this.fingerprint,
+            promptParts: this.request.caller.sharedPromptParts,
             rate: mustTakeToken ? { ratePerS: organisation.ratePerS, burst: organisation.burst } : undefined,
             excluded: this.excluded,
             signal: this.abortController.signal,
@@ -286,6 +293,7 @@
         place.release(
             attemptController.signal.reason === "silent" ? "silent" : this.toRequestEnd(outcome, startedAtMs),
             firstResponseMs,
+            this.hasResponded(outcome),
         );
         return outcome;
     }
@@ -374,7 +382,12 @@
                 performance.now() - startedAtMs > FIRST_RESPONSE_TIMEOUT_MS;
             return outcome.kind === "ended" && wasSilent ? "failed" : "done";
         }
-        return outcome.end === "broken" && this.relay.eventCount > 1 ? "lost" : outcome.end;
+        return outcome.end === "broken" && this.relay.eventCount > MAX_EVENTS_BEFORE_CRASH ? "lost" : outcome.end;
+    }
+
+    /** Whether the endpoint produced enough to show that the request doesn't crash it as soon as it responds. */
+    private hasResponded(outcome: AttemptOutcome): boolean {
+        return this.relay.eventCount > MAX_EVENTS_BEFORE_CRASH || outcome.kind === "answered";
     }
 
     private newFinalRefusal({ reason }: Extract<AttemptOutcome, { kind: "ended"; }>): Refusal {
--- a/packages/gateway/tests/brokenOffResponses.test.ts
+++ b/packages/gateway/tests/brokenOffResponses.test.ts
@@ -271,6 +271,7 @@
             givenBy: "coordinator",
             expectedWaitMs: 0,
             reportSilence: () => undefined,
+            reportCrash: () => undefined,
             release: () => undefined,
         };
         const requestPlace = () => {
