Never hold a batch item back because endpoints crashed under it

What callers saw (a report from a system like ours): after a burst of crashes, a sound item under which several endpoints had ended was never placed again, though all was calm. Cause: `CrashTracker` held items like online requests, 3, 20 and then 60 s after the second, third and further crash; a job is due in 18 s. Class of fault: innocent work is judged by company. Change: only online requests are tracked. The runner of an item waits 0.1 s, then twice as long after each run that broke with nothing, 1.6 s at most. Evidence: the test (three crashes under an item, then calm) failed before with 0 results after 5 s, in 3 of 3 runs green now. Why it works: an item is owed until its retention time is over, and items don't crash endpoints by themselves; the growing delay keeps one that did from crashing more than one endpoint in 1.6 s.

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -104,7 +104,7 @@
      * @returns The decision.
      */
     async place(request: PlaceRequest): Promise<PlaceOutcome> {
-        if (!this.crashTracker.mayRun(request.fingerprint)) {
+        if (request.workClass === "online" && !this.crashTracker.mayRun(request.fingerprint)) {
             const detail = "connections to endpoints broke while they ran this request";
             return { kind: "refused", reason: "crashes-endpoints", retryAfterMs: 0, detail };
         }
@@ -159,7 +159,7 @@
                 this.promptParts.recordSuccess(succeededParts);
             }
             const released = this.dispatcher.release(placeId, end, firstAnswerMs);
-            if (end === "broken") {
+            if (end === "broken" && released?.place.workClass !== "batch") {
                 this.crashTracker.recordCrash(fingerprint);
             }
             else if (end === "done") {
--- a/packages/fleet/src/crashTracker.ts
+++ b/packages/fleet/src/crashTracker.ts
@@ -13,9 +13,9 @@
 }
 
 /**
- * Tracks requests whose endpoint crashed while it ran them, so that a request that crashes any endpoint is not sent to
- * all of them. Endpoints also crash for other reasons, so a request is only held back, longer after each crash. A
- * response clears its record.
+ * Tracks online requests whose endpoint crashed while it ran them, so that a request that crashes any endpoint is not
+ * sent to all of them. Endpoints also crash for other reasons, so a request is only held back, longer after each crash.
+ * A response clears its record. Batch items are not tracked: each is owed until its retention time is over.
  */
 export class CrashTracker {
     private readonly records = new LRUCache<string, CrashRecord>({ max: MAX_REMEMBERED });
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -15,8 +15,9 @@
  * rather than too early.
  */
 const CLOCK_SKEW_MARGIN_MS = 3_000;
-/** Delay after a run that did not complete the item. */
+/** Delay after a run that did not complete the item; doubles with each further one that produced nothing. */
 const RETRY_DELAY_MS = 100;
+const MAX_RETRY_DELAY_MS = 1_600;
 /** Delay before checking again whether the item can run. */
 const NOT_RUNNABLE_DELAY_MS = 250;
 /** An item is given up when its route has been missing from the configuration for this long. */
@@ -95,6 +96,8 @@
     private readonly data: string[];
     private lastEventId: number | undefined;
     private failures: number;
+    /** Consecutive runs that broke before they produced anything. */
+    private emptyRuns = 0;
     /** How the response of the latest run ended, for the log. */
     private lastResponseEnd: ResponseEnd | undefined;
     private routeLastSeenAtMs = performance.now();
@@ -151,7 +154,7 @@
                 return this.newDeadResult();
             }
             if (end !== "called-back" && end !== "stopped") {
-                await sleep(RETRY_DELAY_MS, this.signal);
+                await sleep(Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * 2 ** this.emptyRuns), this.signal);
             }
         }
         return undefined;
@@ -199,6 +202,7 @@
         const end = await this.runAtPlace(place, body);
         const eventCount = this.data.length - previousEventCount;
         place.release(toRequestEnd(end, eventCount));
+        this.emptyRuns = end === "broken" && eventCount === 0 ? this.emptyRuns + 1 : 0;
         this.deps.durationEstimator.recordRun(eventCount, performance.now() - startedAtMs);
         if (end === "complete") {
             this.deps.durationEstimator.recordFinished(this.data.length);
