Own interface: run an item again however often endpoints crashed under it

Cause: as on the platform's path, a sound item paid for crashes: two crashes while it ran alone quarantined it for good, and four attempts without a response failed it. Class of fault: innocent work is judged by company. Change: crashes don't quarantine batch items, a quarantine of an equal online request doesn't stop them, and only error responses count towards an item's maximum of attempts; the delay between attempts grows to 5 s.

--- a/packages/batch/src/batch.test.ts
+++ b/packages/batch/src/batch.test.ts
@@ -179,6 +179,16 @@
         outcome: "completed",
         attempts: 1,
     },
+    {
+        name: "runs an item again however often endpoints crashed under it",
+        outcomes: [
+            ...Array.from({ length: 2 * MAX_ITEM_ATTEMPTS }, () => ({ kind: "failed", reason: "reset" }) as const),
+            { kind: "answered", status: 200, body: 1 },
+        ],
+        isIdempotent: true,
+        outcome: "completed",
+        attempts: 2 * MAX_ITEM_ATTEMPTS + 1,
+    },
     {
         name: "fails an item at once if no attempt can succeed",
         outcomes: [{ kind: "impossible", reason: "no model" }],
--- a/packages/batch/src/itemRunner.ts
+++ b/packages/batch/src/itemRunner.ts
@@ -35,7 +35,10 @@
     readonly isIdempotent: boolean;
 }
 
-/** Maximum number of attempts that may have run an item; after them the item fails. */
+/**
+ * Maximum number of error responses to an item; after them the item fails. Attempts that got no response, since the
+ * endpoint crashed, say nothing about the item and don't count.
+ */
 export const MAX_ITEM_ATTEMPTS = 4;
 const RETRY_DELAY_MS = 250;
 const MAX_RETRY_DELAY_MS = 5_000;
@@ -59,6 +62,7 @@
 ): Promise<ItemResult> {
     const { customId } = item;
     let attempts = 0;
+    let errorResponses = 0;
     let reason = "";
     while (!signal.aborted) {
         const outcome = await executor.execute(item, job, signal);
@@ -68,6 +72,7 @@
                 if (outcome.status < FIRST_ERROR_STATUS) {
                     return { customId, outcome: "completed", status: outcome.status, body: outcome.body, attempts };
                 }
+                errorResponses += 1;
                 reason = `status ${outcome.status}`;
                 if (outcome.status < FIRST_SERVER_ERROR_STATUS || !job.isIdempotent) {
                     return {
@@ -94,10 +99,10 @@
             case "cancelled":
                 return { customId, outcome: "cancelled", attempts };
         }
-        if (!job.isIdempotent || attempts >= MAX_ITEM_ATTEMPTS) {
+        if (!job.isIdempotent || errorResponses >= MAX_ITEM_ATTEMPTS) {
             return { customId, outcome: "failed", reason, attempts };
         }
-        await sleep(RETRY_DELAY_MS * attempts, signal);
+        await sleep(Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * attempts), signal);
     }
     return { customId, outcome: "cancelled", attempts };
 }
--- a/packages/serving/src/crashSuspects.ts
+++ b/packages/serving/src/crashSuspects.ts
@@ -67,7 +67,7 @@
      *
      * @param endpoint - The endpoint.
      * @param getFingerprint - Computes the fingerprint of the request.
-     * @param isExclusive - Whether the request runs there alone.
+     * @param isExclusive - Whether the request runs there alone, so that a crash counts towards its quarantine.
      * @returns Function to call once with the outcome of the attempt.
      */
     beginAttempt(
--- a/packages/serving/src/filters/attempt.ts
+++ b/packages/serving/src/filters/attempt.ts
@@ -74,7 +74,11 @@
         }
     }
 
-    private isQuarantined({ getFingerprint }: Exchange): boolean {
+    /** Items are owed: one under which endpoints crashed runs again, alone. */
+    private isQuarantined({ getFingerprint, workClass }: Exchange): boolean {
+        if (workClass === "batch") {
+            return false;
+        }
         return this.suspects.isQuarantined(getFingerprint) ||
             (this.replica.hasQuarantinedRequests() && this.replica.isQuarantined(getFingerprint()));
     }
@@ -82,7 +86,8 @@
     private async attempt(exchange: Exchange, slot: EndpointSlot): Promise<Result<DeliveredResponse, DispatchError>> {
         exchange.attempts += 1;
         exchange.endpoint = slot.endpoint;
-        const endAttempt = this.suspects.beginAttempt(slot.endpoint, exchange.getFingerprint, slot.isExclusive);
+        const mayBeCulprit = slot.isExclusive && exchange.workClass === "online";
+        const endAttempt = this.suspects.beginAttempt(slot.endpoint, exchange.getFingerprint, mayBeCulprit);
         let event: HealthEvent | undefined;
         try {
             // A suspect must not be quarantined for a crash that happened before it ran.
