Send nothing more to an endpoint that says in its responses that it leaves

What callers saw: nothing yet; the platform's new rule (DRAIN after Server-Leaving). Cause: an instance learnt only from the store's list that an endpoint leaves, and that list may come late, not at all to an instance that is cut off, or never say so. Change: the header is decoded in the adapter; the instance that gets it excludes the endpoint from all its place requests at once (online, retries, batch, in fallback mode) and tells the coordinator or deputy, which grants no more places there. A 421 says nothing about the endpoint that the request was meant for. Also: one timer for the message of releases, in place of a count of its parts.

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -8,6 +8,7 @@
 import type { FleetView } from "./fleetView";
 import { HeartbeatMonitor } from "./heartbeatMonitor";
 import { type JobsToStop, JobTracker } from "./jobTracker";
+import { LeavingEndpoints } from "./leavingEndpoints";
 import type { PlaceReply, ReleaseRequest, SyncReply, SyncRequest } from "./messages";
 import { PromptPartTracker } from "./promptPartTracker";
 import { SyncOutbox } from "./syncOutbox";
@@ -15,6 +16,7 @@
     BlockedPrompt,
     CrashReport,
     EndpointEntry,
+    LeavingEndpoint,
     MemberEntry,
     PlaceOutcome,
     PlaceRequest,
@@ -65,6 +67,7 @@
     private readonly dispatcher: Dispatcher;
     private readonly crashTracker = new CrashTracker();
     private readonly promptParts = new PromptPartTracker((prompt, isEnded) => this.onBlockChanged(prompt, isEnded));
+    private readonly leavingEndpoints = new LeavingEndpoints();
     private readonly outbox: SyncOutbox;
     private readonly reviewTimer: NodeJS.Timeout;
     private returnTimer: NodeJS.Timeout | undefined;
@@ -144,8 +147,11 @@
     /**
      * @param request - Places and place requests that are no longer needed.
      */
-    handleRelease({ releases, withdrawnAsks, silentPlaces, crashes = [] }: ReleaseRequest): void {
+    handleRelease(
+        { releases, withdrawnAsks, silentPlaces, crashes = [], leavingEndpoints = [] }: ReleaseRequest,
+    ): void {
         this.recordCrashes(crashes);
+        this.recordLeaving(leavingEndpoints);
         for (const placeId of silentPlaces) {
             if (this.dispatcher.recordSilence(placeId)) {
                 this.deps.logger.info({ event: "endpoint-paused", place: placeId, end: "silent" });
@@ -226,8 +232,9 @@
         let share = this.endpointShares.get(entry.endpointId);
         if (share === undefined) {
             const { view, scope } = this.deps;
+            const isEvacuated = view.evacuated.has(entry.dataCentre);
             share = {
-                capacity: view.evacuated.has(entry.dataCentre) ? 0 : scope.getCapacity(entry),
+                capacity: isEvacuated || this.leavingEndpoints.has(entry) ? 0 : scope.getCapacity(entry),
                 coldRateFraction: scope.getColdRateFraction(entry),
             };
             this.endpointShares.set(entry.endpointId, share);
@@ -240,6 +247,13 @@
         return coldRatePerS * this.getEndpointShare(entry).coldRateFraction;
     }
 
+    private recordLeaving(endpoints: readonly LeavingEndpoint[]): void {
+        const unknown = endpoints.filter(endpoint => this.leavingEndpoints.mark(endpoint));
+        if (unknown.length > 0) {
+            this.endpointShares.clear();
+        }
+    }
+
     private onBlockChanged(prompt: BlockedPrompt, isEnded: boolean): void {
         const { parts, trials, blockId } = prompt;
         this.deps.logger.info({ event: isEnded ? "prompt-unblocked" : "prompt-blocked", blockId, parts, trials });
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -14,6 +14,7 @@
 export * from "./heartbeatMonitor";
 export * from "./itemOrder";
 export * from "./jobTracker";
+export * from "./leavingEndpoints";
 export * from "./messages";
 export * from "./placementClient";
 export * from "./promptPartTracker";
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -2,6 +2,7 @@
 import type {
     CrashReport,
     JobProgress,
+    LeavingEndpoint,
     MemberEntry,
     PlaceOutcome,
     PlaceRelease,
@@ -124,6 +125,7 @@
     /** Places whose endpoint has sent nothing for too long; their requests go on. */
     readonly silentPlaces: readonly string[];
     readonly crashes?: readonly CrashReport[];
+    readonly leavingEndpoints?: readonly LeavingEndpoint[];
 }
 
 /** Asks whether a job fits within its organisation's limit on waiting tokens. */
--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -5,12 +5,14 @@
 import { Dispatcher } from "./dispatcher";
 import { scaleRateBounds } from "./fallbackShares";
 import type { FleetView } from "./fleetView";
+import { LeavingEndpoints } from "./leavingEndpoints";
 import type { PlaceDecision, PlaceReply, ReleaseRequest } from "./messages";
 import { PromptPartTracker } from "./promptPartTracker";
 import { TokenBuckets } from "./tokenBuckets";
 import type {
     CrashReport,
     EndpointEntry,
+    LeavingEndpoint,
     MemberEntry,
     PlaceOutcome,
     PlaceRelease,
@@ -119,7 +121,10 @@
     private pendingReleases: PlaceRelease[] = [];
     private pendingWithdrawals: string[] = [];
     private silentPlaces: string[] = [];
+    private flushTimer: NodeJS.Immediate | undefined;
     private pendingCrashes: CrashReport[] = [];
+    private pendingLeaving: LeavingEndpoint[] = [];
+    private readonly leavingEndpoints = new LeavingEndpoints();
     /** What this instance itself has seen of parts of prompts; decides only while nobody else does. */
     private readonly promptParts = new PromptPartTracker(() => undefined);
     private readonly successReportedAtMs = new LRUCache<string, number>({ max: MAX_REPORTED_PARTS });
@@ -193,7 +198,11 @@
             askId: newRequestId(),
             instanceId: this.self.instanceId,
             dataCentre: this.self.dataCentre,
-            excluded: [...options.excluded ?? [], ...this.getUnreachable()],
+            excluded: [
+                ...options.excluded ?? [],
+                ...this.getUnreachable(),
+                ...this.leavingEndpoints.getIds(this.view.getEndpoints()),
+            ],
         };
         const startedAtMs = performance.now();
         const getRemaining = () => subtractElapsed(request, performance.now() - startedAtMs);
@@ -222,6 +231,19 @@
         this.heldPlaces.get(placeId)?.preemptController.abort();
     }
 
+    /**
+     * Sends no more requests to an endpoint, and tells whoever grants places.
+     *
+     * @param entry - An endpoint that has said in a response that it leaves.
+     */
+    markLeaving({ endpointId, startedAt }: EndpointEntry): void {
+        if (this.leavingEndpoints.mark({ endpointId, startedAt })) {
+            this.logger.info({ event: "endpoint-leaving", endpoint: endpointId, startedAt });
+            this.pendingLeaving.push({ endpointId, startedAt });
+            this.scheduleFlush();
+        }
+    }
+
     /** @returns All places in use, for a coordinator that may not know of them. */
     getPlaces(): PlaceSummary[] {
         const nowMs = performance.now();
@@ -456,19 +478,19 @@
     }
 
     private scheduleFlush(): void {
-        const { pendingReleases, pendingWithdrawals, silentPlaces, pendingCrashes } = this;
-        if (pendingReleases.length + pendingWithdrawals.length + silentPlaces.length + pendingCrashes.length === 1) {
-            setImmediate(() => this.flush());
-        }
+        this.flushTimer ??= setImmediate(() => this.flush());
     }
 
     private flush(): void {
+        this.flushTimer = undefined;
         const request: ReleaseRequest = {
             releases: this.pendingReleases,
             withdrawnAsks: this.pendingWithdrawals,
             silentPlaces: this.silentPlaces,
             ...this.pendingCrashes.length > 0 ? { crashes: this.pendingCrashes } : {},
+            ...this.pendingLeaving.length > 0 ? { leavingEndpoints: this.pendingLeaving } : {},
         };
+        this.pendingLeaving = [];
         this.pendingCrashes = [];
         this.silentPlaces = [];
         this.pendingReleases = [];
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -86,8 +86,13 @@
     readonly state: "ready" | "draining";
     /** Time until the endpoint is warm, counted from when the entry was written. */
     readonly coldLeftMs: number;
+    /** When its process started, in milliseconds since the epoch; absent if it doesn't say so. */
+    readonly startedAt?: number | undefined;
 }
 
+/** An endpoint that has said in a response that it leaves. */
+export type LeavingEndpoint = Pick<EndpointEntry, "endpointId" | "startedAt">;
+
 /** Registration of an instance of this system. */
 export interface MemberEntry {
     readonly instanceId: string;
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -10,6 +10,7 @@
 const CONNECT_TIMEOUT_MS = 250;
 /** Informational heads (1xx) before a response; endpoints send one at most. */
 const MAX_INFORMATIONAL_HEADS = 8;
+const STATUS_MISDIRECTED = 421;
 
 /** One request to one endpoint. */
 export interface EndpointRequest {
@@ -56,8 +57,12 @@
 
     /**
      * @param wire - Parses the headers of responses.
+     * @param onLeaving - Called for each response in which an endpoint says that it leaves.
      */
-    constructor(private readonly wire: WireCodec) {}
+    constructor(
+        private readonly wire: WireCodec,
+        private readonly onLeaving: (endpoint: EndpointEntry) => void = () => undefined,
+    ) {}
 
     /**
      * @param endpointId - An endpoint.
@@ -172,6 +177,10 @@
             incoming.destroy();
             return err({ kind: "invalid-response", reason: `response to request ${head.requestId}` });
         }
+        // A response that the request reached another endpoint says nothing about the one that it was sent to.
+        if (head.isLeaving && incoming.statusCode !== STATUS_MISDIRECTED) {
+            this.onLeaving(endpointRequest.endpoint);
+        }
         return ok({
             status: incoming.statusCode ?? 0,
             head,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -184,7 +184,7 @@
             new RelayedStore({ directStore: store, rpc: this.rpc, getRelay, logger }),
             logger,
         );
-        const endpoints = new EndpointClient(wire);
+        const endpoints = new EndpointClient(wire, endpoint => this.placement.markLeaving(endpoint));
         this.metrics = new GatewayMetrics({
             getQueueStats: () => this.role.localCoordinator?.getServiceStats() ?? [],
             getConfigAgeMs: () => view.getConfigAgeMs(),
--- a/packages/gateway/src/wireCodec.ts
+++ b/packages/gateway/src/wireCodec.ts
@@ -37,6 +37,8 @@
     readonly isSigned: boolean;
     /** Whether the endpoint states that it did not run the request. */
     readonly isNotExecuted: boolean;
+    /** Whether the endpoint says that it leaves. */
+    readonly isLeaving: boolean;
     readonly endpointId: string | undefined;
     /** Time until the endpoint is warm. */
     readonly coldLeftMs: number | undefined;
--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -75,6 +75,12 @@
     /** Part of prompts that crashes it as soon as it begins to respond to a request with it. */
     crashingPromptPart: string | undefined;
     crashes = 0;
+    /** Whether it says in its responses that it leaves. */
+    isLeaving = false;
+    /** Time from a request to the head of its response, in milliseconds. */
+    responseDelayMs = 0;
+    /** When its process started, in milliseconds since the epoch. */
+    startedAt = Date.now();
     private readonly server = http.createServer((request, response) => void this.handle(request, response));
 
     /**
@@ -106,6 +112,7 @@
             state,
             warmupLeftMs: 0,
             sequence: 1,
+            born: this.startedAt,
         };
     }
 
@@ -169,11 +176,16 @@
             response.socket?.destroy();
             return;
         }
+        await sleep(this.responseDelayMs);
         const requestId = faultText.includes("STRAY") ? "somebody-else" : entry.requestId;
         const signatureHeaders = faultText.includes("UNSIGNED")
             ? {}
             : { "Response-Signature": `sig.${entry.requestId}` };
-        const headers = { "Request-Id": requestId, ...signatureHeaders };
+        const headers = {
+            "Request-Id": requestId,
+            ...signatureHeaders,
+            ...this.isLeaving ? { "Server-Leaving": "1" } : {},
+        };
         if (faultText.includes("FAIL") || faultText.includes("NEVER")) {
             response.writeHead(faultText.includes("FAIL") ? 500 : 422, headers).end("failed");
             return;
