Count endpoints that crash together as one crash when blaming parts of prompts

Cause (found by thinking through a restart of all instances during a loss of many endpoints): with no success remembered anywhere, three endpoints that crash at the same moment were three crashes, and the part that all requests have in common would have been blocked until its first success. Class of fault: one cause counted several times. Change: crashes within 100 ms of each other, of whatever endpoint, are one. Test: red before, since the common part was blocked; green now.

--- a/packages/fleet/src/promptPartTracker.ts
+++ b/packages/fleet/src/promptPartTracker.ts
@@ -8,6 +8,8 @@
 const REQUESTS_TO_BLOCK = 2;
 /** Connections to an endpoint that break within this time belong to one crash, in milliseconds. */
 const CRASH_WINDOW_MS = 2_000;
+/** Endpoints that crash within this time crash for one reason, such as a power loss, in milliseconds. */
+const COMMON_CAUSE_WINDOW_MS = 100;
 /** A part with which a request has succeeded this recently is not to blame, in milliseconds. */
 const SUCCESS_TRUST_MS = 10_000;
 /** Crashes count for this long, in milliseconds. */
@@ -24,7 +26,7 @@
 /** A block ends after this time, in milliseconds. */
 const BLOCK_TTL_MS = 86_400_000;
 
-/** One crash of an endpoint, with the requests of which nothing had arrived then. */
+/** One crash of an endpoint, or of several at once, with the requests of which nothing had arrived then. */
 interface Crash {
     readonly endpointId: string;
     readonly atMs: number;
@@ -99,7 +101,7 @@
         this.knownReports.set(reportId, true);
         const atMs = performance.now() - ageMs;
         const known = [...this.crashes.values()].find(crash =>
-            crash.endpointId === endpointId && Math.abs(crash.atMs - atMs) < CRASH_WINDOW_MS
+            Math.abs(crash.atMs - atMs) < (crash.endpointId === endpointId ? CRASH_WINDOW_MS : COMMON_CAUSE_WINDOW_MS)
         );
         const crash = known ?? { endpointId, atMs, suspects: [] };
         crash.suspects.push({ fingerprint, parts: promptParts });
