Agree on one deputy although instances know different lists of each other

Traced: in the data centre two instances act as deputies (deputy-begins of east-1 and east-2, neither ends), or none does, each following another. Cause: each chooses the deputy from its own list of instances. The last one had just registered when the coordinator froze; east-1 had an older list, knew only itself and the frozen one, polled only these and so never heard of the others. Class of fault: a choice that needs agreement, made from lists that differ. Change: the reply to a poll has the replying instance's revisions; who polls sends its list of instances to one that knows an older one. Each instance without a coordinator polls twice a second or more, so lists agree within that time.

--- a/packages/fleet/src/fleetView.ts
+++ b/packages/fleet/src/fleetView.ts
@@ -87,6 +87,11 @@
         return this.memberEntries;
     }
 
+    /** Registered instances with the revision of their list. */
+    get versionedMembers(): Versioned<readonly MemberEntry[]> {
+        return { revision: this.revisions.members, value: this.memberEntries };
+    }
+
     /** How slots and rates are divided among the registered instances while there is no coordinator. */
     get fallbackShares(): FallbackShares {
         return this.shares;
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -15,6 +15,7 @@
     sync: "fleet.sync",
     announce: "fleet.announce",
     state: "fleet.state",
+    informMembers: "fleet.informMembers",
     place: "places.ask",
     release: "places.release",
     deputySync: "deputy.sync",
@@ -103,6 +104,8 @@
 /** Reply to a {@link StateRequest}. */
 export interface StateReply {
     readonly news: FleetUpdate;
+    /** What the replying instance has; absent from instances of earlier releases. */
+    readonly known?: KnownRevisions;
     /** The coordinator that the replying instance knows. */
     readonly deciding: Announcement | undefined;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -279,6 +279,8 @@
         const endpointChangeLogger = new EndpointChangeLogger(logger);
         view.onChange(part => {
             if (part === "members") {
+                const { revision, value } = view.versionedMembers;
+                logger.info({ event: "members-changed", count: value.length, revision });
                 this.reregisterIfRemoved();
             }
             if (part === "endpoints") {
--- a/packages/gateway/src/peerMethods.ts
+++ b/packages/gateway/src/peerMethods.ts
@@ -5,6 +5,7 @@
     type Announcement,
     type Coordinator,
     type FleetView,
+    type MemberEntry,
     METHODS,
     type PlaceCallParams,
     type PlaceReply,
@@ -13,6 +14,7 @@
     type StateRequest,
     type SyncReply,
     type SyncRequest,
+    type Versioned,
 } from "@heatherline/fleet";
 import type { ObjectStore } from "@heatherline/store";
 import type { JobReader, ReadJobRequest } from "./jobReader";
@@ -49,7 +51,15 @@
     addPlacementMethods(server, METHODS.deputySync, METHODS.deputyPlace, METHODS.deputyRelease, getDeputy);
     server.addMethod<StateRequest, StateReply>(
         METHODS.state,
-        ({ known }) => ({ news: view.newUpdateFor(known), deciding: getAnnouncement() }),
+        ({ known }) => ({
+            news: view.newUpdateFor(known),
+            known: view.getRevisions(),
+            deciding: getAnnouncement(),
+        }),
+    );
+    server.addMethod(
+        METHODS.informMembers,
+        (members: Versioned<readonly MemberEntry[]>) => view.applyMembers(members),
     );
     server.addMethod<AdmitJobRequest, AdmitJobReply>(METHODS.admitJob, request => {
         const jobs = getCoordinator()?.jobs;
--- a/packages/gateway/src/peerStatePoller.ts
+++ b/packages/gateway/src/peerStatePoller.ts
@@ -37,7 +37,10 @@
     readonly isStopping: () => boolean;
 }
 
-/** Fetches state from other instances while neither the store nor the coordinator provides it. */
+/**
+ * Fetches state from other instances while neither the store nor the coordinator provides it, and sends those that know
+ * an older list of instances its own: each data centre needs one deputy, so all must choose from the same list.
+ */
 export class PeerStatePoller {
     /**
      * @param deps - What the poller depends on.
@@ -81,5 +84,8 @@
         if (reply.value.deciding !== undefined) {
             this.deps.onCoordinator(reply.value.deciding);
         }
+        if ((reply.value.known?.members ?? Infinity) < view.getRevisions().members) {
+            void rpc.callAddress(host, port, METHODS.informMembers, view.versionedMembers, POLL_TIMEOUT_MS);
+        }
     }
 }
