Own interface: find messages that crash endpoints, and block prompts that have them

Change: the tracker of parts of prompts serves both interfaces (moved to packages/common); a part is the hash of a message, all but the last. An instance that sees a crash tells the others with the message that it already sends; a part that crashed an endpoint in a trial, too, is written as a quarantine document, which operators can release. Batch items are never blocked.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./idsAndHashes";
 export * from "./invariant";
 export * from "./logger";
+export * from "./promptPartTracker";
 export * from "./responseEnd";
 export * from "./settings";
 export * from "./timing";
--- a/packages/fleet/tests/promptPartTracker.test.ts
+++ b/packages/common/src/promptPartTracker.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { type BlockedPrompt, PromptPartTracker } from "../src";
+import { type BlockedPrompt, PromptPartTracker } from "./promptPartTracker";
 
 /** A crash: the endpoint, and for each request that had produced nothing its own name and shared parts. */
 type Step =
--- a/packages/fleet/src/promptPartTracker.ts
+++ b/packages/common/src/promptPartTracker.ts
@@ -1,6 +1,5 @@
-import { newRequestId } from "@heatherline/common";
 import { LRUCache } from "lru-cache";
-import type { BlockedPrompt, CrashReport } from "./types";
+import { newRequestId } from "./idsAndHashes";
 
 /** Crashes of endpoints after which a part that all of them have in common is blocked. */
 const CRASHES_TO_BLOCK = 3;
@@ -26,6 +25,28 @@
 /** A block ends after this time, in milliseconds. */
 const BLOCK_TTL_MS = 86_400_000;
 
+/** Reports that an endpoint crashed while it ran a request of which no part of a response had arrived. */
+export interface EndpointCrash {
+    /** Equal in repetitions of a report. */
+    readonly reportId: string;
+    readonly endpointId: string;
+    /** Identifies the request across its attempts. */
+    readonly fingerprint: string;
+    /** Shared parts of its prompt that may be to blame. */
+    readonly promptParts: readonly string[];
+    readonly ageMs: number;
+}
+
+/** Parts of prompts that crash endpoints; requests that have all of them are held back. */
+export interface BlockedPrompt {
+    readonly blockId: string;
+    readonly parts: readonly string[];
+    /** Requests that were let through to see whether they still crash endpoints. */
+    readonly trials: number;
+    /** Milliseconds since the epoch. */
+    readonly blockedAt: number;
+}
+
 /** One crash of an endpoint, or of several at once, with the requests of which nothing had arrived then. */
 interface Crash {
     readonly endpointId: string;
@@ -94,7 +115,7 @@
      *
      * @param report - The report.
      */
-    recordCrash({ reportId, endpointId, fingerprint, promptParts, ageMs }: CrashReport): void {
+    recordCrash({ reportId, endpointId, fingerprint, promptParts, ageMs }: EndpointCrash): void {
         if (this.knownReports.has(reportId)) {
             return;
         }
--- a/packages/daemon/src/quarantineBroadcaster.ts
+++ b/packages/daemon/src/quarantineBroadcaster.ts
@@ -1,5 +1,5 @@
 import type { PeerTransport } from "@heatherline/agreement";
-import { type Logger, sleep } from "@heatherline/common";
+import { type BlockedPrompt, type EndpointCrash, type Logger, sleep } from "@heatherline/common";
 import type { ConfigWriter } from "@heatherline/config";
 import { type CrashReport, CrashSuspectRegistry } from "@heatherline/serving";
 import type { PeerDirectory } from "./peerDirectory";
@@ -7,6 +7,8 @@
 const CALL_TIMEOUT_MS = 700;
 const WRITE_RETRY_DELAY_MS = 2_000;
 const WRITE_ATTEMPTS = 1_800;
+/** After this many trials, all but the last of which crashed an endpoint, a part of prompts is quarantined for good. */
+const TRIALS_TO_QUARANTINE = 2;
 
 /** Message between instances about requests that may crash endpoints. All values are fingerprints of requests. */
 export interface SuspectUpdate {
@@ -16,6 +18,8 @@
     readonly culprit?: string;
     /** A former suspect that was shown not to crash endpoints. */
     readonly cleared?: string;
+    /** A crash that a part of a prompt may have caused. */
+    readonly promptCrash?: EndpointCrash | undefined;
 }
 
 /**
@@ -40,6 +44,7 @@
         this.suspects = new CrashSuspectRegistry(
             report => this.onCrash(report),
             fingerprint => this.broadcast({ suspects: [], cleared: fingerprint }),
+            (prompt, isEnded) => this.onPromptChange(prompt, isEnded),
         );
     }
 
@@ -56,11 +61,23 @@
         if (update.cleared !== undefined) {
             this.suspects.clear(update.cleared);
         }
+        if (update.promptCrash !== undefined) {
+            this.suspects.promptParts.recordCrash(update.promptCrash);
+        }
+    }
+
+    private onPromptChange({ blockId, parts, trials }: BlockedPrompt, isEnded: boolean): void {
+        this.logger.warn({ blockId, parts, trials, isEnded }, "requests with parts of prompts that crash endpoints");
+        const [part, ...others] = parts;
+        if (!isEnded && trials >= TRIALS_TO_QUARANTINE && part !== undefined && others.length === 0) {
+            void this.persist(part);
+        }
     }
 
     private onCrash(report: CrashReport): void {
         this.logger.warn({ ...report }, "endpoint crashed with requests running");
-        this.broadcast({ suspects: report.fingerprints, culprit: report.culprit });
+        const { fingerprints, culprit, promptCrash } = report;
+        this.broadcast({ suspects: fingerprints, culprit, promptCrash });
         if (report.culprit !== undefined) {
             void this.persist(report.culprit);
         }
--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -1,4 +1,4 @@
-import type { Logger } from "@heatherline/common";
+import { type BlockedPrompt, type EndpointCrash, type Logger, PromptPartTracker } from "@heatherline/common";
 import type { StoredObject } from "@heatherline/store";
 import { getElapsedMs, newTimestamp } from "./ageTracker";
 import type { CoordinatorScope } from "./coordinatorScope";
@@ -10,18 +10,8 @@
 import { type JobsToStop, JobTracker } from "./jobTracker";
 import { LeavingEndpoints } from "./leavingEndpoints";
 import type { PlaceReply, ReleaseRequest, SyncReply, SyncRequest } from "./messages";
-import { PromptPartTracker } from "./promptPartTracker";
 import { SyncOutbox } from "./syncOutbox";
-import type {
-    BlockedPrompt,
-    CrashReport,
-    EndpointEntry,
-    LeavingEndpoint,
-    MemberEntry,
-    PlaceOutcome,
-    PlaceRequest,
-    PlaceSummary,
-} from "./types";
+import type { EndpointEntry, LeavingEndpoint, MemberEntry, PlaceOutcome, PlaceRequest, PlaceSummary } from "./types";
 
 /** A place younger than this may still be on its way to its instance, and is kept if not reported; in milliseconds. */
 const PLACE_IN_TRANSIT_MS = 1_200;
@@ -202,7 +192,7 @@
     /**
      * @param reports - Crashes of endpoints; repeated reports are ignored.
      */
-    recordCrashes(reports: readonly CrashReport[]): void {
+    recordCrashes(reports: readonly EndpointCrash[]): void {
         reports.forEach(report => this.promptParts.recordCrash(report));
     }
 
--- a/packages/fleet/src/fleetView.ts
+++ b/packages/fleet/src/fleetView.ts
@@ -1,9 +1,10 @@
+import type { BlockedPrompt } from "@heatherline/common";
 import { AgeTracker } from "./ageTracker";
 import { applyChanges, ChangeLog, type ListChanges } from "./changeLog";
 import { EndpointRegistry, type LapsedEndpoint } from "./endpointRegistry";
 import { FallbackShares } from "./fallbackShares";
 import { RouteTable } from "./routeTable";
-import type { BlockedPrompt, EndpointEntry, MemberEntry, RoutingConfig } from "./types";
+import type { EndpointEntry, MemberEntry, RoutingConfig } from "./types";
 
 /** A part of the fleet view, with the store revision at which it was read. */
 export interface Versioned<Value> {
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -17,7 +17,6 @@
 export * from "./leavingEndpoints";
 export * from "./messages";
 export * from "./placementClient";
-export * from "./promptPartTracker";
 export * from "./routeTable";
 export * from "./sendWindow";
 export * from "./stateFeed";
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -1,6 +1,6 @@
+import type { EndpointCrash } from "@heatherline/common";
 import type { FleetUpdate, KnownRevisions } from "./fleetView";
 import type {
-    CrashReport,
     JobProgress,
     LeavingEndpoint,
     MemberEntry,
@@ -48,7 +48,7 @@
     /** Full report of the places in use; absent from most messages. */
     readonly places: readonly PlaceSummary[] | undefined;
     /** With a full report of the places: the instance's recent crash reports, which a new coordinator doesn't know. */
-    readonly crashes?: readonly CrashReport[] | undefined;
+    readonly crashes?: readonly EndpointCrash[] | undefined;
     readonly jobs: readonly JobProgress[];
     readonly isStoreFailing: boolean;
     /** What the instance's own reads have shown of the store recently; absent if it has not read. */
@@ -127,7 +127,7 @@
     readonly withdrawnAsks: readonly string[];
     /** Places whose endpoint has sent nothing for too long; their requests go on. */
     readonly silentPlaces: readonly string[];
-    readonly crashes?: readonly CrashReport[];
+    readonly crashes?: readonly EndpointCrash[];
     readonly leavingEndpoints?: readonly LeavingEndpoint[];
 }
 
--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -1,4 +1,4 @@
-import { type Logger, newRequestId } from "@heatherline/common";
+import { type EndpointCrash, type Logger, newRequestId, PromptPartTracker } from "@heatherline/common";
 import { LRUCache } from "lru-cache";
 import { type Coordinator, newBlockedPromptRefusal } from "./coordinator";
 import type { CoordinatorLink } from "./coordinatorLink";
@@ -7,10 +7,8 @@
 import type { FleetView } from "./fleetView";
 import { LeavingEndpoints } from "./leavingEndpoints";
 import type { PlaceDecision, PlaceReply, ReleaseRequest } from "./messages";
-import { PromptPartTracker } from "./promptPartTracker";
 import { TokenBuckets } from "./tokenBuckets";
 import type {
-    CrashReport,
     EndpointEntry,
     LeavingEndpoint,
     MemberEntry,
@@ -122,13 +120,13 @@
     private pendingWithdrawals: string[] = [];
     private silentPlaces: string[] = [];
     private flushTimer: NodeJS.Immediate | undefined;
-    private pendingCrashes: CrashReport[] = [];
+    private pendingCrashes: EndpointCrash[] = [];
     private pendingLeaving: LeavingEndpoint[] = [];
     private readonly leavingEndpoints = new LeavingEndpoints();
     /** What this instance itself has seen of parts of prompts; decides only while nobody else does. */
     private readonly promptParts = new PromptPartTracker(() => undefined);
     private readonly successReportedAtMs = new LRUCache<string, number>({ max: MAX_REPORTED_PARTS });
-    private recentCrashes: { readonly report: CrashReport; readonly atMs: number; }[] = [];
+    private recentCrashes: { readonly report: EndpointCrash; readonly atMs: number; }[] = [];
 
     /**
      * @param self - This instance.
@@ -259,7 +257,7 @@
     }
 
     /** @returns Crashes that this instance has seen recently, for a coordinator that may not know of them. */
-    getRecentCrashes(): CrashReport[] {
+    getRecentCrashes(): EndpointCrash[] {
         const nowMs = performance.now();
         this.recentCrashes = this.recentCrashes.filter(({ atMs }) => nowMs - atMs < CRASH_REPORT_TTL_MS);
         return this.recentCrashes.map(({ report, atMs }) => ({ ...report, ageMs: nowMs - atMs }));
--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -1,10 +1,10 @@
-import { type Logger, withJitter } from "@heatherline/common";
+import { type BlockedPrompt, type Logger, withJitter } from "@heatherline/common";
 import type { ObjectStore, StoredObject } from "@heatherline/store";
 import type { Result } from "neverthrow";
 import type { FleetView } from "./fleetView";
 import { KindFeed, type KindReading } from "./kindFeed";
 import type { StoreCheck } from "./messages";
-import type { BlockedPrompt, EndpointEntry, MemberEntry, RoutingConfig } from "./types";
+import type { EndpointEntry, MemberEntry, RoutingConfig } from "./types";
 
 /** How the platform stores the objects that this system reads. */
 export interface StateSchema {
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -153,28 +153,6 @@
     readonly rate: RateBounds | undefined;
 }
 
-/** Reports that an endpoint crashed while it ran a request of which no part of a response had arrived. */
-export interface CrashReport {
-    /** Equal in repetitions of a report. */
-    readonly reportId: string;
-    readonly endpointId: string;
-    /** Identifies the request across its attempts. */
-    readonly fingerprint: string;
-    /** Shared parts of its prompt that may be to blame. */
-    readonly promptParts: readonly string[];
-    readonly ageMs: number;
-}
-
-/** Parts of prompts that crash endpoints; requests that have all of them are held back. */
-export interface BlockedPrompt {
-    readonly blockId: string;
-    readonly parts: readonly string[];
-    /** Requests that were let through to see whether they still crash endpoints. */
-    readonly trials: number;
-    /** Milliseconds since the epoch. */
-    readonly blockedAt: number;
-}
-
 /** Rate limit of an organisation. */
 export interface RateBounds {
     readonly ratePerS: number;
--- a/packages/gateway/src/blockedPromptStore.ts
+++ b/packages/gateway/src/blockedPromptStore.ts
@@ -1,5 +1,5 @@
-import { type Logger, sleep, withJitter } from "@heatherline/common";
-import { BLOCKED_PROMPT_KIND, type BlockedPrompt } from "@heatherline/fleet";
+import { type BlockedPrompt, type Logger, sleep, withJitter } from "@heatherline/common";
+import { BLOCKED_PROMPT_KIND } from "@heatherline/fleet";
 import type { ObjectStore } from "@heatherline/store";
 
 const FIRST_RETRY_MS = 200;
--- a/packages/gateway/src/coordinatorRole.ts
+++ b/packages/gateway/src/coordinatorRole.ts
@@ -1,12 +1,10 @@
 import type { RpcPeerTransport } from "@heatherline/agreement";
-import type { Logger } from "@heatherline/common";
+import type { BlockedPrompt, EndpointCrash, Logger } from "@heatherline/common";
 import {
     type Announcement,
-    type BlockedPrompt,
     Coordinator,
     CoordinatorLease,
     CoordinatorLink,
-    type CrashReport,
     FleetScope,
     type FleetView,
     type MemberEntry,
@@ -35,7 +33,7 @@
     /** Preempts a place that this instance holds. */
     readonly preemptOwnPlace: (placeId: string) => void;
     /** @returns Crashes of endpoints that this instance has seen recently. */
-    readonly getRecentCrashes: () => readonly CrashReport[];
+    readonly getRecentCrashes: () => readonly EndpointCrash[];
     /** Stores a block of a prompt, or removes it if it has ended. */
     readonly saveBlockedPrompt: (prompt: BlockedPrompt, isEnded: boolean) => void;
     readonly newSyncRequest: (isFull: boolean, waitMs: number) => SyncRequest;
--- a/packages/gateway/src/deputyRole.ts
+++ b/packages/gateway/src/deputyRole.ts
@@ -1,10 +1,8 @@
-import type { Logger } from "@heatherline/common";
+import type { BlockedPrompt, EndpointCrash, Logger } from "@heatherline/common";
 import {
     type Announcement,
-    type BlockedPrompt,
     Coordinator,
     CoordinatorLink,
-    type CrashReport,
     DataCentreScope,
     type FleetView,
     type MemberEntry,
@@ -30,7 +28,7 @@
     /** Preempts a place that this instance holds. */
     readonly preemptOwnPlace: (placeId: string) => void;
     /** @returns Crashes of endpoints that this instance has seen recently. */
-    readonly getRecentCrashes: () => readonly CrashReport[];
+    readonly getRecentCrashes: () => readonly EndpointCrash[];
     /** Stores a block of a prompt, or removes it if it has ended. */
     readonly saveBlockedPrompt: (prompt: BlockedPrompt, isEnded: boolean) => void;
     /** Reads the blocked prompts from the store once. */
--- a/packages/serving/src/crashSuspects.ts
+++ b/packages/serving/src/crashSuspects.ts
@@ -1,4 +1,4 @@
-import { monotonicMs } from "@heatherline/common";
+import { type BlockedPrompt, type EndpointCrash, monotonicMs, PromptPartTracker } from "@heatherline/common";
 import type { HealthEvent } from "./endpoints/warmUpLimiter";
 
 /** A crash of an endpoint and the requests that were running there. */
@@ -8,6 +8,8 @@
     readonly fingerprints: readonly string[];
     /** The request that has repeatedly crashed endpoints on which it ran alone; `undefined` if there is none. */
     readonly culprit: string | undefined;
+    /** The crash with the shared parts of the prompt, if nothing of the response had arrived. */
+    readonly promptCrash?: EndpointCrash | undefined;
 }
 
 /** Time for which a request that was running at a crash stays suspect. */
@@ -22,6 +24,8 @@
  * ran at the same time as the cause of a crash are never quarantined.
  */
 export class CrashSuspectRegistry {
+    /** Finds parts of prompts that crash endpoints, whatever request has them. */
+    readonly promptParts: PromptPartTracker;
     private readonly suspects = new Map<string, number>();
     private readonly exclusiveCrashes = new Map<string, number>();
     private readonly quarantined = new Set<string>();
@@ -31,11 +35,15 @@
     /**
      * @param onCrash - Called for each crash that this instance detects.
      * @param onCleared - Called for each suspect that has succeeded.
+     * @param onPromptChange - Called for each block of a part of prompts that begins, changes or, with `isEnded`, ends.
      */
     constructor(
         private readonly onCrash: (report: CrashReport) => void,
         private readonly onCleared: (fingerprint: string) => void,
-    ) {}
+        onPromptChange: (prompt: BlockedPrompt, isEnded: boolean) => void = () => undefined,
+    ) {
+        this.promptParts = new PromptPartTracker(onPromptChange);
+    }
 
     /**
      * @param getFingerprint - Computes the fingerprint of a request; only called if there are suspects.
@@ -74,11 +82,11 @@
         endpoint: string,
         getFingerprint: () => string,
         isExclusive: boolean,
-    ): (event: HealthEvent | undefined) => void {
+    ): (event: HealthEvent | undefined, promptCrash?: EndpointCrash) => void {
         const running = this.runningAt.get(endpoint) ?? new Set<() => string>();
         running.add(getFingerprint);
         this.runningAt.set(endpoint, running);
-        return event => {
+        return (event, promptCrash) => {
             const runningTogether = [...running];
             running.delete(getFingerprint);
             if (event === "crashed") {
@@ -90,7 +98,7 @@
                 if (isCulprit) {
                     this.quarantine(fingerprint);
                 }
-                this.onCrash({ endpoint, fingerprints, culprit: isCulprit ? fingerprint : undefined });
+                this.onCrash({ endpoint, fingerprints, culprit: isCulprit ? fingerprint : undefined, promptCrash });
             }
             else if (event === "success" && this.suspects.size > 0 && this.clear(getFingerprint())) {
                 this.onCleared(getFingerprint());
--- a/packages/serving/src/exchange.ts
+++ b/packages/serving/src/exchange.ts
@@ -58,6 +58,8 @@
     isStream?: boolean;
     /** Requests with equal keys share a prompt prefix, so that an endpoint may have its computed state cached. */
     affinityKey?: string;
+    /** Hashes of the parts of the prompt that other requests may share. */
+    promptParts?: readonly string[];
     /** Computes the hash of the request's content; equal requests of one organisation have equal fingerprints. */
     readonly getFingerprint: () => string;
     /** Whether bytes of this request may have reached an endpoint. */
--- a/packages/serving/src/filters/attempt.ts
+++ b/packages/serving/src/filters/attempt.ts
@@ -1,4 +1,4 @@
-import { monotonicMs } from "@heatherline/common";
+import { type EndpointCrash, monotonicMs, newRequestId } from "@heatherline/common";
 import type { ConfigReplica } from "@heatherline/config";
 import { err, ok, type Result } from "neverthrow";
 import type { CrashSuspectRegistry } from "../crashSuspects";
@@ -51,7 +51,7 @@
         this.retryBudget.recordRequest(service.service);
         const excluded = new Set<string>();
         for (;;) {
-            if (this.isQuarantined(exchange)) {
+            if (this.isQuarantined(exchange) || this.isPromptBlocked(exchange)) {
                 return err(newQuarantineRefusal(exchange));
             }
             const slot = await this.scheduler.acquire(service.service, {
@@ -83,12 +83,24 @@
             (this.replica.hasQuarantinedRequests() && this.replica.isQuarantined(getFingerprint()));
     }
 
+    /** Whether parts of its prompt are known to crash endpoints. Items are owed, as above. */
+    private isPromptBlocked({ promptParts = [], workClass }: Exchange): boolean {
+        if (workClass === "batch") {
+            return false;
+        }
+        const isListed = this.replica.hasQuarantinedRequests() &&
+            promptParts.some(part => this.replica.isQuarantined(part));
+        return isListed || this.suspects.promptParts.decide(promptParts, true) === "blocked";
+    }
+
     private async attempt(exchange: Exchange, slot: EndpointSlot): Promise<Result<DeliveredResponse, DispatchError>> {
         exchange.attempts += 1;
         exchange.endpoint = slot.endpoint;
         const mayBeCulprit = slot.isExclusive && exchange.workClass === "online";
         const endAttempt = this.suspects.beginAttempt(slot.endpoint, exchange.getFingerprint, mayBeCulprit);
+        const bytesBefore = exchange.answerBytes;
         let event: HealthEvent | undefined;
+        let promptCrash: EndpointCrash | undefined;
         try {
             // A suspect must not be quarantined for a crash that happened before it ran.
             const isReachable = !slot.isExclusive || await probeEndpoint(slot.spec);
@@ -99,14 +111,33 @@
                 // owner of the endpoint only halves its limit, as for an overload.
                 event = "overloaded";
             }
+            if (event === "success") {
+                this.suspects.promptParts.recordSuccess(exchange.promptParts ?? []);
+            }
+            if (event === "crashed" && exchange.answerBytes === bytesBefore) {
+                promptCrash = this.recordPromptCrash(exchange, slot.endpoint);
+            }
             return outcome;
         }
         finally {
-            endAttempt(event);
+            endAttempt(event, promptCrash);
             slot.release(event);
         }
     }
 
+    /** @returns The crash, for other instances; `undefined` if no part of the prompt can be to blame. */
+    private recordPromptCrash(exchange: Exchange, endpointId: string): EndpointCrash | undefined {
+        const { promptParts: tracker } = this.suspects;
+        const promptParts = (exchange.promptParts ?? []).filter(part => !tracker.hasSucceededRecently(part));
+        if (promptParts.length === 0 || exchange.workClass === "batch") {
+            return undefined;
+        }
+        const fingerprint = exchange.getFingerprint();
+        const crash = { reportId: newRequestId(), endpointId, fingerprint, promptParts, ageMs: 0 };
+        tracker.recordCrash(crash);
+        return crash;
+    }
+
     private mayRetry(exchange: Exchange, error: DispatchError, service: string): boolean {
         const isRetryable = exchange.route?.idempotent === true || !error.isSent;
         return isRetryable &&
--- a/packages/serving/src/filters/resolve.ts
+++ b/packages/serving/src/filters/resolve.ts
@@ -3,6 +3,7 @@
 import { z } from "zod";
 import { Refusal } from "../errors";
 import type { Exchange, Filter, Next, Outcome } from "../exchange";
+import { getPromptParts } from "../promptParts";
 
 const OPENAI_PREFIX = "/v1/";
 const PLAIN_PREFIX = "/services/";
@@ -75,6 +76,7 @@
         exchange.model = model;
         exchange.isStream = body.value.stream ?? false;
         exchange.affinityKey = getAffinityKey(body.value);
+        exchange.promptParts = getPromptParts(body.value.messages ?? []);
         return findRoute(service, method, path).map(route => ({ service, route, upstreamPath: path }));
     }
 }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -19,5 +19,6 @@
 export * from "./orders/httpOrders";
 export * from "./orders/types";
 export * from "./pipeline";
+export * from "./promptParts";
 export * from "./retryBudget";
 export * from "./scheduler";
