--- a/packages/serving/src/filters/attempt.ts
+++ b/packages/serving/src/filters/attempt.ts
@@ -51,8 +51,11 @@
         this.retryBudget.recordRequest(service.service);
         const excluded = new Set<string>();
         for (;;) {
-            if (this.isQuarantined(exchange) || this.isPromptBlocked(exchange)) {
-                return err(newQuarantineRefusal(exchange));
+            if (this.isQuarantined(exchange)) {
+                return err(newQuarantineRefusal(exchange, "this request"));
+            }
+            if (this.isPromptBlocked(exchange)) {
+                return err(newQuarantineRefusal(exchange, "a message of this request"));
             }
             const slot = await this.scheduler.acquire(service.service, {
                 exchange,
@@ -217,8 +220,8 @@
     }
 }
 
-function newQuarantineRefusal(exchange: Exchange): Refusal {
+function newQuarantineRefusal(exchange: Exchange, culprit: string): Refusal {
     const notRun = exchange.isSent ? "unknown" : true;
-    const message = "this request has crashed the endpoints that ran it and is not run again";
+    const message = `${culprit} has crashed the endpoints that ran it and is not run again`;
     return new Refusal("quarantined", 422, message, notRun, QUARANTINE_RETRY_MS);
 }
