--- a/standins/operators/soakLoad.ts
+++ b/standins/operators/soakLoad.ts
@@ -3,7 +3,10 @@
 import { HOST, KEYS } from "./fleet";
 
 /** Fault words for request bodies; one is picked at random, so that repeated entries are sent more often. */
-const FAULT_WORDS = ["", "", "", "", "", "", "BREAK", "CRASH", "FULL", "FAIL", "STRAY", "UNSIGNED"];
+const FAULT_WORDS = [
+    ...["", "", "", "", "", ""],
+    ...["BREAK", "BREAK UNFRAMED", "UNFRAMED", "CRASH", "FULL", "FAIL", "STRAY", "UNSIGNED"],
+];
 const EVENT_COUNT = 12;
 const CALLER_TIMEOUT_MS = 5_500;
 const GENERATION_HEADERS = { Model: "m", "Token-Count": "100,60", "Prompt-Prefix": "a1:50" };
@@ -70,7 +73,9 @@
             id,
             path: `/jobs/${id}`,
             headers: GENERATION_HEADERS,
-            body: Buffer.from(`${this.pick(["", "", "BREAK", "CRASH", "FAIL"])} events=${EVENT_COUNT}`).toString(
+            body: Buffer.from(
+                `${this.pick(["", "", "BREAK", "BREAK UNFRAMED", "CRASH", "FAIL"])} events=${EVENT_COUNT}`,
+            ).toString(
                 "base64",
             ),
             tokens: 10,
