Keep a block of a prompt ended although the store still lists it, and adopt parts told apart elsewhere

Found while reading the diff: a coordinator that had ended a block (a sound part) adopted it again with the next change of its view until the store had removed it, for as long as the store was down; and an instance that knew a block never learnt that its parts had been told apart. Class of fault: an older state of another place overrides a newer one.

--- a/packages/common/src/promptPartTracker.test.ts
+++ b/packages/common/src/promptPartTracker.test.ts
@@ -200,6 +200,27 @@
         expect(other.decide(["bad"], false)).toBe("run");
     });
 
+    it("stay released while the store still lists the block", () => {
+        const tracker = newTracker();
+        play(tracker, THREE_CRASHES);
+        const prompts = changes.map(({ prompt }) => prompt);
+        tracker.adopt(prompts);
+        play(tracker, [{ success: ["bad"] }]);
+        tracker.adopt(prompts);
+        expect(tracker.decide(["bad"], false)).toBe("run");
+    });
+
+    it("that another tracker has told apart are told apart here, too", () => {
+        const tracker = newTracker();
+        const prompt = { blockId: "b", parts: ["all", "bad"], trials: 0, blockedAt: Date.now() };
+        tracker.adopt([prompt]);
+        expect(tracker.decide(["bad"], false)).toBe("run");
+        tracker.adopt([{ ...prompt, parts: ["bad"] }]);
+        expect([tracker.decide(["bad"], false), tracker.decide(["all"], false)]).toEqual(["blocked", "run"]);
+        tracker.adopt([prompt]);
+        expect(tracker.decide(["bad"], false)).toBe("blocked");
+    });
+
     it("are found from reports that arrive twice and late", () => {
         const tracker = newTracker();
         const report = (reportId: string, fingerprint: string, ageMs: number) => ({
--- a/packages/common/src/promptPartTracker.ts
+++ b/packages/common/src/promptPartTracker.ts
@@ -15,6 +15,7 @@
 const CRASH_TTL_MS = 600_000;
 const MAX_CRASHES = 512;
 const MAX_REPORTS = 2_048;
+const MAX_ENDED_BLOCKS = 256;
 /** Maximum number of parts whose last success is remembered. */
 const MAX_PARTS = 16_384;
 /**
@@ -77,6 +78,8 @@
     private readonly knownReports = new LRUCache<string, true>({ max: MAX_REPORTS });
     private readonly lastSuccessAtMs = new LRUCache<string, number>({ max: MAX_PARTS });
     private readonly blocks = new Map<string, ActiveBlock>();
+    /** Blocks that have ended here, which the store may still list. */
+    private readonly endedBlockIds = new LRUCache<string, true>({ max: MAX_ENDED_BLOCKS });
 
     /**
      * @param onChange - Called with each block that begins, changes or, with `isEnded`, ends.
@@ -167,18 +170,20 @@
         }
         for (const prompt of prompts) {
             const known = this.blocks.get(prompt.blockId);
-            if (known !== undefined) {
-                known.isStored = true;
-            }
-            else if (Date.now() - prompt.blockedAt < BLOCK_TTL_MS) {
+            const isOver = this.endedBlockIds.has(prompt.blockId) || isExpired(prompt);
+            const isNewer = known === undefined || prompt.parts.length < known.prompt.parts.length;
+            if (!isOver && isNewer) {
                 this.blocks.set(prompt.blockId, newActiveBlock(prompt, true));
             }
+            else if (known !== undefined) {
+                known.isStored = true;
+            }
         }
     }
 
     private findBlock(parts: readonly string[]): ActiveBlock | undefined {
         for (const block of this.blocks.values()) {
-            if (Date.now() - block.prompt.blockedAt > BLOCK_TTL_MS) {
+            if (isExpired(block.prompt)) {
                 this.end(block);
             }
             else if (hasAll(parts, block.prompt.parts)) {
@@ -190,6 +195,7 @@
 
     private end({ prompt }: ActiveBlock): void {
         this.blocks.delete(prompt.blockId);
+        this.endedBlockIds.set(prompt.blockId, true);
         this.onChange(prompt, true);
     }
 
@@ -246,6 +252,10 @@
     return { prompt, nextTrialAtMs: performance.now() + getTrialDelayMs(prompt.trials), isStored };
 }
 
+function isExpired({ blockedAt }: BlockedPrompt): boolean {
+    return Date.now() - blockedAt > BLOCK_TTL_MS;
+}
+
 function getTrialDelayMs(trials: number): number {
     return TRIAL_DELAYS_MS[trials] ?? Infinity;
 }
