Look marked endpoints up by their marks, and check endpoints only for prompts with shared parts

Reading the diff: each place request copied the list of all endpoints (1,300 at the target size) to look for marks, and each lost response of a service without prompts cost a connection for a check whose result nothing uses. Also: the writer of blocks in two shorter functions.

--- a/packages/fleet/src/leavingEndpoints.ts
+++ b/packages/fleet/src/leavingEndpoints.ts
@@ -37,12 +37,13 @@
     }
 
     /**
-     * @param entries - All endpoints as listed.
-     * @returns Ids of those that leave.
+     * @param getEntry - Returns an endpoint as listed, or `undefined` if it isn't.
+     * @returns Ids of the listed endpoints that leave.
      */
-    getIds(entries: readonly EndpointEntry[]): string[] {
-        return this.marks.size === 0
-            ? []
-            : entries.filter(entry => this.has(entry)).map(({ endpointId }) => endpointId);
+    getIds(getEntry: (endpointId: string) => EndpointEntry | undefined): string[] {
+        return [...this.marks.keys()].filter(endpointId => {
+            const entry = getEntry(endpointId);
+            return entry !== undefined && this.has(entry);
+        });
     }
 }
--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -199,7 +199,7 @@
             excluded: [
                 ...options.excluded ?? [],
                 ...this.getUnreachable(),
-                ...this.leavingEndpoints.getIds(this.view.getEndpoints()),
+                ...this.leavingEndpoints.getIds(endpointId => this.view.getEndpoint(endpointId)),
             ],
         };
         const startedAtMs = performance.now();
--- a/packages/fleet/tests/leavingEndpoints.test.ts
+++ b/packages/fleet/tests/leavingEndpoints.test.ts
@@ -39,7 +39,9 @@
         expect(leaving.mark({ endpointId: "a", startedAt: marked })).toBe(true);
         expect(leaving.mark({ endpointId: "a", startedAt: marked })).toBe(false);
         expect(leaving.has(listed)).toBe(isLeaving);
-        expect(leaving.getIds([listed])).toEqual(isLeaving ? [listed.endpointId] : []);
+        expect(leaving.getIds(endpointId => endpointId === listed.endpointId ? listed : undefined)).toEqual(
+            isLeaving ? [listed.endpointId] : [],
+        );
         vi.advanceTimersByTime(600_001);
         expect(leaving.has(listed)).toBe(false);
     });
--- a/packages/gateway/src/blockedPromptStore.ts
+++ b/packages/gateway/src/blockedPromptStore.ts
@@ -1,6 +1,7 @@
 import { type BlockedPrompt, type Logger, sleep, withJitter } from "@heatherline/common";
 import { BLOCKED_PROMPT_KIND } from "@heatherline/fleet";
-import type { ObjectStore } from "@heatherline/store";
+import type { ObjectStore, StoredValue, StoreError } from "@heatherline/store";
+import { err, type Result } from "neverthrow";
 
 const FIRST_RETRY_MS = 200;
 const MAX_RETRY_MS = 3_000;
@@ -40,7 +41,8 @@
 
     private async writeChanges(blockId: string): Promise<void> {
         let failures = 0;
-        for (let change = this.pendingChanges.get(blockId); change !== undefined;) {
+        let change = this.pendingChanges.get(blockId);
+        while (change !== undefined) {
             const isWritten = await this.write(change);
             failures = isWritten ? 0 : failures + 1;
             if (this.pendingChanges.get(blockId) === change && (isWritten || failures === MAX_ATTEMPTS)) {
@@ -57,12 +59,9 @@
     private async write({ prompt, isEnded }: PendingChange): Promise<boolean> {
         const { blockId, parts, trials, blockedAt } = prompt;
         const path = `${BLOCKED_PROMPT_KIND}/${blockId}`;
-        const current = await this.store.get(path);
-        const written = current.isErr()
-            ? current
-            : isEnded
+        const written = isEnded
             ? await this.store.delete(path, 0)
-            : await this.store.put(path, { parts, trials, blockedAt }, current.value?.version ?? 0);
+            : await this.replace(path, { parts, trials, blockedAt });
         this.logger.info({
             event: "blocked-prompt-saved",
             blockId,
@@ -72,4 +71,9 @@
         });
         return written.isOk();
     }
+
+    private async replace(path: string, value: StoredValue): Promise<Result<number, StoreError>> {
+        const current = await this.store.get(path);
+        return current.isErr() ? err(current.error) : this.store.put(path, value, current.value?.version ?? 0);
+    }
 }
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -184,7 +184,7 @@
                 mayRepeat: mayRetry,
                 promptParts: this.request.caller.sharedPromptParts.join(),
             });
-            if (outcome.end === "broken" && !this.hasResponded(outcome) && !this.abortController.signal.aborted) {
+            if (this.mayHaveCrashedEndpoint(outcome)) {
                 void this.reportIfCrashed(place);
             }
             if (this.abortController.signal.aborted || !mayRetry || isResponseCommitted) {
@@ -193,6 +193,14 @@
         }
     }
 
+    /** Whether a part of the prompt may be to blame for how the attempt ended. */
+    private mayHaveCrashedEndpoint(outcome: Extract<AttemptOutcome, { kind: "ended"; }>): boolean {
+        return outcome.end === "broken" &&
+            this.request.caller.sharedPromptParts.length > 0 &&
+            !this.hasResponded(outcome) &&
+            !this.abortController.signal.aborted;
+    }
+
     /** An endpoint that crashed accepts no connections; one that only lost this one does. */
     private async reportIfCrashed(place: HeldPlace): Promise<void> {
         const { endpoint } = place;
