--- a/packages/serving/tests/crashedItems.test.ts
+++ b/packages/serving/tests/crashedItems.test.ts
@@ -1,14 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { describe, expect, it, vi } from "vitest";
-import {
-    AttemptFilter,
-    CrashSuspectRegistry,
-    type DeliveredResponse,
-    DispatchError,
-    type Exchange,
-    newExchange,
-    type WorkClass,
-} from "../src";
+import { AttemptFilter, CrashSuspectRegistry, type DeliveredResponse, DispatchError } from "../src";
+import { newResolvedExchange } from "./testExchange";
 
 vi.mock("../src/endpoints/probe", () => ({ probeEndpoint: () => Promise.resolve(probeResults.shift() ?? true) }));
 
@@ -17,29 +10,6 @@
 
 const CRASHES = 3;
 
-function newItem(workClass: WorkClass): Exchange {
-    const exchange = newExchange({
-        requestId: "r1",
-        workClass,
-        method: "POST",
-        path: "/",
-        headers: {},
-        body: Buffer.from("item"),
-        sink: {
-            hasBegun: false,
-            begin: () => undefined,
-            write: () => undefined,
-            end: () => undefined,
-            abort: () => undefined,
-        },
-        abortController: new AbortController(),
-        deadlineAtMs: Infinity,
-    });
-    exchange.service = { service: "lm" } as never;
-    exchange.route = { idempotent: true } as never;
-    return exchange;
-}
-
 describe("requests under which endpoints crashed while they ran alone", () => {
     it.each(
         [
@@ -62,11 +32,14 @@
         );
         for (let crash = 0; crash < CRASHES; crash += 1) {
             probeResults = [true, false];
-            await filter.handle(newItem(workClass), () => Promise.reject(new Error("unused")));
+            await filter.handle(newResolvedExchange(workClass, "item"), () => Promise.reject(new Error("unused")));
         }
         isCrashing = false;
         probeResults = [true];
-        const result = await filter.handle(newItem(workClass), () => Promise.reject(new Error("unused")));
+        const result = await filter.handle(
+            newResolvedExchange(workClass, "item"),
+            () => Promise.reject(new Error("unused")),
+        );
         expect(result.match(() => "delivered", ({ kind }) => kind)).toBe(outcome);
     });
 });
--- a/packages/serving/tests/promptParts.test.ts
+++ b/packages/serving/tests/promptParts.test.ts
@@ -7,8 +7,8 @@
     DispatchError,
     type Exchange,
     getPromptParts,
-    newExchange,
 } from "../src";
+import { newResolvedExchange } from "./testExchange";
 
 vi.mock("../src/endpoints/probe", () => ({ probeEndpoint: () => Promise.resolve(false) }));
 
@@ -54,26 +54,7 @@
 
 async function send(...contents: readonly string[]): Promise<string> {
     const messages = contents.map(content => ({ role: "user", content }));
-    const body = Buffer.from(JSON.stringify({ model: "m", messages }));
-    const exchange = newExchange({
-        requestId: "r1",
-        workClass: "online",
-        method: "POST",
-        path: "/",
-        headers: {},
-        body,
-        sink: {
-            hasBegun: false,
-            begin: () => undefined,
-            write: () => undefined,
-            end: () => undefined,
-            abort: () => undefined,
-        },
-        abortController: new AbortController(),
-        deadlineAtMs: Infinity,
-    });
-    exchange.service = { service: "lm" } as never;
-    exchange.route = { idempotent: true } as never;
+    const exchange = newResolvedExchange("online", JSON.stringify({ model: "m", messages }));
     exchange.promptParts = getPromptParts(messages);
     const outcome = await filter.handle(exchange, () => Promise.reject(new Error("unused")));
     await new Promise(resolve => setTimeout(resolve, CRASH_GAP_MS));
