Take back a trial that was not run; split what an instance reports from PlacementClient

The coordinator now takes it back. Test added (the method is new). Reading the diff: `decide(parts, true)` counted a trial behind a boolean, now `admit` and `isBlocked`; leaving out parts known to be sound stood twice, now `recordOwnCrash`; `promptParts` named a list and a tracker, the tracker is `partTracker` now.

--- a/packages/common/src/promptPartTracker.test.ts
+++ b/packages/common/src/promptPartTracker.test.ts
@@ -161,8 +161,8 @@
     ])("$what", ({ steps, gapMs, blocked = [], served = [] }) => {
         const tracker = newTracker();
         play(tracker, steps, gapMs);
-        expect(blocked.map(parts => tracker.decide(parts, false))).toEqual(blocked.map(() => "blocked"));
-        expect(served.map(parts => tracker.decide(parts, false))).toEqual(served.map(() => "run"));
+        expect(blocked.map(parts => tracker.isBlocked(parts))).toEqual(blocked.map(() => true));
+        expect(served.map(parts => tracker.isBlocked(parts))).toEqual(served.map(() => false));
     });
 
     it("are tried again seldom, so that few endpoints crash", () => {
@@ -171,21 +171,38 @@
         const triedAtMs: number[] = [];
         for (let atMs = 0; atMs < 120_000; atMs += 100) {
             vi.advanceTimersByTime(100);
-            if (tracker.decide(["bad", "x"], true) === "trial") {
+            if (tracker.admit(["bad", "x"]) === "trial") {
                 triedAtMs.push(atMs);
                 play(tracker, [{ crash: `trial${atMs}`, of: [[`t${atMs}`, "bad", "x"]] }]);
             }
         }
         expect(triedAtMs.length).toBe(2);
-        expect(tracker.decide(["x"], true)).toBe("run");
+        expect(tracker.admit(["x"])).toBe("run");
+    });
+
+    it("are tried by the next request if a trial was not run", () => {
+        const tracker = newTracker();
+        play(tracker, [...THREE_CRASHES, { waitMs: 6_000 }]);
+        expect([tracker.admit(["bad"]), tracker.admit(["bad"])]).toEqual(["trial", "blocked"]);
+        tracker.cancelTrial(["bad"]);
+        expect([tracker.admit(["bad"]), tracker.admit(["bad"])]).toEqual(["trial", "blocked"]);
+        expect(changes.at(-1)?.prompt.trials).toBe(1);
+    });
+
+    it("are reported to others without those that this instance knows to be sound", () => {
+        const tracker = newTracker();
+        tracker.recordSuccess(["all"]);
+        const crash = { reportId: "r", endpointId: "e", fingerprint: "1" };
+        expect(tracker.recordOwnCrash({ ...crash, promptParts: ["all", "bad"] })?.promptParts).toEqual(["bad"]);
+        expect(tracker.recordOwnCrash({ ...crash, promptParts: ["all"] })).toBeUndefined();
     });
 
     it("are released by a trial that succeeds", () => {
         const tracker = newTracker();
         play(tracker, [...THREE_CRASHES, { waitMs: 6_000 }]);
-        expect(tracker.decide(["bad"], true)).toBe("trial");
+        expect(tracker.admit(["bad"])).toBe("trial");
         play(tracker, [{ success: ["bad"] }]);
-        expect(tracker.decide(["bad"], true)).toBe("run");
+        expect(tracker.admit(["bad"])).toBe("run");
         expect(changes.at(-1)?.isEnded).toBe(true);
     });
 
@@ -195,9 +212,9 @@
         play(tracker, THREE_CRASHES);
         const prompts = changes.map(({ prompt }) => prompt);
         other.adopt(prompts);
-        expect(other.decide(["bad"], false)).toBe("blocked");
+        expect(other.isBlocked(["bad"])).toBe(true);
         other.adopt([]);
-        expect(other.decide(["bad"], false)).toBe("run");
+        expect(other.isBlocked(["bad"])).toBe(false);
     });
 
     it("stay released while the store still lists the block", () => {
@@ -207,18 +224,18 @@
         tracker.adopt(prompts);
         play(tracker, [{ success: ["bad"] }]);
         tracker.adopt(prompts);
-        expect(tracker.decide(["bad"], false)).toBe("run");
+        expect(tracker.isBlocked(["bad"])).toBe(false);
     });
 
     it("that another tracker has told apart are told apart here, too", () => {
         const tracker = newTracker();
         const prompt = { blockId: "b", parts: ["all", "bad"], trials: 0, blockedAt: Date.now() };
         tracker.adopt([prompt]);
-        expect(tracker.decide(["bad"], false)).toBe("run");
+        expect(tracker.isBlocked(["bad"])).toBe(false);
         tracker.adopt([{ ...prompt, parts: ["bad"] }]);
-        expect([tracker.decide(["bad"], false), tracker.decide(["all"], false)]).toEqual(["blocked", "run"]);
+        expect([tracker.isBlocked(["bad"]), tracker.isBlocked(["all"])]).toEqual([true, false]);
         tracker.adopt([prompt]);
-        expect(tracker.decide(["bad"], false)).toBe("blocked");
+        expect(tracker.isBlocked(["bad"])).toBe(true);
     });
 
     it("are found from reports that arrive twice and late", () => {
@@ -232,8 +249,8 @@
         });
         [report("1", "1", 50_000), report("2", "2", 30_000), report("1", "1", 50_000), report("2", "2", 30_000)]
             .forEach(each => tracker.recordCrash(each));
-        expect(tracker.decide(["bad"], false)).toBe("run");
+        expect(tracker.isBlocked(["bad"])).toBe(false);
         tracker.recordCrash(report("3", "3", 0));
-        expect(tracker.decide(["bad"], false)).toBe("blocked");
+        expect(tracker.isBlocked(["bad"])).toBe(true);
     });
 });
--- a/packages/common/src/promptPartTracker.ts
+++ b/packages/common/src/promptPartTracker.ts
@@ -1,7 +1,7 @@
 import { LRUCache } from "lru-cache";
 import { newRequestId } from "./idsAndHashes";
 
-/** Crashes of endpoints after which a part that all of them have in common is blocked. */
+/** Crashes of endpoints after which a part that occurs in them is blocked; fewer than the five that users tolerate. */
 const CRASHES_TO_BLOCK = 3;
 /** Different requests among them; one request that crashes endpoints again and again says little about its parts. */
 const REQUESTS_TO_BLOCK = 2;
@@ -63,13 +63,16 @@
     isStored: boolean;
 }
 
-/** Whether a request may run; a trial shows whether a block is still right. */
-export type PromptDecision = "run" | "trial" | "blocked";
+/** A crash that this instance has seen itself. */
+export type OwnEndpointCrash = Pick<EndpointCrash, "reportId" | "endpointId" | "fingerprint" | "promptParts">;
+
+/** Whether a request may run: as any other, as the trial of a block, or not at all. */
+export type PromptAdmission = "run" | "trial" | "blocked";
 
 /**
  * Finds parts of prompts that crash each endpoint that begins to respond to them, and blocks the requests that have
  * them. Requests that only ran beside such a request, or share other parts with it, are to be served: a part is blamed
- * only if it occurs in each of several crashes, and for no crash that a known part explains, and if no request with it
+ * only if it occurs in several crashes that no blocked part explains, more often than others, and if no request with it
  * has succeeded since. Parts that can't be told apart are blocked together, in requests that have all of them; a success
  * of a request with one of them clears that one.
  */
@@ -87,32 +90,60 @@
     constructor(private readonly onChange: (prompt: BlockedPrompt, isEnded: boolean) => void) {}
 
     /**
-     * @param part - A part of a prompt.
-     * @returns Whether a request with it has succeeded recently.
+     * @param parts - Shared parts of a request's prompt.
+     * @returns Whether they include blocked ones.
      */
-    hasSucceededRecently(part: string): boolean {
-        return performance.now() - (this.lastSuccessAtMs.get(part) ?? -Infinity) < SUCCESS_TRUST_MS;
+    isBlocked(parts: readonly string[]): boolean {
+        return this.findBlock(parts) !== undefined;
     }
 
     /**
-     * Decides whether a request may run, and counts it if it is a trial.
+     * Decides whether a request may run, and counts it if it is the trial of a block.
      *
      * @param parts - Shared parts of its prompt.
-     * @param mayTry - Whether it may be a trial.
      * @returns The decision.
      */
-    decide(parts: readonly string[], mayTry: boolean): PromptDecision {
-        const block = parts.length === 0 ? undefined : this.findBlock(parts);
+    admit(parts: readonly string[]): PromptAdmission {
+        const block = this.findBlock(parts);
         if (block === undefined) {
             return "run";
         }
-        if (!mayTry || performance.now() < block.nextTrialAtMs) {
+        if (performance.now() < block.nextTrialAtMs) {
             return "blocked";
         }
         this.setPrompt(block, { ...block.prompt, trials: block.prompt.trials + 1 });
         return "trial";
     }
 
+    /**
+     * Takes a trial back that was not run, so that the next request with these parts is one.
+     *
+     * @param parts - Shared parts of the prompt of the request that was admitted as a trial.
+     */
+    cancelTrial(parts: readonly string[]): void {
+        const block = this.findBlock(parts);
+        if (block !== undefined) {
+            this.setPrompt(block, { ...block.prompt, trials: block.prompt.trials - 1 });
+            block.nextTrialAtMs = performance.now();
+        }
+    }
+
+    /**
+     * Records a crash that this instance has seen itself, without the parts that it knows to be sound.
+     *
+     * @param crash - The crash.
+     * @returns The report for others, who may not know which parts are sound; `undefined` if no part can be to blame.
+     */
+    recordOwnCrash(crash: OwnEndpointCrash): EndpointCrash | undefined {
+        const promptParts = crash.promptParts.filter(part => !this.hasSucceededRecently(part));
+        if (promptParts.length === 0) {
+            return undefined;
+        }
+        const report = { ...crash, promptParts, ageMs: 0 };
+        this.recordCrash(report);
+        return report;
+    }
+
     /**
      * Records that an endpoint crashed while it ran a request of which nothing had arrived. Repeated reports are ignored.
      *
@@ -181,6 +212,10 @@
         }
     }
 
+    private hasSucceededRecently(part: string): boolean {
+        return performance.now() - (this.lastSuccessAtMs.get(part) ?? -Infinity) < SUCCESS_TRUST_MS;
+    }
+
     private findBlock(parts: readonly string[]): ActiveBlock | undefined {
         for (const block of this.blocks.values()) {
             if (isExpired(block.prompt)) {
--- a/packages/daemon/src/quarantineBroadcaster.ts
+++ b/packages/daemon/src/quarantineBroadcaster.ts
@@ -62,7 +62,7 @@
             this.suspects.clear(update.cleared);
         }
         if (update.promptCrash !== undefined) {
-            this.suspects.promptParts.recordCrash(update.promptCrash);
+            this.suspects.partTracker.recordCrash(update.promptCrash);
         }
     }
 
--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -56,7 +56,7 @@
     readonly heartbeats: HeartbeatMonitor;
     private readonly dispatcher: Dispatcher;
     private readonly crashTracker = new CrashTracker();
-    private readonly promptParts = new PromptPartTracker((prompt, isEnded) => this.onBlockChanged(prompt, isEnded));
+    private readonly partTracker = new PromptPartTracker((prompt, isEnded) => this.onBlockChanged(prompt, isEnded));
     private readonly leavingEndpoints = new LeavingEndpoints();
     private readonly outbox: SyncOutbox;
     private readonly reviewTimer: NodeJS.Timeout;
@@ -102,9 +102,18 @@
             return { kind: "refused", reason: "crashes-endpoints", retryAfterMs: 0, detail };
         }
         const parts = request.promptParts ?? [];
-        if (this.promptParts.decide(parts, true) === "blocked") {
+        const admission = this.partTracker.admit(parts);
+        if (admission === "blocked") {
             return newBlockedPromptRefusal(parts);
         }
+        const outcome = await this.placeAdmitted(request);
+        if (outcome.kind === "refused" && admission === "trial") {
+            this.partTracker.cancelTrial(parts);
+        }
+        return outcome;
+    }
+
+    private async placeAdmitted(request: PlaceRequest): Promise<PlaceOutcome> {
         if (request.rate !== undefined) {
             const decision = this.deps.scope.tokenBuckets.take(request.organisation, request.rate);
             if (!decision.isTaken) {
@@ -152,7 +161,7 @@
         }
         for (const { placeId, end, fingerprint, firstAnswerMs, succeededParts } of releases) {
             if (succeededParts !== undefined) {
-                this.promptParts.recordSuccess(succeededParts);
+                this.partTracker.recordSuccess(succeededParts);
             }
             const released = this.dispatcher.release(placeId, end, firstAnswerMs);
             if (end === "broken" && released?.place.workClass !== "batch") {
@@ -193,12 +202,12 @@
      * @param reports - Crashes of endpoints; repeated reports are ignored.
      */
     recordCrashes(reports: readonly EndpointCrash[]): void {
-        reports.forEach(report => this.promptParts.recordCrash(report));
+        reports.forEach(report => this.partTracker.recordCrash(report));
     }
 
     /** Applies a change of the fleet view. */
     onViewChanged(): void {
-        this.promptParts.adopt(this.deps.view.blockedPrompts);
+        this.partTracker.adopt(this.deps.view.blockedPrompts);
         this.endpointShares.clear();
         this.dispatcher.setEndpoints(this.deps.view.getEndpoints());
         this.outbox.replyToReady();
--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -1,42 +1,26 @@
-import { type EndpointCrash, type Logger, newRequestId, PromptPartTracker } from "@heatherline/common";
-import { LRUCache } from "lru-cache";
-import { type Coordinator, newBlockedPromptRefusal } from "./coordinator";
-import type { CoordinatorLink } from "./coordinatorLink";
+import { type EndpointCrash, type Logger, newRequestId } from "@heatherline/common";
+import { newBlockedPromptRefusal } from "./coordinator";
 import { Dispatcher } from "./dispatcher";
 import { scaleRateBounds } from "./fallbackShares";
 import type { FleetView } from "./fleetView";
+import { GranterReports } from "./granterReports";
 import { LeavingEndpoints } from "./leavingEndpoints";
-import type { PlaceDecision, PlaceReply, ReleaseRequest } from "./messages";
+import type { PlaceDecision, PlaceReply } from "./messages";
+import type { PlaceDecider, PlaceGranter } from "./placeGranter";
+import { PromptEvidence } from "./promptEvidence";
 import { TokenBuckets } from "./tokenBuckets";
-import type {
-    EndpointEntry,
-    LeavingEndpoint,
-    MemberEntry,
-    PlaceOutcome,
-    PlaceRelease,
-    PlaceRequest,
-    PlaceSummary,
-    RequestEnd,
-} from "./types";
+import type { EndpointEntry, MemberEntry, PlaceOutcome, PlaceRequest, PlaceSummary, RequestEnd } from "./types";
 
 /** A decision is awaited this much longer than the request may wait for a place at the coordinator, in milliseconds. */
 const DECISION_GRACE_MS = 400;
 /** Timeout of a call that requests a place; the coordinator replies at once, if only `queued`. In milliseconds. */
 const REQUEST_TIMEOUT_MS = 500;
-const RELEASE_TIMEOUT_MS = 500;
 /** An endpoint that this instance can't reach is excluded from its requests for this long, in milliseconds. */
 const UNREACHABLE_EXCLUSION_MS = 1_500;
 /** The coordinator's endpoint list may be outdated, but hardly for this many free endpoints at once. */
 const MAX_UNKNOWN_ENDPOINTS = 3;
 /** Time after which the coordinator and this instance know the same endpoints again, in milliseconds. */
 const UNKNOWN_ENDPOINT_RETRY_MS = 500;
-/** How long this instance reports a crash to each new coordinator, in milliseconds. */
-const CRASH_REPORT_TTL_MS = 120_000;
-/** Maximum number of remembered crash reports. */
-const MAX_CRASH_REPORTS = 64;
-/** A part of prompts that succeeds often is reported once in this time, in milliseconds. */
-const SUCCESS_REPORT_INTERVAL_MS = 500;
-const MAX_REPORTED_PARTS = 4_096;
 
 /** A place that this instance holds. */
 export interface HeldPlace {
@@ -62,22 +46,6 @@
     reportCrash(): void;
 }
 
-/**
- * Who decides on a place request: the coordinator, or in fallback mode the deputy of the data centre, or this instance
- * alone.
- */
-export type PlaceDecider = "coordinator" | "deputy" | "alone";
-
-/** A coordinator or deputy, in this process or reached over a link. */
-export interface PlaceGranter {
-    readonly decider: "coordinator" | "deputy";
-    readonly link: CoordinatorLink;
-    /** @returns The coordinator or deputy, if it is this instance. */
-    readonly getLocal: () => Coordinator | undefined;
-    readonly placeMethod: string;
-    readonly releaseMethod: string;
-}
-
 /** Result of a place request. */
 export type PlacementOutcome =
     | { readonly kind: "placed"; readonly place: HeldPlace; }
@@ -116,17 +84,9 @@
     private readonly fallbackTokenBuckets: TokenBuckets;
     private readonly unreachableUntilMs = new Map<string, number>();
     private readonly pendingDecisions = new Map<string, (outcome: PlaceOutcome) => void>();
-    private pendingReleases: PlaceRelease[] = [];
-    private pendingWithdrawals: string[] = [];
-    private silentPlaces: string[] = [];
-    private flushTimer: NodeJS.Immediate | undefined;
-    private pendingCrashes: EndpointCrash[] = [];
-    private pendingLeaving: LeavingEndpoint[] = [];
+    private readonly reports: GranterReports;
     private readonly leavingEndpoints = new LeavingEndpoints();
-    /** What this instance itself has seen of parts of prompts; decides only while nobody else does. */
-    private readonly promptParts = new PromptPartTracker(() => undefined);
-    private readonly successReportedAtMs = new LRUCache<string, number>({ max: MAX_REPORTED_PARTS });
-    private recentCrashes: { readonly report: EndpointCrash; readonly atMs: number; }[] = [];
+    private readonly promptEvidence = new PromptEvidence();
 
     /**
      * @param self - This instance.
@@ -144,6 +104,7 @@
         getRegion: (dataCentre: string) => string,
         private readonly logger: Logger,
     ) {
+        this.reports = new GranterReports([coordinator, deputy]);
         this.fallbackDispatcher = new Dispatcher({
             getCapacity: entry => this.getFallbackCapacity(entry),
             getColdRatePerS: entry => this.getFallbackColdRatePerS(entry),
@@ -216,7 +177,7 @@
 
     /** Applies a change of the fleet view. */
     onViewChanged(): void {
-        this.promptParts.adopt(this.view.blockedPrompts);
+        this.promptEvidence.adopt(this.view.blockedPrompts);
         this.fallbackDispatcher.setEndpoints(this.view.getEndpoints());
     }
 
@@ -237,8 +198,7 @@
     markLeaving({ endpointId, startedAt }: EndpointEntry): void {
         if (this.leavingEndpoints.mark({ endpointId, startedAt })) {
             this.logger.info({ event: "endpoint-leaving", endpoint: endpointId, startedAt });
-            this.pendingLeaving.push({ endpointId, startedAt });
-            this.scheduleFlush();
+            this.reports.addLeavingEndpoint({ endpointId, startedAt });
         }
     }
 
@@ -258,9 +218,7 @@
 
     /** @returns Crashes that this instance has seen recently, for a coordinator that may not know of them. */
     getRecentCrashes(): EndpointCrash[] {
-        const nowMs = performance.now();
-        this.recentCrashes = this.recentCrashes.filter(({ atMs }) => nowMs - atMs < CRASH_REPORT_TTL_MS);
-        return this.recentCrashes.map(({ report, atMs }) => ({ ...report, ageMs: nowMs - atMs }));
+        return this.promptEvidence.getRecentCrashes();
     }
 
     /** Whether no coordinator is reachable. */
@@ -285,7 +243,7 @@
         }
         else if (outcome.kind === "placed") {
             const { placeId } = outcome;
-            this.queueRelease({ placeId, end: "lost", fingerprint: "", firstAnswerMs: undefined });
+            this.reports.addRelease({ placeId, end: "lost", fingerprint: "", firstAnswerMs: undefined });
         }
     }
 
@@ -296,7 +254,7 @@
         signal: AbortSignal,
     ): Promise<PlaceOutcome | undefined> {
         const local = granter.getLocal();
-        const withdraw = () => this.withdraw(request.askId);
+        const withdraw = () => this.reports.addWithdrawal(request.askId);
         signal.addEventListener("abort", withdraw, { once: true });
         const outcome = local === undefined
             ? await this.requestFromRemote(granter, request)
@@ -333,14 +291,14 @@
             disconnectSignal.removeEventListener("abort", onDisconnect);
         }
         if (outcome === undefined) {
-            this.withdraw(request.askId);
+            this.reports.addWithdrawal(request.askId);
         }
         return outcome;
     }
 
     private async requestAlone(request: PlaceRequest, signal: AbortSignal): Promise<PlaceOutcome> {
         const parts = request.promptParts ?? [];
-        if (this.promptParts.decide(parts, false) === "blocked") {
+        if (this.promptEvidence.isBlocked(parts)) {
             return newBlockedPromptRefusal(parts);
         }
         if (request.rate !== undefined) {
@@ -423,10 +381,10 @@
             this.unreachableUntilMs.set(held.endpointId, performance.now() + UNREACHABLE_EXCLUSION_MS);
         }
         this.fallbackDispatcher.release(placeId, end, firstAnswerMs);
-        // A coordinator may have adopted places that this instance granted in fallback mode; it ignores unknown ones.
         const { fingerprint, promptParts = [] } = held.request;
-        const succeededParts = hasResponded ? this.recordSuccess(promptParts) : [];
-        this.queueRelease({
+        const succeededParts = hasResponded ? this.promptEvidence.recordSuccess(promptParts) : [];
+        // A coordinator may have adopted places that this instance granted in fallback mode; it ignores unknown ones.
+        this.reports.addRelease({
             placeId,
             end,
             fingerprint,
@@ -435,74 +393,16 @@
         });
     }
 
-    /** @returns The parts whose success is to be reported. */
-    private recordSuccess(parts: readonly string[]): string[] {
-        const nowMs = performance.now();
-        this.promptParts.recordSuccess(parts);
-        const unreported = parts.filter(part =>
-            nowMs - (this.successReportedAtMs.get(part) ?? -Infinity) > SUCCESS_REPORT_INTERVAL_MS
-        );
-        unreported.forEach(part => this.successReportedAtMs.set(part, nowMs));
-        return unreported;
-    }
-
-    /** Reports a crash with the parts that are not known to be sound, which a new coordinator doesn't know yet. */
     private reportCrash(placeId: string, endpointId: string, { fingerprint, promptParts = [] }: PlaceRequest): void {
-        const suspectParts = promptParts.filter(part => !this.promptParts.hasSucceededRecently(part));
-        if (suspectParts.length === 0) {
-            return;
+        const report = this.promptEvidence.recordCrash({ reportId: placeId, endpointId, fingerprint, promptParts });
+        if (report !== undefined) {
+            this.reports.addCrash(report);
         }
-        const report = { reportId: placeId, endpointId, fingerprint, promptParts: suspectParts, ageMs: 0 };
-        this.promptParts.recordCrash(report);
-        this.recentCrashes = [...this.recentCrashes, { report, atMs: performance.now() }].slice(-MAX_CRASH_REPORTS);
-        this.pendingCrashes.push(report);
-        this.scheduleFlush();
     }
 
     private reportSilence(placeId: string): void {
         this.fallbackDispatcher.recordSilence(placeId);
-        this.silentPlaces.push(placeId);
-        this.scheduleFlush();
-    }
-
-    private queueRelease(release: PlaceRelease): void {
-        this.pendingReleases.push(release);
-        this.scheduleFlush();
-    }
-
-    private withdraw(askId: string): void {
-        this.pendingWithdrawals.push(askId);
-        this.scheduleFlush();
-    }
-
-    private scheduleFlush(): void {
-        this.flushTimer ??= setImmediate(() => this.flush());
-    }
-
-    private flush(): void {
-        this.flushTimer = undefined;
-        const request: ReleaseRequest = {
-            releases: this.pendingReleases,
-            withdrawnAsks: this.pendingWithdrawals,
-            silentPlaces: this.silentPlaces,
-            ...this.pendingCrashes.length > 0 ? { crashes: this.pendingCrashes } : {},
-            ...this.pendingLeaving.length > 0 ? { leavingEndpoints: this.pendingLeaving } : {},
-        };
-        this.pendingLeaving = [];
-        this.pendingCrashes = [];
-        this.silentPlaces = [];
-        this.pendingReleases = [];
-        this.pendingWithdrawals = [];
-        for (const { getLocal, link, releaseMethod } of [this.coordinator, this.deputy]) {
-            const local = getLocal();
-            if (local !== undefined) {
-                local.handleRelease(request);
-            }
-            else {
-                // If the call is lost, the next full report of places corrects the count.
-                void link.call(releaseMethod, request, RELEASE_TIMEOUT_MS);
-            }
-        }
+        this.reports.addSilentPlace(placeId);
     }
 
     /** Places granted by others count against the share, so that the endpoint is not overloaded. */
--- a/packages/serving/src/crashSuspects.ts
+++ b/packages/serving/src/crashSuspects.ts
@@ -25,7 +25,7 @@
  */
 export class CrashSuspectRegistry {
     /** Finds parts of prompts that crash endpoints, whatever request has them. */
-    readonly promptParts: PromptPartTracker;
+    readonly partTracker: PromptPartTracker;
     private readonly suspects = new Map<string, number>();
     private readonly exclusiveCrashes = new Map<string, number>();
     private readonly quarantined = new Set<string>();
@@ -42,7 +42,7 @@
         private readonly onCleared: (fingerprint: string) => void,
         onPromptChange: (prompt: BlockedPrompt, isEnded: boolean) => void = () => undefined,
     ) {
-        this.promptParts = new PromptPartTracker(onPromptChange);
+        this.partTracker = new PromptPartTracker(onPromptChange);
     }
 
     /**
--- a/packages/serving/src/filters/attempt.ts
+++ b/packages/serving/src/filters/attempt.ts
@@ -93,7 +93,7 @@
         }
         const isListed = this.replica.hasQuarantinedRequests() &&
             promptParts.some(part => this.replica.isQuarantined(part));
-        return isListed || this.suspects.promptParts.decide(promptParts, true) === "blocked";
+        return isListed || this.suspects.partTracker.admit(promptParts) === "blocked";
     }
 
     private async attempt(exchange: Exchange, slot: EndpointSlot): Promise<Result<DeliveredResponse, DispatchError>> {
@@ -115,7 +115,7 @@
                 event = "overloaded";
             }
             if (event === "success") {
-                this.suspects.promptParts.recordSuccess(exchange.promptParts ?? []);
+                this.suspects.partTracker.recordSuccess(exchange.promptParts ?? []);
             }
             if (event === "crashed" && exchange.answerBytes === bytesBefore) {
                 promptCrash = this.recordPromptCrash(exchange, slot.endpoint);
@@ -130,15 +130,15 @@
 
     /** @returns The crash, for other instances; `undefined` if no part of the prompt can be to blame. */
     private recordPromptCrash(exchange: Exchange, endpointId: string): EndpointCrash | undefined {
-        const { promptParts: tracker } = this.suspects;
-        const promptParts = (exchange.promptParts ?? []).filter(part => !tracker.hasSucceededRecently(part));
-        if (promptParts.length === 0 || exchange.workClass === "batch") {
-            return undefined;
-        }
-        const fingerprint = exchange.getFingerprint();
-        const crash = { reportId: newRequestId(), endpointId, fingerprint, promptParts, ageMs: 0 };
-        tracker.recordCrash(crash);
-        return crash;
+        const { promptParts = [], workClass, getFingerprint } = exchange;
+        return workClass === "batch" || promptParts.length === 0
+            ? undefined
+            : this.suspects.partTracker.recordOwnCrash({
+                reportId: newRequestId(),
+                endpointId,
+                fingerprint: getFingerprint(),
+                promptParts,
+            });
     }
 
     private mayRetry(exchange: Exchange, error: DispatchError, service: string): boolean {
