--- a/packages/common/src/responseEnd.ts
+++ b/packages/common/src/responseEnd.ts
@@ -16,13 +16,13 @@
      * Whether the connection is the end of the response and the other side has closed it in an orderly way; false after
      * a reset.
      */
-    readonly hasPeerEnded: boolean;
+    readonly hasRemoteEnded: boolean;
 }
 
 /** Tells whether a response arrived whole. To be created as soon as its headers have arrived. */
 export class ResponseEndObserver {
     private readonly framing: BodyFraming;
-    private hasPeerEnded = false;
+    private hasRemoteEnded = false;
 
     /**
      * @param incoming - A response whose headers have arrived.
@@ -41,12 +41,12 @@
      * side is its end.
      */
     get isComplete(): boolean {
-        return this.incoming.complete && (this.framing !== "connection" || this.hasPeerEnded);
+        return this.incoming.complete && (this.framing !== "connection" || this.hasRemoteEnded);
     }
 
     /** How the response ended, or would if it ended now. */
     get responseEnd(): ResponseEnd {
-        return { framing: this.framing, hasPeerEnded: this.hasPeerEnded };
+        return { framing: this.framing, hasRemoteEnded: this.hasRemoteEnded };
     }
 
     /**
@@ -55,7 +55,7 @@
      * only, and before the listener of the HTTP client, which destroys the socket.
      */
     private observeEnd(socket: Socket): void {
-        socket.prependOnceListener("end", () => this.hasPeerEnded = socket.remoteAddress !== undefined);
+        socket.prependOnceListener("end", () => this.hasRemoteEnded = socket.remoteAddress !== undefined);
     }
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,9 +8,6 @@
     METHODS,
     PlacementClient,
     StateFeed,
-    type SyncReply,
-    type SyncRequest,
-    type TakeoverPromise,
 } from "@heatherline/fleet";
 import { Admission } from "./admission";
 import { BatchApi } from "./batchApi";
@@ -31,11 +28,12 @@
 import { addPeerMethods } from "./peerMethods";
 import { PeerStatePoller } from "./peerStatePoller";
 import { serveMetrics, serveReadiness } from "./readinessAndMetrics";
-import { registerMember } from "./registration";
+import { MemberRegistration } from "./registration";
 import { RelayedStore } from "./relayedStore";
 import { RetirementAcknowledger } from "./retirementAcknowledger";
 import { StartupGate } from "./startupGate";
 import { Sweeper } from "./sweeper";
+import { SyncMessages } from "./syncMessages";
 
 /** No new runs of batch items start while the knowledge of closed jobs is older than this. */
 const MAX_JOB_STATE_AGE_MS = 2_000;
@@ -68,15 +66,11 @@
     private readonly retirement: RetirementAcknowledger;
     private readonly statePoller: PeerStatePoller;
     private readonly sweeper: Sweeper;
-    private isRegistering = false;
-    private wasRegistered = false;
+    private readonly registration: MemberRegistration;
     private wasCoordinatorKnown = false;
     private readonly feedScopePolicy = new FeedScopePolicy();
     private readonly ownJobSync: OwnJobSync;
-    /** Whether the store calls of the coordinator that replied last fail. */
-    private isCoordinatorStoreFailing = false;
-    /** Promise to the coordinator that replied last. */
-    private promise: TakeoverPromise | undefined;
+    private readonly syncMessages: SyncMessages;
     private readonly metrics: GatewayMetrics;
     private readonly startupGate = new StartupGate({
         isCoordinatorKnown: () => this.role.isCoordinatorKnown,
@@ -100,6 +94,7 @@
         const view = new FleetView(settings.endpointRenewalMs);
         this.view = view;
         this.self = { instanceId, incarnation: newId(), host, rpcPort: peers.port, dataCentre, processorShare };
+        this.registration = new MemberRegistration(store, this.self, () => this.isStopping, logger);
         this.admission = new Admission(view, settings.revokeMs);
         this.rpc = new RpcPeerTransport(() => undefined, "");
         this.retirement = new RetirementAcknowledger(schema, deps.putStatus, logger);
@@ -131,9 +126,9 @@
             preemptOwnPlace: placeId => this.placement.preempt(placeId),
             getRecentCrashes: () => this.placement.getRecentCrashes(),
             saveBlockedPrompt: (prompt, isEnded) => blockedPrompts.save(prompt, isEnded),
-            newSyncRequest: (isFull, waitMs) => this.newSyncRequest(isFull, waitMs),
+            newSyncRequest: (isFull, waitMs) => this.syncMessages.newRequest(isFull, waitMs),
             onSyncReply: (reply, transitMs) => {
-                this.applySyncReply(reply, transitMs);
+                this.syncMessages.applyCoordinatorReply(reply, transitMs);
                 this.startupGate.check();
             },
             onChange: () => this.onRoleChange(),
@@ -149,9 +144,9 @@
             getRecentCrashes: () => this.placement.getRecentCrashes(),
             saveBlockedPrompt: (prompt, isEnded) => blockedPrompts.save(prompt, isEnded),
             readBlockedPrompts: () => void this.feed.readBlockedPrompts(),
-            newSyncRequest: (isFull, waitMs) => ({ ...this.newSyncRequest(isFull, waitMs), jobs: [] }),
+            newSyncRequest: (isFull, waitMs) => ({ ...this.syncMessages.newRequest(isFull, waitMs), jobs: [] }),
             onSyncReply: (reply, transitMs) => {
-                this.applyMessages(reply, transitMs);
+                this.syncMessages.applyDeputyReply(reply, transitMs);
                 this.startupGate.check();
             },
             getAnnouncement: () => this.role.getAnnouncement(),
@@ -206,6 +201,7 @@
             logger,
         });
         const { runner } = this;
+        this.syncMessages = new SyncMessages({ self: this.self, view, feed: this.feed, placement, runner, lease });
         this.ownJobSync = new OwnJobSync({
             instanceId,
             runner,
@@ -281,7 +277,7 @@
             if (part === "members") {
                 const { revision, value } = view.versionedMembers;
                 logger.info({ event: "members-changed", count: value.length, revision });
-                this.reregisterIfRemoved();
+                this.registration.renewIfRemoved(value);
             }
             if (part === "endpoints") {
                 endpointChangeLogger.logChanges(view);
@@ -311,7 +307,7 @@
         }
         this.runChecks();
         void this.statePoller.run();
-        void this.register()
+        void this.registration.register()
             .then(() => sleep(waitsForOthers ? FIRST_STATE_WAIT_MS : 0))
             .then(() => this.view.members.length === 0 ? this.feed.readMembers() : undefined);
         this.role.lease.start(waitsForOthers ? LEASE_START_DELAY_MS * (1 + Math.random()) : 0);
@@ -387,48 +383,6 @@
         return !this.isStopping && this.admission.isConfigFresh && this.view.getEndpoints().length > 0;
     }
 
-    private newSyncRequest(isFull: boolean, waitMs: number): SyncRequest {
-        return {
-            member: this.self,
-            known: this.view.getRevisions(),
-            places: isFull ? this.placement.getPlaces() : undefined,
-            crashes: isFull ? this.placement.getRecentCrashes() : undefined,
-            jobs: this.runner.getProgress(),
-            isStoreFailing: this.feed.isStoreFailing,
-            storeCheck: this.feed.storeCheck,
-            promise: this.promise,
-            waitMs,
-        };
-    }
-
-    private applySyncReply(reply: Extract<SyncReply, { kind: "news"; }>, transitMs: number): void {
-        this.role.lease.recordHolder(reply.coordinator, reply.epoch, reply.leaseVersion);
-        this.role.lease.promise();
-        this.isCoordinatorStoreFailing = reply.isStoreFailing === true;
-        this.promise = reply.stamp === undefined ? undefined : { epoch: reply.epoch, stamp: reply.stamp };
-        this.applyMessages(reply, transitMs);
-        for (const jobId of reply.assignedJobs) {
-            void this.runner.adopt(jobId);
-        }
-        for (const jobId of reply.takenJobs) {
-            this.runner.stopTakenOver(jobId);
-        }
-        if (reply.endedJobs.length > 0) {
-            void this.runner.stopClosedJobs(reply.endedJobs);
-        }
-    }
-
-    /** Applies the parts of a sync reply that the deputy sends, too. */
-    private applyMessages(reply: Extract<SyncReply, { kind: "news"; }>, transitMs: number): void {
-        this.view.applyUpdate(reply.news, transitMs);
-        for (const decision of reply.decisions) {
-            this.placement.handleDecision(decision);
-        }
-        for (const placeId of reply.calledBack) {
-            this.placement.preempt(placeId);
-        }
-    }
-
     private onRoleChange(): void {
         this.startupGate.check();
         this.runChecks();
@@ -455,7 +409,7 @@
             isCoordinator: this.role.localCoordinator !== undefined,
             isFollower: this.isFollower,
             isDeputy: deputy?.instanceId === this.self.instanceId,
-            isCoordinatorStoreFailing: this.isCoordinatorStoreFailing,
+            isCoordinatorStoreFailing: this.syncMessages.isCoordinatorStoreFailing,
             configAgeMs: this.view.getConfigAgeMs(),
         }));
         this.view.dropLapsedEndpoints();
@@ -479,21 +433,6 @@
         }
     }
 
-    private async register(): Promise<void> {
-        this.isRegistering = true;
-        await registerMember(this.deps.store, this.self, () => this.isStopping, this.logger);
-        this.isRegistering = false;
-    }
-
-    /** Registers again if the registration was removed, which happens to an instance that was silent for too long. */
-    private reregisterIfRemoved(): void {
-        const isRegistered = this.view.members.some(({ incarnation }) => incarnation === this.self.incarnation);
-        if (!isRegistered && this.wasRegistered && !this.isRegistering && !this.isStopping) {
-            void this.register();
-        }
-        this.wasRegistered = isRegistered;
-    }
-
     private logStatus(): void {
         this.logger.info({
             event: "status",
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -10,6 +10,7 @@
 import { newRefusal, type Refusal } from "./refusal";
 import { StreamRelay } from "./responseRelay";
 import { type AttemptEnd, isRetryable, RetryPolicy } from "./retryPolicy";
+import { FIRST_RESPONSE_TIMEOUT_MS, watchForSilence } from "./silenceWatch";
 import type { CallerRequestHead, WireCodec } from "./wireCodec";
 
 /** Subtracted from the caller's timeout, so that the response arrives before the caller gives up. */
@@ -18,17 +19,6 @@
 const MIN_TIME_LEFT_MS = 5;
 /** Responses with this status or a higher one count as failed. */
 const MIN_FAILURE_STATUS = 500;
-/**
- * An endpoint with a free slot begins to respond within some tens of milliseconds; without a response for this long it
- * is considered unavailable.
- */
-const FIRST_RESPONSE_TIMEOUT_MS = 600;
-/**
- * A stream without an event for this long counts as stalled; events arrive every few tens of milliseconds, every few
- * hundred from a slow endpoint.
- */
-const STALL_TIMEOUT_MS = 800;
-const STALL_POLL_MS = 200;
 /** A request that crashes the endpoint does so as soon as the endpoint begins to respond. */
 const MAX_EVENTS_BEFORE_CRASH = 1;
 
@@ -306,38 +296,20 @@
         return outcome;
     }
 
-    /**
-     * Reports an endpoint that does not begin to respond in time. If the request may be retried, aborts the attempt
-     * when that endpoint has responded to no other request since the attempt began either, or when a stream stalls.
-     *
-     * @returns A function that stops watching.
-     */
     private watchForSilence(place: HeldPlace, attemptController: AbortController, startedAtMs: number): () => void {
-        const abortAttempt = () => {
-            if (this.retryPolicy.mayRetryOnSilence()) {
-                attemptController.abort("silent");
-            }
-        };
-        const firstResponseTimer = setTimeout(() => {
-            if (this.firstResponseAtMs === undefined) {
-                place.reportSilence();
-                const isEndpointSilent =
-                    this.deps.endpoints.getLastResponseAtMs(place.endpoint.endpointId) < startedAtMs;
-                if (isEndpointSilent) {
-                    abortAttempt();
+        const { endpointId } = place.endpoint;
+        return watchForSilence({
+            hasResponded: () => this.firstResponseAtMs !== undefined,
+            getQuietMs: () => this.relay.quietMs,
+            isEndpointSilent: () => this.deps.endpoints.getLastResponseAtMs(endpointId) < startedAtMs,
+            mayResume: this.admitted.route.kind === "streaming" && this.retryPolicy.mayRetryOnSilence(),
+            reportSilence: () => place.reportSilence(),
+            abort: () => {
+                if (this.retryPolicy.mayRetryOnSilence()) {
+                    attemptController.abort("silent");
                 }
-            }
-        }, FIRST_RESPONSE_TIMEOUT_MS);
-        const mayResume = this.admitted.route.kind === "streaming" && this.retryPolicy.mayRetryOnSilence();
-        const stallTimer = !mayResume ? undefined : setInterval(() => {
-            if (this.firstResponseAtMs !== undefined && this.relay.quietMs > STALL_TIMEOUT_MS) {
-                abortAttempt();
-            }
-        }, STALL_POLL_MS);
-        return () => {
-            clearTimeout(firstResponseTimer);
-            clearInterval(stallTimer);
-        };
+            },
+        });
     }
 
     private async deliver(result: Result<EndpointResponse, SendFailure>): Promise<AttemptOutcome> {
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -12,7 +12,7 @@
  * @param isStopping - Whether to stop retrying.
  * @param logger - Log of the instance.
  */
-export async function registerMember(
+async function registerMember(
     store: ObjectStore,
     self: MemberEntry,
     isStopping: () => boolean,
@@ -39,3 +39,42 @@
         await sleep(withJitter(RETRY_DELAY_MS));
     }
 }
+
+/** Keeps this instance registered. */
+export class MemberRegistration {
+    private isRegistering = false;
+    private wasRegistered = false;
+
+    /**
+     * @param store - The store.
+     * @param self - This instance.
+     * @param isStopping - Whether this instance is stopping, and need not be registered any more.
+     * @param logger - Log of the instance.
+     */
+    constructor(
+        private readonly store: ObjectStore,
+        private readonly self: MemberEntry,
+        private readonly isStopping: () => boolean,
+        private readonly logger: Logger,
+    ) {}
+
+    /** Registers this instance; retries until it succeeds. */
+    async register(): Promise<void> {
+        this.isRegistering = true;
+        await registerMember(this.store, this.self, this.isStopping, this.logger);
+        this.isRegistering = false;
+    }
+
+    /**
+     * Registers again if the registration was removed, which happens to an instance that was silent for too long.
+     *
+     * @param members - All registered instances.
+     */
+    renewIfRemoved(members: readonly MemberEntry[]): void {
+        const isRegistered = members.some(({ incarnation }) => incarnation === this.self.incarnation);
+        if (!isRegistered && this.wasRegistered && !this.isRegistering && !this.isStopping()) {
+            void this.register();
+        }
+        this.wasRegistered = isRegistered;
+    }
+}
