Remove an ended block by its version, as the store's interface asks

Found by the new test of stored blocks: `delete` with expected version 0 means "must not exist" in the interface; the platform's client happens to take it as any version, the store in memory refuses, so an ended block stayed. Red before, green now.

--- a/packages/fleet/tests/crashReports.test.ts
+++ b/packages/fleet/tests/crashReports.test.ts
@@ -68,6 +68,12 @@
     };
 }
 
+async function report(coordinator: Coordinator, crashes: readonly EndpointCrash[]): Promise<void> {
+    const reply = coordinator.handleSync(newSync(crashes));
+    await vi.advanceTimersByTimeAsync(1);
+    await reply;
+}
+
 function newRequest(changes: Partial<PlaceRequest> = {}): PlaceRequest {
     return {
         askId: "ask",
@@ -100,9 +106,9 @@
     it("blocks parts for crashes that instances have reported to the one before", async () => {
         const coordinator = startCoordinator();
         expect(await place(coordinator)).toBe("placed");
-        await coordinator.handleSync(newSync([newCrash(1), newCrash(2)]));
+        await report(coordinator, [newCrash(1), newCrash(2)]);
         expect(await place(coordinator)).toBe("placed");
-        await coordinator.handleSync(newSync([newCrash(2), newCrash(3)]));
+        await report(coordinator, [newCrash(2), newCrash(3)]);
         expect(await place(coordinator)).toBe("crashes-endpoints");
         expect(await place(coordinator, { promptParts: ["all"] })).toBe("placed");
         expect(saved.map(({ prompt, isEnded }) => [prompt.parts, isEnded])).toEqual([[["bad"], false]]);
--- a/packages/gateway/src/blockedPromptStore.ts
+++ b/packages/gateway/src/blockedPromptStore.ts
@@ -1,7 +1,7 @@
 import { type BlockedPrompt, type Logger, sleep, withJitter } from "@heatherline/common";
 import { BLOCKED_PROMPT_KIND } from "@heatherline/fleet";
 import type { ObjectStore, StoredValue, StoreError } from "@heatherline/store";
-import { err, type Result } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 
 const FIRST_RETRY_MS = 200;
 const MAX_RETRY_MS = 3_000;
@@ -59,9 +59,7 @@
     private async write({ prompt, isEnded }: PendingChange): Promise<boolean> {
         const { blockId, parts, trials, blockedAt } = prompt;
         const path = `${BLOCKED_PROMPT_KIND}/${blockId}`;
-        const written = isEnded
-            ? await this.store.delete(path, 0)
-            : await this.replace(path, { parts, trials, blockedAt });
+        const written = isEnded ? await this.remove(path) : await this.replace(path, { parts, trials, blockedAt });
         this.logger.info({
             event: "blocked-prompt-saved",
             blockId,
@@ -72,6 +70,14 @@
         return written.isOk();
     }
 
+    private async remove(path: string): Promise<Result<void, StoreError>> {
+        const current = await this.store.get(path);
+        if (current.isErr()) {
+            return err(current.error);
+        }
+        return current.value === undefined ? ok(undefined) : this.store.delete(path, current.value.version);
+    }
+
     private async replace(path: string, value: StoredValue): Promise<Result<number, StoreError>> {
         const current = await this.store.get(path);
         return current.isErr() ? err(current.error) : this.store.put(path, value, current.value?.version ?? 0);
