Quarantine a message for good only after crashes that confirm its block, not after trials

Found by a test that the own interface's broadcaster lacked: a message was quarantined for good when the second trial of its block began, even if no trial had crashed anything (its caller had left, say); a sound message could have been lost until an operator released it. Class of fault: an attempt is counted as its outcome. Change: the tracker counts crashes that a block explains (`laterCrashes`); two of them quarantine.

--- a/packages/common/src/promptPartTracker.ts
+++ b/packages/common/src/promptPartTracker.ts
@@ -44,6 +44,8 @@
     readonly parts: readonly string[];
     /** Requests that were let through to see whether they still crash endpoints. */
     readonly trials: number;
+    /** Crashes since then while a request with all of the parts ran. */
+    readonly laterCrashes: number;
     /** Milliseconds since the epoch. */
     readonly blockedAt: number;
 }
@@ -159,10 +161,18 @@
             Math.abs(crash.atMs - atMs) < (crash.endpointId === endpointId ? CRASH_WINDOW_MS : COMMON_CAUSE_WINDOW_MS)
         );
         const crash = known ?? { endpointId, atMs, suspects: [] };
+        const explainedBefore = this.findExplanation(crash);
         crash.suspects.push({ fingerprint, parts: promptParts });
         if (known === undefined) {
             this.crashes.set(reportId, crash);
         }
+        const explanation = this.findExplanation(crash);
+        if (explanation !== undefined && explainedBefore === undefined) {
+            this.setPrompt(explanation, {
+                ...explanation.prompt,
+                laterCrashes: explanation.prompt.laterCrashes + 1,
+            });
+        }
         this.blockCommonParts();
     }
 
@@ -244,7 +254,7 @@
 
     private blockCommonParts(): void {
         for (let parts = this.findCommonParts(); parts.length > 0; parts = this.findCommonParts()) {
-            const prompt = { blockId: newRequestId(), parts, trials: 0, blockedAt: Date.now() };
+            const prompt = { blockId: newRequestId(), parts, trials: 0, laterCrashes: 0, blockedAt: Date.now() };
             this.blocks.set(prompt.blockId, newActiveBlock(prompt, false));
             this.onChange(prompt, false);
         }
@@ -274,11 +284,16 @@
     }
 
     private getUnexplainedCrashes(): Crash[] {
-        const prompts = [...this.blocks.values()].map(({ prompt }) => prompt);
         const nowMs = performance.now();
-        return [...this.crashes.values()].filter(({ atMs, suspects }) =>
-            nowMs - atMs < CRASH_TTL_MS &&
-            !suspects.some(suspect => prompts.some(prompt => hasAll(suspect.parts, prompt.parts)))
+        return [...this.crashes.values()].filter(crash =>
+            nowMs - crash.atMs < CRASH_TTL_MS && this.findExplanation(crash) === undefined
+        );
+    }
+
+    /** @returns The block whose parts one of the requests had that may have caused the crash. */
+    private findExplanation({ suspects }: Crash): ActiveBlock | undefined {
+        return [...this.blocks.values()].find(({ prompt }) =>
+            suspects.some(({ parts }) => hasAll(parts, prompt.parts))
         );
     }
 }
--- a/packages/daemon/src/quarantineBroadcaster.ts
+++ b/packages/daemon/src/quarantineBroadcaster.ts
@@ -7,8 +7,8 @@
 const CALL_TIMEOUT_MS = 700;
 const WRITE_RETRY_DELAY_MS = 2_000;
 const WRITE_ATTEMPTS = 1_800;
-/** After this many trials, all but the last of which crashed an endpoint, a part of prompts is quarantined for good. */
-const TRIALS_TO_QUARANTINE = 2;
+/** Crashes after it was blocked for which a part of prompts is quarantined for good. */
+const LATER_CRASHES_TO_QUARANTINE = 2;
 
 /** Message between instances about requests that may crash endpoints. All values are fingerprints of requests. */
 export interface SuspectUpdate {
@@ -66,10 +66,11 @@
         }
     }
 
-    private onPromptChange({ blockId, parts, trials }: BlockedPrompt, isEnded: boolean): void {
-        this.logger.warn({ blockId, parts, trials, isEnded }, "requests with parts of prompts that crash endpoints");
+    private onPromptChange(prompt: BlockedPrompt, isEnded: boolean): void {
+        this.logger.warn({ ...prompt, isEnded }, "requests with parts of prompts that crash endpoints");
+        const { parts, laterCrashes } = prompt;
         const [part, ...others] = parts;
-        if (!isEnded && trials >= TRIALS_TO_QUARANTINE && part !== undefined && others.length === 0) {
+        if (!isEnded && laterCrashes >= LATER_CRASHES_TO_QUARANTINE && part !== undefined && others.length === 0) {
             void this.persist(part);
         }
     }
--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -254,8 +254,7 @@
     }
 
     private onBlockChanged(prompt: BlockedPrompt, isEnded: boolean): void {
-        const { parts, trials, blockId } = prompt;
-        this.deps.logger.info({ event: isEnded ? "prompt-unblocked" : "prompt-blocked", blockId, parts, trials });
+        this.deps.logger.info({ event: isEnded ? "prompt-unblocked" : "prompt-blocked", ...prompt });
         this.deps.saveBlockedPrompt(prompt, isEnded);
     }
 
--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -268,8 +268,9 @@
 }
 
 function decodeBlockedPrompt({ path, value }: StoredObject): BlockedPrompt[] {
-    const { parts, trials, blockedAt } = value;
+    const { parts, trials, laterCrashes, blockedAt } = value;
     const isComplete = Array.isArray(parts) && parts.length > 0 && parts.every(part => typeof part === "string")
-        && typeof trials === "number" && typeof blockedAt === "number";
-    return isComplete ? [{ blockId: path.slice(path.indexOf("/") + 1), parts, trials, blockedAt }] : [];
+        && typeof trials === "number" && typeof laterCrashes === "number" && typeof blockedAt === "number";
+    const blockId = path.slice(path.indexOf("/") + 1);
+    return isComplete ? [{ blockId, parts, trials, laterCrashes, blockedAt }] : [];
 }
--- a/packages/gateway/src/blockedPromptStore.ts
+++ b/packages/gateway/src/blockedPromptStore.ts
@@ -57,9 +57,9 @@
     }
 
     private async write({ prompt, isEnded }: PendingChange): Promise<boolean> {
-        const { blockId, parts, trials, blockedAt } = prompt;
+        const { blockId, ...value } = prompt;
         const path = `${BLOCKED_PROMPT_KIND}/${blockId}`;
-        const written = isEnded ? await this.remove(path) : await this.replace(path, { parts, trials, blockedAt });
+        const written = isEnded ? await this.remove(path) : await this.replace(path, value);
         this.logger.info({
             event: "blocked-prompt-saved",
             blockId,
