--- a/packages/fleet/tests/blockedCoordinator.test.ts
+++ b/packages/fleet/tests/blockedCoordinator.test.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "@heatherline/common";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { Coordinator, FleetScope, FleetView, type MemberEntry, type SyncRequest } from "../src";
+import { newTestEndpoint } from "./testEndpoint";
 
 const RENEWAL_MS = 1_200;
 const INSTANCES = 165;
@@ -43,16 +44,10 @@
     view.applyMembers({ revision: 1, value: Array.from({ length: INSTANCES }, (_, index) => newMember(index)) });
     view.applyEndpoints({
         revision: 1,
-        value: Array.from({ length: INSTANCES }, (_, index) => ({
-            endpointId: `endpoint-${index}`,
-            service: "lm",
-            host: "h",
-            port: 1,
-            dataCentre: "east",
-            slots: SLOTS,
-            state: "ready",
-            coldLeftMs: 0,
-        })),
+        value: Array.from(
+            { length: INSTANCES },
+            (_, index) => newTestEndpoint({ endpointId: `endpoint-${index}`, slots: SLOTS }),
+        ),
     });
     const coordinator = new Coordinator(2, {
         self: newMember(0),
--- a/packages/fleet/tests/crashReports.test.ts
+++ b/packages/fleet/tests/crashReports.test.ts
@@ -1,6 +1,7 @@
 import type { BlockedPrompt, EndpointCrash, Logger } from "@heatherline/common";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { Coordinator, FleetScope, FleetView, type PlaceRequest, PromptEvidence, type SyncRequest } from "../src";
+import { newTestEndpoint } from "./testEndpoint";
 
 const TOLERANCE = { windowMs: 5_000, overPart: 0.1, extraRequests: 20 };
 const MEMBER = { instanceId: "a", incarnation: "1", host: "h", rpcPort: 1, dataCentre: "east", processorShare: 1 };
@@ -22,16 +23,7 @@
     view.applyMembers({ revision: 1, value: [MEMBER] });
     view.applyEndpoints({
         revision: 1,
-        value: [{
-            endpointId: "e",
-            service: "lm",
-            host: "h",
-            port: 1,
-            dataCentre: "east",
-            slots: 8,
-            state: "ready",
-            coldLeftMs: 0,
-        }],
+        value: [newTestEndpoint()],
     });
     return new Coordinator(2, {
         self: MEMBER,
--- a/packages/fleet/tests/decisions.test.ts
+++ b/packages/fleet/tests/decisions.test.ts
@@ -19,6 +19,7 @@
     SendWindow,
     TokenBuckets,
 } from "../src";
+import { newTestEndpoint } from "./testEndpoint";
 
 /** How often endpoints renew their registrations. */
 const RENEWAL_MS = 1_200;
@@ -32,17 +33,7 @@
 });
 
 function newEntry(endpointId: string, changes: Partial<EndpointEntry> = {}): EndpointEntry {
-    return {
-        endpointId,
-        service: "lm",
-        host: "127.0.0.1",
-        port: 1,
-        dataCentre: "east",
-        slots: 8,
-        state: "ready",
-        coldLeftMs: 0,
-        ...changes,
-    };
+    return newTestEndpoint({ endpointId, ...changes });
 }
 
 function newMember(instanceId: string, dataCentre: string): MemberEntry {
--- a/packages/gateway/tests/brokenOffResponses.test.ts
+++ b/packages/gateway/tests/brokenOffResponses.test.ts
@@ -1,6 +1,7 @@
-import type { EndpointEntry, HeldPlace, PlacementClient, Route } from "@heatherline/fleet";
+import type { HeldPlace, PlacementClient, Route } from "@heatherline/fleet";
 import net from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
 import { readFullBody } from "../src/bodyReader";
 import { EndpointClient, type EndpointRequest, type EndpointResponse } from "../src/endpointClient";
 import { ItemDurationEstimator } from "../src/itemDurationEstimator";
@@ -83,24 +84,11 @@
     return `${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`;
 }
 
-function newEndpoint(port: number): EndpointEntry {
-    return {
-        endpointId: "e",
-        service: "lm",
-        host: "127.0.0.1",
-        port,
-        dataCentre: "east",
-        slots: 8,
-        state: "ready",
-        coldLeftMs: 0,
-    };
-}
-
 async function send(port: number, ending: Ending, method = "POST"): Promise<EndpointResponse> {
     const abortController = new AbortController();
     const request: EndpointRequest = {
         requestId: "r1",
-        endpoint: newEndpoint(port),
+        endpoint: newTestEndpoint({ port }),
         method,
         path: "/",
         headers: ["Host", "h"],
@@ -267,7 +255,7 @@
     function newItemRun(onRun: () => void): ItemRun {
         const place = {
             placeId: "p",
-            endpoint: newEndpoint(server.port),
+            endpoint: newTestEndpoint({ port: server.port }),
             givenBy: "coordinator",
             expectedWaitMs: 0,
             reportSilence: () => undefined,
--- a/packages/gateway/tests/endlessResponses.test.ts
+++ b/packages/gateway/tests/endlessResponses.test.ts
@@ -1,8 +1,8 @@
-import type { EndpointEntry } from "@heatherline/fleet";
 import net from "node:net";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import { afterEach, describe, expect, it } from "vitest";
+import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
 import { discardBody, readFullBody } from "../src/bodyReader";
 import { EndpointClient, type EndpointRequest } from "../src/endpointClient";
 import { EventStreamParser } from "../src/eventStreamParser";
@@ -74,19 +74,9 @@
 } as unknown as WireCodec;
 
 function newRequest(port: number): EndpointRequest {
-    const endpoint: EndpointEntry = {
-        endpointId: "e",
-        service: "lm",
-        host: "127.0.0.1",
-        port,
-        dataCentre: "east",
-        slots: 8,
-        state: "ready",
-        coldLeftMs: 0,
-    };
     return {
         requestId: "r1",
-        endpoint,
+        endpoint: newTestEndpoint({ port }),
         method: "POST",
         path: "/",
         headers: ["Host", "h"],
