--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./crashTracker";
 export * from "./dispatcher";
 export * from "./endpointHealth";
+export * from "./endpointLimits";
 export * from "./endpointPool";
 export * from "./endpointRegistry";
 export * from "./fallbackShares";
--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -1,6 +1,7 @@
 import { type EndpointCrash, type Logger, newRequestId } from "@heatherline/common";
 import { newBlockedPromptRefusal } from "./coordinator";
 import { Dispatcher } from "./dispatcher";
+import { EndpointLimits } from "./endpointLimits";
 import { scaleRateBounds } from "./fallbackShares";
 import type { FleetView } from "./fleetView";
 import { GranterReports } from "./granterReports";
@@ -86,6 +87,7 @@
     private readonly pendingDecisions = new Map<string, (outcome: PlaceOutcome) => void>();
     private readonly reports: GranterReports;
     private readonly leavingEndpoints = new LeavingEndpoints();
+    private readonly limits = new EndpointLimits();
     private readonly promptEvidence = new PromptEvidence();
 
     /**
@@ -202,6 +204,20 @@
         }
     }
 
+    /**
+     * Records what an endpoint has said in a response of the requests that it takes.
+     *
+     * @param entry - The endpoint.
+     * @param ratePerS - Requests per second from all instances together; `undefined` for no limit.
+     * @param ageMs - Age of the statement in milliseconds.
+     */
+    recordLimit({ endpointId, startedAt }: EndpointEntry, ratePerS: number | undefined, ageMs: number): void {
+        const limit = { endpointId, startedAt, ratePerS, ageMs };
+        if (this.limits.record(limit)) {
+            this.logger.info({ event: "endpoint-limit", endpoint: endpointId, startedAt, ratePerS });
+        }
+    }
+
     /** @returns All places in use, for a coordinator that may not know of them. */
     getPlaces(): PlaceSummary[] {
         const nowMs = performance.now();
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -93,6 +93,17 @@
 /** An endpoint that has said in a response that it leaves. */
 export type LeavingEndpoint = Pick<EndpointEntry, "endpointId" | "startedAt">;
 
+/**
+ * What an endpoint has said of the requests that it takes from all instances together. A limit holds for one process of
+ * the endpoint, until a later response names another one or none.
+ */
+export interface EndpointLimit extends LeavingEndpoint {
+    /** Requests per second; `undefined` if the endpoint no longer names a limit. */
+    readonly ratePerS: number | undefined;
+    /** Age of the statement: of the response that names the limit, or of the request whose response names none. */
+    readonly ageMs: number;
+}
+
 /** Registration of an instance of this system. */
 export interface MemberEntry {
     readonly instanceId: string;
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -50,6 +50,21 @@
     readonly reason: string;
 }
 
+/** Receives what endpoints say of themselves in their responses. */
+export interface EndpointStatementListener {
+    /**
+     * @param endpoint - An endpoint that says that it leaves.
+     */
+    markLeaving(endpoint: EndpointEntry): void;
+    /**
+     * @param endpoint - An endpoint that names a limit, or a response of which names none.
+     * @param ratePerS - The requests per second that it takes from all instances together; `undefined` for no limit.
+     * @param ageMs - Age of the statement: 0 for a limit; without one, the time since the request was sent, before
+     * which the endpoint may have named a limit that still holds.
+     */
+    recordLimit(endpoint: EndpointEntry, ratePerS: number | undefined, ageMs: number): void;
+}
+
 /** Sends requests to endpoints over HTTP. */
 export class EndpointClient {
     private readonly agent = new EndpointAgent();
@@ -57,12 +72,9 @@
 
     /**
      * @param wire - Parses the headers of responses.
-     * @param onLeaving - Called for each response in which an endpoint says that it leaves.
+     * @param listener - Told what endpoints say of themselves.
      */
-    constructor(
-        private readonly wire: WireCodec,
-        private readonly onLeaving: (endpoint: EndpointEntry) => void = () => undefined,
-    ) {}
+    constructor(private readonly wire: WireCodec, private readonly listener?: EndpointStatementListener) {}
 
     /**
      * @param endpointId - An endpoint.
@@ -98,6 +110,7 @@
         }
         return new Promise(resolve => {
             let isConnected = false;
+            const sentAtMs = performance.now();
             const request = http.request({
                 host: endpoint.host,
                 port: endpoint.port,
@@ -140,7 +153,7 @@
                 }
             };
             request.on("information", onInformational);
-            request.on("response", incoming => resolve(this.toResponse(endpointRequest, incoming)));
+            request.on("response", incoming => resolve(this.toResponse(endpointRequest, incoming, sentAtMs)));
             request.end(endpointRequest.body);
         });
     }
@@ -167,6 +180,7 @@
     private toResponse(
         endpointRequest: EndpointRequest,
         incoming: http.IncomingMessage,
+        sentAtMs: number,
     ): Result<EndpointResponse, SendFailure> {
         // Without a listener, an error while the body arrives would end the process. Whoever reads the body sees the
         // error there.
@@ -178,8 +192,8 @@
             return err({ kind: "invalid-response", reason: `response to request ${head.requestId}` });
         }
         // A response that the request reached another endpoint says nothing about the one that it was sent to.
-        if (head.isLeaving && incoming.statusCode !== STATUS_MISDIRECTED) {
-            this.onLeaving(endpointRequest.endpoint);
+        if (incoming.statusCode !== STATUS_MISDIRECTED) {
+            this.reportStatements(endpointRequest.endpoint, head, sentAtMs);
         }
         return ok({
             status: incoming.statusCode ?? 0,
@@ -188,6 +202,19 @@
             endObserver: new ResponseEndObserver(incoming, endpointRequest.method),
         });
     }
+
+    private reportStatements(endpoint: EndpointEntry, head: EndpointResponseHead, sentAtMs: number): void {
+        if (head.isLeaving) {
+            this.listener?.markLeaving(endpoint);
+        }
+        if (head.requestLimit.kind === "named") {
+            this.listener?.recordLimit(endpoint, head.requestLimit.ratePerS, 0);
+        }
+        // Bytes of a faulty endpoint are no statement that its limit has ended.
+        else if (head.requestLimit.kind === "none" && head.isSigned) {
+            this.listener?.recordLimit(endpoint, undefined, performance.now() - sentAtMs);
+        }
+    }
 }
 
 function toFailure(error: NodeJS.ErrnoException, isConnected: boolean, wasAborted: boolean): SendFailure {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -179,7 +179,7 @@
             new RelayedStore({ directStore: store, rpc: this.rpc, getRelay, logger }),
             logger,
         );
-        const endpoints = new EndpointClient(wire, endpoint => this.placement.markLeaving(endpoint));
+        const endpoints = new EndpointClient(wire, this.placement);
         this.metrics = new GatewayMetrics({
             getQueueStats: () => this.role.localCoordinator?.getServiceStats() ?? [],
             getConfigAgeMs: () => view.getConfigAgeMs(),
--- a/packages/gateway/src/wireCodec.ts
+++ b/packages/gateway/src/wireCodec.ts
@@ -30,6 +30,17 @@
     readonly bodyBytes: number;
 }
 
+/**
+ * A response's statement about how many requests its endpoint takes from all instances together.
+ *
+ * - `named`: at most `ratePerS` requests per second.
+ * - `none`: no limit is named.
+ * - `unreadable`: the value is no number that makes sense; it says nothing.
+ */
+export type NamedRequestLimit =
+    | { readonly kind: "named"; readonly ratePerS: number; }
+    | { readonly kind: "none" | "unreadable"; };
+
 /** The parsed headers of an endpoint's response. */
 export interface EndpointResponseHead {
     readonly requestId: string | undefined;
@@ -39,6 +50,8 @@
     readonly isNotExecuted: boolean;
     /** Whether the endpoint says that it leaves. */
     readonly isLeaving: boolean;
+    /** What the response says of the requests that the endpoint takes. */
+    readonly requestLimit: NamedRequestLimit;
     readonly endpointId: string | undefined;
     /** Time until the endpoint is warm. */
     readonly coldLeftMs: number | undefined;
--- a/packages/gateway/tests/brokenOffResponses.test.ts
+++ b/packages/gateway/tests/brokenOffResponses.test.ts
@@ -67,7 +67,12 @@
 }
 
 const wire = {
-    parseResponseHead: () => ({ requestId: undefined, isSigned: true, isNotExecuted: false }),
+    parseResponseHead: () => ({
+        requestId: undefined,
+        isSigned: true,
+        isNotExecuted: false,
+        requestLimit: { kind: "none" },
+    }),
     toEndpointHeaders: (_: unknown, { lastEventId }: { lastEventId: number | undefined; }) => [
         "Host",
         "h",
--- a/packages/gateway/tests/endlessResponses.test.ts
+++ b/packages/gateway/tests/endlessResponses.test.ts
@@ -70,7 +70,12 @@
 }
 
 const wire = {
-    parseResponseHead: () => ({ requestId: "r1", isSigned: true, isNotExecuted: false }),
+    parseResponseHead: () => ({
+        requestId: "r1",
+        isSigned: true,
+        isNotExecuted: false,
+        requestLimit: { kind: "none" },
+    }),
 } as unknown as WireCodec;
 
 function newRequest(port: number): EndpointRequest {
