--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -77,6 +77,8 @@
     crashes = 0;
     /** Whether it says in its responses that it leaves. */
     isLeaving = false;
+    /** Value of the header that names the limit of requests, if it names one. */
+    namedLimit: string | undefined;
     /** Time from a request to the head of its response, in milliseconds. */
     responseDelayMs = 0;
     /** When its process started, in milliseconds since the epoch. */
@@ -185,6 +187,7 @@
             "Request-Id": requestId,
             ...signatureHeaders,
             ...this.isLeaving ? { "Server-Leaving": "1" } : {},
+            ...this.namedLimit === undefined ? {} : { "Server-Limit": this.namedLimit },
         };
         if (faultText.includes("FAIL") || faultText.includes("NEVER")) {
             response.writeHead(faultText.includes("FAIL") ? 500 : 422, headers).end("failed");
