Keep to the limits that endpoints name, summed over all instances

Cause: the only rate that whoever grants places knew was the configured one of cold endpoints. What an endpoint says of itself in its responses reached nobody.

Now each instance records the limit of each response and reports it to the coordinator and the deputy, which grant no more places than it allows; a new coordinator gets all known limits with the full reports of places. An instance alone uses its share of the slots as its share of the limit. A limit ends with a response that names none to a request that was sent after it had been named; the instance that may see that response learns with the place that there is a limit. It counts for one process (born). The forecast counts places as far as limits let them be used, so that what can't be served in time is refused at once, with the time at which it can; batch items aren't preempted where no request may be sent.

Nothing is stored: after a kill of all, the first response names the limit again.

--- a/packages/fleet/src/batchPlaces.ts
+++ b/packages/fleet/src/batchPlaces.ts
@@ -44,19 +44,35 @@
      *
      * @param service - A service.
      * @param requestCount - Number of online requests that wait there; places already preempted count towards it.
+     * @param countSendable - Returns how many requests an endpoint may be sent now; places beyond that are of no use.
      * @returns Places to preempt now.
      */
-    pickForPreemption(service: string, requestCount: number): Place[] {
+    pickForPreemption(
+        service: string,
+        requestCount: number,
+        countSendable: (endpointId: string) => number = () => Infinity,
+    ): Place[] {
         const places = this.byService.get(service);
         if (places === undefined || places.size === 0) {
             return [];
         }
         const candidates = [...places].filter(({ isPreempted }) => !isPreempted);
         const missingCount = requestCount - (places.size - candidates.length);
-        return missingCount <= 0 ? [] : candidates.sort(compareForPreemption).slice(0, missingCount);
+        return missingCount <= 0
+            ? []
+            : takeSendable(candidates.sort(compareForPreemption), countSendable).slice(0, missingCount);
     }
 }
 
+function takeSendable(places: readonly Place[], countSendable: (endpointId: string) => number): Place[] {
+    const leftByEndpoint = new Map<string, number>();
+    return places.filter(({ endpointId }) => {
+        const left = leftByEndpoint.get(endpointId) ?? countSendable(endpointId);
+        leftByEndpoint.set(endpointId, left - 1);
+        return left >= 1;
+    });
+}
+
 function compareForPreemption(left: Place, right: Place): number {
     return Number(!isLate(left)) - Number(!isLate(right)) || getSlackMs(right) - getSlackMs(left);
 }
--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -4,6 +4,7 @@
 import type { CoordinatorScope } from "./coordinatorScope";
 import { CrashTracker } from "./crashTracker";
 import { Dispatcher } from "./dispatcher";
+import { EndpointLimits } from "./endpointLimits";
 import type { Place } from "./endpointPool";
 import type { FleetView } from "./fleetView";
 import { HeartbeatMonitor } from "./heartbeatMonitor";
@@ -11,7 +12,15 @@
 import { LeavingEndpoints } from "./leavingEndpoints";
 import type { PlaceReply, ReleaseRequest, SyncReply, SyncRequest } from "./messages";
 import { SyncOutbox } from "./syncOutbox";
-import type { EndpointEntry, LeavingEndpoint, MemberEntry, PlaceOutcome, PlaceRequest, PlaceSummary } from "./types";
+import type {
+    EndpointEntry,
+    EndpointLimit,
+    LeavingEndpoint,
+    MemberEntry,
+    PlaceOutcome,
+    PlaceRequest,
+    PlaceSummary,
+} from "./types";
 
 /** A place younger than this may still be on its way to its instance, and is kept if not reported; in milliseconds. */
 const PLACE_IN_TRANSIT_MS = 1_200;
@@ -27,8 +36,8 @@
 interface EndpointShare {
     /** Concurrent requests. */
     readonly capacity: number;
-    /** Fraction of the rate of a cold endpoint. */
-    readonly coldRateFraction: number;
+    /** Fraction of the rate of a cold endpoint, and of the limit that the endpoint has named. */
+    readonly rateFraction: number;
 }
 
 /** What a coordinator needs from the rest of the instance. */
@@ -58,6 +67,7 @@
     private readonly crashTracker = new CrashTracker();
     private readonly partTracker = new PromptPartTracker((prompt, isEnded) => this.onBlockChanged(prompt, isEnded));
     private readonly leavingEndpoints = new LeavingEndpoints();
+    private readonly limits = new EndpointLimits();
     private readonly outbox: SyncOutbox;
     private readonly reviewTimer: NodeJS.Timeout;
     private returnTimer: NodeJS.Timeout | undefined;
@@ -76,6 +86,7 @@
         this.dispatcher = new Dispatcher({
             getCapacity: entry => this.getEndpointShare(entry).capacity,
             getColdRatePerS: entry => this.getColdRatePerS(entry),
+            getLimitPerS: entry => this.getLimitPerS(entry),
             getRegion: deps.getRegion,
             preempt: place => this.preempt(place),
         });
@@ -126,7 +137,13 @@
         if (outcome.kind === "refused" && request.rate !== undefined) {
             this.deps.scope.tokenBuckets.refund(request.organisation);
         }
-        return outcome;
+        return outcome.kind === "placed" ? this.withLimit(outcome) : outcome;
+    }
+
+    private withLimit(outcome: Extract<PlaceOutcome, { kind: "placed"; }>): PlaceOutcome {
+        const entry = this.deps.view.getEndpoint(outcome.endpointId);
+        const limit = entry === undefined ? undefined : this.limits.get(entry);
+        return limit === undefined ? outcome : { ...outcome, limit };
     }
 
     /**
@@ -147,10 +164,11 @@
      * @param request - Places and place requests that are no longer needed.
      */
     handleRelease(
-        { releases, withdrawnAsks, silentPlaces, crashes = [], leavingEndpoints = [] }: ReleaseRequest,
+        { releases, withdrawnAsks, silentPlaces, crashes = [], leavingEndpoints = [], limits = [] }: ReleaseRequest,
     ): void {
         this.recordCrashes(crashes);
         this.recordLeaving(leavingEndpoints);
+        this.recordLimits(limits);
         for (const placeId of silentPlaces) {
             if (this.dispatcher.recordSilence(placeId)) {
                 this.deps.logger.info({ event: "endpoint-paused", place: placeId, end: "silent" });
@@ -205,6 +223,19 @@
         reports.forEach(report => this.partTracker.recordCrash(report));
     }
 
+    /**
+     * @param limits - What endpoints have said of the requests that they take; repeated reports are ignored.
+     */
+    recordLimits(limits: readonly EndpointLimit[]): void {
+        const changed = limits.filter(limit => this.limits.record(limit));
+        for (const { endpointId, startedAt, ratePerS } of changed) {
+            this.deps.logger.info({ event: "endpoint-limit-kept", endpoint: endpointId, startedAt, ratePerS });
+        }
+        if (changed.length > 0) {
+            this.dispatcher.dispatchAll();
+        }
+    }
+
     /** Applies a change of the fleet view. */
     onViewChanged(): void {
         this.partTracker.adopt(this.deps.view.blockedPrompts);
@@ -234,7 +265,7 @@
             const isEvacuated = view.evacuated.has(entry.dataCentre);
             share = {
                 capacity: isEvacuated || this.leavingEndpoints.has(entry) ? 0 : scope.getCapacity(entry),
-                coldRateFraction: scope.getColdRateFraction(entry),
+                rateFraction: scope.getRateFraction(entry),
             };
             this.endpointShares.set(entry.endpointId, share);
         }
@@ -243,7 +274,12 @@
 
     private getColdRatePerS(entry: EndpointEntry): number {
         const coldRatePerS = this.deps.view.routes?.getColdRatePerS(entry.service) ?? 0;
-        return coldRatePerS * this.getEndpointShare(entry).coldRateFraction;
+        return coldRatePerS * this.getEndpointShare(entry).rateFraction;
+    }
+
+    private getLimitPerS(entry: EndpointEntry): number | undefined {
+        const limitPerS = this.limits.getRatePerS(entry);
+        return limitPerS === undefined ? undefined : limitPerS * this.getEndpointShare(entry).rateFraction;
     }
 
     private recordLeaving(endpoints: readonly LeavingEndpoint[]): void {
@@ -258,9 +294,10 @@
         this.deps.saveBlockedPrompt(prompt, isEnded);
     }
 
-    private recordSync({ member, promise, storeCheck, places, crashes = [] }: SyncRequest): void {
+    private recordSync({ member, promise, storeCheck, places, crashes = [], limits = [] }: SyncRequest): void {
         const { instanceId } = member;
         this.recordCrashes(crashes);
+        this.recordLimits(limits);
         const promisedAtStamp = promise?.epoch === this.epoch ? promise.stamp : undefined;
         if (this.heartbeats.recordHeartbeat(member, promisedAtStamp, storeCheck)) {
             this.releasePlacesOf(instanceId, "its process restarted");
--- a/packages/fleet/src/coordinatorScope.ts
+++ b/packages/fleet/src/coordinatorScope.ts
@@ -21,9 +21,9 @@
     getCapacity(entry: EndpointEntry): number;
     /**
      * @param entry - An endpoint.
-     * @returns Which fraction of the rate of a cold endpoint it may be sent.
+     * @returns Which fraction of the requests per second that the endpoint takes it may be sent.
      */
-    getColdRateFraction(entry: EndpointEntry): number;
+    getRateFraction(entry: EndpointEntry): number;
 }
 
 /** The scope of the fleet's coordinator: everything but the shares of instances that it doesn't reach. */
@@ -55,7 +55,7 @@
         return Math.max(0, entry.slots - this.shares.sumSlots(entry, this.silentIds));
     }
 
-    getColdRateFraction(entry: EndpointEntry): number {
+    getRateFraction(entry: EndpointEntry): number {
         return 1 - this.shares.getSharerFraction(entry, this.silentIds);
     }
 
@@ -109,7 +109,7 @@
         return isOwn ? Math.max(0, entry.slots - this.view.fallbackShares.sumSlots(entry, this.silentIds)) : 0;
     }
 
-    getColdRateFraction(entry: EndpointEntry): number {
+    getRateFraction(entry: EndpointEntry): number {
         return 1 - this.view.fallbackShares.getSharerFraction(entry, this.silentIds);
     }
 }
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -1,7 +1,14 @@
 import { newRequestId } from "@heatherline/common";
 import { ArrivalRate } from "./arrivalRate";
 import { BatchPlaces } from "./batchPlaces";
-import { EndpointPool, type EndpointPoolDependencies, type EndpointState, newPlace, type Place } from "./endpointPool";
+import {
+    EndpointPool,
+    type EndpointPoolDependencies,
+    type EndpointState,
+    newPlace,
+    type Place,
+    type PlaceCount,
+} from "./endpointPool";
 import { getItemRank } from "./itemOrder";
 import type { EndpointEntry, PlaceOutcome, PlaceRequest, RequestEnd } from "./types";
 import { type QueueState, WaitForecast } from "./waitForecast";
@@ -21,8 +28,8 @@
 const BATCH_RESERVE_MS = 30;
 /** Longest wait of a request that is already late, such as a retry after its endpoint failed, in milliseconds. */
 const MAX_LATE_WAIT_MS = 800;
-/** How often requests that only the rate limit of cold endpoints delays are dispatched again, in milliseconds. */
-const COLD_DISPATCH_INTERVAL_MS = 25;
+/** Requests that only the rate of endpoints delays are dispatched again no sooner than this, in milliseconds. */
+const MIN_RATE_DISPATCH_MS = 25;
 
 /** What the dispatcher needs from the rest of the instance. */
 export interface DispatcherDependencies extends EndpointPoolDependencies {
@@ -59,7 +66,8 @@
     private readonly places = new Map<string, Place>();
     private readonly services = new Map<string, ServiceState>();
     private readonly batchPlaces = new BatchPlaces();
-    private coldTimer: NodeJS.Timeout | undefined;
+    private rateTimer: NodeJS.Timeout | undefined;
+    private rateDispatchAtMs = Infinity;
 
     /**
      * @param deps - What the dispatcher needs from the rest of the instance.
@@ -176,6 +184,11 @@
         return [...this.places.values()];
     }
 
+    /** Begins to send requests to endpoints with limits after a time in which others did. */
+    restartLimits(): void {
+        this.pool.restartLimits();
+    }
+
     /** Dispatches the waiting requests of all services, after capacities have changed. */
     dispatchAll(): void {
         for (const service of this.services.keys()) {
@@ -194,7 +207,7 @@
                 settle(waiter, { kind: "refused", reason: "unavailable", retryAfterMs: 0, detail });
             }
         }
-        clearTimeout(this.coldTimer);
+        clearTimeout(this.rateTimer);
     }
 
     /**
@@ -206,7 +219,7 @@
         return {
             online: queue.onlineCount,
             batch: queue.batchCount,
-            free: this.pool.countPlaces(service, undefined).free,
+            free: this.countPlaces(service, undefined).free,
         };
     }
 
@@ -277,8 +290,12 @@
         return { kind: "refused", reason: "overloaded", retryAfterMs, detail };
     }
 
+    private countPlaces(service: string, request: PlaceRequest | undefined): PlaceCount {
+        return this.pool.countPlaces(service, request, this.getService(service).forecast.meanHoldMs);
+    }
+
     private getQueueState(request: PlaceRequest, rank: number): QueueState {
-        const { total, free, preemptable } = this.pool.countPlaces(request.service, request);
+        const { total, free, preemptable } = this.countPlaces(request.service, request);
         const pauseLeftMs = total === 0 ? this.pool.getShortestPauseMs(request) : 0;
         const ahead = this.getService(request.service).queue.countOnlineBefore(rank);
         return { capacity: total, free, available: free + preemptable, pauseLeftMs, ahead };
@@ -307,8 +324,9 @@
         else {
             this.dispatchBatch(service, queue);
         }
-        if (queue.onlineCount + queue.batchCount > 0 && this.pool.isColdRateLimited(service)) {
-            this.scheduleColdDispatch();
+        const rateWaitMs = queue.onlineCount + queue.batchCount > 0 ? this.pool.getRateWaitMs(service) : 0;
+        if (rateWaitMs > 0) {
+            this.scheduleRateDispatch(rateWaitMs);
         }
     }
 
@@ -323,7 +341,7 @@
         if (queue.batchCount === 0) {
             return;
         }
-        let freePlaces = this.pool.countPlaces(service, undefined).free -
+        let freePlaces = this.countPlaces(service, undefined).free -
             this.getService(service).arrivals.getExpectedCount(BATCH_RESERVE_MS);
         if (freePlaces < 1) {
             return;
@@ -349,6 +367,7 @@
         const place = newPlace(request, newRequestId(), state.entry.endpointId);
         this.addPlace(place);
         state.sendWindow.recordSend();
+        state.limiter.recordSend();
         const { placeId, endpointId } = place;
         settle(waiter, { kind: "placed", placeId, endpointId, expectedWaitMs: waiter.expectedWaitMs });
     }
@@ -373,18 +392,26 @@
 
     /** Preempts as many batch items as online requests wait. */
     private preemptBatch(service: string, requestCount: number): void {
-        for (const place of this.batchPlaces.pickForPreemption(service, requestCount)) {
+        const countSendable = (endpointId: string) => this.pool.countSendable(endpointId);
+        for (const place of this.batchPlaces.pickForPreemption(service, requestCount, countSendable)) {
             place.isPreempted = true;
             this.deps.preempt(place);
         }
     }
 
-    /** No event tells when the rate limit of a cold endpoint admits the next request, so a timer checks. */
-    private scheduleColdDispatch(): void {
-        this.coldTimer ??= setTimeout(() => {
-            this.coldTimer = undefined;
+    /** No event tells when the rate of an endpoint admits the next request, so a timer does. */
+    private scheduleRateDispatch(waitMs: number): void {
+        const delayMs = Math.max(MIN_RATE_DISPATCH_MS, waitMs);
+        const atMs = performance.now() + delayMs;
+        if (this.rateTimer !== undefined && this.rateDispatchAtMs <= atMs) {
+            return;
+        }
+        clearTimeout(this.rateTimer);
+        this.rateDispatchAtMs = atMs;
+        this.rateTimer = setTimeout(() => {
+            this.rateTimer = undefined;
             this.dispatchAll();
-        }, COLD_DISPATCH_INTERVAL_MS);
+        }, delayMs);
     }
 
     private getService(service: string): ServiceState {
--- a/packages/fleet/src/endpointLimits.ts
+++ b/packages/fleet/src/endpointLimits.ts
@@ -25,7 +25,7 @@
      * @returns Whether this changes its limit.
      */
     record({ endpointId, startedAt, ratePerS, ageMs }: EndpointLimit): boolean {
-        const known = this.statements.get(endpointId);
+        const known = this.statements.peek(endpointId);
         const statedAtMs = performance.now() - ageMs;
         if (known !== undefined && !isNewer({ startedAt, ratePerS, statedAtMs }, known)) {
             return false;
@@ -43,10 +43,21 @@
      * @returns The limit that this process of it has named, as a statement that can be reported.
      */
     get({ endpointId, startedAt }: Pick<EndpointEntry, "endpointId" | "startedAt">): EndpointLimit | undefined {
-        const statement = this.statements.get(endpointId);
-        return statement?.startedAt === startedAt && statement?.ratePerS !== undefined
-            ? toLimit(endpointId, statement)
-            : undefined;
+        const statement = this.getStatement({ endpointId, startedAt });
+        return statement?.ratePerS === undefined ? undefined : statement;
+    }
+
+    /**
+     * @param endpoint - An endpoint as listed.
+     * @returns The latest statement about this process of it, which may say that a limit has ended.
+     */
+    getStatement(
+        { endpointId, startedAt }: Pick<EndpointEntry, "endpointId" | "startedAt">,
+    ): EndpointLimit | undefined {
+        const statement = this.statements.peek(endpointId);
+        return statement === undefined || statement.startedAt !== startedAt
+            ? undefined
+            : toLimit(endpointId, statement);
     }
 
     /**
--- a/packages/fleet/src/endpointPool.ts
+++ b/packages/fleet/src/endpointPool.ts
@@ -1,9 +1,11 @@
 import { EndpointHealth } from "./endpointHealth";
+import { RequestRateLimiter } from "./requestRateLimiter";
 import { SendWindow } from "./sendWindow";
 import type { EndpointEntry, PlaceRequest, RequestEnd, WorkClass } from "./types";
 
 /** Fraction of a cold endpoint's rate that is used; the rest allows for requests in transit. */
 const COLD_RATE_FRACTION = 0.9;
+const MS_PER_S = 1_000;
 /** Added to the load (0 to 1) of an endpoint in another data centre, so that local ones are used until they are full. */
 const REMOTE_COST = 1;
 /** Added to the load of an endpoint that fails all requests; one that fails some is used when better ones are full. */
@@ -53,6 +55,8 @@
     readonly running: Map<string, Place>;
     readonly health: EndpointHealth;
     readonly sendWindow: SendWindow;
+    /** Keeps the limit that the endpoint has named. */
+    readonly limiter: RequestRateLimiter;
     /** Number of batch items among the running requests. */
     batchCount: number;
     /** When a request last ended with a response from the endpoint. */
@@ -71,6 +75,11 @@
      * @returns Requests per second that it may be sent in case it is cold; 0 for no limit.
      */
     getColdRatePerS(entry: EndpointEntry): number;
+    /**
+     * @param entry - An endpoint.
+     * @returns Requests per second that it may be sent of the limit that it has named; `undefined` without one.
+     */
+    getLimitPerS(entry: EndpointEntry): number | undefined;
     /**
      * @param dataCentre - A data centre.
      * @returns Its region.
@@ -78,8 +87,9 @@
     getRegion(dataCentre: string): string;
 }
 
-/** Number of places of a service. */
+/** Number of places of a service. Those of an endpoint with a limit count as far as it lets them be used. */
 export interface PlaceCount {
+    /** May be a fraction, since a limit may allow less than one running request on average. */
     total: number;
     free: number;
     /** Places that batch items release at once when preempted. */
@@ -186,21 +196,43 @@
     /**
      * @param service - A service.
      * @param request - A request whose constraints exclude endpoints; `undefined` to count all endpoints.
+     * @param holdMs - How long a request keeps its place, in milliseconds.
      * @returns The number of its places.
      */
-    countPlaces(service: string, request: PlaceRequest | undefined): PlaceCount {
+    countPlaces(service: string, request: PlaceRequest | undefined, holdMs: number): PlaceCount {
         const count: PlaceCount = { total: 0, free: 0, preemptable: 0 };
         for (const state of this.byService.get(service) ?? []) {
-            if (request === undefined || this.isAllowed(state, request)) {
-                const capacity = this.getUsableCapacity(state);
-                count.total += capacity;
-                count.free += Math.max(0, capacity - state.running.size);
-                count.preemptable += capacity === 0 ? 0 : state.batchCount;
+            const capacity = this.getUsableCapacity(state);
+            if (capacity > 0 && (request === undefined || this.isAllowed(state, request))) {
+                const limitPerS = this.deps.getLimitPerS(state.entry);
+                const sendable = state.limiter.countAvailable(limitPerS);
+                const free = Math.min(Math.max(0, capacity - state.running.size), sendable);
+                count.total += Math.min(capacity, (limitPerS ?? Infinity) * holdMs / MS_PER_S);
+                count.free += free;
+                count.preemptable += Math.min(state.batchCount, sendable - free);
             }
         }
         return count;
     }
 
+    /**
+     * @param endpointId - An endpoint.
+     * @returns Number of requests that its limit lets be sent now; infinite without one.
+     */
+    countSendable(endpointId: string): number {
+        const state = this.byId.get(endpointId);
+        return state === undefined ? 0 : state.limiter.countAvailable(this.deps.getLimitPerS(state.entry));
+    }
+
+    /**
+     * Forgets what has accrued of the endpoints' limits, after a time in which others sent the requests.
+     */
+    restartLimits(): void {
+        for (const { limiter } of this.byId.values()) {
+            limiter.restart(Math.random());
+        }
+    }
+
     /**
      * @param request - A request for which there are no places.
      * @returns Milliseconds until a paused endpoint may be probed with it; infinite if none is paused.
@@ -234,11 +266,19 @@
 
     /**
      * @param service - A service.
-     * @returns Whether the rate limit for cold endpoints keeps an endpoint of the service from being used now.
+     * @returns Milliseconds until the first of the service's endpoints may be sent requests that only a rate keeps from
+     * being used now: the one of cold endpoints, or its own limit; 0 if there is no such endpoint.
      */
-    isColdRateLimited(service: string): boolean {
-        return (this.byService.get(service) ?? []).some(({ entry, sendWindow }) =>
-            sendWindow.getWaitMs(this.getColdRatePerS(entry)) > 0
+    getRateWaitMs(service: string): number {
+        const waitsMs = (this.byService.get(service) ?? []).map(state => this.getSendWaitMs(state))
+            .filter(waitMs => waitMs > 0);
+        return waitsMs.length === 0 ? 0 : Math.min(...waitsMs);
+    }
+
+    private getSendWaitMs({ entry, sendWindow, limiter }: EndpointState): number {
+        return Math.max(
+            sendWindow.getWaitMs(this.getColdRatePerS(entry)),
+            limiter.getWaitMs(this.deps.getLimitPerS(entry)),
         );
     }
 
@@ -261,7 +301,7 @@
         return state.entry.state === "ready"
             && state.running.size < this.deps.getCapacity(state.entry)
             && state.health.canAccept(state.running.size)
-            && state.sendWindow.getWaitMs(this.getColdRatePerS(state.entry)) === 0;
+            && this.getSendWaitMs(state) === 0;
     }
 
     /** An endpoint may turn cold without notice, so the rate limit of a cold one always applies. */
@@ -276,6 +316,7 @@
         running: new Map(),
         health: new EndpointHealth(),
         sendWindow: new SendWindow(),
+        limiter: new RequestRateLimiter(),
         batchCount: 0,
         lastResponseAtMs: -Infinity,
     };
--- a/packages/fleet/src/granterReports.ts
+++ b/packages/fleet/src/granterReports.ts
@@ -1,7 +1,7 @@
 import type { EndpointCrash } from "@heatherline/common";
 import type { ReleaseRequest } from "./messages";
 import type { PlaceGranter } from "./placeGranter";
-import type { LeavingEndpoint, PlaceRelease } from "./types";
+import type { EndpointLimit, LeavingEndpoint, PlaceRelease } from "./types";
 
 const RELEASE_TIMEOUT_MS = 500;
 
@@ -12,6 +12,7 @@
     private silentPlaces: string[] = [];
     private crashes: EndpointCrash[] = [];
     private leavingEndpoints: LeavingEndpoint[] = [];
+    private limits: EndpointLimit[] = [];
     private sendTimer: NodeJS.Immediate | undefined;
 
     /**
@@ -59,6 +60,14 @@
         this.scheduleSend();
     }
 
+    /**
+     * @param limit - What an endpoint has said of the requests that it takes.
+     */
+    addLimit(limit: EndpointLimit): void {
+        this.limits.push(limit);
+        this.scheduleSend();
+    }
+
     private scheduleSend(): void {
         this.sendTimer ??= setImmediate(() => this.send());
     }
@@ -79,18 +88,20 @@
     }
 
     private takeAll(): ReleaseRequest {
-        const { releases, withdrawnAsks, silentPlaces, crashes, leavingEndpoints } = this;
+        const { releases, withdrawnAsks, silentPlaces, crashes, leavingEndpoints, limits } = this;
         this.releases = [];
         this.withdrawnAsks = [];
         this.silentPlaces = [];
         this.crashes = [];
         this.leavingEndpoints = [];
+        this.limits = [];
         return {
             releases,
             withdrawnAsks,
             silentPlaces,
             ...crashes.length > 0 ? { crashes } : {},
             ...leavingEndpoints.length > 0 ? { leavingEndpoints } : {},
+            ...limits.length > 0 ? { limits } : {},
         };
     }
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -21,6 +21,7 @@
 export * from "./placeGranter";
 export * from "./placementClient";
 export * from "./promptEvidence";
+export * from "./requestRateLimiter";
 export * from "./routeTable";
 export * from "./sendWindow";
 export * from "./stateFeed";
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -1,6 +1,7 @@
 import type { EndpointCrash } from "@heatherline/common";
 import type { FleetUpdate, KnownRevisions } from "./fleetView";
 import type {
+    EndpointLimit,
     JobProgress,
     LeavingEndpoint,
     MemberEntry,
@@ -49,6 +50,8 @@
     readonly places: readonly PlaceSummary[] | undefined;
     /** With a full report of the places: the instance's recent crash reports, which a new coordinator doesn't know. */
     readonly crashes?: readonly EndpointCrash[] | undefined;
+    /** With a full report of the places: limits of endpoints that the instance knows. */
+    readonly limits?: readonly EndpointLimit[] | undefined;
     readonly jobs: readonly JobProgress[];
     readonly isStoreFailing: boolean;
     /** What the instance's own reads have shown of the store recently; absent if it has not read. */
@@ -129,6 +132,7 @@
     readonly silentPlaces: readonly string[];
     readonly crashes?: readonly EndpointCrash[];
     readonly leavingEndpoints?: readonly LeavingEndpoint[];
+    readonly limits?: readonly EndpointLimit[];
 }
 
 /** Asks whether a job fits within its organisation's limit on waiting tokens. */
--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -1,4 +1,5 @@
 import { type EndpointCrash, type Logger, newRequestId } from "@heatherline/common";
+import { LRUCache } from "lru-cache";
 import { newBlockedPromptRefusal } from "./coordinator";
 import { Dispatcher } from "./dispatcher";
 import { EndpointLimits } from "./endpointLimits";
@@ -10,7 +11,15 @@
 import type { PlaceDecider, PlaceGranter } from "./placeGranter";
 import { PromptEvidence } from "./promptEvidence";
 import { TokenBuckets } from "./tokenBuckets";
-import type { EndpointEntry, MemberEntry, PlaceOutcome, PlaceRequest, PlaceSummary, RequestEnd } from "./types";
+import type {
+    EndpointEntry,
+    EndpointLimit,
+    MemberEntry,
+    PlaceOutcome,
+    PlaceRequest,
+    PlaceSummary,
+    RequestEnd,
+} from "./types";
 
 /** A decision is awaited this much longer than the request may wait for a place at the coordinator, in milliseconds. */
 const DECISION_GRACE_MS = 400;
@@ -22,6 +31,9 @@
 const MAX_UNKNOWN_ENDPOINTS = 3;
 /** Time after which the coordinator and this instance know the same endpoints again, in milliseconds. */
 const UNKNOWN_ENDPOINT_RETRY_MS = 500;
+/** A limit that an endpoint names again and again is reported once in this time, in case a report is lost. */
+const LIMIT_REPORT_INTERVAL_MS = 500;
+const MAX_LIMIT_REPORTS = 2_048;
 
 /** A place that this instance holds. */
 export interface HeldPlace {
@@ -88,6 +100,7 @@
     private readonly reports: GranterReports;
     private readonly leavingEndpoints = new LeavingEndpoints();
     private readonly limits = new EndpointLimits();
+    private readonly limitReportedAtMs = new LRUCache<string, number>({ max: MAX_LIMIT_REPORTS });
     private readonly promptEvidence = new PromptEvidence();
 
     /**
@@ -110,6 +123,7 @@
         this.fallbackDispatcher = new Dispatcher({
             getCapacity: entry => this.getFallbackCapacity(entry),
             getColdRatePerS: entry => this.getFallbackColdRatePerS(entry),
+            getLimitPerS: entry => this.getFallbackLimitPerS(entry),
             getRegion,
             preempt: ({ placeId }) => this.preempt(placeId),
         });
@@ -213,9 +227,30 @@
      */
     recordLimit({ endpointId, startedAt }: EndpointEntry, ratePerS: number | undefined, ageMs: number): void {
         const limit = { endpointId, startedAt, ratePerS, ageMs };
-        if (this.limits.record(limit)) {
+        const isChanged = this.limits.record(limit);
+        if (isChanged) {
             this.logger.info({ event: "endpoint-limit", endpoint: endpointId, startedAt, ratePerS });
         }
+        const reportedAtMs = this.limitReportedAtMs.get(endpointId) ?? -Infinity;
+        const isReportDue = ratePerS !== undefined && performance.now() - reportedAtMs > LIMIT_REPORT_INTERVAL_MS;
+        if (isChanged || isReportDue) {
+            this.limitReportedAtMs.set(endpointId, performance.now());
+            this.reports.addLimit(limit);
+        }
+    }
+
+    /** Adopts the limit that came with a place, or reports what this instance knows better. */
+    private adoptLimit(limit: EndpointLimit): void {
+        this.limits.record(limit);
+        const own = this.limits.getStatement(limit);
+        if (own !== undefined && own.ratePerS !== limit.ratePerS) {
+            this.reports.addLimit(own);
+        }
+    }
+
+    /** @returns Limits of endpoints that this instance knows, for a coordinator that may not know of them. */
+    getLimits(): EndpointLimit[] {
+        return this.limits.getAll();
     }
 
     /** @returns All places in use, for a coordinator that may not know of them. */
@@ -242,8 +277,9 @@
         return this.coordinator.getLocal() === undefined && this.coordinator.link.coordinator === undefined;
     }
 
-    /** Begins fallback mode: tokens that accrued for this instance alone while a coordinator decided don't count. */
+    /** Begins fallback mode: what accrued for this instance alone while a coordinator decided doesn't count. */
     enterFallbackMode(): void {
+        this.fallbackDispatcher.restartLimits();
         this.fallbackTokenBuckets.restart();
     }
 
@@ -343,7 +379,10 @@
         if (outcome.kind === "refused") {
             return { ...outcome, decidedBy };
         }
-        const { placeId, endpointId, expectedWaitMs } = outcome;
+        const { placeId, endpointId, expectedWaitMs, limit } = outcome;
+        if (limit !== undefined) {
+            this.adoptLimit(limit);
+        }
         const endpoint = this.view.getEndpoint(endpointId);
         const preemptController = new AbortController();
         this.heldPlaces.set(placeId, {
@@ -438,6 +477,12 @@
         return ratePerS * this.view.fallbackShares.getSlots(entry, this.self.instanceId) / entry.slots;
     }
 
+    private getFallbackLimitPerS(entry: EndpointEntry): number | undefined {
+        const limitPerS = this.limits.getRatePerS(entry);
+        const slots = this.view.fallbackShares.getSlots(entry, this.self.instanceId);
+        return limitPerS === undefined ? undefined : limitPerS * slots / entry.slots;
+    }
+
     private getUnreachable(): string[] {
         const nowMs = performance.now();
         for (const [endpointId, untilMs] of this.unreachableUntilMs) {
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -189,6 +189,8 @@
         readonly endpointId: string;
         /** Online: the wait that was forecast when the place was requested, in milliseconds. */
         readonly expectedWaitMs: number;
+        /** The limit that the endpoint has named, so that the instance can tell when a response no longer names it. */
+        readonly limit?: EndpointLimit | undefined;
     }
     | {
         readonly kind: "refused";
--- a/packages/fleet/src/waitForecast.ts
+++ b/packages/fleet/src/waitForecast.ts
@@ -52,6 +52,11 @@
         this.firstAnswerMs += SMOOTHING * (tookMs - this.firstAnswerMs);
     }
 
+    /** How long a served online request keeps its place on average, in milliseconds. */
+    get meanHoldMs(): number {
+        return this.holdMs;
+    }
+
     /** @returns Time to allow for from the grant of a place to the first part of the response, in milliseconds. */
     getFirstAnswerMs(): number {
         return this.firstAnswerMs * FIRST_ANSWER_MARGIN;
--- a/packages/fleet/tests/decisions.test.ts
+++ b/packages/fleet/tests/decisions.test.ts
@@ -347,6 +347,7 @@
         const pool = new EndpointPool({
             getCapacity: ({ slots }) => slots,
             getColdRatePerS: () => 0,
+            getLimitPerS: () => undefined,
             getRegion: () => "",
         });
         pool.setEntries([newEntry("near"), newEntry("far", { dataCentre: "west" })]);
@@ -505,6 +506,7 @@
         const dispatcher = new Dispatcher({
             getCapacity: ({ slots }) => slots,
             getColdRatePerS: () => 0,
+            getLimitPerS: () => undefined,
             getRegion: () => "",
             preempt: () => undefined,
         });
--- a/packages/gateway/src/coordinatorRole.ts
+++ b/packages/gateway/src/coordinatorRole.ts
@@ -5,6 +5,7 @@
     Coordinator,
     CoordinatorLease,
     CoordinatorLink,
+    type EndpointLimit,
     FleetScope,
     type FleetView,
     type MemberEntry,
@@ -34,6 +35,8 @@
     readonly preemptOwnPlace: (placeId: string) => void;
     /** @returns Crashes of endpoints that this instance has seen recently. */
     readonly getRecentCrashes: () => readonly EndpointCrash[];
+    /** @returns Limits of endpoints that this instance knows. */
+    readonly getLimits: () => readonly EndpointLimit[];
     /** Stores a block of a prompt, or removes it if it has ended. */
     readonly saveBlockedPrompt: (prompt: BlockedPrompt, isEnded: boolean) => void;
     readonly newSyncRequest: (isFull: boolean, waitMs: number) => SyncRequest;
@@ -161,6 +164,7 @@
         });
         coordinator.adoptOwnPlaces(getPlaces());
         coordinator.recordCrashes(this.deps.getRecentCrashes());
+        coordinator.recordLimits(this.deps.getLimits());
         return coordinator;
     }
 
--- a/packages/gateway/src/deputyRole.ts
+++ b/packages/gateway/src/deputyRole.ts
@@ -4,6 +4,7 @@
     Coordinator,
     CoordinatorLink,
     DataCentreScope,
+    type EndpointLimit,
     type FleetView,
     type MemberEntry,
     METHODS,
@@ -29,6 +30,8 @@
     readonly preemptOwnPlace: (placeId: string) => void;
     /** @returns Crashes of endpoints that this instance has seen recently. */
     readonly getRecentCrashes: () => readonly EndpointCrash[];
+    /** @returns Limits of endpoints that this instance knows. */
+    readonly getLimits: () => readonly EndpointLimit[];
     /** Stores a block of a prompt, or removes it if it has ended. */
     readonly saveBlockedPrompt: (prompt: BlockedPrompt, isEnded: boolean) => void;
     /** Reads the blocked prompts from the store once. */
@@ -124,6 +127,7 @@
         });
         this.deputy.adoptOwnPlaces(getPlaces());
         this.deputy.recordCrashes(this.deps.getRecentCrashes());
+        this.deputy.recordLimits(this.deps.getLimits());
         this.deps.readBlockedPrompts();
         onChange();
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -125,6 +125,7 @@
             getPlaces: () => this.placement.getPlaces(),
             preemptOwnPlace: placeId => this.placement.preempt(placeId),
             getRecentCrashes: () => this.placement.getRecentCrashes(),
+            getLimits: () => this.placement.getLimits(),
             saveBlockedPrompt: (prompt, isEnded) => blockedPrompts.save(prompt, isEnded),
             newSyncRequest: (isFull, waitMs) => this.syncMessages.newRequest(isFull, waitMs),
             onSyncReply: (reply, transitMs) => {
@@ -142,6 +143,7 @@
             getPlaces: () => this.placement.getPlaces(),
             preemptOwnPlace: placeId => this.placement.preempt(placeId),
             getRecentCrashes: () => this.placement.getRecentCrashes(),
+            getLimits: () => this.placement.getLimits(),
             saveBlockedPrompt: (prompt, isEnded) => blockedPrompts.save(prompt, isEnded),
             readBlockedPrompts: () => void this.feed.readBlockedPrompts(),
             newSyncRequest: (isFull, waitMs) => ({ ...this.syncMessages.newRequest(isFull, waitMs), jobs: [] }),
--- a/packages/gateway/src/syncMessages.ts
+++ b/packages/gateway/src/syncMessages.ts
@@ -51,6 +51,7 @@
             known: view.getRevisions(),
             places: isFull ? placement.getPlaces() : undefined,
             crashes: isFull ? placement.getRecentCrashes() : undefined,
+            limits: isFull ? placement.getLimits() : undefined,
             jobs: runner.getProgress(),
             isStoreFailing: feed.isStoreFailing,
             storeCheck: feed.storeCheck,
--- a/standins/load/staticShares.ts
+++ b/standins/load/staticShares.ts
@@ -84,6 +84,7 @@
     protected newDispatcher(getCapacity: (entry: EndpointEntry) => number): Dispatcher {
         return new Dispatcher({
             getCapacity,
+            getLimitPerS: () => undefined,
             getColdRatePerS: entry => this.deps.conditions.coldRatePerS * getCapacity(entry) / SLOTS_PER_ENDPOINT,
             getRegion: () => "",
             preempt: ({ placeId }) => this.deps.preempt(placeId),
