--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -88,6 +88,8 @@
     readonly coldLeftMs: number;
     /** When its process started, in milliseconds since the epoch; absent if it doesn't say so. */
     readonly startedAt?: number | undefined;
+    /** Version of its software; absent from instances of earlier releases. */
+    readonly softwareVersion?: string | undefined;
 }
 
 /** An endpoint that has said in a response that it leaves. */
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -209,6 +209,7 @@
         }
         this.deps.onRunEnded(this.item, end, {
             endpoint: place.endpoint.endpointId,
+            softwareVersion: place.endpoint.softwareVersion,
             givenBy: place.givenBy,
             resumedAfter: previousEventCount,
             events: eventCount,
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -97,6 +97,7 @@
     /** How the latest response that was no stream ended, for the log. */
     private bodyEnd: ResponseEnd | undefined;
     private lastEndpoint = "";
+    private lastSoftwareVersion: string | undefined;
     private lastPlace: { readonly givenBy: string; readonly expectedWaitMs: number; } | undefined;
 
     constructor(
@@ -153,6 +154,7 @@
             }
             this.attempts += 1;
             this.lastEndpoint = place.endpoint.endpointId;
+            this.lastSoftwareVersion = place.endpoint.softwareVersion;
             const outcome = await this.runAttempt(place);
             if (outcome.kind === "answered") {
                 this.log("answered", outcome.status, "", "");
@@ -166,6 +168,7 @@
                 event: "attempt-ended",
                 requestId: this.request.caller.requestId,
                 endpoint: this.lastEndpoint,
+                softwareVersion: this.lastSoftwareVersion,
                 end: outcome.end,
                 reason: outcome.reason,
                 events: this.relay.eventCount,
@@ -413,6 +416,9 @@
             detail,
             attempts: this.attempts,
             endpoint: this.lastEndpoint,
+            softwareVersion: this.lastSoftwareVersion,
+            resumes: caller.resumedRequestId,
+            resumedAfter: caller.lastEventId,
             ...this.lastPlace,
             events: this.relay.eventCount,
             ...this.relay.responseEnd ?? this.bodyEnd,
--- a/packages/gateway/src/wireCodec.ts
+++ b/packages/gateway/src/wireCodec.ts
@@ -12,6 +12,8 @@
     readonly pollWaitMs: number;
     /** Id of the last event that the caller received, if it resumes a stream. */
     readonly lastEventId: number | undefined;
+    /** Id of the request that brought the first event of the stream that the caller resumes, if the caller names it. */
+    readonly resumedRequestId: string | undefined;
     readonly promptTokens: number;
     readonly maxOutputTokens: number;
     /** The caller's estimate of the output length, which is often inaccurate. */
