--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -324,7 +324,10 @@
         else {
             this.dispatchBatch(service, queue);
         }
-        this.scheduleRateDispatch(service, queue);
+        const rateWaitMs = queue.onlineCount + queue.batchCount > 0 ? this.pool.getRateWaitMs(service) : 0;
+        if (rateWaitMs > 0) {
+            this.scheduleRateDispatch(rateWaitMs);
+        }
     }
 
     /** Dispatches waiting requests when the pause of an endpoint ends. */
@@ -397,12 +400,7 @@
     }
 
     /** No event tells when the rate of an endpoint admits the next request, so a timer does. */
-    private scheduleRateDispatch(service: string, { onlineCount, batchCount }: WaitQueue): void {
-        const workClass = onlineCount > 0 ? "online" : "batch";
-        const waitMs = onlineCount + batchCount > 0 ? this.pool.getRateWaitMs(service, workClass) : 0;
-        if (waitMs === 0) {
-            return;
-        }
+    private scheduleRateDispatch(waitMs: number): void {
         const delayMs = Math.max(MIN_RATE_DISPATCH_MS, waitMs);
         const atMs = performance.now() + delayMs;
         if (this.rateTimer !== undefined && this.rateDispatchAtMs <= atMs) {
--- a/packages/fleet/src/endpointPool.ts
+++ b/packages/fleet/src/endpointPool.ts
@@ -11,9 +11,6 @@
 /** Added to the load of an endpoint that fails all requests; one that fails some is used when better ones are full. */
 const FAILURE_COST = 4;
 
-/** Added to the load of an endpoint that has named a limit, so that it gets what the others have no room for. */
-const LIMITED_COST = 2;
-
 /** A place in use. */
 export interface Place {
     readonly placeId: string;
@@ -258,9 +255,8 @@
         for (const state of this.byService.get(request.service) ?? []) {
             const isRemote = state.entry.dataCentre !== request.dataCentre;
             const cost = state.running.size / state.entry.slots + (isRemote ? REMOTE_COST : 0)
-                + state.health.failureRate * FAILURE_COST
-                + (this.deps.getLimitPerS(state.entry) === undefined ? 0 : LIMITED_COST);
-            if (cost < bestCost && this.hasRoom(state, request.workClass) && this.isAllowed(state, request)) {
+                + state.health.failureRate * FAILURE_COST;
+            if (cost < bestCost && this.hasRoom(state) && this.isAllowed(state, request)) {
                 best = state;
                 bestCost = cost;
             }
@@ -270,20 +266,19 @@
 
     /**
      * @param service - A service.
-     * @param workClass - Class of the requests that wait.
      * @returns Milliseconds until the first of the service's endpoints may be sent requests that only a rate keeps from
      * being used now: the one of cold endpoints, or its own limit; 0 if there is no such endpoint.
      */
-    getRateWaitMs(service: string, workClass: WorkClass): number {
-        const waitsMs = (this.byService.get(service) ?? []).map(state => this.getSendWaitMs(state, workClass))
+    getRateWaitMs(service: string): number {
+        const waitsMs = (this.byService.get(service) ?? []).map(state => this.getSendWaitMs(state))
             .filter(waitMs => waitMs > 0);
         return waitsMs.length === 0 ? 0 : Math.min(...waitsMs);
     }
 
-    private getSendWaitMs({ entry, sendWindow, limiter }: EndpointState, workClass: WorkClass): number {
+    private getSendWaitMs({ entry, sendWindow, limiter }: EndpointState): number {
         return Math.max(
             sendWindow.getWaitMs(this.getColdRatePerS(entry)),
-            limiter.getWaitMs(this.deps.getLimitPerS(entry), workClass),
+            limiter.getWaitMs(this.deps.getLimitPerS(entry)),
         );
     }
 
@@ -302,11 +297,11 @@
         return health.canAccept(1) ? capacity : Math.min(1, capacity);
     }
 
-    private hasRoom(state: EndpointState, workClass: WorkClass): boolean {
+    private hasRoom(state: EndpointState): boolean {
         return state.entry.state === "ready"
             && state.running.size < this.deps.getCapacity(state.entry)
             && state.health.canAccept(state.running.size)
-            && this.getSendWaitMs(state, workClass) === 0;
+            && this.getSendWaitMs(state) === 0;
     }
 
     /** An endpoint may turn cold without notice, so the rate limit of a cold one always applies. */
--- a/packages/fleet/src/requestRateLimiter.ts
+++ b/packages/fleet/src/requestRateLimiter.ts
@@ -1,5 +1,3 @@
-import type { WorkClass } from "./types";
-
 const MS_PER_S = 1_000;
 /** Requests of this time may be sent at once, in seconds. */
 const BURST_S = 1;
@@ -24,17 +22,13 @@
 
     /**
      * @param ratePerS - Requests per second from now on; `undefined` for no limit.
-     * @param workClass - Class of the request. Batch gets only what would be lost otherwise, since the burst is all that
-     * online requests have when many arrive.
      * @returns Milliseconds until a request may be sent; 0 if one may be sent now, infinite with a rate of 0.
      */
-    getWaitMs(ratePerS: number | undefined, workClass: WorkClass): number {
-        this.refill(ratePerS);
-        if (ratePerS === undefined) {
+    getWaitMs(ratePerS: number | undefined): number {
+        if (this.countAvailable(ratePerS) >= 1 || ratePerS === undefined) {
             return 0;
         }
-        const neededTokens = workClass === "online" ? 1 : getBurst(ratePerS);
-        return this.tokens >= neededTokens ? 0 : Math.ceil((neededTokens - this.tokens) / ratePerS * MS_PER_S);
+        return Math.ceil((1 - this.tokens) / ratePerS * MS_PER_S);
     }
 
     /** Records that a request is sent now. */
@@ -61,13 +55,9 @@
         }
         else {
             const gained = (nowMs - this.refilledAtMs) / MS_PER_S * this.ratePerS;
-            this.tokens = Math.min(getBurst(ratePerS), this.tokens + gained);
+            this.tokens = Math.min(Math.max(1, ratePerS * BURST_S), this.tokens + gained);
         }
         this.ratePerS = ratePerS;
         this.refilledAtMs = nowMs;
     }
 }
-
-function getBurst(ratePerS: number): number {
-    return Math.max(1, ratePerS * BURST_S);
-}
