--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -1,4 +1,4 @@
-import { type BlockedPrompt, type EndpointCrash, type Logger, PromptPartTracker } from "@heatherline/common";
+import { type BlockedPrompt, type EndpointCrash, type Logger, PromptPartTracker, sleep } from "@heatherline/common";
 import type { StoredObject } from "@heatherline/store";
 import { getElapsedMs, newTimestamp } from "./ageTracker";
 import type { CoordinatorScope } from "./coordinatorScope";
@@ -11,6 +11,9 @@
 import { type JobsToStop, JobTracker } from "./jobTracker";
 import { LeavingEndpoints } from "./leavingEndpoints";
 import type { PlaceReply, ReleaseRequest, SyncReply, SyncRequest } from "./messages";
+import { findOrigin, locateRequest, recordStream } from "./resumption";
+import { getSoftwareVersion } from "./softwareVersions";
+import { StreamOrigins } from "./streamOrigins";
 import { SyncOutbox } from "./syncOutbox";
 import type {
     EndpointEntry,
@@ -20,10 +23,16 @@
     PlaceOutcome,
     PlaceRequest,
     PlaceSummary,
+    ResumedStream,
+    StreamOrigin,
+    StreamOriginReport,
 } from "./types";
 
 /** A place younger than this may still be on its way to its instance, and is kept if not reported; in milliseconds. */
 const PLACE_IN_TRANSIT_MS = 1_200;
+/** A new coordinator waits this long for records of where a stream began that a caller takes up, in milliseconds. */
+const ORIGIN_WAIT_MS = 500;
+const ORIGIN_POLL_MS = 20;
 const REVIEW_INTERVAL_MS = 150;
 /** A review that comes this much late shows that the process was blocked or suspended, in milliseconds. */
 const MAX_REVIEW_DELAY_MS = 150;
@@ -53,6 +62,8 @@
     readonly preemptOwnPlace: (placeId: string) => void;
     /** Stores a block of a prompt, or removes it if it has ended. */
     readonly saveBlockedPrompt: (prompt: BlockedPrompt, isEnded: boolean) => void;
+    /** Records where streams run, so that this outlasts all instances. */
+    readonly recordStreams: (report: StreamOriginReport) => void;
     readonly logger: Logger;
 }
 
@@ -68,6 +79,8 @@
     private readonly partTracker = new PromptPartTracker((prompt, isEnded) => this.onBlockChanged(prompt, isEnded));
     private readonly leavingEndpoints = new LeavingEndpoints();
     private readonly limits = new EndpointLimits();
+    private readonly streams: StreamOrigins;
+    private readonly startedAtMs = performance.now();
     private readonly outbox: SyncOutbox;
     private readonly reviewTimer: NodeJS.Timeout;
     private returnTimer: NodeJS.Timeout | undefined;
@@ -83,6 +96,7 @@
         this.jobs = new JobTracker(() => deps.scope.getMembers().length);
         this.heartbeats = new HeartbeatMonitor(deps.self, () => deps.scope.getMembers(), deps.isStoreFailing);
         this.outbox = new SyncOutbox(deps.view);
+        this.streams = new StreamOrigins(() => deps.view.softwareVersions.retentionMs);
         this.dispatcher = new Dispatcher({
             getCapacity: entry => this.getEndpointShare(entry).capacity,
             getColdRatePerS: entry => this.getColdRatePerS(entry),
@@ -108,6 +122,16 @@
      * @returns The decision.
      */
     async place(request: PlaceRequest): Promise<PlaceOutcome> {
+        const located = request.resumedStream === undefined
+            ? undefined
+            : locateRequest(request, await this.findOrigin(request.resumedStream));
+        if (located?.kind === "refused") {
+            return located.outcome;
+        }
+        return this.placeLocated(located?.request ?? request);
+    }
+
+    private async placeLocated(request: PlaceRequest): Promise<PlaceOutcome> {
         if (request.workClass === "online" && !this.crashTracker.mayRun(request.fingerprint)) {
             const detail = "connections to endpoints broke while they ran this request";
             return { kind: "refused", reason: "crashes-endpoints", retryAfterMs: 0, detail };
@@ -137,13 +161,31 @@
         if (outcome.kind === "refused" && request.rate !== undefined) {
             this.deps.scope.tokenBuckets.refund(request.organisation);
         }
-        return outcome.kind === "placed" ? this.withLimit(outcome) : outcome;
+        const entry = outcome.kind === "placed" ? this.deps.view.getEndpoint(outcome.endpointId) : undefined;
+        if (outcome.kind === "refused" || entry === undefined) {
+            return outcome;
+        }
+        const origin = { service: request.service, softwareVersion: getSoftwareVersion(entry) };
+        const requestIds = recordStream(this.streams, request, origin);
+        if (requestIds.length > 0) {
+            this.deps.recordStreams({ ...origin, requestIds });
+        }
+        const limit = this.limits.get(entry);
+        return {
+            ...outcome,
+            ...limit === undefined ? {} : { limit },
+            ...request.resumedStream === undefined ? {} : { origin },
+        };
     }
 
-    private withLimit(outcome: Extract<PlaceOutcome, { kind: "placed"; }>): PlaceOutcome {
-        const entry = this.deps.view.getEndpoint(outcome.endpointId);
-        const limit = entry === undefined ? undefined : this.limits.get(entry);
-        return limit === undefined ? outcome : { ...outcome, limit };
+    /** Just after a takeover, the records of the instances and of the store are yet to arrive. */
+    private async findOrigin(stream: ResumedStream): Promise<StreamOrigin | undefined> {
+        let origin = findOrigin(stream, this.streams, this.deps.view.softwareVersions);
+        while (origin === undefined && performance.now() - this.startedAtMs < ORIGIN_WAIT_MS) {
+            await sleep(ORIGIN_POLL_MS);
+            origin = findOrigin(stream, this.streams, this.deps.view.softwareVersions);
+        }
+        return origin;
     }
 
     /**
@@ -236,6 +278,18 @@
         }
     }
 
+    /**
+     * @param reports - Where streams began that others granted places for.
+     */
+    adoptStreams(reports: readonly StreamOriginReport[]): void {
+        this.streams.adopt(reports);
+    }
+
+    /** @returns Where recent streams began. */
+    getStreams(): StreamOriginReport[] {
+        return this.streams.getReports();
+    }
+
     /** Applies a change of the fleet view. */
     onViewChanged(): void {
         this.partTracker.adopt(this.deps.view.blockedPrompts);
@@ -294,8 +348,11 @@
         this.deps.saveBlockedPrompt(prompt, isEnded);
     }
 
-    private recordSync({ member, promise, storeCheck, places, crashes = [], limits = [] }: SyncRequest): void {
+    private recordSync(
+        { member, promise, storeCheck, places, crashes = [], limits = [], streams = [] }: SyncRequest,
+    ): void {
         const { instanceId } = member;
+        this.streams.adopt(streams);
         this.recordCrashes(crashes);
         this.recordLimits(limits);
         const promisedAtStamp = promise?.epoch === this.epoch ? promise.stamp : undefined;
--- a/packages/fleet/src/coordinatorLink.ts
+++ b/packages/fleet/src/coordinatorLink.ts
@@ -3,7 +3,7 @@
 import type { Result } from "neverthrow";
 import { setMaxListeners } from "node:events";
 import { getElapsedMs, newTimestamp, type Timestamp } from "./ageTracker";
-import type { Announcement, SyncReply, SyncRequest } from "./messages";
+import type { Announcement, SyncReply, SyncReport, SyncRequest } from "./messages";
 import { getLongPollMs } from "./syncTiming";
 import type { MemberEntry } from "./types";
 
@@ -40,7 +40,7 @@
 
 /** What the link needs from the rest of the instance. */
 export interface LinkDependencies {
-    readonly newSyncRequest: (isFull: boolean, waitMs: number) => SyncRequest;
+    readonly newSyncRequest: (report: SyncReport, waitMs: number) => SyncRequest;
     /** @returns Number of instances that follow the same one. */
     readonly getFollowerCount: () => number;
     readonly onSyncReply: (reply: Extract<SyncReply, { kind: "news"; }>, transitMs: number) => void;
@@ -155,11 +155,12 @@
         await sleep(Math.random() * this.deps.getFollowerCount() * FIRST_SYNC_COST_MS);
         while (generation === this.generation && this.target !== undefined) {
             const { member, epoch } = this.target;
-            const isFull = !this.isConnected || syncCount % SYNCS_PER_FULL_REPORT === 0;
+            const isFull = syncCount % SYNCS_PER_FULL_REPORT === 0;
+            const report = !this.isConnected ? "first" : isFull ? "full" : "changes";
             syncCount += 1;
             const waitMs = this.isConnected ? getLongPollMs(this.deps.getFollowerCount()) : 0;
             const sentAt = newTimestamp();
-            const request = this.deps.newSyncRequest(isFull, waitMs);
+            const request = this.deps.newSyncRequest(report, waitMs);
             const reply = await this.rpc.callAddress<SyncReply>(
                 member.host,
                 member.rpcPort,
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -10,6 +10,7 @@
     type PlaceCount,
 } from "./endpointPool";
 import { getItemRank } from "./itemOrder";
+import { newVersionGoneRefusal } from "./resumption";
 import type { EndpointEntry, PlaceOutcome, PlaceRequest, RequestEnd } from "./types";
 import { type QueueState, WaitForecast } from "./waitForecast";
 import { type Waiter, WaitQueue } from "./waitQueue";
@@ -94,6 +95,10 @@
      */
     place(request: PlaceRequest): Promise<PlaceOutcome> {
         return new Promise(resolve => {
+            if (this.isVersionGone(request)) {
+                resolve(this.newRefusal(request, Infinity));
+                return;
+            }
             const waiter = this.newWaiter(request, resolve);
             if (request.workClass === "online") {
                 this.getService(request.service).arrivals.recordArrival();
@@ -278,7 +283,15 @@
         }
     }
 
+    private isVersionGone({ service, softwareVersion }: PlaceRequest): boolean {
+        return softwareVersion !== undefined && !this.pool.hasVersion(service, softwareVersion);
+    }
+
     private newRefusal(request: PlaceRequest, waitMs: number): PlaceOutcome {
+        const { service, softwareVersion = "" } = request;
+        if (this.isVersionGone(request)) {
+            return newVersionGoneRefusal({ service, softwareVersion });
+        }
         const queueState = this.getQueueState(request, Infinity);
         const detail = `places ${queueState.capacity}, free ${queueState.free}, waiting ${queueState.ahead}, wait ${
             Math.round(waitMs)
@@ -307,7 +320,7 @@
         if (queue.onlineCount + queue.batchCount === 0) {
             return;
         }
-        let unplacedCount = 0;
+        const unplaced: PlaceRequest[] = [];
         for (const waiter of queue.getOnline()) {
             const state = this.pool.pickEndpoint(waiter.request);
             if (state !== undefined) {
@@ -315,11 +328,11 @@
                 this.grant(waiter, state);
             }
             else {
-                unplacedCount += 1;
+                unplaced.push(waiter.request);
             }
         }
-        if (unplacedCount > 0) {
-            this.preemptBatch(service, unplacedCount);
+        if (unplaced.length > 0) {
+            this.preemptBatch(service, unplaced);
         }
         else {
             this.dispatchBatch(service, queue);
@@ -356,7 +369,7 @@
                 this.grant(waiter, state);
                 freePlaces -= 1;
             }
-            else if (waiter.request.excluded.length === 0) {
+            else if (waiter.request.excluded.length === 0 && waiter.request.softwareVersion === undefined) {
                 return;
             }
         }
@@ -391,9 +404,10 @@
     }
 
     /** Preempts as many batch items as online requests wait. */
-    private preemptBatch(service: string, requestCount: number): void {
-        const countSendable = (endpointId: string) => this.pool.countSendable(endpointId);
-        for (const place of this.batchPlaces.pickForPreemption(service, requestCount, countSendable)) {
+    private preemptBatch(service: string, requests: readonly PlaceRequest[]): void {
+        const countSendable = (endpointId: string) =>
+            this.pool.isAllowedForAny(endpointId, requests) ? this.pool.countSendable(endpointId) : 0;
+        for (const place of this.batchPlaces.pickForPreemption(service, requests.length, countSendable)) {
             place.isPreempted = true;
             this.deps.preempt(place);
         }
--- a/packages/fleet/src/endpointPool.ts
+++ b/packages/fleet/src/endpointPool.ts
@@ -1,6 +1,7 @@
 import { EndpointHealth } from "./endpointHealth";
 import { RequestRateLimiter } from "./requestRateLimiter";
 import { SendWindow } from "./sendWindow";
+import { getSoftwareVersion } from "./softwareVersions";
 import type { EndpointEntry, PlaceRequest, RequestEnd, WorkClass } from "./types";
 
 /** Fraction of a cold endpoint's rate that is used; the rest allows for requests in transit. */
@@ -264,6 +265,27 @@
         return best;
     }
 
+    /**
+     * @param service - A service.
+     * @param softwareVersion - A version of its software.
+     * @returns Whether an endpoint of that version is registered and doesn't leave.
+     */
+    hasVersion(service: string, softwareVersion: string): boolean {
+        return (this.byService.get(service) ?? []).some(({ entry }) =>
+            entry.state === "ready" && getSoftwareVersion(entry) === softwareVersion
+        );
+    }
+
+    /**
+     * @param endpointId - An endpoint.
+     * @param requests - Requests that wait.
+     * @returns Whether one of them may be sent there.
+     */
+    isAllowedForAny(endpointId: string, requests: readonly PlaceRequest[]): boolean {
+        const state = this.byId.get(endpointId);
+        return state !== undefined && requests.some(request => this.isAllowed(state, request));
+    }
+
     /**
      * @param service - A service.
      * @returns Milliseconds until the first of the service's endpoints may be sent requests that only a rate keeps from
@@ -285,7 +307,9 @@
     private isAllowed({ entry }: EndpointState, request: PlaceRequest): boolean {
         const isRegionAllowed = request.allowedRegions.length === 0
             || request.allowedRegions.includes(this.deps.getRegion(entry.dataCentre));
-        return isRegionAllowed && !request.excluded.includes(entry.endpointId);
+        const isVersionAllowed = request.softwareVersion === undefined
+            || request.softwareVersion === getSoftwareVersion(entry);
+        return isRegionAllowed && isVersionAllowed && !request.excluded.includes(entry.endpointId);
     }
 
     /** After a pause an endpoint counts as one place, since it is sent one request at a time until one succeeds. */
--- a/packages/fleet/src/fleetView.ts
+++ b/packages/fleet/src/fleetView.ts
@@ -4,6 +4,7 @@
 import { EndpointRegistry, type LapsedEndpoint } from "./endpointRegistry";
 import { FallbackShares } from "./fallbackShares";
 import { RouteTable } from "./routeTable";
+import { SoftwareVersions } from "./softwareVersions";
 import type { EndpointEntry, MemberEntry, RoutingConfig } from "./types";
 
 /** A part of the fleet view, with the store revision at which it was read. */
@@ -46,6 +47,8 @@
 /** Parts whose changes other instances need at once; those of registered instances can wait for the next message. */
 const URGENT_PARTS = ["config", "endpoints", "evacuated"] as const satisfies readonly ViewPart[];
 
+/** State that was current this recently counts as current, in milliseconds. */
+const MAX_CURRENT_AGE_MS = 2_000;
 /** Larger ages are sent as this one, since JSON has no infinity; in milliseconds. */
 const MAX_AGE_MS = 3_600_000;
 
@@ -54,6 +57,8 @@
  * replace older ones, and the version of the configuration never decreases.
  */
 export class FleetView {
+    /** Which software versions have served lately. */
+    readonly softwareVersions = new SoftwareVersions();
     private routeTable: RouteTable | undefined;
     private readonly revisions: Record<ViewPart, number> = {
         config: 0,
@@ -148,6 +153,9 @@
      */
     markConfigCurrent(ageMs: number): void {
         this.configAge.markCurrent(ageMs);
+        if (ageMs < MAX_CURRENT_AGE_MS) {
+            this.softwareVersions.markCurrent();
+        }
     }
 
     /**
@@ -169,6 +177,7 @@
         this.revisions.config = config.revision;
         if (config.value.version > (this.routeTable?.config.version ?? -1)) {
             this.routeTable = new RouteTable(config.value);
+            this.softwareVersions.setStreamMs(this.routeTable.longestStreamMs);
             this.notify("config");
         }
     }
@@ -184,6 +193,7 @@
             this.endpointLog.replaceAll(endpoints.value, endpoints.revision);
             this.registry.replaceAll(endpoints.value, this.endpointRenewalMs);
             this.registry.keepLapsed(lapsed);
+            this.softwareVersions.setEndpoints(this.registry.getEntries());
             this.notify("endpoints");
         }
     }
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -9,6 +9,7 @@
     PlaceRelease,
     PlaceRequest,
     PlaceSummary,
+    StreamOriginReport,
 } from "./types";
 
 /** JSON-RPC methods that instances call on each other. */
@@ -52,6 +53,8 @@
     readonly crashes?: readonly EndpointCrash[] | undefined;
     /** With a full report of the places: limits of endpoints that the instance knows. */
     readonly limits?: readonly EndpointLimit[] | undefined;
+    /** With the first report to a coordinator or deputy: where the instance's recent streams began. */
+    readonly streams?: readonly StreamOriginReport[] | undefined;
     readonly jobs: readonly JobProgress[];
     readonly isStoreFailing: boolean;
     /** What the instance's own reads have shown of the store recently; absent if it has not read. */
@@ -62,6 +65,12 @@
     readonly waitMs: number;
 }
 
+/**
+ * How much an instance reports in a sync request: to a coordinator that knows nothing of it yet, all that it holds
+ * again, in case a report was lost, or only what changes all the time.
+ */
+export type SyncReport = "first" | "full" | "changes";
+
 /** Reply to a {@link SyncRequest}; `not-coordinator` from an instance that doesn't hold the lease. */
 export type SyncReply =
     | { readonly kind: "not-coordinator"; }
--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -10,6 +10,9 @@
 import type { PlaceDecision, PlaceReply } from "./messages";
 import type { PlaceDecider, PlaceGranter } from "./placeGranter";
 import { PromptEvidence } from "./promptEvidence";
+import { findOrigin, locateRequest, newVersionGoneRefusal, recordStream } from "./resumption";
+import { getSoftwareVersion } from "./softwareVersions";
+import { StreamOrigins } from "./streamOrigins";
 import { TokenBuckets } from "./tokenBuckets";
 import type {
     EndpointEntry,
@@ -19,6 +22,7 @@
     PlaceRequest,
     PlaceSummary,
     RequestEnd,
+    StreamOriginReport,
 } from "./types";
 
 /** A decision is awaited this much longer than the request may wait for a place at the coordinator, in milliseconds. */
@@ -33,6 +37,8 @@
 const UNKNOWN_ENDPOINT_RETRY_MS = 500;
 /** A limit that an endpoint names again and again is reported once in this time, in case a report is lost. */
 const LIMIT_REPORT_INTERVAL_MS = 500;
+/** A coordinator or deputy, which may know more than this instance alone, is found within this time. */
+const ORIGIN_RETRY_MS = 500;
 const MAX_LIMIT_REPORTS = 2_048;
 
 /** A place that this instance holds. */
@@ -101,6 +107,7 @@
     private readonly leavingEndpoints = new LeavingEndpoints();
     private readonly limits = new EndpointLimits();
     private readonly limitReportedAtMs = new LRUCache<string, number>({ max: MAX_LIMIT_REPORTS });
+    private readonly streams: StreamOrigins;
     private readonly promptEvidence = new PromptEvidence();
 
     /**
@@ -120,6 +127,7 @@
         private readonly logger: Logger,
     ) {
         this.reports = new GranterReports([coordinator, deputy]);
+        this.streams = new StreamOrigins(() => view.softwareVersions.retentionMs);
         this.fallbackDispatcher = new Dispatcher({
             getCapacity: entry => this.getFallbackCapacity(entry),
             getColdRatePerS: entry => this.getFallbackColdRatePerS(entry),
@@ -168,8 +176,12 @@
 
     private async requestOnce(options: PlaceRequestOptions): Promise<PlacementOutcome | UnknownEndpoint> {
         const { signal, ...rest } = options;
+        const located = this.locateOwn(rest);
+        if (located.kind === "refused") {
+            return { ...located, decidedBy: "alone" };
+        }
         const request: PlaceRequest = {
-            ...rest,
+            ...located.options,
             askId: newRequestId(),
             instanceId: this.self.instanceId,
             dataCentre: this.self.dataCentre,
@@ -191,6 +203,26 @@
         return this.toOutcome(request, await this.requestAlone(getRemaining(), signal), "alone", signal);
     }
 
+    /** Answers from this instance's own record where a stream began that the request goes on with. */
+    private locateOwn<Options extends Pick<PlaceRequest, "service" | "resumedStream" | "softwareVersion">>(
+        options: Options,
+    ): { readonly kind: "located"; readonly options: Options; } | Extract<PlaceOutcome, { kind: "refused"; }> {
+        const { resumedStream } = options;
+        const origin = resumedStream && this.streams.get(resumedStream.requestId);
+        if (resumedStream === undefined || origin === undefined) {
+            return { kind: "located", options };
+        }
+        if (!resumedStream.services.includes(origin.service)) {
+            return newVersionGoneRefusal(origin);
+        }
+        return { kind: "located", options: { ...options, ...origin, resumedStream: undefined } };
+    }
+
+    /** @returns Where recent streams of this instance began, for a coordinator that may not know of them. */
+    getStreams(): StreamOriginReport[] {
+        return this.streams.getReports();
+    }
+
     /** Applies a change of the fleet view. */
     onViewChanged(): void {
         this.promptEvidence.adopt(this.view.blockedPrompts);
@@ -348,7 +380,14 @@
         return outcome;
     }
 
-    private async requestAlone(request: PlaceRequest, signal: AbortSignal): Promise<PlaceOutcome> {
+    private async requestAlone(asked: PlaceRequest, signal: AbortSignal): Promise<PlaceOutcome> {
+        const { resumedStream } = asked;
+        const origin = resumedStream && findOrigin(resumedStream, this.streams, this.view.softwareVersions);
+        const located = locateRequest(asked, origin, ORIGIN_RETRY_MS);
+        if (located.kind === "refused") {
+            return located.outcome;
+        }
+        const { request } = located;
         const parts = request.promptParts ?? [];
         if (this.promptEvidence.isBlocked(parts)) {
             return newBlockedPromptRefusal(parts);
@@ -367,7 +406,7 @@
         if (outcome.kind === "refused" && request.rate !== undefined) {
             this.fallbackTokenBuckets.refund(request.organisation);
         }
-        return outcome;
+        return outcome.kind === "placed" && origin !== undefined ? { ...outcome, origin } : outcome;
     }
 
     private toOutcome(
@@ -402,10 +441,17 @@
                 decidedBy,
             };
         }
-        if (endpoint === undefined) {
+        const softwareVersion = request.softwareVersion ?? outcome.origin?.softwareVersion;
+        const isVersionWrong = endpoint !== undefined && softwareVersion !== undefined
+            && getSoftwareVersion(endpoint) !== softwareVersion;
+        if (endpoint === undefined || isVersionWrong) {
             this.release(placeId, "lost");
             return { kind: "unknown-endpoint", endpointId, decidedBy };
         }
+        recordStream(this.streams, request, {
+            service: endpoint.service,
+            softwareVersion: getSoftwareVersion(endpoint),
+        });
         const release = (end: RequestEnd, firstAnswerMs?: number, hasResponded = false) =>
             this.release(placeId, end, firstAnswerMs, hasResponded);
         const reportCrash = () => this.reportCrash(placeId, endpointId, request);
--- a/packages/fleet/src/routeTable.ts
+++ b/packages/fleet/src/routeTable.ts
@@ -28,6 +28,12 @@
         }
     }
 
+    /** The longest time that a caller waits for the end of a stream which may be resumed, in milliseconds. */
+    get longestStreamMs(): number {
+        const streams = this.config.routes.filter(({ kind, isResumable }) => kind === "streaming" && isResumable);
+        return Math.max(0, ...streams.map(({ timeoutMs }) => timeoutMs));
+    }
+
     /** Whether requests need an API key, except on public routes. */
     get hasKeys(): boolean {
         return this.config.organisations !== undefined;
@@ -84,6 +90,14 @@
     return route.targets.find(({ weight }) => weight > 0)?.service;
 }
 
+/**
+ * @param route - A route.
+ * @returns The services that its requests may go to.
+ */
+export function getServices(route: Route): string[] {
+    return route.targets.filter(({ weight }) => weight > 0).map(({ service }) => service);
+}
+
 /**
  * Intersects the regions that a route and an organisation allow.
  *
--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -32,6 +32,8 @@
 export const MEMBER_KIND = "heatherline-instances";
 /** Kind of the objects that describe batch jobs. */
 export const JOB_KIND = "heatherline-jobs";
+/** Kind of the objects that say where streams began, and which versions may have begun them. */
+export const STREAM_KIND = "heatherline-streams";
 /** Kind of the objects that describe blocked prompts. */
 export const BLOCKED_PROMPT_KIND = "heatherline-blocked-prompts";
 
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -106,6 +106,25 @@
     readonly ageMs: number;
 }
 
+/** Where a stream began. Only endpoints of that service with that software version can go on with it. */
+export interface StreamOrigin {
+    readonly service: string;
+    readonly softwareVersion: string;
+}
+
+/** Streams that began there, by the ids of the requests that brought their first events. */
+export interface StreamOriginReport extends StreamOrigin {
+    readonly requestIds: readonly string[];
+}
+
+/** A stream that a caller takes up. */
+export interface ResumedStream {
+    /** The request that brought its first event; empty if the caller doesn't name it. */
+    readonly requestId: string;
+    /** Services that the route allows. */
+    readonly services: readonly string[];
+}
+
 /** Registration of an instance of this system. */
 export interface MemberEntry {
     readonly instanceId: string;
@@ -162,6 +181,12 @@
     readonly fingerprint: string;
     /** Shared parts of the request's prompt; absent for batch items and from instances of earlier releases. */
     readonly promptParts?: readonly string[] | undefined;
+    /** The request goes on with what this software version began. */
+    readonly softwareVersion?: string | undefined;
+    /** Id of a request whose stream another request may go on with. */
+    readonly streamId?: string | undefined;
+    /** The stream that the request goes on with, where the requesting instance doesn't know its origin. */
+    readonly resumedStream?: ResumedStream | undefined;
     /** Rate limit that the request takes a token from; `undefined` if it takes none. */
     readonly rate: RateBounds | undefined;
 }
@@ -181,7 +206,14 @@
 }
 
 /** Why a place request is refused. */
-export type RefusalReason = "overloaded" | "no-endpoint" | "rate-limited" | "crashes-endpoints" | "unavailable";
+export type RefusalReason =
+    | "overloaded"
+    | "no-endpoint"
+    | "rate-limited"
+    | "crashes-endpoints"
+    | "version-gone"
+    | "origin-unknown"
+    | "unavailable";
 
 /** Decision on a place request. */
 export type PlaceOutcome =
@@ -193,6 +225,8 @@
         readonly expectedWaitMs: number;
         /** The limit that the endpoint has named, so that the instance can tell when a response no longer names it. */
         readonly limit?: EndpointLimit | undefined;
+        /** Where the stream began that the request goes on with. */
+        readonly origin?: StreamOrigin | undefined;
     }
     | {
         readonly kind: "refused";
--- a/packages/fleet/tests/blockedCoordinator.test.ts
+++ b/packages/fleet/tests/blockedCoordinator.test.ts
@@ -57,6 +57,7 @@
         getLeaseVersion: () => 1,
         isStoreFailing: () => false,
         preemptOwnPlace: () => undefined,
+        recordStreams: () => undefined,
         saveBlockedPrompt: () => undefined,
         logger,
     });
--- a/packages/fleet/tests/crashReports.test.ts
+++ b/packages/fleet/tests/crashReports.test.ts
@@ -33,6 +33,7 @@
         getLeaseVersion: () => 1,
         isStoreFailing: () => false,
         preemptOwnPlace: () => undefined,
+        recordStreams: () => undefined,
         saveBlockedPrompt: (prompt, isEnded) => saved.push({ prompt, isEnded }),
         logger: { info: () => undefined } as unknown as Logger,
     });
--- a/packages/gateway/src/coordinatorRole.ts
+++ b/packages/gateway/src/coordinatorRole.ts
@@ -12,10 +12,13 @@
     METHODS,
     type PlaceSummary,
     type RateTolerance,
+    type StreamOriginReport,
     type SyncReply,
+    type SyncReport,
     type SyncRequest,
 } from "@heatherline/fleet";
 import type { ObjectStore } from "@heatherline/store";
+import type { StreamJournal } from "./streamJournal";
 
 const ANNOUNCE_TIMEOUT_MS = 400;
 
@@ -37,9 +40,13 @@
     readonly getRecentCrashes: () => readonly EndpointCrash[];
     /** @returns Limits of endpoints that this instance knows. */
     readonly getLimits: () => readonly EndpointLimit[];
+    /** @returns Where recent streams of this instance began. */
+    readonly getStreams: () => readonly StreamOriginReport[];
+    /** Keeps in the store where streams began. */
+    readonly streamJournal: StreamJournal;
     /** Stores a block of a prompt, or removes it if it has ended. */
     readonly saveBlockedPrompt: (prompt: BlockedPrompt, isEnded: boolean) => void;
-    readonly newSyncRequest: (isFull: boolean, waitMs: number) => SyncRequest;
+    readonly newSyncRequest: (report: SyncReport, waitMs: number) => SyncRequest;
     readonly onSyncReply: (reply: Extract<SyncReply, { kind: "news"; }>, transitMs: number) => void;
     /** Called when the coordinator, or whether it can be reached, has changed. */
     readonly onChange: () => void;
@@ -131,6 +138,7 @@
         const { epoch } = this.lease;
         this.logger.info({ event: isHolder ? "coordinator-begins" : "coordinator-ends", epoch, reason });
         this.coordinator?.stop();
+        this.deps.streamJournal.stop();
         this.coordinator = undefined;
         if (isHolder) {
             this.link.stop("this instance is the coordinator");
@@ -160,11 +168,14 @@
             isStoreFailing,
             preemptOwnPlace,
             saveBlockedPrompt,
+            recordStreams: report => this.deps.streamJournal.add(report),
             logger: this.logger,
         });
         coordinator.adoptOwnPlaces(getPlaces());
         coordinator.recordCrashes(this.deps.getRecentCrashes());
         coordinator.recordLimits(this.deps.getLimits());
+        coordinator.adoptStreams(this.deps.getStreams());
+        this.deps.streamJournal.start(coordinator);
         return coordinator;
     }
 
--- a/packages/gateway/src/deputyRole.ts
+++ b/packages/gateway/src/deputyRole.ts
@@ -10,9 +10,12 @@
     METHODS,
     type PlaceSummary,
     type RpcCaller,
+    type StreamOriginReport,
     type SyncReply,
+    type SyncReport,
     type SyncRequest,
 } from "@heatherline/fleet";
+import type { StreamJournal } from "./streamJournal";
 
 const ANNOUNCE_TIMEOUT_MS = 400;
 
@@ -32,11 +35,15 @@
     readonly getRecentCrashes: () => readonly EndpointCrash[];
     /** @returns Limits of endpoints that this instance knows. */
     readonly getLimits: () => readonly EndpointLimit[];
+    /** @returns Where recent streams of this instance began. */
+    readonly getStreams: () => readonly StreamOriginReport[];
+    /** Keeps in the store where streams began. */
+    readonly streamJournal: StreamJournal;
     /** Stores a block of a prompt, or removes it if it has ended. */
     readonly saveBlockedPrompt: (prompt: BlockedPrompt, isEnded: boolean) => void;
     /** Reads the blocked prompts from the store once. */
     readonly readBlockedPrompts: () => void;
-    readonly newSyncRequest: (isFull: boolean, waitMs: number) => SyncRequest;
+    readonly newSyncRequest: (report: SyncReport, waitMs: number) => SyncRequest;
     readonly onSyncReply: (reply: Extract<SyncReply, { kind: "news"; }>, transitMs: number) => void;
     /** @returns The coordinator and its epoch, as far as this instance knows. */
     readonly getAnnouncement: () => Announcement | undefined;
@@ -123,11 +130,14 @@
             isStoreFailing,
             preemptOwnPlace,
             saveBlockedPrompt,
+            recordStreams: report => this.deps.streamJournal.add(report),
             logger: this.logger,
         });
         this.deputy.adoptOwnPlaces(getPlaces());
         this.deputy.recordCrashes(this.deps.getRecentCrashes());
         this.deputy.recordLimits(this.deps.getLimits());
+        this.deputy.adoptStreams(this.deps.getStreams());
+        this.deps.streamJournal.start(this.deputy);
         this.deps.readBlockedPrompts();
         onChange();
     }
@@ -141,6 +151,7 @@
         this.logger.info({ event: "deputy-ends", dataCentre: this.deps.self.dataCentre });
         this.announceCoordinator(deputy.heartbeats.getLiveInstances());
         deputy.stop();
+        this.deps.streamJournal.stop();
     }
 
     /** Tells the instances that follow this one which coordinator it has found, so that they follow it at once. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,6 +32,7 @@
 import { RelayedStore } from "./relayedStore";
 import { RetirementAcknowledger } from "./retirementAcknowledger";
 import { StartupGate } from "./startupGate";
+import { StreamJournal } from "./streamJournal";
 import { Sweeper } from "./sweeper";
 import { SyncMessages } from "./syncMessages";
 
@@ -126,8 +127,10 @@
             preemptOwnPlace: placeId => this.placement.preempt(placeId),
             getRecentCrashes: () => this.placement.getRecentCrashes(),
             getLimits: () => this.placement.getLimits(),
+            getStreams: () => this.placement.getStreams(),
+            streamJournal: new StreamJournal(store, view, "fleet", logger),
             saveBlockedPrompt: (prompt, isEnded) => blockedPrompts.save(prompt, isEnded),
-            newSyncRequest: (isFull, waitMs) => this.syncMessages.newRequest(isFull, waitMs),
+            newSyncRequest: (report, waitMs) => this.syncMessages.newRequest(report, waitMs),
             onSyncReply: (reply, transitMs) => {
                 this.syncMessages.applyCoordinatorReply(reply, transitMs);
                 this.startupGate.check();
@@ -144,9 +147,11 @@
             preemptOwnPlace: placeId => this.placement.preempt(placeId),
             getRecentCrashes: () => this.placement.getRecentCrashes(),
             getLimits: () => this.placement.getLimits(),
+            getStreams: () => this.placement.getStreams(),
+            streamJournal: new StreamJournal(store, view, this.self.dataCentre, logger),
             saveBlockedPrompt: (prompt, isEnded) => blockedPrompts.save(prompt, isEnded),
             readBlockedPrompts: () => void this.feed.readBlockedPrompts(),
-            newSyncRequest: (isFull, waitMs) => ({ ...this.syncMessages.newRequest(isFull, waitMs), jobs: [] }),
+            newSyncRequest: (report, waitMs) => ({ ...this.syncMessages.newRequest(report, waitMs), jobs: [] }),
             onSyncReply: (reply, transitMs) => {
                 this.syncMessages.applyDeputyReply(reply, transitMs);
                 this.startupGate.check();
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -1,5 +1,15 @@
 import { type ResponseEnd, sleep } from "@heatherline/common";
-import { type HeldPlace, pickService, type PlacementClient, type RequestEnd, type Route } from "@heatherline/fleet";
+import {
+    getServices,
+    getSoftwareVersion,
+    type HeldPlace,
+    pickService,
+    type PlacementClient,
+    type RefusalReason,
+    type RequestEnd,
+    type Route,
+    type StreamOrigin,
+} from "@heatherline/fleet";
 import { discardBody, readChunks } from "./bodyReader";
 import type { EndpointClient, EndpointResponse } from "./endpointClient";
 import { EventStreamParser, getEventData, hasContent } from "./eventStreamParser";
@@ -22,6 +32,10 @@
 const NOT_RUNNABLE_DELAY_MS = 250;
 /** An item is given up when its route has been missing from the configuration for this long. */
 const ROUTE_REMOVAL_GRACE_MS = 3_000;
+/** An endpoint that crashed is back within seconds, with what its version began lost to no one. */
+const VERSION_GONE_PATIENCE_MS = 2_500;
+/** Longer waits for an endpoint of the version that began an item cost more than beginning again. */
+const VERSION_BUSY_PATIENCE_MS = 8_000;
 /** Deadline that an endpoint is given for one run. */
 const MAX_RUN_MS = 60_000;
 /** Without any data for this long, the endpoint is considered unavailable and the run is aborted. */
@@ -60,6 +74,8 @@
     /** Data of the events received so far. */
     readonly data: readonly string[];
     readonly lastEventId: number | undefined;
+    /** Where these events come from; absent from instances of earlier releases. */
+    readonly origin?: StreamOrigin | undefined;
     /** Number of runs that ended as `failed`. */
     readonly failures: number;
 }
@@ -93,7 +109,11 @@
  * endpoint, after the last event received.
  */
 export class ItemRun {
-    private readonly data: string[];
+    private data: string[];
+    /** Where the events received so far come from. */
+    private origin: StreamOrigin | undefined;
+    /** Since when the item has been waiting for an endpoint that can go on with it. */
+    private waitingSinceMs: number | undefined;
     private lastEventId: number | undefined;
     private failures: number;
     /** Consecutive runs that broke before they produced anything. */
@@ -118,13 +138,17 @@
     ) {
         this.data = [...state?.data ?? []];
         this.lastEventId = state?.lastEventId;
+        this.origin = state?.origin;
+        if (this.data.length > 0 && this.origin === undefined) {
+            this.startAnew();
+        }
         this.failures = state?.failures ?? 0;
     }
 
     /** @returns The item's progress. */
     getState(): ItemState {
-        const { data, lastEventId, failures } = this;
-        return { itemId: this.item.itemId, data, lastEventId, failures };
+        const { data, lastEventId, origin, failures } = this;
+        return { itemId: this.item.itemId, data, lastEventId, origin, failures };
     }
 
     /** @returns The result, or `undefined` if this instance is to stop running the item. */
@@ -165,7 +189,10 @@
     }
 
     private async runOnce(route: Route): Promise<RunEnd> {
-        const service = pickService(route, Math.random());
+        if (this.origin !== undefined && !getServices(route).includes(this.origin.service)) {
+            this.startAnew();
+        }
+        const service = this.origin?.service ?? pickService(route, Math.random());
         const body = await this.deps.getBody();
         if (service === undefined || body === undefined) {
             return "stopped";
@@ -185,14 +212,17 @@
                 dueInMs: this.getDueInMs(route),
                 allowedRegions: route.allowedRegions,
                 fingerprint: `${this.job.jobId}/${this.item.itemId}`,
+                softwareVersion: this.origin?.softwareVersion,
                 rate: undefined,
                 signal: this.signal,
             }));
         if (outcome.kind === "refused") {
+            this.startAnewIfHopeless(outcome.reason);
             await sleep(NOT_RUNNABLE_DELAY_MS, this.signal);
             return "stopped";
         }
         const { place } = outcome;
+        this.waitingSinceMs = undefined;
         if (!this.deps.mayRun()) {
             place.release("lost");
             return "stopped";
@@ -219,6 +249,25 @@
         return end;
     }
 
+    /** What another version has begun can't be gone on with; an item is owed, so that it begins again. */
+    private startAnew(): void {
+        this.data = [];
+        this.lastEventId = undefined;
+        this.origin = undefined;
+        this.waitingSinceMs = undefined;
+    }
+
+    private startAnewIfHopeless(reason: RefusalReason): void {
+        if (this.origin === undefined) {
+            return;
+        }
+        this.waitingSinceMs ??= performance.now();
+        const patienceMs = reason === "version-gone" ? VERSION_GONE_PATIENCE_MS : VERSION_BUSY_PATIENCE_MS;
+        if (performance.now() - this.waitingSinceMs > patienceMs) {
+            this.startAnew();
+        }
+    }
+
     private getDueInMs(route: Route): number {
         return this.job.submittedAt + route.completionTargetMs - Date.now();
     }
@@ -261,7 +310,7 @@
                 discardBody(incoming);
                 return toErrorEnd(status, head.isNotExecuted);
             }
-            const isComplete = await this.readEvents(result.value, silenceTimer);
+            const isComplete = await this.readEvents(result.value, place, silenceTimer);
             return isComplete ? "complete" : this.toAbortEnd(abortController.signal) ?? "broken";
         }
         finally {
@@ -282,6 +331,7 @@
      */
     private async readEvents(
         { incoming, endObserver }: EndpointResponse,
+        { endpoint }: HeldPlace,
         silenceTimer: NodeJS.Timeout,
     ): Promise<boolean> {
         const parser = new EventStreamParser();
@@ -292,6 +342,7 @@
                         silenceTimer.refresh();
                     }
                     if (event.eventId === undefined || event.eventId > (this.lastEventId ?? -1)) {
+                        this.origin ??= { service: endpoint.service, softwareVersion: getSoftwareVersion(endpoint) };
                         this.lastEventId = event.eventId ?? this.lastEventId;
                         this.data.push(getEventData(event));
                     }
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -1,5 +1,13 @@
 import { type Logger, type ResponseEnd, sha256Hex } from "@heatherline/common";
-import { type HeldPlace, pickService, type PlacementClient, type RequestEnd } from "@heatherline/fleet";
+import {
+    getServices,
+    getSoftwareVersion,
+    type HeldPlace,
+    pickService,
+    type PlacementClient,
+    type RequestEnd,
+    type StreamOrigin,
+} from "@heatherline/fleet";
 import type { Result } from "neverthrow";
 import type http from "node:http";
 import type { Admission, AdmittedRequest } from "./admission";
@@ -88,6 +96,8 @@
     private readonly abortController = new AbortController();
     private readonly excluded: string[] = [];
     private attempts = 0;
+    /** Where the stream began, of which the caller has received a part. */
+    private origin: StreamOrigin | undefined;
     private lastFailure: FailureResponse | undefined;
     private isRateCharged = false;
     /** When the response of the current attempt began to arrive. */
@@ -155,7 +165,13 @@
             this.attempts += 1;
             this.lastEndpoint = place.endpoint.endpointId;
             this.lastSoftwareVersion = place.endpoint.softwareVersion;
+            if (this.isTakingUp) {
+                this.pinOrigin(place);
+            }
             const outcome = await this.runAttempt(place);
+            if (this.request.response.hasStarted) {
+                this.pinOrigin(place);
+            }
             if (outcome.kind === "answered") {
                 this.log("answered", outcome.status, "", "");
                 return undefined;
@@ -222,12 +238,18 @@
 
     private async requestPlace(): Promise<HeldPlace | Refusal> {
         const { route, organisation, allowedRegions, priority } = this.admitted;
-        const service = pickService(route, Math.random());
+        const { origin } = this;
+        const services = getServices(route);
+        const service = origin === undefined ? pickService(route, Math.random()) : origin.service;
         const nowMs = performance.now();
         const leftMs = this.deadlineAtMs - nowMs;
         if (service === undefined || leftMs < MIN_TIME_LEFT_MS) {
             return this.retryPolicy.correctRefusal(newRefusal(service === undefined ? "no-endpoint" : "timeout"));
         }
+        if (origin !== undefined && !services.includes(origin.service)) {
+            const detail = `the route no longer leads to ${origin.service}, which began the stream`;
+            return this.retryPolicy.correctRefusal(newRefusal("version-gone", detail));
+        }
         const mustTakeToken = organisation !== undefined && organisation.ratePerS > 0 && !this.isRateCharged;
         this.isRateCharged = true;
         const outcome = await this.deps.placement.requestPlace({
@@ -243,6 +265,11 @@
             allowedRegions,
             fingerprint: this.fingerprint,
             promptParts: this.request.caller.sharedPromptParts,
+            softwareVersion: origin?.softwareVersion,
+            streamId: route.kind === "streaming" && route.isResumable ? this.request.caller.requestId : undefined,
+            resumedStream: this.isTakingUp && origin === undefined
+                ? { requestId: this.request.caller.resumedRequestId ?? "", services }
+                : undefined,
             rate: mustTakeToken ? { ratePerS: organisation.ratePerS, burst: organisation.burst } : undefined,
             excluded: this.excluded,
             signal: this.abortController.signal,
@@ -261,6 +288,16 @@
         return this.retryPolicy.correctRefusal(refusal);
     }
 
+    /** Whether the caller goes on with a stream that another request began. */
+    private get isTakingUp(): boolean {
+        return this.admitted.route.kind === "streaming" && this.request.caller.lastEventId !== undefined;
+    }
+
+    /** From now on, only endpoints like the one that began the stream may go on with it. */
+    private pinOrigin({ endpoint }: HeldPlace): void {
+        this.origin ??= { service: endpoint.service, softwareVersion: getSoftwareVersion(endpoint) };
+    }
+
     private async runAttempt(place: HeldPlace): Promise<AttemptOutcome> {
         const { caller, incoming, body } = this.request;
         const { route, organisation } = this.admitted;
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -35,6 +35,8 @@
     "no-endpoint": 503,
     "rate-limited": 429,
     "crashes-endpoints": 503,
+    "version-gone": 503,
+    "origin-unknown": 503,
     unavailable: 503,
     "bad-request": 400,
     "no-route": 404,
@@ -54,6 +56,9 @@
     "not-found": 404,
 };
 
+/** What a retry can't change. */
+const FINAL_REASONS: ReadonlySet<GatewayRefusalReason> = new Set(["version-gone", "origin-unknown"]);
+
 /** Retry delay for callers where no better estimate is known, in milliseconds. */
 const DEFAULT_RETRY_MS = 300;
 
@@ -65,6 +70,6 @@
  */
 export function newRefusal(reason: GatewayRefusalReason, detail = "", retryAfterMs?: number): Refusal {
     const status = STATUSES[reason];
-    const isTemporary = status === 503 || status === 429;
+    const isTemporary = (status === 503 || status === 429) && !FINAL_REASONS.has(reason);
     return { status, reason, detail, retryAfterMs: retryAfterMs ?? (isTemporary ? DEFAULT_RETRY_MS : undefined) };
 }
--- /dev/null
+++ b/packages/gateway/src/streamJournal.ts
@@ -0,0 +1,237 @@
+import type { Logger } from "@heatherline/common";
+import { type FleetView, type ServiceVersions, STREAM_KIND, type StreamOriginReport } from "@heatherline/fleet";
+import type { ObjectStore, StoredObject, StoredValue } from "@heatherline/store";
+
+const WRITE_INTERVAL_MS = 250;
+const RETRY_LOAD_MS = 100;
+/** Objects that are overwritten in turn; more only where streams last long. */
+const MIN_RING_SIZE = 128;
+const MAX_RING_SIZE = 1_024;
+/** Streams in one object, which keeps it far below the largest size that the store takes. */
+const MAX_STREAMS_PER_OBJECT = 10_000;
+
+/** Who grants places for streams, and knows where they run. */
+export interface StreamGranter {
+    /** @param reports - Where streams began. */
+    adoptStreams(reports: readonly StreamOriginReport[]): void;
+    /** @returns Where recent streams began. */
+    getStreams(): readonly StreamOriginReport[];
+}
+
+/**
+ * Keeps in the store where streams began, for the time after all instances were killed at once. Which versions serve is
+ * always kept, and written when it changes. Single streams are written only while several versions of their service may
+ * have begun them, together a few times a second.
+ */
+export class StreamJournal {
+    private readonly versionByPath = new Map<string, number>();
+    private readonly writtenVersions = new Map<string, string>();
+    /** Services of which several versions may have begun streams. */
+    private mixedServices: ReadonlySet<string> = new Set();
+    private pendingStreams: StreamOriginReport[] = [];
+    private granter: StreamGranter | undefined;
+    private timer: NodeJS.Timeout | undefined;
+    private isLoaded = false;
+    private isWriting = false;
+
+    /**
+     * @param store - The store.
+     * @param view - Fleet view.
+     * @param name - Distinguishes the objects of granters that may write at the same time.
+     * @param logger - Log of the instance.
+     */
+    constructor(
+        private readonly store: ObjectStore,
+        private readonly view: FleetView,
+        private readonly name: string,
+        private readonly logger: Logger,
+    ) {}
+
+    /**
+     * Reads what is stored, and writes what changes from now on.
+     *
+     * @param granter - Who grants places from now on.
+     */
+    start(granter: StreamGranter): void {
+        this.stop();
+        this.granter = granter;
+        this.isLoaded = false;
+        this.mixedServices = new Set();
+        void this.loadAndWrite(granter);
+    }
+
+    /** Stops writing. */
+    stop(): void {
+        clearInterval(this.timer);
+        this.granter = undefined;
+        this.pendingStreams = [];
+    }
+
+    /**
+     * @param report - Streams, and where they run.
+     */
+    add(report: StreamOriginReport): void {
+        this.pendingStreams.push(report);
+    }
+
+    private async loadAndWrite(granter: StreamGranter): Promise<void> {
+        while (this.granter === granter && !this.isLoaded) {
+            this.isLoaded = await this.load(granter);
+            if (!this.isLoaded) {
+                this.dropOutdated();
+                await new Promise(resolve => setTimeout(resolve, RETRY_LOAD_MS * (1 + Math.random())).unref());
+            }
+        }
+        if (this.granter === granter) {
+            this.timer = setInterval(() => void this.write(), WRITE_INTERVAL_MS).unref();
+            void this.write();
+        }
+    }
+
+    private async load(granter: StreamGranter): Promise<boolean> {
+        const listing = await this.store.list(STREAM_KIND);
+        if (listing.isErr()) {
+            this.logger.info({ event: "streams-not-read", cause: listing.error.toString() });
+            return false;
+        }
+        const { objects } = listing.value;
+        for (const { path, version } of objects) {
+            this.versionByPath.set(path, version);
+        }
+        const streams = objects.flatMap(object => this.decodeStreams(object));
+        granter.adoptStreams(streams);
+        this.view.softwareVersions.adopt(objects.flatMap(decodeVersions));
+        this.logger.info({
+            event: "streams-read",
+            objects: objects.length,
+            streams: streams.reduce((count, { requestIds }) => count + requestIds.length, 0),
+        });
+        return true;
+    }
+
+    private decodeStreams({ value: { writtenAt, streams } }: StoredObject): StreamOriginReport[] {
+        const isRecent = typeof writtenAt === "number" &&
+            Date.now() - writtenAt < 2 * this.view.softwareVersions.retentionMs;
+        return isRecent && Array.isArray(streams) ? streams.filter(isStreamOriginReport) : [];
+    }
+
+    private async write(): Promise<void> {
+        if (this.isWriting) {
+            return;
+        }
+        this.isWriting = true;
+        try {
+            await this.writeVersions();
+            await this.writeStreams();
+        }
+        finally {
+            this.isWriting = false;
+        }
+    }
+
+    private async writeVersions(): Promise<void> {
+        for (const { service, softwareVersions } of this.view.softwareVersions.getAll()) {
+            const text = softwareVersions.join("\0");
+            const path = `${STREAM_KIND}/versions.${service}`;
+            if (this.writtenVersions.get(service) !== text && await this.put(path, { service, softwareVersions })) {
+                this.writtenVersions.set(service, text);
+                this.logger.info({ event: "versions-stored", service, softwareVersions });
+            }
+        }
+    }
+
+    private async writeStreams(): Promise<void> {
+        this.takeUpMixedServices();
+        const streams = this.takePending();
+        if (streams.length === 0) {
+            return;
+        }
+        if (!await this.put(this.getPath(), { writtenAt: Date.now(), streams })) {
+            this.pendingStreams.unshift(...streams);
+            this.dropOutdated();
+        }
+    }
+
+    /** The streams that run when a second version appears were begun before it, and are written, too. */
+    private takeUpMixedServices(): void {
+        const mixed = new Set(
+            this.view.softwareVersions.getAll().filter(({ softwareVersions }) => softwareVersions.length > 1)
+                .map(({ service }) => service),
+        );
+        const isNew = (service: string) => mixed.has(service) && !this.mixedServices.has(service);
+        const reports = [...mixed].some(isNew) ? this.granter?.getStreams() ?? [] : [];
+        this.pendingStreams = [
+            ...this.pendingStreams.filter(({ service }) => mixed.has(service) && !isNew(service)),
+            ...reports.filter(({ service }) => isNew(service)),
+        ];
+        this.mixedServices = mixed;
+    }
+
+    /** Takes as many pending streams as one object holds, those of one version together. */
+    private takePending(): StreamOriginReport[] {
+        const taken = new Map<string, StreamOriginReport & { requestIds: string[]; }>();
+        let count = 0;
+        while (count < MAX_STREAMS_PER_OBJECT) {
+            const report = this.pendingStreams.shift();
+            if (report === undefined) {
+                break;
+            }
+            const { service, softwareVersion, requestIds } = report;
+            const room = MAX_STREAMS_PER_OBJECT - count;
+            const key = `${service}\0${softwareVersion}`;
+            const group = taken.get(key) ?? { service, softwareVersion, requestIds: [] };
+            group.requestIds.push(...requestIds.slice(0, room));
+            taken.set(key, group);
+            count += Math.min(room, requestIds.length);
+            if (requestIds.length > room) {
+                this.pendingStreams.unshift({ service, softwareVersion, requestIds: requestIds.slice(room) });
+            }
+        }
+        return [...taken.values()];
+    }
+
+    /** While the store can't be written, no more is kept than the granter itself remembers. */
+    private dropOutdated(): void {
+        const known = this.granter?.getStreams() ?? [];
+        const count = known.reduce((sum, { requestIds }) => sum + requestIds.length, 0);
+        const pending = this.pendingStreams.reduce((sum, { requestIds }) => sum + requestIds.length, 0);
+        if (pending > count) {
+            this.pendingStreams = [...known];
+        }
+    }
+
+    private getPath(): string {
+        const { retentionMs } = this.view.softwareVersions;
+        const size = Math.min(MAX_RING_SIZE, Math.max(MIN_RING_SIZE, Math.ceil(2 * retentionMs / WRITE_INTERVAL_MS)));
+        return `${STREAM_KIND}/begun.${this.name}.${Math.floor(Date.now() / WRITE_INTERVAL_MS) % size}`;
+    }
+
+    private async put(path: string, value: StoredValue): Promise<boolean> {
+        const written = await this.store.put(path, value, this.versionByPath.get(path) ?? 0);
+        if (written.isOk()) {
+            this.versionByPath.set(path, written.value);
+            return true;
+        }
+        // Another granter has written it, or this one has without a response; the next try uses its version.
+        if (written.error.kind === "conflict" || written.error.kind === "unknown") {
+            const current = await this.store.get(path);
+            if (current.isOk()) {
+                this.versionByPath.set(path, current.value?.version ?? 0);
+            }
+        }
+        this.logger.info({ event: "streams-not-stored", path, cause: written.error.toString() });
+        return false;
+    }
+}
+
+function decodeVersions({ value: { service, softwareVersions } }: StoredObject): ServiceVersions[] {
+    const isComplete = typeof service === "string" && Array.isArray(softwareVersions) &&
+        softwareVersions.every(version => typeof version === "string");
+    return isComplete ? [{ service, softwareVersions }] : [];
+}
+
+function isStreamOriginReport(value: unknown): value is StreamOriginReport {
+    const { service, softwareVersion, requestIds } = (value ?? {}) as Partial<StreamOriginReport>;
+    return typeof service === "string" && typeof softwareVersion === "string" && Array.isArray(requestIds) &&
+        requestIds.every(id => typeof id === "string");
+}
--- a/packages/gateway/src/syncMessages.ts
+++ b/packages/gateway/src/syncMessages.ts
@@ -5,6 +5,7 @@
     PlacementClient,
     StateFeed,
     SyncReply,
+    SyncReport,
     SyncRequest,
     TakeoverPromise,
 } from "@heatherline/fleet";
@@ -40,18 +41,20 @@
     }
 
     /**
-     * @param isFull - Whether the receiver may not know what this instance has reported before.
+     * @param report - How much of what this instance has reported before the receiver may not know.
      * @param waitMs - How long the reply may be held back while there is no update.
      * @returns The next heartbeat.
      */
-    newRequest(isFull: boolean, waitMs: number): SyncRequest {
+    newRequest(report: SyncReport, waitMs: number): SyncRequest {
         const { self, view, feed, placement, runner } = this.deps;
+        const isFull = report !== "changes";
         return {
             member: self,
             known: view.getRevisions(),
             places: isFull ? placement.getPlaces() : undefined,
             crashes: isFull ? placement.getRecentCrashes() : undefined,
             limits: isFull ? placement.getLimits() : undefined,
+            streams: report === "first" ? placement.getStreams() : undefined,
             jobs: runner.getProgress(),
             isStoreFailing: feed.isStoreFailing,
             storeCheck: feed.storeCheck,
--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -46,6 +46,8 @@
     readonly service: string;
     readonly dataCentre: string;
     readonly slots?: number;
+    /** Version of its software. */
+    readonly version?: string;
     readonly eventGapMs?: number;
 }
 
@@ -109,7 +111,7 @@
             service: this.options.service,
             address: `127.0.0.1:${this.port}`,
             zone: this.options.dataCentre,
-            version: "v1",
+            version: this.options.version ?? "v1",
             slots: this.options.slots ?? 8,
             state,
             warmupLeftMs: 0,
