Let requests that go on with a stream wait their turn before new ones

Cause: the forecast counted all that wait for any version before them, against the places of their version alone, and held them to the objective of a first event, which the caller has had. They now come before new requests and may wait 800 ms, as retries that are late may.

--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -17,7 +17,10 @@
 
 /** Each step of lower priority counts as an arrival this much later, in milliseconds. */
 const PRIORITY_STEP_MS = 40;
-/** A refused caller that retries as it was asked to counts as having arrived this much earlier, in milliseconds. */
+/**
+ * A refused caller that retries as it was asked to, and a request that goes on with a stream, count as having arrived
+ * this much earlier, in milliseconds.
+ */
 const RETRY_CREDIT_MS = 1_000;
 /** Fraction of the latency objective within which a refused caller can still be served in time elsewhere. */
 const EARLY_REFUSAL_FRACTION = 0.22;
@@ -27,7 +30,10 @@
 const NO_ENDPOINT_RETRY_MS = 700;
 /** Places that online requests are expected to need within this time are not granted to batch, in milliseconds. */
 const BATCH_RESERVE_MS = 30;
-/** Longest wait of a request that is already late, such as a retry after its endpoint failed, in milliseconds. */
+/**
+ * Longest wait of a request that is already late, such as a retry after its endpoint failed, or that goes on with a
+ * stream, in milliseconds.
+ */
 const MAX_LATE_WAIT_MS = 800;
 /** Requests that only the rate of endpoints delays are dispatched again no sooner than this, in milliseconds. */
 const MIN_RATE_DISPATCH_MS = 25;
@@ -111,7 +117,9 @@
                     resolve(this.newRefusal(request, waitMs));
                     return;
                 }
-                this.scheduleEarlyRefusal(waiter);
+                if (!isResumption(request)) {
+                    this.scheduleEarlyRefusal(waiter);
+                }
             }
             this.addTimer(waiter, request.giveUpAfterMs, () => this.refuse(waiter, Infinity));
             this.getService(request.service).queue.add(waiter);
@@ -240,7 +248,9 @@
             request,
             settle: resolve,
             rank: this.getRank(request, nowMs),
-            usefulUntilMs: nowMs + request.usefulForMs - forecast.getFirstAnswerMs(),
+            usefulUntilMs: isResumption(request)
+                ? nowMs + MAX_LATE_WAIT_MS
+                : nowMs + request.usefulForMs - forecast.getFirstAnswerMs(),
             startByMs: nowMs + request.dueInMs - request.remainingMs,
             expectedWaitMs: 0,
             timers: [],
@@ -253,7 +263,8 @@
             return getItemRank(nowMs + request.dueInMs, request.remainingMs) + runningCount * FAIRNESS_STEP_MS;
         }
         const isRetry = this.getService(request.service).forecast.takeScheduledRetry(request.fingerprint);
-        return nowMs + request.priority * PRIORITY_STEP_MS - (isRetry ? RETRY_CREDIT_MS : 0);
+        const hasCredit = isRetry || isResumption(request);
+        return nowMs + request.priority * PRIORITY_STEP_MS - (hasCredit ? RETRY_CREDIT_MS : 0);
     }
 
     /** Checks the forecast again, and refuses a late request, while there is still time to be served elsewhere. */
@@ -442,6 +453,11 @@
     }
 }
 
+/** Whether the request goes on with a stream, of which the caller would lose what it has received. */
+function isResumption({ softwareVersion, workClass }: PlaceRequest): boolean {
+    return softwareVersion !== undefined && workClass === "online";
+}
+
 function settle(waiter: Waiter, outcome: PlaceOutcome): void {
     for (const timer of waiter.timers) {
         clearTimeout(timer);
--- a/packages/fleet/src/softwareVersions.ts
+++ b/packages/fleet/src/softwareVersions.ts
@@ -44,13 +44,21 @@
         const nowMs = performance.now();
         for (const versions of this.lastListedAtMs.values()) {
             for (const [version, atMs] of versions) {
-                versions.set(version, Math.min(atMs, nowMs));
+                if (atMs > nowMs - this.retentionMs) {
+                    versions.set(version, Math.min(atMs, nowMs));
+                }
+                else {
+                    versions.delete(version);
+                }
             }
         }
         for (const entry of entries) {
             this.setListedAt(entry.service, getSoftwareVersion(entry), Infinity);
         }
-        this.knownSinceMs = Math.min(this.knownSinceMs, nowMs);
+        if (this.knownSinceMs === Infinity) {
+            this.knownSinceMs = nowMs;
+            this.lastFreshAtMs = nowMs;
+        }
     }
 
     /** Records that the list of endpoints is current now. */
--- a/packages/fleet/tests/endpointLimits.test.ts
+++ b/packages/fleet/tests/endpointLimits.test.ts
@@ -1,3 +1,4 @@
+import { newRequestId } from "@heatherline/common";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import {
     Dispatcher,
@@ -16,6 +17,7 @@
 
 afterEach(() => {
     vi.useRealTimers();
+    vi.restoreAllMocks();
 });
 
 const OLD = { endpointId: "e", startedAt: 1 };
@@ -122,7 +124,7 @@
 
 function newRequest(changes: Partial<PlaceRequest> = {}): PlaceRequest {
     return {
-        askId: Math.random().toString(),
+        askId: newRequestId(),
         instanceId: "a",
         dataCentre: "east",
         service: "lm",
@@ -187,6 +189,7 @@
         await vi.advanceTimersByTimeAsync(1_000);
         await Promise.all(items);
         limits.e = 0.25;
+        vi.spyOn(Math, "random").mockReturnValue(0);
         dispatcher.restartLimits();
         void dispatcher.place(newRequest({ usefulForMs: 60_000, giveUpAfterMs: 60_000 }));
         await vi.advanceTimersByTimeAsync(500);
--- /dev/null
+++ b/packages/fleet/tests/resumption.test.ts
@@ -0,0 +1,318 @@
+import { type Logger, newRequestId } from "@heatherline/common";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import {
+    Coordinator,
+    type EndpointEntry,
+    FleetScope,
+    FleetView,
+    type MemberEntry,
+    type PlaceOutcome,
+    type PlaceRequest,
+    SoftwareVersions,
+    type StreamOriginReport,
+    StreamOrigins,
+} from "../src";
+import { newTestEndpoint } from "./testEndpoint";
+
+const RETENTION_MS = 20_000;
+const MEMBER: MemberEntry = {
+    instanceId: "a",
+    incarnation: "1",
+    host: "h",
+    rpcPort: 1,
+    dataCentre: "east",
+    processorShare: 1,
+};
+
+beforeEach(() => {
+    vi.useFakeTimers();
+});
+
+afterEach(() => {
+    vi.useRealTimers();
+});
+
+function newEndpoints(...versions: readonly string[]): EndpointEntry[] {
+    return versions.map((softwareVersion, index) =>
+        newTestEndpoint({ endpointId: `e${index}`, softwareVersion, slots: 2 })
+    );
+}
+
+/** Lets time pass in which the list of endpoints stays current. */
+function passCurrent(versions: SoftwareVersions, durationMs: number): void {
+    for (let atMs = 0; atMs < durationMs; atMs += 500) {
+        vi.advanceTimersByTime(500);
+        versions.markCurrent();
+    }
+}
+
+describe("the versions that may have begun a stream", () => {
+    function newVersions(...listed: readonly string[]): SoftwareVersions {
+        const versions = new SoftwareVersions();
+        versions.markCurrent();
+        versions.setEndpoints(newEndpoints(...listed));
+        return versions;
+    }
+
+    it.each<{ what: string; prepare: (versions: SoftwareVersions) => void; sole: string | undefined; }>([
+        { what: "just after the start", prepare: () => undefined, sole: undefined },
+        {
+            what: "after the start, with what is stored",
+            prepare: versions => versions.adopt([{ service: "lm", softwareVersions: ["v1"] }]),
+            sole: "v1",
+        },
+        {
+            what: "after the start, where another version is stored",
+            prepare: versions => versions.adopt([{ service: "lm", softwareVersions: ["v0"] }]),
+            sole: undefined,
+        },
+        {
+            what: "once the stored version is out of date",
+            prepare: versions => {
+                versions.adopt([{ service: "lm", softwareVersions: ["v0"] }]);
+                passCurrent(versions, RETENTION_MS + 1_000);
+            },
+            sole: "v1",
+        },
+        {
+            what: "long after the start",
+            prepare: versions => passCurrent(versions, RETENTION_MS + 1_000),
+            sole: "v1",
+        },
+        {
+            what: "when a second one appears",
+            prepare: versions => {
+                passCurrent(versions, RETENTION_MS + 1_000);
+                versions.setEndpoints(newEndpoints("v1", "v2"));
+            },
+            sole: undefined,
+        },
+        {
+            what: "when the first one has just left",
+            prepare: versions => {
+                passCurrent(versions, RETENTION_MS + 1_000);
+                versions.setEndpoints(newEndpoints("v2"));
+            },
+            sole: undefined,
+        },
+        {
+            what: "when the first one has left long ago",
+            prepare: versions => {
+                versions.setEndpoints(newEndpoints("v2"));
+                passCurrent(versions, RETENTION_MS + 1_000);
+            },
+            sole: "v2",
+        },
+        {
+            what: "after a time in which nothing was heard",
+            prepare: versions => {
+                passCurrent(versions, RETENTION_MS + 1_000);
+                vi.advanceTimersByTime(4_000);
+                versions.markCurrent();
+            },
+            sole: undefined,
+        },
+        {
+            what: "while nothing is heard",
+            prepare: versions => {
+                passCurrent(versions, RETENTION_MS + 1_000);
+                vi.advanceTimersByTime(4_000);
+            },
+            sole: undefined,
+        },
+    ])("$what: for certain $sole", ({ prepare, sole }) => {
+        const versions = newVersions("v1");
+        prepare(versions);
+        expect(versions.getSole("lm")).toBe(sole);
+    });
+});
+
+describe("where recent streams began", () => {
+    const v1 = { service: "lm", softwareVersion: "v1" };
+    const v2 = { service: "lm", softwareVersion: "v2" };
+
+    it("is remembered for the retention time, and forgotten after twice that", () => {
+        const streams = new StreamOrigins(() => RETENTION_MS);
+        vi.advanceTimersByTime(RETENTION_MS - 1);
+        streams.record("r", v1);
+        vi.advanceTimersByTime(RETENTION_MS);
+        expect(streams.get("r")).toEqual(v1);
+        vi.advanceTimersByTime(2 * RETENTION_MS);
+        expect(streams.get("r")).toBeUndefined();
+    });
+
+    it("is the latest that was recorded, and no report replaces it", () => {
+        const streams = new StreamOrigins(() => RETENTION_MS);
+        streams.record("r", v1);
+        streams.record("r", v2);
+        streams.adopt([{ ...v1, requestIds: ["r", "s"] }]);
+        expect(streams.get("r")).toEqual(v2);
+        expect(streams.getReports()).toEqual([{ ...v1, requestIds: ["s"] }, { ...v2, requestIds: ["r"] }]
+            .sort((left, right) => left.softwareVersion < right.softwareVersion ? 1 : -1));
+    });
+
+    it("takes a bounded amount of memory however many streams there are", () => {
+        const streams = new StreamOrigins(() => RETENTION_MS);
+        for (let index = 0; index < 200_000; index += 1) {
+            streams.record(`r${index}`, v1);
+        }
+        const count = streams.getReports().reduce((sum, { requestIds }) => sum + requestIds.length, 0);
+        expect(count).toBeGreaterThanOrEqual(60_000);
+        expect(count).toBeLessThanOrEqual(120_000);
+        expect(streams.get("r199999")).toEqual(v1);
+    });
+});
+
+describe("a request that goes on with a stream, at who grants places", () => {
+    const recorded: StreamOriginReport[] = [];
+    let preempted: string[];
+
+    beforeEach(() => {
+        preempted = [];
+    });
+
+    function startCoordinator(...versions: readonly string[]): Coordinator {
+        const view = new FleetView(1_200);
+        view.applyMembers({ revision: 1, value: [MEMBER] });
+        view.applyEndpoints({ revision: 1, value: newEndpoints(...versions) });
+        return new Coordinator(2, {
+            self: MEMBER,
+            view,
+            scope: new FleetScope(view, 2, () => ({ windowMs: 5_000, overPart: 0.1, extraRequests: 20 })),
+            getRegion: () => "",
+            getLeaseVersion: () => 1,
+            isStoreFailing: () => false,
+            preemptOwnPlace: placeId => preempted.push(placeId),
+            saveBlockedPrompt: () => undefined,
+            recordStreams: report => recorded.push(report),
+            logger: { info: () => undefined } as unknown as Logger,
+        });
+    }
+
+    function newRequest(changes: Partial<PlaceRequest>): PlaceRequest {
+        return {
+            askId: newRequestId(),
+            instanceId: "a",
+            dataCentre: "east",
+            service: "lm",
+            workClass: "online",
+            organisation: "o",
+            priority: 0,
+            usefulForMs: 300,
+            targetLatencyMs: 300,
+            giveUpAfterMs: 1_000,
+            dueInMs: 1_000,
+            remainingMs: 0,
+            allowedRegions: [],
+            fingerprint: "",
+            rate: undefined,
+            excluded: [],
+            ...changes,
+        };
+    }
+
+    function newTakeUp(requestId: string, services = ["lm"]): PlaceRequest {
+        return newRequest({ streamId: `${requestId}-again`, resumedStream: { requestId, services } });
+    }
+
+    async function decide(coordinator: Coordinator, request: PlaceRequest, waitMs = 600): Promise<PlaceOutcome> {
+        const outcome = coordinator.place(request);
+        await vi.advanceTimersByTimeAsync(waitMs);
+        return outcome;
+    }
+
+    function getEndpoint(outcome: PlaceOutcome): string {
+        return outcome.kind === "placed" ? outcome.endpointId : outcome.reason;
+    }
+
+    it.each([
+        { what: "its own record", requestId: "own", services: ["lm"], expected: "e0" },
+        { what: "an instance's report", requestId: "reported", services: ["lm"], expected: "e1" },
+        { what: "nothing", requestId: "unknown", services: ["lm"], expected: "origin-unknown" },
+        { what: "no id", requestId: "", services: ["lm"], expected: "origin-unknown" },
+        { what: "a version that has left", requestId: "left", services: ["lm"], expected: "version-gone" },
+        { what: "a service that the route has lost", requestId: "own", services: ["other"], expected: "version-gone" },
+        { what: "one of the route's services", requestId: "own", services: ["other", "lm"], expected: "e0" },
+    ])("is decided by $what: $expected", async ({ requestId, services, expected }) => {
+        const coordinator = startCoordinator("v1", "v2");
+        const begun = await decide(coordinator, newRequest({ streamId: "own", softwareVersion: "v1" }));
+        expect(getEndpoint(begun)).toBe("e0");
+        coordinator.adoptStreams([
+            { service: "lm", softwareVersion: "v2", requestIds: ["reported"] },
+            { service: "lm", softwareVersion: "v0", requestIds: ["left"] },
+        ]);
+        expect(getEndpoint(await decide(coordinator, newTakeUp(requestId, services)))).toBe(expected);
+        coordinator.stop();
+    });
+
+    it("goes on at the same version when a take-up has broken off, too", async () => {
+        const coordinator = startCoordinator("v1", "v2");
+        coordinator.adoptStreams([{ service: "lm", softwareVersion: "v2", requestIds: ["r"] }]);
+        await decide(coordinator, newTakeUp("r"));
+        expect(getEndpoint(await decide(coordinator, newTakeUp("r-again")))).toBe("e1");
+        coordinator.stop();
+    });
+
+    it("waits for a place of its version, before requests that began later elsewhere in the queue", async () => {
+        const coordinator = startCoordinator("v1", "v2");
+        const held = await Promise.all(Array.from({ length: 4 }, () => coordinator.place(newRequest({}))));
+        const decided: string[] = [];
+        const begin = (name: string, changes: Partial<PlaceRequest>) =>
+            void coordinator.place(newRequest({ usefulForMs: 5_000, giveUpAfterMs: 5_000, ...changes }))
+                .then(outcome => decided.push(`${name} ${getEndpoint(outcome)}`));
+        begin("new", {});
+        begin("another new", {});
+        begin("resumed", { softwareVersion: "v1", usefulForMs: -100 });
+        await vi.advanceTimersByTimeAsync(10);
+        expect(decided).toEqual([]);
+        const [first] = held.filter(outcome => getEndpoint(outcome) === "e0");
+        const placeId = first?.kind === "placed" ? first.placeId : "";
+        const release = { placeId, end: "done" as const, fingerprint: "", firstAnswerMs: undefined };
+        coordinator.handleRelease({ releases: [release], withdrawnAsks: [], silentPlaces: [] });
+        await vi.advanceTimersByTimeAsync(10);
+        expect(decided).toEqual(["resumed e0"]);
+        coordinator.stop();
+    });
+
+    it("isn't refused for the requests that wait for any version", async () => {
+        const coordinator = startCoordinator("v1", "v2");
+        await Promise.all(Array.from({ length: 4 }, () => coordinator.place(newRequest({}))));
+        for (let index = 0; index < 3; index += 1) {
+            void coordinator.place(newRequest({ usefulForMs: 60_000, giveUpAfterMs: 60_000 }));
+        }
+        await vi.advanceTimersByTimeAsync(1);
+        const taken = coordinator.place(newTakeUp("r"));
+        coordinator.adoptStreams([{ service: "lm", softwareVersion: "v2", requestIds: ["r"] }]);
+        let isDecided = false;
+        void taken.then(() => isDecided = true);
+        await vi.advanceTimersByTimeAsync(200);
+        expect(isDecided).toBe(false);
+        coordinator.stop();
+    });
+
+    it("waits just after a takeover for the records of the instances, and no longer", async () => {
+        const coordinator = startCoordinator("v1", "v2");
+        const early = coordinator.place(newTakeUp("r"));
+        await vi.advanceTimersByTimeAsync(300);
+        coordinator.adoptStreams([{ service: "lm", softwareVersion: "v2", requestIds: ["r"] }]);
+        await vi.advanceTimersByTimeAsync(100);
+        expect(getEndpoint(await early)).toBe("e1");
+        await vi.advanceTimersByTimeAsync(1_000);
+        expect(getEndpoint(await decide(coordinator, newTakeUp("unknown"), 1))).toBe("origin-unknown");
+        coordinator.stop();
+    });
+
+    it("takes no place from a batch item that another version runs", async () => {
+        const coordinator = startCoordinator("v1", "v2");
+        const items = await Promise.all(
+            Array.from({ length: 4 }, () => decide(coordinator, newRequest({ workClass: "batch" }))),
+        );
+        expect(items.map(getEndpoint).sort()).toEqual(["e0", "e0", "e1", "e1"]);
+        void coordinator.place(newRequest({ softwareVersion: "v1", usefulForMs: 60_000 }));
+        await vi.advanceTimersByTimeAsync(10);
+        const atFirst = items.flatMap(item => item.kind === "placed" && item.endpointId === "e0" ? [item.placeId] : []);
+        expect(preempted).toHaveLength(1);
+        expect(atFirst).toContain(preempted[0]);
+        coordinator.stop();
+    });
+});
