Ask for limits of endpoints only where there are any; time of versions on two clocks

Each place request asks each endpoint of its service for its limit: a map look-up for 1,300 endpoints at 4,600 requests/s where no endpoint has one. Now that is one comparison, and the limiter exists only while there is a limit. A suspended process no longer takes its list of versions for current on waking, and a deputy that doesn't know a stream says that a retry may help: the coordinator may know.

--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -33,6 +33,9 @@
 /** A new coordinator waits this long for records of where a stream began that a caller takes up, in milliseconds. */
 const ORIGIN_WAIT_MS = 500;
 const ORIGIN_POLL_MS = 20;
+/** A coordinator is found within this time, in milliseconds. */
+export const ORIGIN_RETRY_MS = 500;
+const DEPUTY_EPOCH = 0;
 const REVIEW_INTERVAL_MS = 150;
 /** A review that comes this much late shows that the process was blocked or suspended, in milliseconds. */
 const MAX_REVIEW_DELAY_MS = 150;
@@ -124,7 +127,7 @@
     async place(request: PlaceRequest): Promise<PlaceOutcome> {
         const located = request.resumedStream === undefined
             ? undefined
-            : locateRequest(request, await this.findOrigin(request.resumedStream));
+            : locateRequest(request, await this.findOrigin(request.resumedStream), this.originRetryMs);
         if (located?.kind === "refused") {
             return located.outcome;
         }
@@ -178,6 +181,11 @@
         };
     }
 
+    /** What a deputy doesn't know, a coordinator may. */
+    private get originRetryMs(): number {
+        return this.epoch === DEPUTY_EPOCH ? ORIGIN_RETRY_MS : 0;
+    }
+
     /** Just after a takeover, the records of the instances and of the store are yet to arrive. */
     private async findOrigin(stream: ResumedStream): Promise<StreamOrigin | undefined> {
         let origin = findOrigin(stream, this.streams, this.deps.view.softwareVersions);
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -391,7 +391,7 @@
         const place = newPlace(request, newRequestId(), state.entry.endpointId);
         this.addPlace(place);
         state.sendWindow.recordSend();
-        state.limiter.recordSend();
+        state.limiter?.recordSend();
         const { placeId, endpointId } = place;
         settle(waiter, { kind: "placed", placeId, endpointId, expectedWaitMs: waiter.expectedWaitMs });
     }
--- a/packages/fleet/src/endpointLimits.ts
+++ b/packages/fleet/src/endpointLimits.ts
@@ -65,6 +65,10 @@
      * @returns Requests per second that it may be sent by all instances together; `undefined` without a limit.
      */
     getRatePerS(endpoint: Pick<EndpointEntry, "endpointId" | "startedAt">): number | undefined {
+        // Asked for each endpoint at each place request, whereas limits are rare.
+        if (this.statements.size === 0) {
+            return undefined;
+        }
         const ratePerS = this.get(endpoint)?.ratePerS;
         return ratePerS === undefined ? undefined : Math.max(MIN_RATE_PER_S, ratePerS);
     }
--- a/packages/fleet/src/endpointPool.ts
+++ b/packages/fleet/src/endpointPool.ts
@@ -56,8 +56,8 @@
     readonly running: Map<string, Place>;
     readonly health: EndpointHealth;
     readonly sendWindow: SendWindow;
-    /** Keeps the limit that the endpoint has named. */
-    readonly limiter: RequestRateLimiter;
+    /** Keeps the limit that the endpoint has named; absent without one. */
+    limiter: RequestRateLimiter | undefined;
     /** Number of batch items among the running requests. */
     batchCount: number;
     /** When a request last ended with a response from the endpoint. */
@@ -206,7 +206,7 @@
             const capacity = this.getUsableCapacity(state);
             if (capacity > 0 && (request === undefined || this.isAllowed(state, request))) {
                 const limitPerS = this.deps.getLimitPerS(state.entry);
-                const sendable = state.limiter.countAvailable(limitPerS);
+                const sendable = countSendable(state, limitPerS);
                 const free = Math.min(Math.max(0, capacity - state.running.size), sendable);
                 count.total += Math.min(capacity, (limitPerS ?? Infinity) * holdMs / MS_PER_S);
                 count.free += free;
@@ -222,7 +222,7 @@
      */
     countSendable(endpointId: string): number {
         const state = this.byId.get(endpointId);
-        return state === undefined ? 0 : state.limiter.countAvailable(this.deps.getLimitPerS(state.entry));
+        return state === undefined ? 0 : countSendable(state, this.deps.getLimitPerS(state.entry));
     }
 
     /**
@@ -230,7 +230,7 @@
      */
     restartLimits(): void {
         for (const { limiter } of this.byId.values()) {
-            limiter.restart(Math.random());
+            limiter?.restart(Math.random());
         }
     }
 
@@ -297,11 +297,10 @@
         return waitsMs.length === 0 ? 0 : Math.min(...waitsMs);
     }
 
-    private getSendWaitMs({ entry, sendWindow, limiter }: EndpointState): number {
-        return Math.max(
-            sendWindow.getWaitMs(this.getColdRatePerS(entry)),
-            limiter.getWaitMs(this.deps.getLimitPerS(entry)),
-        );
+    private getSendWaitMs(state: EndpointState): number {
+        const coldWaitMs = state.sendWindow.getWaitMs(this.getColdRatePerS(state.entry));
+        const limitPerS = this.deps.getLimitPerS(state.entry);
+        return limitPerS === undefined ? coldWaitMs : Math.max(coldWaitMs, getLimiter(state).getWaitMs(limitPerS));
     }
 
     private isAllowed({ entry }: EndpointState, request: PlaceRequest): boolean {
@@ -334,13 +333,27 @@
     }
 }
 
+/** @returns Number of requests that a limit lets be sent to the endpoint now. */
+function countSendable(state: EndpointState, limitPerS: number | undefined): number {
+    if (limitPerS === undefined) {
+        state.limiter = undefined;
+        return Infinity;
+    }
+    return getLimiter(state).countAvailable(limitPerS);
+}
+
+function getLimiter(state: EndpointState): RequestRateLimiter {
+    state.limiter ??= new RequestRateLimiter();
+    return state.limiter;
+}
+
 function newState(entry: EndpointEntry): EndpointState {
     return {
         entry,
         running: new Map(),
         health: new EndpointHealth(),
         sendWindow: new SendWindow(),
-        limiter: new RequestRateLimiter(),
+        limiter: undefined,
         batchCount: 0,
         lastResponseAtMs: -Infinity,
     };
--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -1,6 +1,6 @@
 import { type EndpointCrash, type Logger, newRequestId } from "@heatherline/common";
 import { LRUCache } from "lru-cache";
-import { newBlockedPromptRefusal } from "./coordinator";
+import { newBlockedPromptRefusal, ORIGIN_RETRY_MS } from "./coordinator";
 import { Dispatcher } from "./dispatcher";
 import { EndpointLimits } from "./endpointLimits";
 import { scaleRateBounds } from "./fallbackShares";
@@ -37,8 +37,6 @@
 const UNKNOWN_ENDPOINT_RETRY_MS = 500;
 /** A limit that an endpoint names again and again is reported once in this time, in case a report is lost. */
 const LIMIT_REPORT_INTERVAL_MS = 500;
-/** A coordinator or deputy, which may know more than this instance alone, is found within this time. */
-const ORIGIN_RETRY_MS = 500;
 const MAX_LIMIT_REPORTS = 2_048;
 
 /** A place that this instance holds. */
--- a/packages/fleet/src/requestRateLimiter.ts
+++ b/packages/fleet/src/requestRateLimiter.ts
@@ -9,23 +9,23 @@
 export class RequestRateLimiter {
     private tokens = 0;
     private refilledAtMs = performance.now();
-    private ratePerS: number | undefined;
+    private ratePerS = 0;
 
     /**
-     * @param ratePerS - Requests per second from now on; `undefined` for no limit.
-     * @returns Number of requests that may be sent now; may be infinite.
+     * @param ratePerS - Requests per second from now on.
+     * @returns Number of requests that may be sent now.
      */
-    countAvailable(ratePerS: number | undefined): number {
+    countAvailable(ratePerS: number): number {
         this.refill(ratePerS);
-        return ratePerS === undefined ? Infinity : Math.floor(this.tokens);
+        return Math.floor(this.tokens);
     }
 
     /**
-     * @param ratePerS - Requests per second from now on; `undefined` for no limit.
+     * @param ratePerS - Requests per second from now on.
      * @returns Milliseconds until a request may be sent; 0 if one may be sent now, infinite with a rate of 0.
      */
-    getWaitMs(ratePerS: number | undefined): number {
-        if (this.countAvailable(ratePerS) >= 1 || ratePerS === undefined) {
+    getWaitMs(ratePerS: number): number {
+        if (this.countAvailable(ratePerS) >= 1) {
             return 0;
         }
         return Math.ceil((1 - this.tokens) / ratePerS * MS_PER_S);
@@ -33,9 +33,7 @@
 
     /** Records that a request is sent now. */
     recordSend(): void {
-        if (this.ratePerS !== undefined) {
-            this.tokens -= 1;
-        }
+        this.tokens -= 1;
     }
 
     /**
@@ -48,15 +46,10 @@
         this.refilledAtMs = performance.now();
     }
 
-    private refill(ratePerS: number | undefined): void {
+    private refill(ratePerS: number): void {
         const nowMs = performance.now();
-        if (this.ratePerS === undefined || ratePerS === undefined) {
-            this.tokens = 0;
-        }
-        else {
-            const gained = (nowMs - this.refilledAtMs) / MS_PER_S * this.ratePerS;
-            this.tokens = Math.min(Math.max(1, ratePerS * BURST_S), this.tokens + gained);
-        }
+        const gained = (nowMs - this.refilledAtMs) / MS_PER_S * this.ratePerS;
+        this.tokens = Math.min(Math.max(1, ratePerS * BURST_S), this.tokens + gained);
         this.ratePerS = ratePerS;
         this.refilledAtMs = nowMs;
     }
--- a/packages/fleet/src/softwareVersions.ts
+++ b/packages/fleet/src/softwareVersions.ts
@@ -1,3 +1,4 @@
+import { getElapsedMs, newTimestamp, type Timestamp } from "./ageTracker";
 import type { EndpointEntry } from "./types";
 
 /** Time in which callers that lost a stream's connection take the stream up, in milliseconds. */
@@ -22,7 +23,8 @@
     private readonly lastListedAtMs = new Map<string, Map<string, number>>();
     /** The versions are known without a gap since then. */
     private knownSinceMs = Infinity;
-    private lastFreshAtMs = -Infinity;
+    /** On two clocks, since this process may have been suspended. */
+    private lastCurrentAt: Timestamp | undefined;
     private streamMs = DEFAULT_STREAM_MS;
 
     /** How long the origin of a stream matters after the stream began, in milliseconds. */
@@ -57,17 +59,16 @@
         }
         if (this.knownSinceMs === Infinity) {
             this.knownSinceMs = nowMs;
-            this.lastFreshAtMs = nowMs;
+            this.lastCurrentAt = newTimestamp();
         }
     }
 
     /** Records that the list of endpoints is current now. */
     markCurrent(): void {
-        const nowMs = performance.now();
-        if (nowMs - this.lastFreshAtMs > MAX_GAP_MS) {
-            this.knownSinceMs = nowMs;
+        if (!this.isCurrent) {
+            this.knownSinceMs = performance.now();
         }
-        this.lastFreshAtMs = nowMs;
+        this.lastCurrentAt = newTimestamp();
     }
 
     /**
@@ -109,12 +110,15 @@
      * be several, or isn't certain.
      */
     getSole(service: string): string | undefined {
-        const nowMs = performance.now();
-        const isKnown = nowMs - this.knownSinceMs > this.retentionMs && nowMs - this.lastFreshAtMs <= MAX_GAP_MS;
+        const isKnown = this.isCurrent && performance.now() - this.knownSinceMs > this.retentionMs;
         const possible = this.getPossible(service);
         return isKnown && possible.length === 1 ? possible[0] : undefined;
     }
 
+    private get isCurrent(): boolean {
+        return this.lastCurrentAt !== undefined && getElapsedMs(this.lastCurrentAt) <= MAX_GAP_MS;
+    }
+
     private setListedAt(service: string, version: string, atMs: number): void {
         const versions = this.lastListedAtMs.get(service) ?? new Map<string, number>();
         versions.set(version, Math.max(atMs, versions.get(version) ?? -Infinity));
--- a/packages/fleet/tests/blockedCoordinator.test.ts
+++ b/packages/fleet/tests/blockedCoordinator.test.ts
@@ -1,14 +1,13 @@
 import type { Logger } from "@heatherline/common";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { Coordinator, FleetScope, FleetView, type MemberEntry, type SyncRequest } from "../src";
+import type { Coordinator, MemberEntry, SyncRequest } from "../src";
+import { startTestCoordinator } from "./testCoordinator";
 import { newTestEndpoint } from "./testEndpoint";
 
-const RENEWAL_MS = 1_200;
 const INSTANCES = 165;
 const SLOTS = 8;
 const REVIEW_MS = 150;
 const BLOCKED_MS = 4_000;
-const TOLERANCE = { windowMs: 5_000, overPart: 0.1, extraRequests: 20 };
 
 beforeEach(() => vi.useFakeTimers());
 afterEach(() => vi.useRealTimers());
@@ -40,25 +39,13 @@
 function startCoordinator() {
     const events: string[] = [];
     const logger = { info: ({ event }: { event: string; }) => events.push(event) } as unknown as Logger;
-    const view = new FleetView(RENEWAL_MS);
-    view.applyMembers({ revision: 1, value: Array.from({ length: INSTANCES }, (_, index) => newMember(index)) });
-    view.applyEndpoints({
-        revision: 1,
-        value: Array.from(
+    const coordinator = startTestCoordinator({
+        self: newMember(0),
+        members: Array.from({ length: INSTANCES }, (_, index) => newMember(index)),
+        endpoints: Array.from(
             { length: INSTANCES },
             (_, index) => newTestEndpoint({ endpointId: `endpoint-${index}`, slots: SLOTS }),
         ),
-    });
-    const coordinator = new Coordinator(2, {
-        self: newMember(0),
-        view,
-        scope: new FleetScope(view, 2, () => TOLERANCE),
-        getRegion: () => "",
-        getLeaseVersion: () => 1,
-        isStoreFailing: () => false,
-        preemptOwnPlace: () => undefined,
-        recordStreams: () => undefined,
-        saveBlockedPrompt: () => undefined,
         logger,
     });
     return { coordinator, events };
--- a/packages/fleet/tests/crashReports.test.ts
+++ b/packages/fleet/tests/crashReports.test.ts
@@ -1,10 +1,10 @@
-import type { BlockedPrompt, EndpointCrash, Logger } from "@heatherline/common";
+import type { BlockedPrompt, EndpointCrash } from "@heatherline/common";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { Coordinator, FleetScope, FleetView, type PlaceRequest, PromptEvidence, type SyncRequest } from "../src";
+import { type Coordinator, FleetView, type PlaceRequest, PromptEvidence, type SyncRequest } from "../src";
+import { startTestCoordinator, TEST_MEMBER } from "./testCoordinator";
 import { newTestEndpoint } from "./testEndpoint";
+import { newTestRequest } from "./testRequest";
 
-const TOLERANCE = { windowMs: 5_000, overPart: 0.1, extraRequests: 20 };
-const MEMBER = { instanceId: "a", incarnation: "1", host: "h", rpcPort: 1, dataCentre: "east", processorShare: 1 };
 /** After this time, the first request with blocked parts is a trial. */
 const FIRST_TRIAL_MS = 6_000;
 
@@ -19,23 +19,11 @@
     vi.useRealTimers();
 });
 
-function startCoordinator(view = new FleetView(1_200)): Coordinator {
-    view.applyMembers({ revision: 1, value: [MEMBER] });
-    view.applyEndpoints({
-        revision: 1,
-        value: [newTestEndpoint()],
-    });
-    return new Coordinator(2, {
-        self: MEMBER,
-        view,
-        scope: new FleetScope(view, 2, () => TOLERANCE),
-        getRegion: () => "",
-        getLeaseVersion: () => 1,
-        isStoreFailing: () => false,
-        preemptOwnPlace: () => undefined,
-        recordStreams: () => undefined,
+function startCoordinator(view?: FleetView): Coordinator {
+    return startTestCoordinator({
+        endpoints: [newTestEndpoint()],
         saveBlockedPrompt: (prompt, isEnded) => saved.push({ prompt, isEnded }),
-        logger: { info: () => undefined } as unknown as Logger,
+        ...view === undefined ? {} : { view },
     });
 }
 
@@ -51,7 +39,7 @@
 
 function newSync(crashes: readonly EndpointCrash[]): SyncRequest {
     return {
-        member: { ...MEMBER, instanceId: "b" },
+        member: { ...TEST_MEMBER, instanceId: "b" },
         known: { config: 0, endpoints: 1, evacuated: 0, members: 1, blockedPrompts: 0 },
         places: [],
         crashes,
@@ -68,26 +56,7 @@
 }
 
 function newRequest(changes: Partial<PlaceRequest> = {}): PlaceRequest {
-    return {
-        askId: "ask",
-        instanceId: "b",
-        dataCentre: "east",
-        service: "lm",
-        workClass: "online",
-        organisation: "o",
-        priority: 0,
-        usefulForMs: 300,
-        targetLatencyMs: 300,
-        giveUpAfterMs: 1_000,
-        dueInMs: 1_000,
-        remainingMs: 0,
-        excluded: [],
-        allowedRegions: [],
-        fingerprint: "f",
-        promptParts: ["all", "bad"],
-        rate: undefined,
-        ...changes,
-    };
+    return newTestRequest({ instanceId: "b", fingerprint: "f", promptParts: ["all", "bad"], ...changes });
 }
 
 async function place(coordinator: Coordinator, changes: Partial<PlaceRequest> = {}): Promise<string> {
--- a/packages/fleet/tests/endpointLimits.test.ts
+++ b/packages/fleet/tests/endpointLimits.test.ts
@@ -1,4 +1,3 @@
-import { newRequestId } from "@heatherline/common";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import {
     Dispatcher,
@@ -6,10 +5,12 @@
     FallbackShares,
     type MemberEntry,
     type PlaceOutcome,
-    type PlaceRequest,
     RequestRateLimiter,
+    type SyncRequest,
 } from "../src";
+import { startTestCoordinator, TEST_MEMBER } from "./testCoordinator";
 import { newTestEndpoint } from "./testEndpoint";
+import { newTestRequest } from "./testRequest";
 
 beforeEach(() => {
     vi.useFakeTimers();
@@ -110,41 +111,9 @@
         expect(most).toBeLessThanOrEqual(4 * ratePerS + Math.max(1, ratePerS));
         expect(sentAtMs.length).toBeGreaterThanOrEqual(Math.floor(0.95 * 40 * ratePerS) - 1);
     });
-
-    it("starts empty, and again after a time without a limit", () => {
-        const limiter = new RequestRateLimiter();
-        expect(limiter.countAvailable(4)).toBe(0);
-        vi.advanceTimersByTime(1_000);
-        expect(limiter.countAvailable(4)).toBe(4);
-        expect(limiter.countAvailable(undefined)).toBe(Infinity);
-        vi.advanceTimersByTime(10_000);
-        expect(limiter.countAvailable(4)).toBe(0);
-    });
 });
 
-function newRequest(changes: Partial<PlaceRequest> = {}): PlaceRequest {
-    return {
-        askId: newRequestId(),
-        instanceId: "a",
-        dataCentre: "east",
-        service: "lm",
-        workClass: "online",
-        organisation: "o",
-        priority: 0,
-        usefulForMs: 300,
-        targetLatencyMs: 300,
-        giveUpAfterMs: 3_000,
-        dueInMs: 3_000,
-        remainingMs: 0,
-        allowedRegions: [],
-        fingerprint: "",
-        rate: undefined,
-        excluded: [],
-        ...changes,
-    };
-}
-
-function newDispatcher(limits: Record<string, number>, preempted: string[] = []): Dispatcher {
+function newDispatcher(limits: Record<string, number | undefined>, preempted: string[] = []): Dispatcher {
     const dispatcher = new Dispatcher({
         getCapacity: ({ slots }) => slots,
         getColdRatePerS: () => 0,
@@ -165,17 +134,31 @@
 describe("places at endpoints with limits", () => {
     it("refuses at once what the limit doesn't let be served in time, and says when it can be", async () => {
         const dispatcher = newDispatcher({ e: 1 });
-        const outcome = await settleSoon(dispatcher.place(newRequest()));
+        const outcome = await settleSoon(dispatcher.place(newTestRequest()));
         expect(outcome).toMatchObject({ kind: "refused", reason: "overloaded" });
         const retryAfterMs = outcome?.kind === "refused" ? outcome.retryAfterMs : 0;
         expect(retryAfterMs).toBeGreaterThan(500);
         await vi.advanceTimersByTimeAsync(1_000);
-        expect(await settleSoon(dispatcher.place(newRequest()))).toMatchObject({ kind: "placed" });
+        expect(await settleSoon(dispatcher.place(newTestRequest()))).toMatchObject({ kind: "placed" });
+    });
+
+    it("starts without any that have accrued, and again after a time without a limit", async () => {
+        const limits: Record<string, number | undefined> = { e: 4 };
+        const dispatcher = newDispatcher(limits);
+        const countFree = () => dispatcher.getQueueStats("lm").free;
+        expect(countFree()).toBe(0);
+        await vi.advanceTimersByTimeAsync(1_000);
+        expect(countFree()).toBe(4);
+        limits.e = undefined;
+        expect(countFree()).toBe(8);
+        await vi.advanceTimersByTimeAsync(10_000);
+        limits.e = 4;
+        expect(countFree()).toBe(0);
     });
 
     it("places a request that waits as soon as the limit lets it", async () => {
         const dispatcher = newDispatcher({ e: 10 });
-        const outcome = dispatcher.place(newRequest());
+        const outcome = dispatcher.place(newTestRequest());
         expect(await settleSoon(outcome)).toBeUndefined();
         await vi.advanceTimersByTimeAsync(110);
         expect(await settleSoon(outcome)).toMatchObject({ kind: "placed" });
@@ -185,13 +168,13 @@
         const preempted: string[] = [];
         const limits: Record<string, number> = { e: 100 };
         const dispatcher = newDispatcher(limits, preempted);
-        const items = Array.from({ length: 8 }, () => dispatcher.place(newRequest({ workClass: "batch" })));
+        const items = Array.from({ length: 8 }, () => dispatcher.place(newTestRequest({ workClass: "batch" })));
         await vi.advanceTimersByTimeAsync(1_000);
         await Promise.all(items);
         limits.e = 0.25;
         vi.spyOn(Math, "random").mockReturnValue(0);
         dispatcher.restartLimits();
-        void dispatcher.place(newRequest({ usefulForMs: 60_000, giveUpAfterMs: 60_000 }));
+        void dispatcher.place(newTestRequest({ usefulForMs: 60_000, giveUpAfterMs: 60_000 }));
         await vi.advanceTimersByTimeAsync(500);
         expect(preempted).toEqual([]);
         await vi.advanceTimersByTimeAsync(4_000);
@@ -213,3 +196,46 @@
         expect(sum / entry.slots).toBe(1);
     });
 });
+
+describe("a coordinator that has just taken over", () => {
+    const limit = { ...OLD, ratePerS: 2, ageMs: 500 };
+
+    function newSync(limits: SyncRequest["limits"]): SyncRequest {
+        return {
+            member: { ...TEST_MEMBER, instanceId: "b" },
+            known: { config: 0, endpoints: 1, evacuated: 0, members: 1 },
+            places: [],
+            limits,
+            jobs: [],
+            isStoreFailing: false,
+            waitMs: 0,
+        };
+    }
+
+    it.each([
+        { what: "an instance reports", startedAt: 1, limits: [limit], granted: 2 },
+        { what: "nobody reports", startedAt: 1, limits: undefined, granted: 8 },
+        { what: "an instance reports of an earlier process", startedAt: 2, limits: [limit], granted: 8 },
+    ])("keeps to the limits that $what: grants $granted places in a second", async ({ startedAt, limits, granted }) => {
+        const coordinator = startTestCoordinator({ endpoints: [newTestEndpoint({ startedAt })] });
+        void coordinator.handleSync(newSync(limits));
+        const outcomes = Array.from(
+            { length: 12 },
+            () => coordinator.place(newTestRequest({ usefulForMs: 60_000, giveUpAfterMs: 60_000 })),
+        );
+        let places = 0;
+        outcomes.forEach(outcome => void outcome.then(({ kind }) => places += Number(kind === "placed")));
+        await vi.advanceTimersByTimeAsync(1_050);
+        expect(places).toBe(granted);
+        coordinator.stop();
+    });
+
+    it("tells with the place that the endpoint has named a limit", async () => {
+        const coordinator = startTestCoordinator({ endpoints: [newTestEndpoint({ startedAt: 1 })] });
+        coordinator.recordLimits([limit]);
+        const outcome = coordinator.place(newTestRequest({ usefulForMs: 60_000 }));
+        await vi.advanceTimersByTimeAsync(600);
+        expect(await outcome).toMatchObject({ kind: "placed", limit: { ...OLD, ratePerS: 2 } });
+        coordinator.stop();
+    });
+});
--- a/packages/fleet/tests/resumption.test.ts
+++ b/packages/fleet/tests/resumption.test.ts
@@ -1,29 +1,17 @@
-import { type Logger, newRequestId } from "@heatherline/common";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import {
-    Coordinator,
+    type Coordinator,
     type EndpointEntry,
-    FleetScope,
-    FleetView,
-    type MemberEntry,
     type PlaceOutcome,
     type PlaceRequest,
     SoftwareVersions,
-    type StreamOriginReport,
     StreamOrigins,
 } from "../src";
+import { startTestCoordinator } from "./testCoordinator";
 import { newTestEndpoint } from "./testEndpoint";
+import { newTestRequest } from "./testRequest";
 
 const RETENTION_MS = 20_000;
-const MEMBER: MemberEntry = {
-    instanceId: "a",
-    incarnation: "1",
-    host: "h",
-    rpcPort: 1,
-    dataCentre: "east",
-    processorShare: 1,
-};
-
 beforeEach(() => {
     vi.useFakeTimers();
 });
@@ -164,7 +152,6 @@
 });
 
 describe("a request that goes on with a stream, at who grants places", () => {
-    const recorded: StreamOriginReport[] = [];
     let preempted: string[];
 
     beforeEach(() => {
@@ -172,47 +159,14 @@
     });
 
     function startCoordinator(...versions: readonly string[]): Coordinator {
-        const view = new FleetView(1_200);
-        view.applyMembers({ revision: 1, value: [MEMBER] });
-        view.applyEndpoints({ revision: 1, value: newEndpoints(...versions) });
-        return new Coordinator(2, {
-            self: MEMBER,
-            view,
-            scope: new FleetScope(view, 2, () => ({ windowMs: 5_000, overPart: 0.1, extraRequests: 20 })),
-            getRegion: () => "",
-            getLeaseVersion: () => 1,
-            isStoreFailing: () => false,
+        return startTestCoordinator({
+            endpoints: newEndpoints(...versions),
             preemptOwnPlace: placeId => preempted.push(placeId),
-            saveBlockedPrompt: () => undefined,
-            recordStreams: report => recorded.push(report),
-            logger: { info: () => undefined } as unknown as Logger,
         });
     }
 
-    function newRequest(changes: Partial<PlaceRequest>): PlaceRequest {
-        return {
-            askId: newRequestId(),
-            instanceId: "a",
-            dataCentre: "east",
-            service: "lm",
-            workClass: "online",
-            organisation: "o",
-            priority: 0,
-            usefulForMs: 300,
-            targetLatencyMs: 300,
-            giveUpAfterMs: 1_000,
-            dueInMs: 1_000,
-            remainingMs: 0,
-            allowedRegions: [],
-            fingerprint: "",
-            rate: undefined,
-            excluded: [],
-            ...changes,
-        };
-    }
-
     function newTakeUp(requestId: string, services = ["lm"]): PlaceRequest {
-        return newRequest({ streamId: `${requestId}-again`, resumedStream: { requestId, services } });
+        return newTestRequest({ streamId: `${requestId}-again`, resumedStream: { requestId, services } });
     }
 
     async function decide(coordinator: Coordinator, request: PlaceRequest, waitMs = 600): Promise<PlaceOutcome> {
@@ -235,7 +189,7 @@
         { what: "one of the route's services", requestId: "own", services: ["other", "lm"], expected: "e0" },
     ])("is decided by $what: $expected", async ({ requestId, services, expected }) => {
         const coordinator = startCoordinator("v1", "v2");
-        const begun = await decide(coordinator, newRequest({ streamId: "own", softwareVersion: "v1" }));
+        const begun = await decide(coordinator, newTestRequest({ streamId: "own", softwareVersion: "v1" }));
         expect(getEndpoint(begun)).toBe("e0");
         coordinator.adoptStreams([
             { service: "lm", softwareVersion: "v2", requestIds: ["reported"] },
@@ -255,10 +209,10 @@
 
     it("waits for a place of its version, before requests that began later elsewhere in the queue", async () => {
         const coordinator = startCoordinator("v1", "v2");
-        const held = await Promise.all(Array.from({ length: 4 }, () => coordinator.place(newRequest({}))));
+        const held = await Promise.all(Array.from({ length: 4 }, () => coordinator.place(newTestRequest({}))));
         const decided: string[] = [];
         const begin = (name: string, changes: Partial<PlaceRequest>) =>
-            void coordinator.place(newRequest({ usefulForMs: 5_000, giveUpAfterMs: 5_000, ...changes }))
+            void coordinator.place(newTestRequest({ usefulForMs: 5_000, giveUpAfterMs: 5_000, ...changes }))
                 .then(outcome => decided.push(`${name} ${getEndpoint(outcome)}`));
         begin("new", {});
         begin("another new", {});
@@ -276,9 +230,9 @@
 
     it("isn't refused for the requests that wait for any version", async () => {
         const coordinator = startCoordinator("v1", "v2");
-        await Promise.all(Array.from({ length: 4 }, () => coordinator.place(newRequest({}))));
+        await Promise.all(Array.from({ length: 4 }, () => coordinator.place(newTestRequest({}))));
         for (let index = 0; index < 3; index += 1) {
-            void coordinator.place(newRequest({ usefulForMs: 60_000, giveUpAfterMs: 60_000 }));
+            void coordinator.place(newTestRequest({ usefulForMs: 60_000, giveUpAfterMs: 60_000 }));
         }
         await vi.advanceTimersByTimeAsync(1);
         const taken = coordinator.place(newTakeUp("r"));
@@ -305,10 +259,10 @@
     it("takes no place from a batch item that another version runs", async () => {
         const coordinator = startCoordinator("v1", "v2");
         const items = await Promise.all(
-            Array.from({ length: 4 }, () => decide(coordinator, newRequest({ workClass: "batch" }))),
+            Array.from({ length: 4 }, () => decide(coordinator, newTestRequest({ workClass: "batch" }))),
         );
         expect(items.map(getEndpoint).sort()).toEqual(["e0", "e0", "e1", "e1"]);
-        void coordinator.place(newRequest({ softwareVersion: "v1", usefulForMs: 60_000 }));
+        void coordinator.place(newTestRequest({ softwareVersion: "v1", usefulForMs: 60_000 }));
         await vi.advanceTimersByTimeAsync(10);
         const atFirst = items.flatMap(item => item.kind === "placed" && item.endpointId === "e0" ? [item.placeId] : []);
         expect(preempted).toHaveLength(1);
