--- a/tools/mechanisms.mjs
+++ b/tools/mechanisms.mjs
@@ -222,8 +222,8 @@
     {
         name: "named-limits",
         file: "packages/fleet/src/endpointPool.ts",
-        find: "limiter.getWaitMs(this.deps.getLimitPerS(entry)),",
-        replace: "0,",
+        find: "return limitPerS === undefined ? coldWaitMs : Math.max(coldWaitMs, getLimiter(state).getWaitMs(limitPerS));",
+        replace: "return coldWaitMs;",
         test: "packages/fleet/tests/endpointLimits.test.ts",
     },
     {
