Split what endpoints say of themselves from PlacementClient

EndpointStatements takes marks of leaving endpoints and their limits, and tells whoever grants places; a request is located by the instance's own record with the function that the coordinator uses.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./endpointLimits";
 export * from "./endpointPool";
 export * from "./endpointRegistry";
+export * from "./endpointStatements";
 export * from "./fallbackShares";
 export * from "./fleetView";
 export * from "./granterReports";
--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -1,22 +1,19 @@
 import { type EndpointCrash, type Logger, newRequestId } from "@heatherline/common";
-import { LRUCache } from "lru-cache";
 import { newBlockedPromptRefusal, ORIGIN_RETRY_MS } from "./coordinator";
 import { Dispatcher } from "./dispatcher";
-import { EndpointLimits } from "./endpointLimits";
+import { EndpointStatements } from "./endpointStatements";
 import { scaleRateBounds } from "./fallbackShares";
 import type { FleetView } from "./fleetView";
 import { GranterReports } from "./granterReports";
-import { LeavingEndpoints } from "./leavingEndpoints";
 import type { PlaceDecision, PlaceReply } from "./messages";
 import type { PlaceDecider, PlaceGranter } from "./placeGranter";
 import { PromptEvidence } from "./promptEvidence";
-import { findOrigin, locateRequest, newVersionGoneRefusal, recordStream } from "./resumption";
+import { findOrigin, type LocatedRequest, locateRequest, recordStream } from "./resumption";
 import { getSoftwareVersion } from "./softwareVersions";
 import { StreamOrigins } from "./streamOrigins";
 import { TokenBuckets } from "./tokenBuckets";
 import type {
     EndpointEntry,
-    EndpointLimit,
     MemberEntry,
     PlaceOutcome,
     PlaceRequest,
@@ -35,9 +32,6 @@
 const MAX_UNKNOWN_ENDPOINTS = 3;
 /** Time after which the coordinator and this instance know the same endpoints again, in milliseconds. */
 const UNKNOWN_ENDPOINT_RETRY_MS = 500;
-/** A limit that an endpoint names again and again is reported once in this time, in case a report is lost. */
-const LIMIT_REPORT_INTERVAL_MS = 500;
-const MAX_LIMIT_REPORTS = 2_048;
 
 /** A place that this instance holds. */
 export interface HeldPlace {
@@ -96,15 +90,14 @@
  * limit.
  */
 export class PlacementClient {
+    /** What endpoints have said of themselves. */
+    readonly statements: EndpointStatements;
     private readonly heldPlaces = new Map<string, HeldPlaceRecord>();
     private readonly fallbackDispatcher: Dispatcher;
     private readonly fallbackTokenBuckets: TokenBuckets;
     private readonly unreachableUntilMs = new Map<string, number>();
     private readonly pendingDecisions = new Map<string, (outcome: PlaceOutcome) => void>();
     private readonly reports: GranterReports;
-    private readonly leavingEndpoints = new LeavingEndpoints();
-    private readonly limits = new EndpointLimits();
-    private readonly limitReportedAtMs = new LRUCache<string, number>({ max: MAX_LIMIT_REPORTS });
     private readonly streams: StreamOrigins;
     private readonly promptEvidence = new PromptEvidence();
 
@@ -125,6 +118,7 @@
         private readonly logger: Logger,
     ) {
         this.reports = new GranterReports([coordinator, deputy]);
+        this.statements = new EndpointStatements(this.reports, logger);
         this.streams = new StreamOrigins(() => view.softwareVersions.retentionMs);
         this.fallbackDispatcher = new Dispatcher({
             getCapacity: entry => this.getFallbackCapacity(entry),
@@ -174,21 +168,21 @@
 
     private async requestOnce(options: PlaceRequestOptions): Promise<PlacementOutcome | UnknownEndpoint> {
         const { signal, ...rest } = options;
-        const located = this.locateOwn(rest);
-        if (located.kind === "refused") {
-            return { ...located, decidedBy: "alone" };
-        }
-        const request: PlaceRequest = {
-            ...located.options,
+        const located = this.locateOwn({
+            ...rest,
             askId: newRequestId(),
             instanceId: this.self.instanceId,
             dataCentre: this.self.dataCentre,
             excluded: [
                 ...options.excluded ?? [],
                 ...this.getUnreachable(),
-                ...this.leavingEndpoints.getIds(endpointId => this.view.getEndpoint(endpointId)),
+                ...this.statements.getLeavingIds(endpointId => this.view.getEndpoint(endpointId)),
             ],
-        };
+        });
+        if (located.kind === "refused") {
+            return { ...located.outcome, decidedBy: "alone" };
+        }
+        const { request } = located;
         const startedAtMs = performance.now();
         const getRemaining = () => subtractElapsed(request, performance.now() - startedAtMs);
         // The deputy decides nothing once it knows a coordinator, which is then asked again.
@@ -201,19 +195,17 @@
         return this.toOutcome(request, await this.requestAlone(getRemaining(), signal), "alone", signal);
     }
 
-    /** Answers from this instance's own record where a stream began that the request goes on with. */
-    private locateOwn<Options extends Pick<PlaceRequest, "service" | "resumedStream" | "softwareVersion">>(
-        options: Options,
-    ): { readonly kind: "located"; readonly options: Options; } | Extract<PlaceOutcome, { kind: "refused"; }> {
-        const { resumedStream } = options;
+    /** Locates a stream that the request goes on with by this instance's own record, which needs no other. */
+    private locateOwn(request: PlaceRequest): LocatedRequest {
+        const { resumedStream } = request;
         const origin = resumedStream && this.streams.get(resumedStream.requestId);
-        if (resumedStream === undefined || origin === undefined) {
-            return { kind: "located", options };
+        if (origin === undefined) {
+            return { kind: "located", request };
         }
-        if (!resumedStream.services.includes(origin.service)) {
-            return newVersionGoneRefusal(origin);
-        }
-        return { kind: "located", options: { ...options, ...origin, resumedStream: undefined } };
+        const located = locateRequest(request, origin);
+        return located.kind === "refused"
+            ? located
+            : { kind: "located", request: { ...located.request, resumedStream: undefined } };
     }
 
     /** @returns Where recent streams of this instance began, for a coordinator that may not know of them. */
@@ -236,53 +228,6 @@
         this.heldPlaces.get(placeId)?.preemptController.abort();
     }
 
-    /**
-     * Sends no more requests to an endpoint, and tells whoever grants places.
-     *
-     * @param entry - An endpoint that has said in a response that it leaves.
-     */
-    markLeaving({ endpointId, startedAt }: EndpointEntry): void {
-        if (this.leavingEndpoints.mark({ endpointId, startedAt })) {
-            this.logger.info({ event: "endpoint-leaving", endpoint: endpointId, startedAt });
-            this.reports.addLeavingEndpoint({ endpointId, startedAt });
-        }
-    }
-
-    /**
-     * Records what an endpoint has said in a response of the requests that it takes.
-     *
-     * @param entry - The endpoint.
-     * @param ratePerS - Requests per second from all instances together; `undefined` for no limit.
-     * @param ageMs - Age of the statement in milliseconds.
-     */
-    recordLimit({ endpointId, startedAt }: EndpointEntry, ratePerS: number | undefined, ageMs: number): void {
-        const limit = { endpointId, startedAt, ratePerS, ageMs };
-        const isChanged = this.limits.record(limit);
-        if (isChanged) {
-            this.logger.info({ event: "endpoint-limit", endpoint: endpointId, startedAt, ratePerS });
-        }
-        const reportedAtMs = this.limitReportedAtMs.get(endpointId) ?? -Infinity;
-        const isReportDue = ratePerS !== undefined && performance.now() - reportedAtMs > LIMIT_REPORT_INTERVAL_MS;
-        if (isChanged || isReportDue) {
-            this.limitReportedAtMs.set(endpointId, performance.now());
-            this.reports.addLimit(limit);
-        }
-    }
-
-    /** Adopts the limit that came with a place, or reports what this instance knows better. */
-    private adoptLimit(limit: EndpointLimit): void {
-        this.limits.record(limit);
-        const own = this.limits.getStatement(limit);
-        if (own !== undefined && own.ratePerS !== limit.ratePerS) {
-            this.reports.addLimit(own);
-        }
-    }
-
-    /** @returns Limits of endpoints that this instance knows, for a coordinator that may not know of them. */
-    getLimits(): EndpointLimit[] {
-        return this.limits.getAll();
-    }
-
     /** @returns All places in use, for a coordinator that may not know of them. */
     getPlaces(): PlaceSummary[] {
         const nowMs = performance.now();
@@ -418,7 +363,7 @@
         }
         const { placeId, endpointId, expectedWaitMs, limit } = outcome;
         if (limit !== undefined) {
-            this.adoptLimit(limit);
+            this.statements.adoptLimit(limit);
         }
         const endpoint = this.view.getEndpoint(endpointId);
         const preemptController = new AbortController();
@@ -522,7 +467,7 @@
     }
 
     private getFallbackLimitPerS(entry: EndpointEntry): number | undefined {
-        const limitPerS = this.limits.getRatePerS(entry);
+        const limitPerS = this.statements.getLimitPerS(entry);
         const slots = this.view.fallbackShares.getSlots(entry, this.self.instanceId);
         return limitPerS === undefined ? undefined : limitPerS * slots / entry.slots;
     }
--- a/packages/fleet/src/resumption.ts
+++ b/packages/fleet/src/resumption.ts
@@ -5,7 +5,7 @@
 /** A place request that may be decided, or the refusal of one that can't be. */
 export type LocatedRequest =
     | { readonly kind: "located"; readonly request: PlaceRequest; }
-    | { readonly kind: "refused"; readonly outcome: PlaceOutcome; };
+    | { readonly kind: "refused"; readonly outcome: Extract<PlaceOutcome, { kind: "refused"; }>; };
 
 /**
  * @param stream - A stream that a caller takes up.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -126,7 +126,7 @@
             getPlaces: () => this.placement.getPlaces(),
             preemptOwnPlace: placeId => this.placement.preempt(placeId),
             getRecentCrashes: () => this.placement.getRecentCrashes(),
-            getLimits: () => this.placement.getLimits(),
+            getLimits: () => this.placement.statements.getLimits(),
             getStreams: () => this.placement.getStreams(),
             streamJournal: new StreamJournal(store, view, "fleet", logger),
             saveBlockedPrompt: (prompt, isEnded) => blockedPrompts.save(prompt, isEnded),
@@ -146,7 +146,7 @@
             getPlaces: () => this.placement.getPlaces(),
             preemptOwnPlace: placeId => this.placement.preempt(placeId),
             getRecentCrashes: () => this.placement.getRecentCrashes(),
-            getLimits: () => this.placement.getLimits(),
+            getLimits: () => this.placement.statements.getLimits(),
             getStreams: () => this.placement.getStreams(),
             streamJournal: new StreamJournal(store, view, this.self.dataCentre, logger),
             saveBlockedPrompt: (prompt, isEnded) => blockedPrompts.save(prompt, isEnded),
@@ -186,7 +186,7 @@
             new RelayedStore({ directStore: store, rpc: this.rpc, getRelay, logger }),
             logger,
         );
-        const endpoints = new EndpointClient(wire, this.placement);
+        const endpoints = new EndpointClient(wire, this.placement.statements);
         this.metrics = new GatewayMetrics({
             getQueueStats: () => this.role.localCoordinator?.getServiceStats() ?? [],
             getConfigAgeMs: () => view.getConfigAgeMs(),
--- a/packages/gateway/src/syncMessages.ts
+++ b/packages/gateway/src/syncMessages.ts
@@ -53,7 +53,7 @@
             known: view.getRevisions(),
             places: isFull ? placement.getPlaces() : undefined,
             crashes: isFull ? placement.getRecentCrashes() : undefined,
-            limits: isFull ? placement.getLimits() : undefined,
+            limits: isFull ? placement.statements.getLimits() : undefined,
             streams: report === "first" ? placement.getStreams() : undefined,
             jobs: runner.getProgress(),
             isStoreFailing: feed.isStoreFailing,
