Soak: two software versions, take-ups by callers, engines that name limits

Streams that break off are taken up as callers do, with Resumes, and must go on at the version that began them; engines name limits now and then, with random numbers of their own, so that the other faults of a seed stay.

--- a/standins/operators/soak.ts
+++ b/standins/operators/soak.ts
@@ -8,6 +8,9 @@
 const JOB_INTERVAL_MS = 1_500;
 const READ_INTERVAL_MS = 120;
 const FAULT_INTERVAL_MS = 1_800;
+const LIMIT_INTERVAL_MS = 2_300;
+/** Requests per second that engines name as their limits. */
+const LIMITS_PER_S = ["0", "0.5", "3", "much"];
 const MAX_FAULT_MS = 3_000;
 const SETTLE_TIMEOUT_MS = 20_000;
 
@@ -28,6 +31,7 @@
     private readonly recoveries: Promise<void>[] = [];
     private readonly faultyGateways = new Set<GatewayProcess>();
     private readonly random: () => number;
+    private readonly limitRandom: () => number;
 
     /**
      * @param seed - Seed of the random numbers that select faults and load.
@@ -35,6 +39,7 @@
      */
     constructor(private readonly seed: number, private readonly lengthMs: number) {
         this.random = newRandom(seed);
+        this.limitRandom = newRandom(seed + 1);
     }
 
     /** @returns The injected faults, the counts of requests and the violations. */
@@ -47,6 +52,9 @@
                 await fleet.addEngine({ service: "lm", dataCentre });
                 await fleet.addEngine({ service: "plain", dataCentre });
             }
+            for (const dataCentre of DATA_CENTRES) {
+                await fleet.addEngine({ service: "lm", dataCentre, version: "v2" });
+            }
             for (let index = 0; index < DATA_CENTRES.length * GATEWAYS_PER_DATA_CENTRE; index += 1) {
                 const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length] ?? "";
                 await fleet.addGateway(`${dataCentre}-${index}`, dataCentre);
@@ -69,6 +77,7 @@
             repeat(isOver, JOB_INTERVAL_MS, () => load.submitJob()),
             repeat(isOver, READ_INTERVAL_MS, () => load.readJob()),
             repeat(isOver, FAULT_INTERVAL_MS, async () => this.injectFault()),
+            repeat(isOver, LIMIT_INTERVAL_MS, async () => this.limitEngine()),
         ];
         await Promise.all(loops);
         await Promise.all(this.recoveries);
@@ -146,6 +155,18 @@
         });
     }
 
+    /** Draws from random numbers of its own, so that a seed injects the same other faults with and without limits. */
+    private limitEngine(): void {
+        const engine = this.fleet.engines[Math.floor(this.limitRandom() * this.fleet.engines.length)] as Engine;
+        const limit = LIMITS_PER_S[Math.floor(this.limitRandom() * LIMITS_PER_S.length)] ?? "0";
+        const lengthMs = this.limitRandom() * MAX_FAULT_MS;
+        this.recordFault(`limit ${limit} of ${engine.id}`, lengthMs);
+        engine.namedLimit = limit;
+        this.scheduleRecovery(lengthMs, async () => {
+            engine.namedLimit = undefined;
+        });
+    }
+
     private recordFault(description: string, lengthMs: number): void {
         this.faults.push(`${description} for ${Math.round(lengthMs)} ms`);
     }
--- a/standins/operators/soakLoad.ts
+++ b/standins/operators/soakLoad.ts
@@ -30,7 +30,7 @@
 /** Sends requests and jobs to the gateways over keep-alive connections and checks the responses. */
 export class SoakLoad {
     readonly violations: Violation[] = [];
-    readonly counts = { calls: 0, served: 0, refused: 0, failed: 0, jobs: 0, items: 0 };
+    readonly counts = { calls: 0, takenUp: 0, served: 0, refused: 0, failed: 0, jobs: 0, items: 0 };
     private readonly agents = new Map<number, http.Agent>();
     private readonly jobs = new Map<
         string,
@@ -63,6 +63,42 @@
         );
         this.counts.calls += 1;
         this.checkCall(call);
+        const lastEventId = getLastEventId(call.body);
+        if (route === "again" && !call.isComplete && lastEventId !== undefined) {
+            await this.takeUp(call, lastEventId);
+        }
+    }
+
+    /** Takes a stream that broke off up, as callers do, and checks that what they have then is one version's stream. */
+    private async takeUp({ requestId, route }: CallResult, lastEventId: number): Promise<void> {
+        const headers = { ...GENERATION_HEADERS, "Last-Event-Id": String(lastEventId), Resumes: requestId };
+        const next = await this.send(this.newId(), route, `events=${EVENT_COUNT}`, headers);
+        this.counts.takenUp += 1;
+        this.checkVersions([requestId, next.requestId]);
+        const events = Array.from(
+            { length: EVENT_COUNT - lastEventId - 1 },
+            (_, index) => toEvent(lastEventId + 1 + index, next.requestId),
+        );
+        if (next.status === 200 && next.isComplete && next.body !== events.join("")) {
+            this.violations.push(`${next.requestId}: a stream taken up after event ${lastEventId} has other events`);
+        }
+    }
+
+    /** Engines don't check which version began a stream; a run without a last event begins it. */
+    private checkVersions(requestIds: readonly string[]): void {
+        const runs = this.engines
+            .flatMap(({ seen, options }) => seen.map(run => ({ ...run, version: options.version })))
+            .filter(({ requestId, events }) => requestIds.includes(requestId) && events > 0)
+            .sort((left, right) => left.atMs - right.atMs);
+        let begunBy = runs[0]?.version;
+        for (const { version, headers } of runs) {
+            if (headers["last-event-id"] === undefined) {
+                begunBy = version;
+            }
+            else if (version !== begunBy) {
+                this.violations.push(`${requestIds.join()}: a stream went on at another version`);
+            }
+        }
     }
 
     /** Submits a job, with up to six attempts until it is accepted. */
@@ -149,6 +185,7 @@
     }
 
     private checkCall(call: CallResult): void {
+        this.checkVersions([call.requestId]);
         const runs = this.engines.flatMap(({ seen }) => seen).filter(({ requestId }) => requestId === call.requestId);
         const { requestId, route, status } = call;
         if ((route === "once" || route === "write") && runs.length > 1) {
@@ -184,7 +221,7 @@
         }
         const events = Array.from(
             { length: EVENT_COUNT },
-            (_, event) => `id: ${event}\ndata: event ${event} of ${requestId}\n\n`,
+            (_, event) => toEvent(event, requestId),
         );
         const expected = route === "once" || route === "again" ? events.join("") : `plain answer to ${requestId}`;
         if (body !== expected) {
@@ -269,3 +306,14 @@
         return values[Math.floor(this.random() * values.length)] as Value;
     }
 }
+
+function toEvent(eventId: number, requestId: string): string {
+    return `id: ${eventId}\ndata: event ${eventId} of ${requestId}\n\n`;
+}
+
+/** @returns Id of the last whole event, if there is one. */
+function getLastEventId(body: string): number | undefined {
+    const wholeEvents = body.slice(0, body.lastIndexOf("\n\n") + 2);
+    const id = [...wholeEvents.matchAll(/^id: (\d+)$/gm)].at(-1)?.[1];
+    return id === undefined ? undefined : Number(id);
+}
