Check the store again after a time out of contact before saying that there is no result

Suspected cause, by reading: an instance whose job was taken over while it was cut off counts itself as the only runner as soon as one reply of the coordinator has arrived, and checks in the store whether the job is closed only after that. In between it says that there is no result at a position that the other runner has published. Now a run is in doubt from the moment contact is regained, or its job is reported as closed, until it has read the store once.

jobReader.test.ts: the case fails without the doubt.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -429,6 +429,9 @@
         if (!isCoordinatorKnown && this.wasCoordinatorKnown) {
             this.placement.enterFallbackMode();
         }
+        if (isCoordinatorKnown && !this.wasCoordinatorKnown) {
+            this.runner.requireVerification();
+        }
         this.wasCoordinatorKnown = isCoordinatorKnown;
         this.deputy.update(isCoordinatorKnown);
     }
--- a/packages/gateway/src/jobReader.ts
+++ b/packages/gateway/src/jobReader.ts
@@ -107,7 +107,7 @@
         await run.waitForResult(after, waitMs);
         const page = run.read(after, MAX_PAGE_BYTES);
         const mayBeStale = !run.isFinished && page.results.length === 0
-            && (run.publishedCount < after || !this.deps.isSoleRunner());
+            && (run.publishedCount < after || !run.isVerified || !this.deps.isSoleRunner());
         const isUpToDate = !mayBeStale || await run.loadNewResults();
         if (!run.isReadable || !isUpToDate) {
             return { kind: "not-here" };
--- a/packages/gateway/src/jobRun.ts
+++ b/packages/gateway/src/jobRun.ts
@@ -50,6 +50,9 @@
     private readonly itemRuns = new Map<string, ItemRun>();
     private readonly handedOverStates: ReadonlyMap<string, ItemState>;
     private waiters: (() => void)[] = [];
+    /** Counts the occasions since which another instance may have written results. */
+    private doubts = 0;
+    private settledDoubts = 0;
     private isClosed = false;
 
     /**
@@ -93,6 +96,16 @@
         return this.hasLoaded && !this.isStopped;
     }
 
+    /** Whether no other instance can have written results that are not published here. */
+    get isVerified(): boolean {
+        return this.settledDoubts === this.doubts;
+    }
+
+    /** Records that another instance may have run the job meanwhile, so that the store must be read once more. */
+    requireVerification(): void {
+        this.doubts += 1;
+    }
+
     /** @returns The job's progress, including results that are not written yet. */
     getProgress(): JobProgress {
         let finishedTokens = 0;
@@ -206,6 +219,7 @@
      * @returns Whether all results in the store are published now; `false` if the store can't be read.
      */
     async loadNewResults(): Promise<boolean> {
+        const { doubts } = this;
         for (;;) {
             const index = this.chunkCount;
             const chunk = await this.deps.store.readChunk(this.manifest.jobId, index);
@@ -213,6 +227,7 @@
                 return false;
             }
             if (chunk.value === undefined) {
+                this.settledDoubts = doubts;
                 return true;
             }
             if (index === this.chunkCount) {
--- a/packages/gateway/src/jobRunner.ts
+++ b/packages/gateway/src/jobRunner.ts
@@ -97,6 +97,11 @@
         }
     }
 
+    /** Records that other instances may have run jobs of this one while it was out of contact. */
+    requireVerification(): void {
+        this.getActiveRuns().forEach(run => run.requireVerification());
+    }
+
     /**
      * Checks in the store which jobs are still open, and stops those that are not.
      *
@@ -108,6 +113,7 @@
             if (run === undefined || run.isStopped || run.isFinished) {
                 continue;
             }
+            run.requireVerification();
             const read = await this.deps.store.read(jobId);
             if (read.isOk() && read.value?.manifest.state !== "open") {
                 run.stop(read.value === undefined ? "the job is not in the store" : "the job is closed");
--- a/packages/gateway/tests/jobReader.test.ts
+++ b/packages/gateway/tests/jobReader.test.ts
@@ -5,6 +5,7 @@
 import { err, ok } from "neverthrow";
 import { beforeEach, describe, expect, it } from "vitest";
 import { JobReader, type ReadJobRequest } from "../src/jobReader";
+import { JobRun, type JobRunDependencies } from "../src/jobRun";
 import type { JobRunner } from "../src/jobRunner";
 import { type JobManifest, JobStore } from "../src/jobStore";
 
@@ -43,9 +44,9 @@
     }
 }
 
-function newReader(self: MemberEntry): JobReader {
+function newReader(self: MemberEntry, run?: JobRun): JobReader {
     return new JobReader({
-        runner: { getReadableRun: () => undefined } as unknown as JobRunner,
+        runner: { getReadableRun: () => run } as unknown as JobRunner,
         store,
         link: { call: async () => undefined } as unknown as CoordinatorLink,
         getCoordinator: () => undefined,
@@ -59,7 +60,7 @@
         },
         getMembers: () => MEMBERS,
         self,
-        isSoleRunner: () => false,
+        isSoleRunner: () => run !== undefined,
     });
 }
 
@@ -108,3 +109,35 @@
         expect(await read(other.instanceId)).toEqual(["item-1"]);
     });
 });
+
+describe("results of a job that this instance runs, after another one has run it", () => {
+    const items = ["item-1", "item-2"].map(itemId => ({ itemId, path: "/jobs/1", headers: [], tokens: 1 }));
+    const manifest = { ...MANIFEST, items } as unknown as JobManifest;
+    const toResult = (itemId: string) => ({ itemId, state: "completed" as const, output: "" });
+
+    it.each([
+        { what: "once this instance was out of contact", requiresVerification: true, expected: ["item-2"] },
+        { what: "without a doubt that it is the only one", requiresVerification: false, expected: [] },
+    ])("are read from the store $what", async ({ requiresVerification, expected }) => {
+        const run = new JobRun(manifest, new Map(), { store } as unknown as JobRunDependencies, undefined);
+        const { signal } = new AbortController();
+        await store.writeChunk(JOB, 0, [toResult("item-1")], signal);
+        await run.loadNewResults();
+        await store.writeChunk(JOB, 1, [toResult("item-2")], signal);
+        if (requiresVerification) {
+            run.requireVerification();
+        }
+        const reader = newReader(MEMBERS[0] as MemberEntry, run);
+        const outcome = await reader.read({ ...READ, after: 1 });
+        expect(outcome._unsafeUnwrap().page.results.map(({ itemId }) => itemId)).toEqual(expected);
+        expect(run.isVerified).toBe(true);
+    });
+
+    it("stay in doubt if the doubt arose while the store was read", async () => {
+        const run = new JobRun(manifest, new Map(), { store } as unknown as JobRunDependencies, undefined);
+        const loading = run.loadNewResults();
+        run.requireVerification();
+        await loading;
+        expect(run.isVerified).toBe(false);
+    });
+});
