Refuse who waits for a version as soon as its last endpoint leaves; store streams less often while the store fails

A request that waited for a place of its version when the last endpoint of it began to leave waited on until its deadline. Both found by reading the diff again; tests in resumption.test.ts and streamJournal.test.ts.

--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -90,6 +90,7 @@
      */
     setEndpoints(entries: readonly EndpointEntry[]): void {
         this.pool.setEntries(entries);
+        this.refuseVersionsGone();
         this.dispatchAll();
     }
 
@@ -284,6 +285,16 @@
         });
     }
 
+    /** Requests that wait for a version whose last endpoint has left need not wait any longer. */
+    private refuseVersionsGone(): void {
+        for (const { queue } of this.services.values()) {
+            const waiters = [...queue.getOnline(), ...queue.getBatch()];
+            waiters.filter(({ request }) => this.isVersionGone(request)).forEach(waiter =>
+                this.refuse(waiter, Infinity)
+            );
+        }
+    }
+
     private addTimer(waiter: Waiter, delayMs: number, run: () => void): void {
         waiter.timers.push(setTimeout(run, Math.max(0, delayMs)));
     }
--- a/packages/fleet/tests/resumption.test.ts
+++ b/packages/fleet/tests/resumption.test.ts
@@ -2,6 +2,7 @@
 import {
     type Coordinator,
     type EndpointEntry,
+    FleetView,
     type PlaceOutcome,
     type PlaceRequest,
     SoftwareVersions,
@@ -228,6 +229,23 @@
         coordinator.stop();
     });
 
+    it("is refused as soon as the last endpoint of its version leaves while it waits", async () => {
+        const view = new FleetView(1_200);
+        const coordinator = startTestCoordinator({ view, endpoints: newEndpoints("v1", "v2") });
+        await Promise.all(Array.from({ length: 4 }, () => coordinator.place(newTestRequest())));
+        const outcome = coordinator.place(newTestRequest({ softwareVersion: "v1" }));
+        const item = coordinator.place(newTestRequest({ softwareVersion: "v1", workClass: "batch" }));
+        await vi.advanceTimersByTimeAsync(100);
+        const endpoints = newEndpoints("v1", "v2").map(entry =>
+            entry.softwareVersion === "v1" ? { ...entry, state: "draining" as const } : entry
+        );
+        view.applyEndpoints({ revision: 2, value: endpoints });
+        coordinator.onViewChanged();
+        await vi.advanceTimersByTimeAsync(1);
+        expect((await Promise.all([outcome, item])).map(getEndpoint)).toEqual(["version-gone", "version-gone"]);
+        coordinator.stop();
+    });
+
     it("isn't refused for the requests that wait for any version", async () => {
         const coordinator = startCoordinator("v1", "v2");
         await Promise.all(Array.from({ length: 4 }, () => coordinator.place(newTestRequest({}))));
--- a/packages/gateway/src/streamJournal.ts
+++ b/packages/gateway/src/streamJournal.ts
@@ -1,9 +1,11 @@
-import type { Logger } from "@heatherline/common";
+import { type Logger, sleep, withJitter } from "@heatherline/common";
 import { type FleetView, type ServiceVersions, STREAM_KIND, type StreamOriginReport } from "@heatherline/fleet";
 import type { ObjectStore, StoredObject, StoredValue } from "@heatherline/store";
 
 const WRITE_INTERVAL_MS = 250;
-const RETRY_LOAD_MS = 100;
+/** Delay after a call that failed; doubles with each further one, since the store may be down. */
+const FIRST_RETRY_MS = 100;
+const MAX_RETRY_MS = 2_000;
 /** Objects that are overwritten in turn; more only where streams last long. */
 const MIN_RING_SIZE = 128;
 const MAX_RING_SIZE = 1_024;
@@ -33,6 +35,9 @@
     private timer: NodeJS.Timeout | undefined;
     private isLoaded = false;
     private isWriting = false;
+    /** Consecutive writes that failed. */
+    private failures = 0;
+    private retryAtMs = -Infinity;
 
     /**
      * @param store - The store.
@@ -75,11 +80,11 @@
     }
 
     private async loadAndWrite(granter: StreamGranter): Promise<void> {
-        while (this.granter === granter && !this.isLoaded) {
+        for (let failures = 0; this.granter === granter && !this.isLoaded; failures += 1) {
             this.isLoaded = await this.load(granter);
             if (!this.isLoaded) {
                 this.dropOutdated();
-                await new Promise(resolve => setTimeout(resolve, RETRY_LOAD_MS * (1 + Math.random())).unref());
+                await sleep(getRetryDelayMs(failures));
             }
         }
         if (this.granter === granter) {
@@ -116,7 +121,7 @@
     }
 
     private async write(): Promise<void> {
-        if (this.isWriting) {
+        if (this.isWriting || performance.now() < this.retryAtMs) {
             return;
         }
         this.isWriting = true;
@@ -210,8 +215,11 @@
         const written = await this.store.put(path, value, this.versionByPath.get(path) ?? 0);
         if (written.isOk()) {
             this.versionByPath.set(path, written.value);
+            this.failures = 0;
             return true;
         }
+        this.retryAtMs = performance.now() + getRetryDelayMs(this.failures);
+        this.failures += 1;
         // Another granter has written it, or this one has without a response; the next try uses its version.
         if (written.error.kind === "conflict" || written.error.kind === "unknown") {
             const current = await this.store.get(path);
@@ -224,6 +232,10 @@
     }
 }
 
+function getRetryDelayMs(failures: number): number {
+    return withJitter(Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** failures));
+}
+
 function decodeVersions({ value: { service, softwareVersions } }: StoredObject): ServiceVersions[] {
     const isComplete = typeof service === "string" && Array.isArray(softwareVersions) &&
         softwareVersions.every(version => typeof version === "string");
--- a/packages/gateway/tests/streamJournal.test.ts
+++ b/packages/gateway/tests/streamJournal.test.ts
@@ -23,8 +23,10 @@
     isDown = false;
     losesResponses = false;
     writes = 0;
+    lists = 0;
 
     override async list(prefix: string): ReturnType<ObjectStore["list"]> {
+        this.lists += 1;
         return this.isDown ? err(new StoreError("unavailable", "down")) : super.list(prefix);
     }
 
@@ -151,7 +153,7 @@
         begin(granter, "a", V2);
         await vi.advanceTimersByTimeAsync(5 * SETTLE_MS);
         store[fault] = false;
-        await vi.advanceTimersByTimeAsync(SETTLE_MS);
+        await vi.advanceTimersByTimeAsync(3 * SETTLE_MS);
         const next = await restart(granter, store, ["v1", "v2"]);
         expect(next.streams.get("a")).toEqual(V2);
         next.journal.stop();
@@ -168,7 +170,7 @@
         expect(next.streams.get("a")).toBeUndefined();
         expect(next.view.softwareVersions.getSole("lm")).toBeUndefined();
         store.isDown = false;
-        await vi.advanceTimersByTimeAsync(SETTLE_MS);
+        await vi.advanceTimersByTimeAsync(3 * SETTLE_MS);
         expect(next.streams.get("a")).toEqual(V2);
         next.journal.stop();
     });
@@ -203,6 +205,28 @@
     });
 });
 
+describe("a store that is down for a minute", () => {
+    it.each([
+        { what: "read", isDownAtStart: true },
+        { what: "written", isDownAtStart: false },
+    ])("is tried again ever less often until it can be $what", async ({ isDownAtStart }) => {
+        const store = new UnreliableStore();
+        store.isDown = isDownAtStart;
+        const granter = startGranter(store, ["v1", "v2"]);
+        await vi.advanceTimersByTimeAsync(SETTLE_MS);
+        store.isDown = true;
+        store.writes = 0;
+        store.lists = 0;
+        for (let index = 0; index < 600; index += 1) {
+            begin(granter, `r${index}`);
+            await vi.advanceTimersByTimeAsync(100);
+        }
+        expect(store.writes + store.lists).toBeLessThan(60);
+        expect(store.writes + store.lists).toBeGreaterThan(15);
+        granter.journal.stop();
+    });
+});
+
 describe("what keeping streams in the store costs at 4,600 streams a second of two versions", () => {
     it("is four writes a second, less than 200 objects, and far less than the largest object", async () => {
         const store = new UnreliableStore();
