--- a/packages/fleet/tests/resumption.test.ts
+++ b/packages/fleet/tests/resumption.test.ts
@@ -274,6 +274,18 @@
         coordinator.stop();
     });
 
+    it.each([
+        { who: "a deputy", epoch: 0, retryAfterMs: 500 },
+        { who: "the coordinator", epoch: 2, retryAfterMs: 0 },
+    ])("may be sent again in $retryAfterMs ms (0: never) where $who doesn't know its stream", async (
+        { epoch, retryAfterMs },
+    ) => {
+        const granter = startTestCoordinator({ epoch, endpoints: newEndpoints("v1", "v2") });
+        const outcome = await decide(granter, newTakeUp("unknown"));
+        expect(outcome).toMatchObject({ kind: "refused", reason: "origin-unknown", retryAfterMs });
+        granter.stop();
+    });
+
     it("takes no place from a batch item that another version runs", async () => {
         const coordinator = startCoordinator("v1", "v2");
         const items = await Promise.all(
--- a/packages/fleet/tests/testCoordinator.ts
+++ b/packages/fleet/tests/testCoordinator.ts
@@ -23,6 +23,8 @@
 
 /** What a test sets of a coordinator. */
 export interface TestCoordinatorOptions extends Partial<CoordinatorDependencies> {
+    /** 0 for a deputy. */
+    readonly epoch?: number;
     readonly members?: readonly MemberEntry[];
     readonly endpoints: readonly EndpointEntry[];
 }
@@ -34,12 +36,12 @@
  * @returns The coordinator; to be stopped.
  */
 export function startTestCoordinator(
-    { members = [TEST_MEMBER], endpoints, ...changes }: TestCoordinatorOptions,
+    { epoch = 2, members = [TEST_MEMBER], endpoints, ...changes }: TestCoordinatorOptions,
 ): Coordinator {
     const view = changes.view ?? new FleetView(RENEWAL_MS);
     view.applyMembers({ revision: 1, value: members });
     view.applyEndpoints({ revision: 1, value: endpoints });
-    return new Coordinator(2, {
+    return new Coordinator(epoch, {
         self: TEST_MEMBER,
         view,
         scope: new FleetScope(view, 2, () => TOLERANCE),
