Let take-ups wait for a coordinator where no one else can serve them

Cause: an instance alone that doesn't know the stream, or a deputy without an endpoint of its version, refused at once, although the next coordinator reads all that is stored and knows all endpoints. Now such a request waits for a coordinator, 800 ms at most, and asks it.

--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -1,4 +1,4 @@
-import { type EndpointCrash, type Logger, newRequestId } from "@heatherline/common";
+import { type EndpointCrash, type Logger, newRequestId, sleep } from "@heatherline/common";
 import { newBlockedPromptRefusal, ORIGIN_RETRY_MS } from "./coordinator";
 import { Dispatcher } from "./dispatcher";
 import { EndpointStatements } from "./endpointStatements";
@@ -33,6 +33,10 @@
 /** Time after which the coordinator and this instance know the same endpoints again, in milliseconds. */
 const UNKNOWN_ENDPOINT_RETRY_MS = 500;
 
+/** A request that goes on with a stream waits this long for a coordinator if no one else can serve it. */
+const RESUMPTION_WAIT_MS = 800;
+const COORDINATOR_POLL_MS = 20;
+
 /** A place that this instance holds. */
 export interface HeldPlace {
     readonly placeId: string;
@@ -185,6 +189,19 @@
         const { request } = located;
         const startedAtMs = performance.now();
         const getRemaining = () => subtractElapsed(request, performance.now() - startedAtMs);
+        const outcome = await this.requestFromAny(request, getRemaining, signal);
+        const isWorthWaiting = isResumption(request) && outcome.kind === "refused"
+            && outcome.decidedBy !== "coordinator";
+        return isWorthWaiting && await this.waitForCoordinator(signal)
+            ? this.requestFromAny(request, getRemaining, signal)
+            : outcome;
+    }
+
+    private async requestFromAny(
+        request: PlaceRequest,
+        getRemaining: () => PlaceRequest,
+        signal: AbortSignal,
+    ): Promise<PlacementOutcome | UnknownEndpoint> {
         // The deputy decides nothing once it knows a coordinator, which is then asked again.
         for (const granter of [this.coordinator, this.deputy, this.coordinator]) {
             const decision = await this.requestFrom(granter, getRemaining(), signal);
@@ -195,6 +212,20 @@
         return this.toOutcome(request, await this.requestAlone(getRemaining(), signal), "alone", signal);
     }
 
+    /**
+     * Waits for a coordinator, which knows more streams and more endpoints than a deputy or this instance alone.
+     *
+     * @param signal - Ends the wait.
+     * @returns Whether one can be asked.
+     */
+    private async waitForCoordinator(signal: AbortSignal): Promise<boolean> {
+        const untilMs = performance.now() + RESUMPTION_WAIT_MS;
+        while (this.isInFallbackMode && performance.now() < untilMs && !signal.aborted) {
+            await sleep(COORDINATOR_POLL_MS, signal);
+        }
+        return !this.isInFallbackMode && !signal.aborted;
+    }
+
     /** Locates a stream that the request goes on with by this instance's own record, which needs no other. */
     private locateOwn(request: PlaceRequest): LocatedRequest {
         const { resumedStream } = request;
@@ -484,6 +515,11 @@
     }
 }
 
+/** Whether the request goes on with a stream, of which the caller would lose what it has received. */
+function isResumption({ workClass, resumedStream, softwareVersion }: PlaceRequest): boolean {
+    return workClass === "online" && (resumedStream !== undefined || softwareVersion !== undefined);
+}
+
 /** Reduces the times that a place request may still wait by the elapsed time. */
 function subtractElapsed<Request extends Pick<PlaceRequest, "usefulForMs" | "giveUpAfterMs">>(
     request: Request,
