--- a/packages/fleet/tests/crashReports.test.ts
+++ b/packages/fleet/tests/crashReports.test.ts
@@ -56,7 +56,15 @@
 }
 
 function newRequest(changes: Partial<PlaceRequest> = {}): PlaceRequest {
-    return newTestRequest({ instanceId: "b", fingerprint: "f", promptParts: ["all", "bad"], ...changes });
+    return newTestRequest({
+        askId: "ask",
+        instanceId: "b",
+        giveUpAfterMs: 1_000,
+        dueInMs: 1_000,
+        fingerprint: "f",
+        promptParts: ["all", "bad"],
+        ...changes,
+    });
 }
 
 async function place(coordinator: Coordinator, changes: Partial<PlaceRequest> = {}): Promise<string> {
--- a/standins/operators/runSoak.ts
+++ b/standins/operators/runSoak.ts
@@ -1,17 +1,22 @@
 import { parseArgs } from "node:util";
-import { Soak } from "./soak";
+import { isSoakVariant, Soak, SOAK_VARIANTS, type SoakVariant } from "./soak";
 
 const { values } = parseArgs({
     options: {
         seed: { type: "string", default: String(Date.now() % 1_000_000) },
         runs: { type: "string", default: "1" },
         seconds: { type: "string", default: "20" },
+        variant: { type: "string", default: "versions-and-limits" satisfies SoakVariant },
     },
 });
 
+const { variant } = values;
+if (!isSoakVariant(variant)) {
+    throw new Error(`--variant must be one of ${SOAK_VARIANTS.join(", ")}, not ${variant}`);
+}
 let failed = 0;
 for (let index = 0; index < Number(values.runs); index += 1) {
-    const report = await new Soak(Number(values.seed) + index, Number(values.seconds) * 1_000).run();
+    const report = await new Soak(Number(values.seed) + index, Number(values.seconds) * 1_000, variant).run();
     const { seed, faults, counts, violations } = report;
     process.stdout.write(`${JSON.stringify({ seed, faults: faults.length, ...counts, violations })}\n`);
     if (violations.length > 0) {
--- a/standins/operators/soak.ts
+++ b/standins/operators/soak.ts
@@ -14,6 +14,20 @@
 const MAX_FAULT_MS = 3_000;
 const SETTLE_TIMEOUT_MS = 20_000;
 
+export const SOAK_VARIANTS = ["plain", "versions-and-limits"] as const;
+
+/**
+ * - `plain`: engines of one software version.
+ * - `versions-and-limits`: engines of two versions side by side, which name limits now and then, and callers that take up
+ *   streams that broke off.
+ */
+export type SoakVariant = typeof SOAK_VARIANTS[number];
+
+/** @returns Whether a text names a variant. */
+export function isSoakVariant(text: string): text is SoakVariant {
+    return SOAK_VARIANTS.some(variant => variant === text);
+}
+
 /** Result of a soak. */
 export interface SoakReport {
     readonly seed: number;
@@ -36,8 +50,13 @@
     /**
      * @param seed - Seed of the random numbers that select faults and load.
      * @param lengthMs - Duration of load and faults, in milliseconds.
+     * @param variant - What is added to the plain engines and faults.
      */
-    constructor(private readonly seed: number, private readonly lengthMs: number) {
+    constructor(
+        private readonly seed: number,
+        private readonly lengthMs: number,
+        private readonly variant: SoakVariant = "plain",
+    ) {
         this.random = newRandom(seed);
         this.limitRandom = newRandom(seed + 1);
     }
@@ -52,7 +71,7 @@
                 await fleet.addEngine({ service: "lm", dataCentre });
                 await fleet.addEngine({ service: "plain", dataCentre });
             }
-            for (const dataCentre of DATA_CENTRES) {
+            for (const dataCentre of this.variant === "versions-and-limits" ? DATA_CENTRES : []) {
                 await fleet.addEngine({ service: "lm", dataCentre, version: "v2" });
             }
             for (let index = 0; index < DATA_CENTRES.length * GATEWAYS_PER_DATA_CENTRE; index += 1) {
@@ -69,7 +88,7 @@
     private async runWithFaults(): Promise<SoakReport> {
         const { fleet } = this;
         const getPorts = () => fleet.gateways.map(({ port }) => port);
-        const load = new SoakLoad(this.random, getPorts, fleet.engines);
+        const load = new SoakLoad(this.random, getPorts, fleet.engines, this.variant === "versions-and-limits");
         const endAtMs = Date.now() + this.lengthMs;
         const isOver = () => Date.now() >= endAtMs;
         const loops = [
@@ -77,8 +96,10 @@
             repeat(isOver, JOB_INTERVAL_MS, () => load.submitJob()),
             repeat(isOver, READ_INTERVAL_MS, () => load.readJob()),
             repeat(isOver, FAULT_INTERVAL_MS, async () => this.injectFault()),
-            repeat(isOver, LIMIT_INTERVAL_MS, async () => this.limitEngine()),
         ];
+        if (this.variant === "versions-and-limits") {
+            loops.push(repeat(isOver, LIMIT_INTERVAL_MS, async () => this.limitEngine()));
+        }
         await Promise.all(loops);
         await Promise.all(this.recoveries);
         fleet.store.clearFaults();
@@ -155,7 +176,7 @@
         });
     }
 
-    /** Draws from random numbers of its own, so that a seed injects the same other faults with and without limits. */
+    /** Draws from random numbers of its own, which leaves those of the other faults as they are. */
     private limitEngine(): void {
         const engine = this.fleet.engines[Math.floor(this.limitRandom() * this.fleet.engines.length)] as Engine;
         const limit = LIMITS_PER_S[Math.floor(this.limitRandom() * LIMITS_PER_S.length)] ?? "0";
--- a/standins/operators/soakLoad.ts
+++ b/standins/operators/soakLoad.ts
@@ -42,11 +42,13 @@
      * @param random - Returns random numbers from 0 up to 1.
      * @param getPorts - Returns the ports of the gateways to call.
      * @param engines - All engines; the checks read the requests that they recorded.
+     * @param takesStreamsUp - Whether callers take up streams that broke off.
      */
     constructor(
         private readonly random: () => number,
         private readonly getPorts: () => readonly number[],
         private readonly engines: readonly Engine[],
+        private readonly takesStreamsUp: boolean,
     ) {}
 
     /** Sends one online request and checks its response. */
@@ -64,7 +66,7 @@
         this.counts.calls += 1;
         this.checkCall(call);
         const lastEventId = getLastEventId(call.body);
-        if (route === "again" && !call.isComplete && lastEventId !== undefined) {
+        if (this.takesStreamsUp && route === "again" && !call.isComplete && lastEventId !== undefined) {
             await this.takeUp(call, lastEventId);
         }
     }
