--- /dev/null
+++ b/packages/fleet/src/aloneGranter.ts
@@ -0,0 +1,131 @@
+import { newBlockedPromptRefusal, ORIGIN_RETRY_MS } from "./coordinator";
+import { Dispatcher } from "./dispatcher";
+import type { EndpointStatements } from "./endpointStatements";
+import { scaleRateBounds } from "./fallbackShares";
+import type { FleetView } from "./fleetView";
+import type { PromptEvidence } from "./promptEvidence";
+import type { StreamLocator } from "./streamLocator";
+import { TokenBuckets } from "./tokenBuckets";
+import type { EndpointEntry, MemberEntry, PlaceOutcome, PlaceRequest, RequestEnd } from "./types";
+
+/** What an {@link AloneGranter} needs from the rest of the instance. */
+export interface AloneGranterDependencies {
+    readonly self: MemberEntry;
+    readonly view: FleetView;
+    readonly statements: EndpointStatements;
+    readonly streams: StreamLocator;
+    readonly promptEvidence: PromptEvidence;
+    readonly getRegion: (dataCentre: string) => string;
+    /** @returns Places at an endpoint that this instance holds and that others have granted. */
+    readonly countPlacesOfOthers: (endpointId: string) => number;
+    /** Preempts a place of this instance. */
+    readonly preempt: (placeId: string) => void;
+}
+
+/**
+ * Grants places to this instance while it reaches neither the coordinator nor a deputy: from its static share of each
+ * endpoint and each rate limit.
+ */
+export class AloneGranter {
+    private readonly dispatcher: Dispatcher;
+    private readonly tokenBuckets: TokenBuckets;
+
+    /**
+     * @param deps - What it needs from the rest of the instance.
+     */
+    constructor(private readonly deps: AloneGranterDependencies) {
+        const { self, view, getRegion, preempt } = deps;
+        this.dispatcher = new Dispatcher({
+            getCapacity: entry => this.getCapacity(entry),
+            getColdRatePerS: entry => this.getColdRatePerS(entry),
+            getLimitPerS: entry => this.getLimitPerS(entry),
+            getRegion,
+            preempt: ({ placeId }) => preempt(placeId),
+        });
+        this.tokenBuckets = new TokenBuckets(
+            bounds => scaleRateBounds(bounds, view.fallbackShares.getAloneFraction(self.instanceId), 1),
+            () => view.fallbackShares.getAloneStartTokens(Math.random()),
+        );
+    }
+
+    /** Begins to decide: what accrued while others decided doesn't count. */
+    restart(): void {
+        this.dispatcher.restartLimits();
+        this.tokenBuckets.restart();
+    }
+
+    /** Applies a change of the fleet view. */
+    onViewChanged(): void {
+        this.dispatcher.setEndpoints(this.deps.view.getEndpoints());
+    }
+
+    /**
+     * @param asked - A request for a place.
+     * @param signal - Withdraws it.
+     * @returns The decision.
+     */
+    async place(asked: PlaceRequest, signal: AbortSignal): Promise<PlaceOutcome> {
+        const { streams, promptEvidence, view } = this.deps;
+        const located = streams.locate(asked, ORIGIN_RETRY_MS);
+        if (located.kind === "refused") {
+            return located.outcome;
+        }
+        const { request, origin } = located;
+        const parts = request.promptParts ?? [];
+        if (promptEvidence.isBlocked(parts)) {
+            return newBlockedPromptRefusal(parts);
+        }
+        if (request.rate !== undefined) {
+            const decision = this.tokenBuckets.take(request.organisation, request.rate);
+            if (!decision.isTaken) {
+                const detail = `own part of rate ${request.rate.ratePerS}/s, instances ${view.members.length}`;
+                return { kind: "refused", reason: "rate-limited", retryAfterMs: decision.retryAfterMs, detail };
+            }
+        }
+        const withdraw = () => this.dispatcher.withdraw(request.askId);
+        signal.addEventListener("abort", withdraw, { once: true });
+        const outcome = await this.dispatcher.place(request);
+        signal.removeEventListener("abort", withdraw);
+        if (outcome.kind === "refused" && request.rate !== undefined) {
+            this.tokenBuckets.refund(request.organisation);
+        }
+        return outcome.kind === "placed" && origin !== undefined ? { ...outcome, origin } : outcome;
+    }
+
+    /**
+     * @param placeId - A place of this instance; ignored if another has granted it.
+     * @param end - How the request there ended.
+     * @param firstAnswerMs - Time from the grant of the place to the first part of the response.
+     */
+    release(placeId: string, end: RequestEnd, firstAnswerMs: number | undefined): void {
+        this.dispatcher.release(placeId, end, firstAnswerMs);
+    }
+
+    /**
+     * @param placeId - A place whose endpoint has sent nothing for too long; ignored if another has granted it.
+     */
+    recordSilence(placeId: string): void {
+        this.dispatcher.recordSilence(placeId);
+    }
+
+    /** Places granted by others count against the share, so that the endpoint is not overloaded. */
+    private getCapacity(entry: EndpointEntry): number {
+        return this.deps.view.evacuated.has(entry.dataCentre)
+            ? 0
+            : Math.max(0, this.getSlots(entry) - this.deps.countPlacesOfOthers(entry.endpointId));
+    }
+
+    private getColdRatePerS(entry: EndpointEntry): number {
+        const ratePerS = this.deps.view.routes?.getColdRatePerS(entry.service) ?? 0;
+        return ratePerS * this.getSlots(entry) / entry.slots;
+    }
+
+    private getLimitPerS(entry: EndpointEntry): number | undefined {
+        const limitPerS = this.deps.statements.getLimitPerS(entry);
+        return limitPerS === undefined ? undefined : limitPerS * this.getSlots(entry) / entry.slots;
+    }
+
+    private getSlots(entry: EndpointEntry): number {
+        return this.deps.view.fallbackShares.getSlots(entry, this.deps.self.instanceId);
+    }
+}
--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -1,38 +1,23 @@
-import { type BlockedPrompt, type EndpointCrash, type Logger, PromptPartTracker, sleep } from "@heatherline/common";
+import { type BlockedPrompt, type EndpointCrash, type Logger, PromptPartTracker } from "@heatherline/common";
 import type { StoredObject } from "@heatherline/store";
 import { getElapsedMs, newTimestamp } from "./ageTracker";
 import type { CoordinatorScope } from "./coordinatorScope";
 import { CrashTracker } from "./crashTracker";
 import { Dispatcher } from "./dispatcher";
-import { EndpointLimits } from "./endpointLimits";
+import { EndpointAllowances } from "./endpointAllowances";
 import type { Place } from "./endpointPool";
 import type { FleetView } from "./fleetView";
 import { HeartbeatMonitor } from "./heartbeatMonitor";
 import { type JobsToStop, JobTracker } from "./jobTracker";
-import { LeavingEndpoints } from "./leavingEndpoints";
 import type { PlaceReply, ReleaseRequest, SyncReply, SyncRequest } from "./messages";
-import { findOrigin, locateRequest, recordStream } from "./resumption";
-import { getSoftwareVersion } from "./softwareVersions";
-import { StreamOrigins } from "./streamOrigins";
+import { type LocatedRequest, StreamLocator } from "./streamLocator";
 import { SyncOutbox } from "./syncOutbox";
-import type {
-    EndpointEntry,
-    EndpointLimit,
-    LeavingEndpoint,
-    MemberEntry,
-    PlaceOutcome,
-    PlaceRequest,
-    PlaceSummary,
-    ResumedStream,
-    StreamOrigin,
-    StreamOriginReport,
-} from "./types";
+import type { EndpointLimit, MemberEntry, PlaceOutcome, PlaceRequest, PlaceSummary, StreamOriginReport } from "./types";
 
 /** A place younger than this may still be on its way to its instance, and is kept if not reported; in milliseconds. */
 const PLACE_IN_TRANSIT_MS = 1_200;
 /** A new coordinator waits this long for records of where a stream began that a caller takes up, in milliseconds. */
 const ORIGIN_WAIT_MS = 500;
-const ORIGIN_POLL_MS = 20;
 /** A coordinator is found within this time, in milliseconds. */
 export const ORIGIN_RETRY_MS = 500;
 const DEPUTY_EPOCH = 0;
@@ -44,14 +29,6 @@
 /** Ids of silent instances in one log line. */
 const MAX_LOGGED_IDS = 10;
 
-/** What a coordinator may grant of one endpoint. */
-interface EndpointShare {
-    /** Concurrent requests. */
-    readonly capacity: number;
-    /** Fraction of the rate of a cold endpoint, and of the limit that the endpoint has named. */
-    readonly rateFraction: number;
-}
-
 /** What a coordinator needs from the rest of the instance. */
 export interface CoordinatorDependencies {
     readonly self: MemberEntry;
@@ -80,16 +57,13 @@
     private readonly dispatcher: Dispatcher;
     private readonly crashTracker = new CrashTracker();
     private readonly partTracker = new PromptPartTracker((prompt, isEnded) => this.onBlockChanged(prompt, isEnded));
-    private readonly leavingEndpoints = new LeavingEndpoints();
-    private readonly limits = new EndpointLimits();
-    private readonly streams: StreamOrigins;
+    private readonly allowances: EndpointAllowances;
+    private readonly streams: StreamLocator;
     private readonly startedAtMs = performance.now();
     private readonly outbox: SyncOutbox;
     private readonly reviewTimer: NodeJS.Timeout;
     private returnTimer: NodeJS.Timeout | undefined;
     private lastReviewAt = newTimestamp();
-    /** By endpoint; cleared when endpoints, registered instances or silent instances change. */
-    private readonly endpointShares = new Map<string, EndpointShare>();
 
     /**
      * @param epoch - Epoch of the lease; 0 for a deputy, which has none.
@@ -99,11 +73,12 @@
         this.jobs = new JobTracker(() => deps.scope.getMembers().length);
         this.heartbeats = new HeartbeatMonitor(deps.self, () => deps.scope.getMembers(), deps.isStoreFailing);
         this.outbox = new SyncOutbox(deps.view);
-        this.streams = new StreamOrigins(() => deps.view.softwareVersions.retentionMs);
+        this.streams = new StreamLocator(deps.view.softwareVersions);
+        this.allowances = new EndpointAllowances(deps.view, deps.scope);
         this.dispatcher = new Dispatcher({
-            getCapacity: entry => this.getEndpointShare(entry).capacity,
-            getColdRatePerS: entry => this.getColdRatePerS(entry),
-            getLimitPerS: entry => this.getLimitPerS(entry),
+            getCapacity: entry => this.allowances.getCapacity(entry),
+            getColdRatePerS: entry => this.allowances.getColdRatePerS(entry),
+            getLimitPerS: entry => this.allowances.getLimitPerS(entry),
             getRegion: deps.getRegion,
             preempt: place => this.preempt(place),
         });
@@ -125,16 +100,16 @@
      * @returns The decision.
      */
     async place(request: PlaceRequest): Promise<PlaceOutcome> {
-        const located = request.resumedStream === undefined
-            ? undefined
-            : locateRequest(request, await this.findOrigin(request.resumedStream), this.originRetryMs);
-        if (located?.kind === "refused") {
-            return located.outcome;
-        }
-        return this.placeLocated(located?.request ?? request);
+        // Just after a takeover, the records of the instances and of the store are yet to arrive.
+        await this.streams.waitForOrigin(request, this.startedAtMs + ORIGIN_WAIT_MS - performance.now());
+        // What a deputy doesn't know, a coordinator may.
+        const located = this.streams.locate(request, this.epoch === DEPUTY_EPOCH ? ORIGIN_RETRY_MS : 0);
+        return located.kind === "refused" ? located.outcome : this.placeLocated(located);
     }
 
-    private async placeLocated(request: PlaceRequest): Promise<PlaceOutcome> {
+    private async placeLocated(
+        { request, origin }: Extract<LocatedRequest, { kind: "located"; }>,
+    ): Promise<PlaceOutcome> {
         if (request.workClass === "online" && !this.crashTracker.mayRun(request.fingerprint)) {
             const detail = "connections to endpoints broke while they ran this request";
             return { kind: "refused", reason: "crashes-endpoints", retryAfterMs: 0, detail };
@@ -148,7 +123,7 @@
         if (outcome.kind === "refused" && admission === "trial") {
             this.partTracker.cancelTrial(parts);
         }
-        return outcome;
+        return outcome.kind === "placed" && origin !== undefined ? { ...outcome, origin } : outcome;
     }
 
     private async placeAdmitted(request: PlaceRequest): Promise<PlaceOutcome> {
@@ -168,32 +143,12 @@
         if (outcome.kind === "refused" || entry === undefined) {
             return outcome;
         }
-        const origin = { service: request.service, softwareVersion: getSoftwareVersion(entry) };
-        const requestIds = recordStream(this.streams, request, origin);
-        if (requestIds.length > 0) {
-            this.deps.recordStreams({ ...origin, requestIds });
-        }
-        const limit = this.limits.get(entry);
-        return {
-            ...outcome,
-            ...limit === undefined ? {} : { limit },
-            ...request.resumedStream === undefined ? {} : { origin },
-        };
-    }
-
-    /** What a deputy doesn't know, a coordinator may. */
-    private get originRetryMs(): number {
-        return this.epoch === DEPUTY_EPOCH ? ORIGIN_RETRY_MS : 0;
-    }
-
-    /** Just after a takeover, the records of the instances and of the store are yet to arrive. */
-    private async findOrigin(stream: ResumedStream): Promise<StreamOrigin | undefined> {
-        let origin = findOrigin(stream, this.streams, this.deps.view.softwareVersions);
-        while (origin === undefined && performance.now() - this.startedAtMs < ORIGIN_WAIT_MS) {
-            await sleep(ORIGIN_POLL_MS);
-            origin = findOrigin(stream, this.streams, this.deps.view.softwareVersions);
+        const streams = this.streams.record(request, entry);
+        if (streams.requestIds.length > 0) {
+            this.deps.recordStreams(streams);
         }
-        return origin;
+        const limit = this.allowances.getLimit(entry);
+        return limit === undefined ? outcome : { ...outcome, limit };
     }
 
     /**
@@ -217,7 +172,7 @@
         { releases, withdrawnAsks, silentPlaces, crashes = [], leavingEndpoints = [], limits = [] }: ReleaseRequest,
     ): void {
         this.recordCrashes(crashes);
-        this.recordLeaving(leavingEndpoints);
+        this.allowances.markLeaving(leavingEndpoints);
         this.recordLimits(limits);
         for (const placeId of silentPlaces) {
             if (this.dispatcher.recordSilence(placeId)) {
@@ -277,7 +232,7 @@
      * @param limits - What endpoints have said of the requests that they take; repeated reports are ignored.
      */
     recordLimits(limits: readonly EndpointLimit[]): void {
-        const changed = limits.filter(limit => this.limits.record(limit));
+        const changed = this.allowances.recordLimits(limits);
         for (const { endpointId, startedAt, ratePerS } of changed) {
             this.deps.logger.info({ event: "endpoint-limit-kept", endpoint: endpointId, startedAt, ratePerS });
         }
@@ -301,7 +256,7 @@
     /** Applies a change of the fleet view. */
     onViewChanged(): void {
         this.partTracker.adopt(this.deps.view.blockedPrompts);
-        this.endpointShares.clear();
+        this.allowances.reset();
         this.dispatcher.setEndpoints(this.deps.view.getEndpoints());
         this.outbox.replyToReady();
     }
@@ -320,37 +275,6 @@
         return this.dispatcher.getServices().map(service => ({ service, ...this.dispatcher.getQueueStats(service) }));
     }
 
-    private getEndpointShare(entry: EndpointEntry): EndpointShare {
-        let share = this.endpointShares.get(entry.endpointId);
-        if (share === undefined) {
-            const { view, scope } = this.deps;
-            const isEvacuated = view.evacuated.has(entry.dataCentre);
-            share = {
-                capacity: isEvacuated || this.leavingEndpoints.has(entry) ? 0 : scope.getCapacity(entry),
-                rateFraction: scope.getRateFraction(entry),
-            };
-            this.endpointShares.set(entry.endpointId, share);
-        }
-        return share;
-    }
-
-    private getColdRatePerS(entry: EndpointEntry): number {
-        const coldRatePerS = this.deps.view.routes?.getColdRatePerS(entry.service) ?? 0;
-        return coldRatePerS * this.getEndpointShare(entry).rateFraction;
-    }
-
-    private getLimitPerS(entry: EndpointEntry): number | undefined {
-        const limitPerS = this.limits.getRatePerS(entry);
-        return limitPerS === undefined ? undefined : limitPerS * this.getEndpointShare(entry).rateFraction;
-    }
-
-    private recordLeaving(endpoints: readonly LeavingEndpoint[]): void {
-        const unknown = endpoints.filter(endpoint => this.leavingEndpoints.mark(endpoint));
-        if (unknown.length > 0) {
-            this.endpointShares.clear();
-        }
-    }
-
     private onBlockChanged(prompt: BlockedPrompt, isEnded: boolean): void {
         this.deps.logger.info({ event: isEnded ? "prompt-unblocked" : "prompt-blocked", ...prompt });
         this.deps.saveBlockedPrompt(prompt, isEnded);
@@ -482,7 +406,7 @@
                 silent: silent.slice(0, MAX_LOGGED_IDS),
             });
             this.deps.scope.setSilentInstances(this.heartbeats.silentInstances);
-            this.endpointShares.clear();
+            this.allowances.reset();
             this.dispatcher.dispatchAll();
         }
     }
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -1,6 +1,7 @@
 import { newRequestId } from "@heatherline/common";
 import { ArrivalRate } from "./arrivalRate";
 import { BatchPlaces } from "./batchPlaces";
+import { EarliestTimer } from "./earliestTimer";
 import {
     EndpointPool,
     type EndpointPoolDependencies,
@@ -10,10 +11,10 @@
     type PlaceCount,
 } from "./endpointPool";
 import { getItemRank } from "./itemOrder";
-import { newVersionGoneRefusal } from "./resumption";
+import { isResumption, newVersionGoneRefusal } from "./streamLocator";
 import type { EndpointEntry, PlaceOutcome, PlaceRequest, RequestEnd } from "./types";
 import { type QueueState, WaitForecast } from "./waitForecast";
-import { type Waiter, WaitQueue } from "./waitQueue";
+import { settle, type Waiter, WaitQueue } from "./waitQueue";
 
 /** Each step of lower priority counts as an arrival this much later, in milliseconds. */
 const PRIORITY_STEP_MS = 40;
@@ -73,8 +74,8 @@
     private readonly places = new Map<string, Place>();
     private readonly services = new Map<string, ServiceState>();
     private readonly batchPlaces = new BatchPlaces();
-    private rateTimer: NodeJS.Timeout | undefined;
-    private rateDispatchAtMs = Infinity;
+    /** No event tells when the rate of an endpoint admits the next request. */
+    private readonly rateTimer = new EarliestTimer(() => this.dispatchAll());
 
     /**
      * @param deps - What the dispatcher needs from the rest of the instance.
@@ -118,9 +119,7 @@
                     resolve(this.newRefusal(request, waitMs));
                     return;
                 }
-                if (!isResumption(request)) {
-                    this.scheduleEarlyRefusal(waiter);
-                }
+                this.scheduleEarlyRefusal(waiter);
             }
             this.addTimer(waiter, request.giveUpAfterMs, () => this.refuse(waiter, Infinity));
             this.getService(request.service).queue.add(waiter);
@@ -221,7 +220,7 @@
                 settle(waiter, { kind: "refused", reason: "unavailable", retryAfterMs: 0, detail });
             }
         }
-        clearTimeout(this.rateTimer);
+        this.rateTimer.cancel();
     }
 
     /**
@@ -272,7 +271,7 @@
     private scheduleEarlyRefusal(waiter: Waiter): void {
         const { request } = waiter;
         const earlyMs = request.targetLatencyMs * EARLY_REFUSAL_FRACTION;
-        if (request.usefulForMs <= earlyMs) {
+        if (isResumption(request) || request.usefulForMs <= earlyMs) {
             return;
         }
         this.addTimer(waiter, earlyMs, () => {
@@ -361,7 +360,7 @@
         }
         const rateWaitMs = queue.onlineCount + queue.batchCount > 0 ? this.pool.getRateWaitMs(service) : 0;
         if (rateWaitMs > 0) {
-            this.scheduleRateDispatch(rateWaitMs);
+            this.rateTimer.schedule(Math.max(MIN_RATE_DISPATCH_MS, rateWaitMs));
         }
     }
 
@@ -435,21 +434,6 @@
         }
     }
 
-    /** No event tells when the rate of an endpoint admits the next request, so a timer does. */
-    private scheduleRateDispatch(waitMs: number): void {
-        const delayMs = Math.max(MIN_RATE_DISPATCH_MS, waitMs);
-        const atMs = performance.now() + delayMs;
-        if (this.rateTimer !== undefined && this.rateDispatchAtMs <= atMs) {
-            return;
-        }
-        clearTimeout(this.rateTimer);
-        this.rateDispatchAtMs = atMs;
-        this.rateTimer = setTimeout(() => {
-            this.rateTimer = undefined;
-            this.dispatchAll();
-        }, delayMs);
-    }
-
     private getService(service: string): ServiceState {
         let state = this.services.get(service);
         if (state === undefined) {
@@ -463,15 +447,3 @@
         return state;
     }
 }
-
-/** Whether the request goes on with a stream, of which the caller would lose what it has received. */
-function isResumption({ softwareVersion, workClass }: PlaceRequest): boolean {
-    return softwareVersion !== undefined && workClass === "online";
-}
-
-function settle(waiter: Waiter, outcome: PlaceOutcome): void {
-    for (const timer of waiter.timers) {
-        clearTimeout(timer);
-    }
-    waiter.settle(outcome);
-}
--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -1,17 +1,14 @@
 import { type EndpointCrash, type Logger, newRequestId, sleep } from "@heatherline/common";
-import { newBlockedPromptRefusal, ORIGIN_RETRY_MS } from "./coordinator";
-import { Dispatcher } from "./dispatcher";
+import { AloneGranter } from "./aloneGranter";
 import { EndpointStatements } from "./endpointStatements";
-import { scaleRateBounds } from "./fallbackShares";
 import type { FleetView } from "./fleetView";
 import { GranterReports } from "./granterReports";
-import type { PlaceDecision, PlaceReply } from "./messages";
+import type { PlaceDecision } from "./messages";
 import type { PlaceDecider, PlaceGranter } from "./placeGranter";
 import { PromptEvidence } from "./promptEvidence";
-import { findOrigin, type LocatedRequest, locateRequest, recordStream } from "./resumption";
+import { RemotePlacement } from "./remotePlacement";
 import { getSoftwareVersion } from "./softwareVersions";
-import { StreamOrigins } from "./streamOrigins";
-import { TokenBuckets } from "./tokenBuckets";
+import { isResumption, StreamLocator } from "./streamLocator";
 import type {
     EndpointEntry,
     MemberEntry,
@@ -22,10 +19,6 @@
     StreamOriginReport,
 } from "./types";
 
-/** A decision is awaited this much longer than the request may wait for a place at the coordinator, in milliseconds. */
-const DECISION_GRACE_MS = 400;
-/** Timeout of a call that requests a place; the coordinator replies at once, if only `queued`. In milliseconds. */
-const REQUEST_TIMEOUT_MS = 500;
 /** An endpoint that this instance can't reach is excluded from its requests for this long, in milliseconds. */
 const UNREACHABLE_EXCLUSION_MS = 1_500;
 /** The coordinator's endpoint list may be outdated, but hardly for this many free endpoints at once. */
@@ -97,12 +90,11 @@
     /** What endpoints have said of themselves. */
     readonly statements: EndpointStatements;
     private readonly heldPlaces = new Map<string, HeldPlaceRecord>();
-    private readonly fallbackDispatcher: Dispatcher;
-    private readonly fallbackTokenBuckets: TokenBuckets;
+    private readonly aloneGranter: AloneGranter;
     private readonly unreachableUntilMs = new Map<string, number>();
-    private readonly pendingDecisions = new Map<string, (outcome: PlaceOutcome) => void>();
+    private readonly remotePlacement: RemotePlacement;
     private readonly reports: GranterReports;
-    private readonly streams: StreamOrigins;
+    private readonly streams: StreamLocator;
     private readonly promptEvidence = new PromptEvidence();
 
     /**
@@ -122,19 +114,19 @@
         private readonly logger: Logger,
     ) {
         this.reports = new GranterReports([coordinator, deputy]);
+        this.remotePlacement = new RemotePlacement(this.reports);
         this.statements = new EndpointStatements(this.reports, logger);
-        this.streams = new StreamOrigins(() => view.softwareVersions.retentionMs);
-        this.fallbackDispatcher = new Dispatcher({
-            getCapacity: entry => this.getFallbackCapacity(entry),
-            getColdRatePerS: entry => this.getFallbackColdRatePerS(entry),
-            getLimitPerS: entry => this.getFallbackLimitPerS(entry),
+        this.streams = new StreamLocator(view.softwareVersions);
+        this.aloneGranter = new AloneGranter({
+            self,
+            view,
+            statements: this.statements,
+            streams: this.streams,
+            promptEvidence: this.promptEvidence,
             getRegion,
-            preempt: ({ placeId }) => this.preempt(placeId),
+            countPlacesOfOthers: endpointId => this.countPlacesOfOthers(endpointId),
+            preempt: placeId => this.preempt(placeId),
         });
-        this.fallbackTokenBuckets = new TokenBuckets(
-            bounds => scaleRateBounds(bounds, view.fallbackShares.getAloneFraction(self.instanceId), 1),
-            () => view.fallbackShares.getAloneStartTokens(Math.random()),
-        );
     }
 
     /**
@@ -172,7 +164,7 @@
 
     private async requestOnce(options: PlaceRequestOptions): Promise<PlacementOutcome | UnknownEndpoint> {
         const { signal, ...rest } = options;
-        const located = this.locateOwn({
+        const located = this.streams.locateByRecord({
             ...rest,
             askId: newRequestId(),
             instanceId: this.self.instanceId,
@@ -209,7 +201,7 @@
                 return this.toOutcome(request, decision, granter.decider, signal);
             }
         }
-        return this.toOutcome(request, await this.requestAlone(getRemaining(), signal), "alone", signal);
+        return this.toOutcome(request, await this.aloneGranter.place(getRemaining(), signal), "alone", signal);
     }
 
     /**
@@ -226,19 +218,6 @@
         return !this.isInFallbackMode && !signal.aborted;
     }
 
-    /** Locates a stream that the request goes on with by this instance's own record, which needs no other. */
-    private locateOwn(request: PlaceRequest): LocatedRequest {
-        const { resumedStream } = request;
-        const origin = resumedStream && this.streams.get(resumedStream.requestId);
-        if (origin === undefined) {
-            return { kind: "located", request };
-        }
-        const located = locateRequest(request, origin);
-        return located.kind === "refused"
-            ? located
-            : { kind: "located", request: { ...located.request, resumedStream: undefined } };
-    }
-
     /** @returns Where recent streams of this instance began, for a coordinator that may not know of them. */
     getStreams(): StreamOriginReport[] {
         return this.streams.getReports();
@@ -247,7 +226,7 @@
     /** Applies a change of the fleet view. */
     onViewChanged(): void {
         this.promptEvidence.adopt(this.view.blockedPrompts);
-        this.fallbackDispatcher.setEndpoints(this.view.getEndpoints());
+        this.aloneGranter.onViewChanged();
     }
 
     /**
@@ -285,24 +264,14 @@
 
     /** Begins fallback mode: what accrued for this instance alone while a coordinator decided doesn't count. */
     enterFallbackMode(): void {
-        this.fallbackDispatcher.restartLimits();
-        this.fallbackTokenBuckets.restart();
+        this.aloneGranter.restart();
     }
 
     /**
-     * Handles the decision of the coordinator or the deputy on a queued place request.
-     *
-     * @param decision - The decision.
+     * @param decision - The decision of the coordinator or the deputy on a queued place request.
      */
-    handleDecision({ askId, outcome }: PlaceDecision): void {
-        const resolve = this.pendingDecisions.get(askId);
-        if (resolve !== undefined) {
-            resolve(outcome);
-        }
-        else if (outcome.kind === "placed") {
-            const { placeId } = outcome;
-            this.reports.addRelease({ placeId, end: "lost", fingerprint: "", firstAnswerMs: undefined });
-        }
+    handleDecision(decision: PlaceDecision): void {
+        this.remotePlacement.handleDecision(decision);
     }
 
     /** @returns The decision of the coordinator or deputy, or `undefined` if there is none. */
@@ -315,74 +284,13 @@
         const withdraw = () => this.reports.addWithdrawal(request.askId);
         signal.addEventListener("abort", withdraw, { once: true });
         const outcome = local === undefined
-            ? await this.requestFromRemote(granter, request)
+            ? await this.remotePlacement.request(granter, request)
             : await local.place(request);
         signal.removeEventListener("abort", withdraw);
         const isUndecided = outcome?.kind === "refused" && outcome.reason === "unavailable" && !signal.aborted;
         return isUndecided ? undefined : outcome;
     }
 
-    private async requestFromRemote(
-        { link, placeMethod }: PlaceGranter,
-        request: PlaceRequest,
-    ): Promise<PlaceOutcome | undefined> {
-        if (link.coordinator === undefined) {
-            return undefined;
-        }
-        const { disconnectSignal } = link;
-        let onDisconnect: (() => void) | undefined;
-        const decision = new Promise<PlaceOutcome | undefined>(resolve => {
-            this.pendingDecisions.set(request.askId, resolve);
-            onDisconnect = () => resolve(undefined);
-            disconnectSignal.addEventListener("abort", onDisconnect, { once: true });
-        });
-        const timer = setTimeout(() => onDisconnect?.(), request.giveUpAfterMs + DECISION_GRACE_MS);
-        const reply = await link.call<PlaceReply>(placeMethod, { ask: request }, REQUEST_TIMEOUT_MS);
-        const outcome = reply?.kind === "outcome"
-            ? reply.outcome
-            : reply?.kind === "queued"
-            ? await decision
-            : undefined;
-        clearTimeout(timer);
-        this.pendingDecisions.delete(request.askId);
-        if (onDisconnect !== undefined) {
-            disconnectSignal.removeEventListener("abort", onDisconnect);
-        }
-        if (outcome === undefined) {
-            this.reports.addWithdrawal(request.askId);
-        }
-        return outcome;
-    }
-
-    private async requestAlone(asked: PlaceRequest, signal: AbortSignal): Promise<PlaceOutcome> {
-        const { resumedStream } = asked;
-        const origin = resumedStream && findOrigin(resumedStream, this.streams, this.view.softwareVersions);
-        const located = locateRequest(asked, origin, ORIGIN_RETRY_MS);
-        if (located.kind === "refused") {
-            return located.outcome;
-        }
-        const { request } = located;
-        const parts = request.promptParts ?? [];
-        if (this.promptEvidence.isBlocked(parts)) {
-            return newBlockedPromptRefusal(parts);
-        }
-        if (request.rate !== undefined) {
-            const decision = this.fallbackTokenBuckets.take(request.organisation, request.rate);
-            if (!decision.isTaken) {
-                const detail = `own part of rate ${request.rate.ratePerS}/s, instances ${this.view.members.length}`;
-                return { kind: "refused", reason: "rate-limited", retryAfterMs: decision.retryAfterMs, detail };
-            }
-        }
-        const withdraw = () => this.fallbackDispatcher.withdraw(request.askId);
-        signal.addEventListener("abort", withdraw, { once: true });
-        const outcome = await this.fallbackDispatcher.place(request);
-        signal.removeEventListener("abort", withdraw);
-        if (outcome.kind === "refused" && request.rate !== undefined) {
-            this.fallbackTokenBuckets.refund(request.organisation);
-        }
-        return outcome.kind === "placed" && origin !== undefined ? { ...outcome, origin } : outcome;
-    }
-
     private toOutcome(
         request: PlaceRequest,
         outcome: PlaceOutcome,
@@ -422,10 +330,7 @@
             this.release(placeId, "lost");
             return { kind: "unknown-endpoint", endpointId, decidedBy };
         }
-        recordStream(this.streams, request, {
-            service: endpoint.service,
-            softwareVersion: getSoftwareVersion(endpoint),
-        });
+        this.streams.record(request, endpoint);
         const release = (end: RequestEnd, firstAnswerMs?: number, hasResponded = false) =>
             this.release(placeId, end, firstAnswerMs, hasResponded);
         const reportCrash = () => this.reportCrash(placeId, endpointId, request);
@@ -455,7 +360,7 @@
         if (end === "unreachable") {
             this.unreachableUntilMs.set(held.endpointId, performance.now() + UNREACHABLE_EXCLUSION_MS);
         }
-        this.fallbackDispatcher.release(placeId, end, firstAnswerMs);
+        this.aloneGranter.release(placeId, end, firstAnswerMs);
         const { fingerprint, promptParts = [] } = held.request;
         const succeededParts = hasResponded ? this.promptEvidence.recordSuccess(promptParts) : [];
         // A coordinator may have adopted places that this instance granted in fallback mode; it ignores unknown ones.
@@ -476,31 +381,16 @@
     }
 
     private reportSilence(placeId: string): void {
-        this.fallbackDispatcher.recordSilence(placeId);
+        this.aloneGranter.recordSilence(placeId);
         this.reports.addSilentPlace(placeId);
     }
 
-    /** Places granted by others count against the share, so that the endpoint is not overloaded. */
-    private getFallbackCapacity(entry: EndpointEntry): number {
-        if (this.view.evacuated.has(entry.dataCentre)) {
-            return 0;
-        }
-        let grantedPlaces = 0;
-        for (const { endpointId, givenBy } of this.heldPlaces.values()) {
-            grantedPlaces += endpointId === entry.endpointId && givenBy !== "alone" ? 1 : 0;
+    private countPlacesOfOthers(endpointId: string): number {
+        let count = 0;
+        for (const held of this.heldPlaces.values()) {
+            count += held.endpointId === endpointId && held.givenBy !== "alone" ? 1 : 0;
         }
-        return Math.max(0, this.view.fallbackShares.getSlots(entry, this.self.instanceId) - grantedPlaces);
-    }
-
-    private getFallbackColdRatePerS(entry: EndpointEntry): number {
-        const ratePerS = this.view.routes?.getColdRatePerS(entry.service) ?? 0;
-        return ratePerS * this.view.fallbackShares.getSlots(entry, this.self.instanceId) / entry.slots;
-    }
-
-    private getFallbackLimitPerS(entry: EndpointEntry): number | undefined {
-        const limitPerS = this.statements.getLimitPerS(entry);
-        const slots = this.view.fallbackShares.getSlots(entry, this.self.instanceId);
-        return limitPerS === undefined ? undefined : limitPerS * slots / entry.slots;
+        return count;
     }
 
     private getUnreachable(): string[] {
@@ -515,11 +405,6 @@
     }
 }
 
-/** Whether the request goes on with a stream, of which the caller would lose what it has received. */
-function isResumption({ workClass, resumedStream, softwareVersion }: PlaceRequest): boolean {
-    return workClass === "online" && (resumedStream !== undefined || softwareVersion !== undefined);
-}
-
 /** Reduces the times that a place request may still wait by the elapsed time. */
 function subtractElapsed<Request extends Pick<PlaceRequest, "usefulForMs" | "giveUpAfterMs">>(
     request: Request,
--- a/packages/fleet/src/requestRateLimiter.ts
+++ b/packages/fleet/src/requestRateLimiter.ts
@@ -1,5 +1,5 @@
 const MS_PER_S = 1_000;
-/** Requests of this time may be sent at once, in seconds. */
+/** Requests of this time may be sent at once, since callers come together; in seconds. */
 const BURST_S = 1;
 
 /**
--- a/packages/fleet/src/waitQueue.ts
+++ b/packages/fleet/src/waitQueue.ts
@@ -89,6 +89,19 @@
     }
 }
 
+/**
+ * Decides on a request that waited.
+ *
+ * @param waiter - The request, which is no longer in the queue.
+ * @param outcome - The decision.
+ */
+export function settle(waiter: Waiter, outcome: PlaceOutcome): void {
+    for (const timer of waiter.timers) {
+        clearTimeout(timer);
+    }
+    waiter.settle(outcome);
+}
+
 function insertByRank(waiters: Waiter[], waiter: Waiter): void {
     let low = 0;
     let high = waiters.length;
--- a/packages/fleet/tests/resumption.test.ts
+++ b/packages/fleet/tests/resumption.test.ts
@@ -101,6 +101,14 @@
             },
             sole: undefined,
         },
+        {
+            what: "after the process was suspended, which its steady clock doesn't count",
+            prepare: versions => {
+                passCurrent(versions, RETENTION_MS + 1_000);
+                vi.setSystemTime(Date.now() + 60_000);
+            },
+            sole: undefined,
+        },
         {
             what: "while nothing is heard",
             prepare: versions => {
--- /dev/null
+++ b/packages/gateway/src/attemptOutcome.ts
@@ -0,0 +1,18 @@
+import type { AttemptEnd } from "./retryPolicy";
+
+/** The outcome of one attempt; `answered` means that the endpoint's response was delivered to the caller. */
+export type AttemptOutcome =
+    | { readonly kind: "answered"; readonly status: number; }
+    | {
+        readonly kind: "ended";
+        readonly end: AttemptEnd;
+        readonly reason: string;
+        readonly failure?: FailureResponse;
+    };
+
+/** An endpoint's error response, passed on to the caller if no later attempt succeeds. */
+export interface FailureResponse {
+    readonly status: number;
+    readonly rawHeaders: readonly string[];
+    readonly body: Buffer;
+}
--- a/packages/gateway/src/coordinatorRole.ts
+++ b/packages/gateway/src/coordinatorRole.ts
@@ -1,51 +1,28 @@
 import type { RpcPeerTransport } from "@heatherline/agreement";
-import type { BlockedPrompt, EndpointCrash, Logger } from "@heatherline/common";
+import type { Logger } from "@heatherline/common";
 import {
     type Announcement,
-    Coordinator,
+    type Coordinator,
     CoordinatorLease,
     CoordinatorLink,
-    type EndpointLimit,
     FleetScope,
-    type FleetView,
     type MemberEntry,
     METHODS,
-    type PlaceSummary,
     type RateTolerance,
-    type StreamOriginReport,
     type SyncReply,
     type SyncReport,
     type SyncRequest,
 } from "@heatherline/fleet";
 import type { ObjectStore } from "@heatherline/store";
-import type { StreamJournal } from "./streamJournal";
+import { type GranterDependencies, startGranter } from "./granterDependencies";
 
 const ANNOUNCE_TIMEOUT_MS = 400;
 
 /** What a {@link CoordinatorRole} gets from the rest of the instance. */
-export interface CoordinatorRoleDependencies {
-    readonly self: MemberEntry;
-    readonly view: FleetView;
+export interface CoordinatorRoleDependencies extends GranterDependencies {
     readonly store: ObjectStore;
     readonly rpc: RpcPeerTransport;
-    readonly getRegion: (dataCentre: string) => string;
     readonly getRateTolerance: () => RateTolerance;
-    /** Whether this instance's own calls to the store fail. */
-    readonly isStoreFailing: () => boolean;
-    /** @returns The places that this instance holds. */
-    readonly getPlaces: () => readonly PlaceSummary[];
-    /** Preempts a place that this instance holds. */
-    readonly preemptOwnPlace: (placeId: string) => void;
-    /** @returns Crashes of endpoints that this instance has seen recently. */
-    readonly getRecentCrashes: () => readonly EndpointCrash[];
-    /** @returns Limits of endpoints that this instance knows. */
-    readonly getLimits: () => readonly EndpointLimit[];
-    /** @returns Where recent streams of this instance began. */
-    readonly getStreams: () => readonly StreamOriginReport[];
-    /** Keeps in the store where streams began. */
-    readonly streamJournal: StreamJournal;
-    /** Stores a block of a prompt, or removes it if it has ended. */
-    readonly saveBlockedPrompt: (prompt: BlockedPrompt, isEnded: boolean) => void;
     readonly newSyncRequest: (report: SyncReport, waitMs: number) => SyncRequest;
     readonly onSyncReply: (reply: Extract<SyncReply, { kind: "news"; }>, transitMs: number) => void;
     /** Called when the coordinator, or whether it can be reached, has changed. */
@@ -138,7 +115,7 @@
         const { epoch } = this.lease;
         this.logger.info({ event: isHolder ? "coordinator-begins" : "coordinator-ends", epoch, reason });
         this.coordinator?.stop();
-        this.deps.streamJournal.stop();
+        this.deps.streamOriginStore.stop();
         this.coordinator = undefined;
         if (isHolder) {
             this.link.stop("this instance is the coordinator");
@@ -149,34 +126,9 @@
     }
 
     private newCoordinator(epoch: number): Coordinator {
-        const {
-            self,
-            view,
-            getRegion,
-            getRateTolerance,
-            isStoreFailing,
-            preemptOwnPlace,
-            getPlaces,
-            saveBlockedPrompt,
-        } = this.deps;
-        const coordinator = new Coordinator(epoch, {
-            self,
-            view,
-            scope: new FleetScope(view, epoch, getRateTolerance),
-            getRegion,
-            getLeaseVersion: () => this.lease.version,
-            isStoreFailing,
-            preemptOwnPlace,
-            saveBlockedPrompt,
-            recordStreams: report => this.deps.streamJournal.add(report),
-            logger: this.logger,
-        });
-        coordinator.adoptOwnPlaces(getPlaces());
-        coordinator.recordCrashes(this.deps.getRecentCrashes());
-        coordinator.recordLimits(this.deps.getLimits());
-        coordinator.adoptStreams(this.deps.getStreams());
-        this.deps.streamJournal.start(coordinator);
-        return coordinator;
+        const { view, getRateTolerance } = this.deps;
+        const scope = new FleetScope(view, epoch, getRateTolerance);
+        return startGranter(this.deps, scope, { epoch, getVersion: () => this.lease.version }, this.logger);
     }
 
     private announce(epoch: number): void {
--- a/packages/gateway/src/deputyRole.ts
+++ b/packages/gateway/src/deputyRole.ts
@@ -1,46 +1,22 @@
-import type { BlockedPrompt, EndpointCrash, Logger } from "@heatherline/common";
+import type { Logger } from "@heatherline/common";
 import {
     type Announcement,
-    Coordinator,
+    type Coordinator,
     CoordinatorLink,
     DataCentreScope,
-    type EndpointLimit,
-    type FleetView,
-    type MemberEntry,
     METHODS,
-    type PlaceSummary,
     type RpcCaller,
-    type StreamOriginReport,
     type SyncReply,
     type SyncReport,
     type SyncRequest,
 } from "@heatherline/fleet";
-import type { StreamJournal } from "./streamJournal";
+import { type GranterDependencies, startGranter } from "./granterDependencies";
 
 const ANNOUNCE_TIMEOUT_MS = 400;
 
 /** What a {@link DeputyRole} gets from the rest of the instance. */
-export interface DeputyRoleDependencies {
-    readonly self: MemberEntry;
-    readonly view: FleetView;
+export interface DeputyRoleDependencies extends GranterDependencies {
     readonly rpc: RpcCaller;
-    readonly getRegion: (dataCentre: string) => string;
-    /** Whether this instance's own calls to the store fail. */
-    readonly isStoreFailing: () => boolean;
-    /** @returns The places that this instance holds. */
-    readonly getPlaces: () => readonly PlaceSummary[];
-    /** Preempts a place that this instance holds. */
-    readonly preemptOwnPlace: (placeId: string) => void;
-    /** @returns Crashes of endpoints that this instance has seen recently. */
-    readonly getRecentCrashes: () => readonly EndpointCrash[];
-    /** @returns Limits of endpoints that this instance knows. */
-    readonly getLimits: () => readonly EndpointLimit[];
-    /** @returns Where recent streams of this instance began. */
-    readonly getStreams: () => readonly StreamOriginReport[];
-    /** Keeps in the store where streams began. */
-    readonly streamJournal: StreamJournal;
-    /** Stores a block of a prompt, or removes it if it has ended. */
-    readonly saveBlockedPrompt: (prompt: BlockedPrompt, isEnded: boolean) => void;
     /** Reads the blocked prompts from the store once. */
     readonly readBlockedPrompts: () => void;
     readonly newSyncRequest: (report: SyncReport, waitMs: number) => SyncRequest;
@@ -117,28 +93,11 @@
     }
 
     private begin(): void {
-        const { self, view, getRegion, isStoreFailing, preemptOwnPlace, getPlaces, saveBlockedPrompt, onChange } =
-            this.deps;
+        const { self, readBlockedPrompts, onChange } = this.deps;
         this.logger.info({ event: "deputy-begins", dataCentre: self.dataCentre });
         this.scope.tokenBuckets.restart();
-        this.deputy = new Coordinator(0, {
-            self,
-            view,
-            scope: this.scope,
-            getRegion,
-            getLeaseVersion: () => 0,
-            isStoreFailing,
-            preemptOwnPlace,
-            saveBlockedPrompt,
-            recordStreams: report => this.deps.streamJournal.add(report),
-            logger: this.logger,
-        });
-        this.deputy.adoptOwnPlaces(getPlaces());
-        this.deputy.recordCrashes(this.deps.getRecentCrashes());
-        this.deputy.recordLimits(this.deps.getLimits());
-        this.deputy.adoptStreams(this.deps.getStreams());
-        this.deps.streamJournal.start(this.deputy);
-        this.deps.readBlockedPrompts();
+        this.deputy = startGranter(this.deps, this.scope, { epoch: 0, getVersion: () => 0 }, this.logger);
+        readBlockedPrompts();
         onChange();
     }
 
@@ -151,7 +110,7 @@
         this.logger.info({ event: "deputy-ends", dataCentre: this.deps.self.dataCentre });
         this.announceCoordinator(deputy.heartbeats.getLiveInstances());
         deputy.stop();
-        this.deps.streamJournal.stop();
+        this.deps.streamOriginStore.stop();
     }
 
     /** Tells the instances that follow this one which coordinator it has found, so that they follow it at once. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,5 @@
 import { RpcPeerServer, RpcPeerTransport } from "@heatherline/agreement";
-import { type Logger, newId, sleep } from "@heatherline/common";
+import { type BlockedPrompt, type Logger, newId, sleep } from "@heatherline/common";
 import {
     type Announcement,
     FleetView,
@@ -32,7 +32,7 @@
 import { RelayedStore } from "./relayedStore";
 import { RetirementAcknowledger } from "./retirementAcknowledger";
 import { StartupGate } from "./startupGate";
-import { StreamJournal } from "./streamJournal";
+import { StreamOriginStore } from "./streamOriginStore";
 import { Sweeper } from "./sweeper";
 import { SyncMessages } from "./syncMessages";
 
@@ -115,21 +115,20 @@
         );
         const blockedPrompts = new BlockedPromptStore(store, logger);
         const getRegion = (dataCentre: string) => this.settings.regions[dataCentre] ?? dataCentre;
-        this.role = new CoordinatorRole({
+        const granterDeps = {
             self: this.self,
             view,
+            getRegion,
+            isStoreFailing: () => this.feed.isStoreFailing,
+            getPlacement: () => this.placement,
+            saveBlockedPrompt: (prompt: BlockedPrompt, isEnded: boolean) => blockedPrompts.save(prompt, isEnded),
+        };
+        this.role = new CoordinatorRole({
+            ...granterDeps,
+            streamOriginStore: new StreamOriginStore(store, view, "fleet", logger),
             store,
             rpc: this.rpc,
-            getRegion,
             getRateTolerance: () => this.settings.rateTolerance,
-            isStoreFailing: () => this.feed.isStoreFailing,
-            getPlaces: () => this.placement.getPlaces(),
-            preemptOwnPlace: placeId => this.placement.preempt(placeId),
-            getRecentCrashes: () => this.placement.getRecentCrashes(),
-            getLimits: () => this.placement.statements.getLimits(),
-            getStreams: () => this.placement.getStreams(),
-            streamJournal: new StreamJournal(store, view, "fleet", logger),
-            saveBlockedPrompt: (prompt, isEnded) => blockedPrompts.save(prompt, isEnded),
             newSyncRequest: (report, waitMs) => this.syncMessages.newRequest(report, waitMs),
             onSyncReply: (reply, transitMs) => {
                 this.syncMessages.applyCoordinatorReply(reply, transitMs);
@@ -138,18 +137,9 @@
             onChange: () => this.onRoleChange(),
         }, logger);
         this.deputy = new DeputyRole({
-            self: this.self,
-            view,
+            ...granterDeps,
+            streamOriginStore: new StreamOriginStore(store, view, this.self.dataCentre, logger),
             rpc: this.rpc,
-            getRegion,
-            isStoreFailing: () => this.feed.isStoreFailing,
-            getPlaces: () => this.placement.getPlaces(),
-            preemptOwnPlace: placeId => this.placement.preempt(placeId),
-            getRecentCrashes: () => this.placement.getRecentCrashes(),
-            getLimits: () => this.placement.statements.getLimits(),
-            getStreams: () => this.placement.getStreams(),
-            streamJournal: new StreamJournal(store, view, this.self.dataCentre, logger),
-            saveBlockedPrompt: (prompt, isEnded) => blockedPrompts.save(prompt, isEnded),
             readBlockedPrompts: () => void this.feed.readBlockedPrompts(),
             newSyncRequest: (report, waitMs) => ({ ...this.syncMessages.newRequest(report, waitMs), jobs: [] }),
             onSyncReply: (reply, transitMs) => {
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -32,7 +32,7 @@
 const NOT_RUNNABLE_DELAY_MS = 250;
 /** An item is given up when its route has been missing from the configuration for this long. */
 const ROUTE_REMOVAL_GRACE_MS = 3_000;
-/** An endpoint that crashed is back within seconds, with what its version began lost to no one. */
+/** An endpoint of the version that began an item may only have crashed; it then registers again within seconds. */
 const VERSION_GONE_PATIENCE_MS = 2_500;
 /** Longer waits for an endpoint of the version that began an item cost more than beginning again. */
 const VERSION_BUSY_PATIENCE_MS = 8_000;
--- a/packages/gateway/src/jobRun.ts
+++ b/packages/gateway/src/jobRun.ts
@@ -50,9 +50,9 @@
     private readonly itemRuns = new Map<string, ItemRun>();
     private readonly handedOverStates: ReadonlyMap<string, ItemState>;
     private waiters: (() => void)[] = [];
-    /** Counts the occasions since which another instance may have written results. */
-    private doubts = 0;
-    private settledDoubts = 0;
+    /** How often another instance may have written results, and up to which of these times the store has been read. */
+    private requiredVerifications = 0;
+    private doneVerifications = 0;
     private isClosed = false;
 
     /**
@@ -98,12 +98,12 @@
 
     /** Whether no other instance can have written results that are not published here. */
     get isVerified(): boolean {
-        return this.settledDoubts === this.doubts;
+        return this.doneVerifications === this.requiredVerifications;
     }
 
     /** Records that another instance may have run the job meanwhile, so that the store must be read once more. */
     requireVerification(): void {
-        this.doubts += 1;
+        this.requiredVerifications += 1;
     }
 
     /** @returns The job's progress, including results that are not written yet. */
@@ -219,7 +219,7 @@
      * @returns Whether all results in the store are published now; `false` if the store can't be read.
      */
     async loadNewResults(): Promise<boolean> {
-        const { doubts } = this;
+        const { requiredVerifications } = this;
         for (;;) {
             const index = this.chunkCount;
             const chunk = await this.deps.store.readChunk(this.manifest.jobId, index);
@@ -227,7 +227,7 @@
                 return false;
             }
             if (chunk.value === undefined) {
-                this.settledDoubts = doubts;
+                this.doneVerifications = requiredVerifications;
                 return true;
             }
             if (index === this.chunkCount) {
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -11,13 +11,14 @@
 import type { Result } from "neverthrow";
 import type http from "node:http";
 import type { Admission, AdmittedRequest } from "./admission";
+import type { AttemptOutcome, FailureResponse } from "./attemptOutcome";
 import { discardBody, readFullBody } from "./bodyReader";
 import type { CallerResponse } from "./callerResponse";
 import { type EndpointClient, type EndpointResponse, type SendFailure } from "./endpointClient";
 import type { GatewayMetrics } from "./metrics";
 import { newRefusal, type Refusal } from "./refusal";
 import { StreamRelay } from "./responseRelay";
-import { type AttemptEnd, isRetryable, RetryPolicy } from "./retryPolicy";
+import { isRetryable, RetryPolicy } from "./retryPolicy";
 import { FIRST_RESPONSE_TIMEOUT_MS, watchForSilence } from "./silenceWatch";
 import type { CallerRequestHead, WireCodec } from "./wireCodec";
 
@@ -42,23 +43,6 @@
     readonly callerGone: AbortSignal;
 }
 
-/** The outcome of one attempt; `answered` means that the endpoint's response was delivered to the caller. */
-type AttemptOutcome =
-    | { readonly kind: "answered"; readonly status: number; }
-    | {
-        readonly kind: "ended";
-        readonly end: AttemptEnd;
-        readonly reason: string;
-        readonly failure?: FailureResponse;
-    };
-
-/** An endpoint's error response, passed on to the caller if no later attempt succeeds. */
-interface FailureResponse {
-    readonly status: number;
-    readonly rawHeaders: readonly string[];
-    readonly body: Buffer;
-}
-
 /** What an {@link OnlineHandler} depends on. */
 export interface OnlineHandlerDependencies {
     readonly admission: Admission;
--- a/packages/gateway/src/streamJournal.ts
+++ b/packages/gateway/src/streamOriginStore.ts
@@ -25,7 +25,7 @@
  * always kept, and written when it changes. Single streams are written only while several versions of their service may
  * have begun them, together a few times a second.
  */
-export class StreamJournal {
+export class StreamOriginStore {
     private readonly versionByPath = new Map<string, number>();
     private readonly writtenVersions = new Map<string, string>();
     /** Services of which several versions may have begun streams. */
--- a/packages/gateway/tests/streamJournal.test.ts
+++ b/packages/gateway/tests/streamOriginStore.test.ts
@@ -3,7 +3,7 @@
 import { MemoryStore, type ObjectStore, StoreError } from "@heatherline/store";
 import { err } from "neverthrow";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { StreamJournal } from "../src/streamJournal";
+import { StreamOriginStore } from "../src/streamOriginStore";
 
 const logger = { info: () => undefined } as unknown as Logger;
 const V1 = { service: "lm", softwareVersion: "v1" };
@@ -43,7 +43,7 @@
 interface Granter {
     readonly view: FleetView;
     readonly streams: StreamOrigins;
-    readonly journal: StreamJournal;
+    readonly originStore: StreamOriginStore;
 }
 
 function newEndpoints(versions: readonly string[]): EndpointEntry[] {
@@ -64,17 +64,17 @@
     const view = new FleetView(1_200);
     view.applyEndpoints({ revision: 1, value: newEndpoints(versions) });
     const streams = new StreamOrigins(() => view.softwareVersions.retentionMs);
-    const journal = new StreamJournal(store, view, name, logger);
-    journal.start({
+    const originStore = new StreamOriginStore(store, view, name, logger);
+    originStore.start({
         adoptStreams: reports => streams.adopt(reports),
         getStreams: () => streams.getReports(),
     });
-    return { view, streams, journal };
+    return { view, streams, originStore };
 }
 
-function begin({ streams, journal }: Granter, requestId: string, origin = V1): void {
+function begin({ streams, originStore }: Granter, requestId: string, origin = V1): void {
     streams.record(requestId, origin);
-    journal.add({ ...origin, requestIds: [requestId] });
+    originStore.add({ ...origin, requestIds: [requestId] });
 }
 
 function countStreams(reports: readonly StreamOriginReport[]): number {
@@ -82,8 +82,8 @@
 }
 
 /** What a granter knows that starts after all instances were killed. */
-async function restart({ journal }: Granter, store: ObjectStore, versions: readonly string[]): Promise<Granter> {
-    journal.stop();
+async function restart({ originStore }: Granter, store: ObjectStore, versions: readonly string[]): Promise<Granter> {
+    originStore.stop();
     const granter = startGranter(store, versions);
     await vi.advanceTimersByTimeAsync(SETTLE_MS);
     return granter;
@@ -100,7 +100,7 @@
         const next = await restart(granter, store, ["v1", "v2"]);
         expect(next.streams.get("a")).toEqual(V1);
         expect(next.streams.get("b")).toEqual(V2);
-        next.journal.stop();
+        next.originStore.stop();
     });
 
     it("is where streams began before a second version appeared", async () => {
@@ -113,7 +113,7 @@
         await vi.advanceTimersByTimeAsync(SETTLE_MS);
         const next = await restart(granter, store, ["v1", "v2"]);
         expect(next.streams.get("a")).toEqual(V1);
-        next.journal.stop();
+        next.originStore.stop();
     });
 
     it("is that only one version served, which costs one write", async () => {
@@ -128,7 +128,7 @@
         const next = await restart(granter, store, ["v1"]);
         next.view.softwareVersions.markCurrent();
         expect(next.view.softwareVersions.getSole("lm")).toBe("v1");
-        next.journal.stop();
+        next.originStore.stop();
     });
 
     it("is that another version had just served", async () => {
@@ -139,7 +139,7 @@
         next.view.softwareVersions.markCurrent();
         expect(next.view.softwareVersions.getSole("lm")).toBeUndefined();
         expect(next.view.softwareVersions.getPossible("lm")).toEqual(["v1", "v2"]);
-        next.journal.stop();
+        next.originStore.stop();
     });
 
     it.each([
@@ -156,7 +156,7 @@
         await vi.advanceTimersByTimeAsync(3 * SETTLE_MS);
         const next = await restart(granter, store, ["v1", "v2"]);
         expect(next.streams.get("a")).toEqual(V2);
-        next.journal.stop();
+        next.originStore.stop();
     });
 
     it("is read as soon as the store is up, and nothing is certain before", async () => {
@@ -172,7 +172,7 @@
         store.isDown = false;
         await vi.advanceTimersByTimeAsync(3 * SETTLE_MS);
         expect(next.streams.get("a")).toEqual(V2);
-        next.journal.stop();
+        next.originStore.stop();
     });
 
     it("is what all granters wrote, also those that write at the same time", async () => {
@@ -182,10 +182,10 @@
         begin(first, "a", V1);
         begin(second, "b", V2);
         await vi.advanceTimersByTimeAsync(SETTLE_MS);
-        second.journal.stop();
+        second.originStore.stop();
         const next = await restart(first, store, ["v1", "v2"]);
         expect(countStreams(next.streams.getReports())).toBe(2);
-        next.journal.stop();
+        next.originStore.stop();
     });
 
     it("are no objects of another form, and no streams of long ago", async () => {
@@ -201,7 +201,7 @@
         const granter = startGranter(store, ["v1"]);
         await vi.advanceTimersByTimeAsync(SETTLE_MS);
         expect(granter.streams.getReports()).toEqual([]);
-        granter.journal.stop();
+        granter.originStore.stop();
     });
 });
 
@@ -223,7 +223,7 @@
         }
         expect(store.writes + store.lists).toBeLessThan(60);
         expect(store.writes + store.lists).toBeGreaterThan(15);
-        granter.journal.stop();
+        granter.originStore.stop();
     });
 });
 
@@ -243,6 +243,6 @@
         expect(store.writes).toBeLessThanOrEqual(41);
         expect(objects.length).toBeLessThan(200);
         expect(Math.max(...objects.map(({ value }) => JSON.stringify(value).length))).toBeLessThan(50_000);
-        granter.journal.stop();
+        granter.originStore.stop();
     });
 });
--- a/tools/mechanisms.mjs
+++ b/tools/mechanisms.mjs
@@ -240,6 +240,20 @@
         replace: "? statement.statedAtMs > 0",
         test: "packages/fleet/tests/endpointLimits.test.ts",
     },
+    {
+        name: "results-verified-after-a-time-out-of-contact",
+        file: "packages/gateway/src/jobReader.ts",
+        find: "!run.isVerified || ",
+        replace: "",
+        test: "packages/gateway/tests/jobReader.test.ts",
+    },
+    {
+        name: "take-ups-wait-for-a-coordinator",
+        file: "packages/fleet/src/placementClient.ts",
+        find: "const RESUMPTION_WAIT_MS = 800;",
+        replace: "const RESUMPTION_WAIT_MS = 0;",
+        test: "packages/fleet/tests/takeUpWithoutCoordinator.test.ts",
+    },
     {
         name: "version-of-a-stream",
         file: "packages/fleet/src/endpointPool.ts",
@@ -256,10 +270,10 @@
     },
     {
         name: "streams-of-before-the-second-version",
-        file: "packages/gateway/src/streamJournal.ts",
+        file: "packages/gateway/src/streamOriginStore.ts",
         find: "...reports.filter(({ service }) => isNew(service)),",
         replace: "",
-        test: "packages/gateway/tests/streamJournal.test.ts",
+        test: "packages/gateway/tests/streamOriginStore.test.ts",
     },
     {
         name: "one-attempt-for-non-idempotent",
