Wait for a coordinator only while one is expected, and not for a blocked prompt

Callers that took a stream up at an instance that had long been cut off waited 800 ms for a refusal, and so did those whose prompt is blocked: hopeless requests are to be refused at once. Found by reading the diff again. A take-up now waits only in the first 2 s without a coordinator, within which the next one takes over. takeUpWithoutCoordinator.test.ts has the case, red before.

--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -28,6 +28,8 @@
 
 /** A request that goes on with a stream waits this long for a coordinator if no one else can serve it. */
 const RESUMPTION_WAIT_MS = 800;
+/** Without a coordinator for longer than this, none is expected soon: the next one takes over within 1.8 s. */
+const COORDINATOR_EXPECTED_MS = 2_000;
 const COORDINATOR_POLL_MS = 20;
 
 /** A place that this instance holds. */
@@ -96,6 +98,8 @@
     private readonly reports: GranterReports;
     private readonly streams: StreamLocator;
     private readonly promptEvidence = new PromptEvidence();
+    /** When the last coordinator was lost, or when this instance started. */
+    private coordinatorLostAtMs = performance.now();
 
     /**
      * @param self - This instance.
@@ -183,7 +187,7 @@
         const getRemaining = () => subtractElapsed(request, performance.now() - startedAtMs);
         const outcome = await this.requestFromAny(request, getRemaining, signal);
         const isWorthWaiting = isResumption(request) && outcome.kind === "refused"
-            && outcome.decidedBy !== "coordinator";
+            && outcome.decidedBy !== "coordinator" && outcome.reason !== "crashes-endpoints";
         return isWorthWaiting && await this.waitForCoordinator(signal)
             ? this.requestFromAny(request, getRemaining, signal)
             : outcome;
@@ -211,7 +215,10 @@
      * @returns Whether one can be asked.
      */
     private async waitForCoordinator(signal: AbortSignal): Promise<boolean> {
-        const untilMs = performance.now() + RESUMPTION_WAIT_MS;
+        const untilMs = Math.min(
+            performance.now() + RESUMPTION_WAIT_MS,
+            this.coordinatorLostAtMs + COORDINATOR_EXPECTED_MS,
+        );
         while (this.isInFallbackMode && performance.now() < untilMs && !signal.aborted) {
             await sleep(COORDINATOR_POLL_MS, signal);
         }
@@ -264,6 +271,7 @@
 
     /** Begins fallback mode: what accrued for this instance alone while a coordinator decided doesn't count. */
     enterFallbackMode(): void {
+        this.coordinatorLostAtMs = performance.now();
         this.aloneGranter.restart();
     }
 
--- a/packages/fleet/tests/takeUpWithoutCoordinator.test.ts
+++ b/packages/fleet/tests/takeUpWithoutCoordinator.test.ts
@@ -42,8 +42,16 @@
             expected: /^v/,
             decidedAfterMs: 0,
         },
+        {
+            what: "goes on with a stream, when the coordinator has been gone for long",
+            lostBeforeMs: 5_000,
+            foundAfterMs: undefined,
+            resumedStream: RESUMED,
+            expected: "origin-unknown, retry after 500",
+            decidedAfterMs: 0,
+        },
     ])("that $what is decided within $decidedAfterMs ms: $expected", async (
-        { foundAfterMs, resumedStream, expected, decidedAfterMs },
+        { lostBeforeMs = 0, foundAfterMs, resumedStream, expected, decidedAfterMs },
     ) => {
         const view = new FleetView(1_200);
         view.applyMembers({ revision: 1, value: [TEST_MEMBER] });
@@ -65,6 +73,8 @@
             logger,
         );
         client.onViewChanged();
+        client.enterFallbackMode();
+        await vi.advanceTimersByTimeAsync(lostBeforeMs);
         if (foundAfterMs !== undefined) {
             setTimeout(() => {
                 coordinator = startTestCoordinator({ view, endpoints: ENDPOINTS });
