--- a/packages/gateway/tests/jobReader.test.ts
+++ b/packages/gateway/tests/jobReader.test.ts
@@ -1,12 +1,12 @@
 import { PeerError } from "@heatherline/agreement";
 import { newLogger, rankByRendezvous } from "@heatherline/common";
 import type { CoordinatorLink, MemberEntry } from "@heatherline/fleet";
-import { MemoryStore } from "@heatherline/store";
+import { MemoryStore, StoreError } from "@heatherline/store";
 import { err, ok } from "neverthrow";
-import { beforeEach, describe, expect, it } from "vitest";
+import { beforeEach, describe, expect, it, vi } from "vitest";
 import { JobReader, type ReadJobRequest } from "../src/jobReader";
 import { JobRun, type JobRunDependencies } from "../src/jobRun";
-import type { JobRunner } from "../src/jobRunner";
+import { JobRunner, type JobRunnerDependencies } from "../src/jobRunner";
 import { type JobManifest, JobStore } from "../src/jobStore";
 
 const JOB = "job-1";
@@ -117,7 +117,7 @@
 
     it.each([
         { what: "once this instance was out of contact", requiresVerification: true, expected: ["item-2"] },
-        { what: "without a doubt that it is the only one", requiresVerification: false, expected: [] },
+        { what: "while it is certainly the only one", requiresVerification: false, expected: [] },
     ])("are read from the store $what", async ({ requiresVerification, expected }) => {
         const run = new JobRun(manifest, new Map(), { store } as unknown as JobRunDependencies, undefined);
         const { signal } = new AbortController();
@@ -133,7 +133,27 @@
         expect(run.isVerified).toBe(true);
     });
 
-    it("stay in doubt if the doubt arose while the store was read", async () => {
+    it("are read from the store from the moment the job is reported as closed, also if that can't be checked", async () => {
+        const runner = new JobRunner({
+            store,
+            logger: newLogger("test", "fatal"),
+            placement: { requestPlace: () => new Promise(() => undefined) },
+            view: { routes: undefined },
+            isJobStateFresh: () => false,
+        } as unknown as JobRunnerDependencies);
+        runner.add(manifest, new Map());
+        const run = runner.getReadableRun(JOB) as JobRun;
+        await store.writeChunk(JOB, 0, [toResult("item-1"), toResult("item-2")], new AbortController().signal);
+        const reader = newReader(MEMBERS[0] as MemberEntry, run);
+        expect((await reader.read(READ))._unsafeUnwrap().page.results).toHaveLength(0);
+        vi.spyOn(store, "read").mockResolvedValue(err(new StoreError("unavailable", "down")));
+        await runner.stopClosedJobs([JOB]);
+        expect(run.isVerified).toBe(false);
+        expect((await reader.read(READ))._unsafeUnwrap().page.results).toHaveLength(2);
+        run.stop("the test is over");
+    });
+
+    it("have to be verified again if that was required while the store was read", async () => {
         const run = new JobRun(manifest, new Map(), { store } as unknown as JobRunDependencies, undefined);
         const loading = run.loadNewResults();
         run.requireVerification();
