--- a/packages/fleet/tests/takeUpWithoutCoordinator.test.ts
+++ b/packages/fleet/tests/takeUpWithoutCoordinator.test.ts
@@ -50,12 +50,22 @@
             expected: "origin-unknown, retry after 500",
             decidedAfterMs: 0,
         },
+        {
+            what: "goes on with a stream whose prompt is blocked",
+            foundAfterMs: 300,
+            resumedStream: undefined,
+            softwareVersion: "v1",
+            expected: "crashes-endpoints, retry after 0",
+            decidedAfterMs: 0,
+        },
     ])("that $what is decided within $decidedAfterMs ms: $expected", async (
-        { lostBeforeMs = 0, foundAfterMs, resumedStream, expected, decidedAfterMs },
+        { lostBeforeMs = 0, foundAfterMs, resumedStream, softwareVersion, expected, decidedAfterMs },
     ) => {
         const view = new FleetView(1_200);
         view.applyMembers({ revision: 1, value: [TEST_MEMBER] });
         view.applyEndpoints({ revision: 1, value: ENDPOINTS });
+        const block = { blockId: "b", parts: ["bad"], trials: 0, laterCrashes: 0, blockedAt: Date.now() };
+        view.applyBlockedPrompts({ revision: 1, value: [block] });
         let coordinator: Coordinator | undefined;
         const newGranter = (decider: PlaceGranter["decider"], getLocal: PlaceGranter["getLocal"]): PlaceGranter => ({
             decider,
@@ -82,7 +92,9 @@
             }, foundAfterMs);
         }
         let decision: string | undefined;
-        void client.requestPlace({ ...newTestRequest({ resumedStream }), signal: new AbortController().signal })
+        const promptParts = softwareVersion === undefined ? [] : ["bad"];
+        const request = newTestRequest({ resumedStream, softwareVersion, promptParts });
+        void client.requestPlace({ ...request, signal: new AbortController().signal })
             .then(outcome => {
                 decision = outcome.kind === "placed"
                     ? outcome.place.endpoint.endpointId
