Judge idle callers' connections by the highest limit since they became idle

Callers saw a kept connection close, also with a whole request on its way, though it had been idle for less than the limit in force: Node.js starts a connection's idle timer when a response ends, with the limit of that moment, and a limit that is raised afterwards doesn't reach connections that are idle already. Besides, after a time in which the event loop was blocked, the timer came before the bytes that had arrived meanwhile, so that a request that had been sent in time was discarded unread.

IdleConnections judges each connection by the highest limit in force since it became idle, and closes it only after the event loop has read what had arrived and nothing of a request was in it. The announced time (Keep-Alive) is now the configured one; it was a second more. The margin stays the 2 s that it was in effect: Node.js adds 1 s of its own to the second that was configured.

--- /dev/null
+++ b/packages/gateway/src/idleConnections.ts
@@ -0,0 +1,94 @@
+import type http from "node:http";
+import type { Socket } from "node:net";
+
+const SWEEP_INTERVAL_MS = 250;
+
+/** State of one open connection. */
+interface OpenConnection {
+    /** Requests whose responses are not finished. */
+    openRequests: number;
+    /** Monotonic time at which the connection was accepted or its latest response was finished. */
+    idleSinceMs: number;
+    /** Bytes that had been received by then. */
+    bytesRead: number;
+    /** Highest limit that has been in force since then. */
+    idleTimeoutMs: number;
+}
+
+/**
+ * Closes the connections of an HTTP server that have been idle for too long. The limit may change while connections are
+ * open: a higher limit holds for idle connections at once, a lower one only for those that become idle later, since
+ * callers may still rely on the higher one. A connection on which a part of a request has arrived isn't idle.
+ */
+export class IdleConnections {
+    private readonly connections = new Map<Socket, OpenConnection>();
+
+    /**
+     * @param server - The server. It closes no connections because of its own timeout any more.
+     * @param idleTimeoutMs - Time after which an idle connection is closed, in milliseconds.
+     */
+    constructor(server: http.Server, private idleTimeoutMs: number) {
+        server.on("connection", (socket: Socket) => this.add(socket));
+        server.prependListener("request", ({ socket }: http.IncomingMessage, response: http.ServerResponse) => {
+            this.trackRequest(socket, response);
+        });
+        // With a listener, Node.js doesn't close connections itself after the idle time that it announces to callers.
+        server.on("timeout", () => undefined);
+        setInterval(() => this.closeWhere(connection => isOverLimit(connection)), SWEEP_INTERVAL_MS).unref();
+    }
+
+    /**
+     * Changes the limit.
+     *
+     * @param idleTimeoutMs - Time after which an idle connection is closed, in milliseconds.
+     */
+    setIdleTimeout(idleTimeoutMs: number): void {
+        this.idleTimeoutMs = idleTimeoutMs;
+        for (const connection of this.connections.values()) {
+            connection.idleTimeoutMs = Math.max(connection.idleTimeoutMs, idleTimeoutMs);
+        }
+    }
+
+    private add(socket: Socket): void {
+        const { idleTimeoutMs } = this;
+        this.connections.set(socket, { openRequests: 0, idleSinceMs: performance.now(), bytesRead: 0, idleTimeoutMs });
+        socket.once("close", () => this.connections.delete(socket));
+    }
+
+    private trackRequest(socket: Socket, response: http.ServerResponse): void {
+        const connection = this.connections.get(socket);
+        if (connection === undefined) {
+            return;
+        }
+        connection.openRequests += 1;
+        response.once("close", () => {
+            connection.openRequests -= 1;
+            connection.idleSinceMs = performance.now();
+            connection.bytesRead = socket.bytesRead;
+            connection.idleTimeoutMs = this.idleTimeoutMs;
+        });
+    }
+
+    /** Closes idle connections, but for those on which something has arrived that is yet to be read. */
+    private closeWhere(mayClose: (connection: OpenConnection) => boolean): void {
+        const idle = [...this.connections].filter(([socket, connection]) =>
+            isIdle(socket, connection) && mayClose(connection)
+        );
+        if (idle.length === 0) {
+            return;
+        }
+        // By then the event loop has read what had arrived before, however late the timer fired.
+        setImmediate(() => {
+            idle.filter(([socket, connection]) => isIdle(socket, connection) && mayClose(connection))
+                .forEach(([socket]) => socket.destroy());
+        });
+    }
+}
+
+function isIdle(socket: Socket, { openRequests, bytesRead }: OpenConnection): boolean {
+    return openRequests === 0 && socket.bytesRead === bytesRead;
+}
+
+function isOverLimit({ idleSinceMs, idleTimeoutMs }: OpenConnection): boolean {
+    return performance.now() - idleSinceMs > idleTimeoutMs;
+}
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -4,6 +4,7 @@
 import type { Admission } from "./admission";
 import type { BatchApi, BatchApiRequest } from "./batchApi";
 import { CallerResponse } from "./callerResponse";
+import { IdleConnections } from "./idleConnections";
 import type { OnlineHandler } from "./onlineHandler";
 import { newRefusal, type Refusal } from "./refusal";
 import type { StartupGate } from "./startupGate";
@@ -18,7 +19,7 @@
 /** A name is followed by a colon and a space, a value by a line end. */
 const HEADER_PART_EXTRA_BYTES = 2;
 /** Added to the configured idle timeout, so that the connection isn't closed while a caller sends its next request. */
-const IDLE_TIMEOUT_MARGIN_MS = 1_000;
+const IDLE_TIMEOUT_MARGIN_MS = 2_000;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
 /** What an {@link Ingress} depends on. */
@@ -36,6 +37,7 @@
 /** HTTP server for callers: reads requests, admits them and dispatches them to the online handler or the batch API. */
 export class Ingress {
     private readonly server: http.Server;
+    private readonly idleConnections: IdleConnections;
     private openRequests = 0;
 
     /**
@@ -50,10 +52,13 @@
         );
         // The size of the headers is limited, not their number, beyond which the parser would drop some.
         this.server.maxHeadersCount = 0;
+        this.idleConnections = new IdleConnections(this.server, DEFAULT_IDLE_TIMEOUT_MS + IDLE_TIMEOUT_MARGIN_MS);
         deps.view.onChange(part => {
             const limits = deps.view.routes?.config.limits;
             if (part === "config" && limits !== undefined) {
-                this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
+                // Node.js announces this time in each response.
+                this.server.keepAliveTimeout = limits.idleTimeoutMs;
+                this.idleConnections.setIdleTimeout(limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS);
                 this.server.headersTimeout = limits.headerTimeoutMs;
             }
         });
