Close connections of a planned stop only when nothing is left to read or send

Around a SIGTERM callers saw three things: a response that they read slowly (a page of results, a long answer) was cut in the middle; a request that had arrived but was yet to be read got no answer; and a connection whose stream had begun before the signal, or that had just been accepted, stayed open, so that requests came late and were cut with the process.

The cause is whose idea of idle was used. http.Server.close and closeIdleConnections take a connection as idle once its response has been handed to Node.js, whether or not its bytes have left the process, and don't take a connection as idle on which nothing was ever sent. The listener was closed with connections in its queue, and the process exited when no request was open, though connections were.

IdleConnections knows when the bytes are out ('close' of the response). At a stop, it closes what is idle after the event loop has accepted and read what had arrived, others at the end of their responses, new ones half a second after they were accepted if nothing comes. The listener is closed with the method of net.Server, which leaves connections alone, and the process ends when no connection is open.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -345,8 +345,8 @@
         const endAtMs = startedAtMs + this.settings.graceMs - KILL_MARGIN_MS;
         await sleep(Math.min(BALANCER_DRAIN_MS, endAtMs - performance.now()));
         // A request that arrives late on a kept-alive connection would be cut off, so idle connections are closed.
-        this.ingress.stopAccepting();
-        while (this.ingress.openRequestCount > 0 && performance.now() < endAtMs) {
+        await this.ingress.stopAccepting();
+        while (this.ingress.openConnectionCount > 0 && performance.now() < endAtMs) {
             await sleep(DRAIN_POLL_MS);
         }
         this.role.link.stop("stopping");
--- a/packages/gateway/src/idleConnections.ts
+++ b/packages/gateway/src/idleConnections.ts
@@ -1,7 +1,10 @@
 import type http from "node:http";
 import type { Socket } from "node:net";
+import { afterNextPoll } from "./pollPhase";
 
 const SWEEP_INTERVAL_MS = 250;
+/** While the server stops, the first request on a new connection is awaited for this long. */
+const FIRST_REQUEST_WAIT_MS = 500;
 
 /** State of one open connection. */
 interface OpenConnection {
@@ -13,6 +16,8 @@
     bytesRead: number;
     /** Highest limit that has been in force since then. */
     idleTimeoutMs: number;
+    /** Whether there has been a request. */
+    isUsed: boolean;
 }
 
 /**
@@ -22,19 +27,31 @@
  */
 export class IdleConnections {
     private readonly connections = new Map<Socket, OpenConnection>();
+    private isClosingAll = false;
 
     /**
      * @param server - The server. It closes no connections because of its own timeout any more.
      * @param idleTimeoutMs - Time after which an idle connection is closed, in milliseconds.
+     * @param isStopping - Whether a connection is to be closed at the end of its response, also if the response began
+     * before and didn't announce that.
      */
-    constructor(server: http.Server, private idleTimeoutMs: number) {
+    constructor(
+        server: http.Server,
+        private idleTimeoutMs: number,
+        private readonly isStopping: () => boolean,
+    ) {
         server.on("connection", (socket: Socket) => this.add(socket));
         server.prependListener("request", ({ socket }: http.IncomingMessage, response: http.ServerResponse) => {
             this.trackRequest(socket, response);
         });
         // With a listener, Node.js doesn't close connections itself after the idle time that it announces to callers.
         server.on("timeout", () => undefined);
-        setInterval(() => this.closeWhere(connection => isOverLimit(connection)), SWEEP_INTERVAL_MS).unref();
+        setInterval(() => this.sweep(), SWEEP_INTERVAL_MS).unref();
+    }
+
+    /** Number of connections that are open, idle or not. */
+    get openCount(): number {
+        return this.connections.size;
     }
 
     /**
@@ -49,9 +66,20 @@
         }
     }
 
+    /** Closes idle connections, and from now on each as soon as it is idle. */
+    closeAll(): void {
+        this.isClosingAll = true;
+        this.sweep();
+    }
+
     private add(socket: Socket): void {
-        const { idleTimeoutMs } = this;
-        this.connections.set(socket, { openRequests: 0, idleSinceMs: performance.now(), bytesRead: 0, idleTimeoutMs });
+        this.connections.set(socket, {
+            openRequests: 0,
+            idleSinceMs: performance.now(),
+            bytesRead: 0,
+            idleTimeoutMs: this.idleTimeoutMs,
+            isUsed: false,
+        });
         socket.once("close", () => this.connections.delete(socket));
     }
 
@@ -61,14 +89,22 @@
             return;
         }
         connection.openRequests += 1;
+        connection.isUsed = true;
         response.once("close", () => {
             connection.openRequests -= 1;
             connection.idleSinceMs = performance.now();
             connection.bytesRead = socket.bytesRead;
             connection.idleTimeoutMs = this.idleTimeoutMs;
+            if (this.isStopping()) {
+                this.closeWhere(other => other === connection);
+            }
         });
     }
 
+    private sweep(): void {
+        this.closeWhere(connection => isOverLimit(connection) || (this.isClosingAll && isUnneeded(connection)));
+    }
+
     /** Closes idle connections, but for those on which something has arrived that is yet to be read. */
     private closeWhere(mayClose: (connection: OpenConnection) => boolean): void {
         const idle = [...this.connections].filter(([socket, connection]) =>
@@ -77,8 +113,8 @@
         if (idle.length === 0) {
             return;
         }
-        // By then the event loop has read what had arrived before, however late the timer fired.
-        setImmediate(() => {
+        // However late the timer fires, requests that have arrived by then are answered.
+        afterNextPoll(() => {
             idle.filter(([socket, connection]) => isIdle(socket, connection) && mayClose(connection))
                 .forEach(([socket]) => socket.destroy());
         });
@@ -92,3 +128,7 @@
 function isOverLimit({ idleSinceMs, idleTimeoutMs }: OpenConnection): boolean {
     return performance.now() - idleSinceMs > idleTimeoutMs;
 }
+
+function isUnneeded({ isUsed, idleSinceMs }: OpenConnection): boolean {
+    return isUsed || performance.now() - idleSinceMs > FIRST_REQUEST_WAIT_MS;
+}
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -1,11 +1,13 @@
 import type { Logger } from "@heatherline/common";
 import type { FleetView } from "@heatherline/fleet";
 import http from "node:http";
+import net from "node:net";
 import type { Admission } from "./admission";
 import type { BatchApi, BatchApiRequest } from "./batchApi";
 import { CallerResponse } from "./callerResponse";
 import { IdleConnections } from "./idleConnections";
 import type { OnlineHandler } from "./onlineHandler";
+import { afterNextPoll } from "./pollPhase";
 import { newRefusal, type Refusal } from "./refusal";
 import type { StartupGate } from "./startupGate";
 import type { WireCodec } from "./wireCodec";
@@ -52,7 +54,11 @@
         );
         // The size of the headers is limited, not their number, beyond which the parser would drop some.
         this.server.maxHeadersCount = 0;
-        this.idleConnections = new IdleConnections(this.server, DEFAULT_IDLE_TIMEOUT_MS + IDLE_TIMEOUT_MARGIN_MS);
+        this.idleConnections = new IdleConnections(
+            this.server,
+            DEFAULT_IDLE_TIMEOUT_MS + IDLE_TIMEOUT_MARGIN_MS,
+            deps.isStopping,
+        );
         deps.view.onChange(part => {
             const limits = deps.view.routes?.config.limits;
             if (part === "config" && limits !== undefined) {
@@ -69,6 +75,11 @@
         return this.openRequests;
     }
 
+    /** Number of open connections, idle or not. */
+    get openConnectionCount(): number {
+        return this.idleConnections.openCount;
+    }
+
     /**
      * @param host - Address to listen on.
      * @param port - Port; 0 for any free one.
@@ -78,10 +89,15 @@
         return listen(this.server, host, port);
     }
 
-    /** Accepts no more connections and closes idle ones; open requests continue. */
-    stopAccepting(): void {
-        this.server.close();
-        this.server.closeIdleConnections();
+    /**
+     * Accepts no more connections and closes idle ones; open requests continue, and their connections are closed after
+     * their responses. What has arrived before is read first.
+     */
+    async stopAccepting(): Promise<void> {
+        await new Promise<void>(resolve => afterNextPoll(resolve));
+        // The method of http.Server also closes connections whose responses callers have not read to the end.
+        net.Server.prototype.close.call(this.server);
+        this.idleConnections.closeAll();
     }
 
     /** Closes all connections. */
