Answer the requests that are unanswered when a stopping process ends

At a planned stop callers of requests that still waited or ran when the grace period was over got a closed connection: the process ended without an answer, also to requests that no endpoint had seen.

Before it ends, the process gives these requests up: the online handler ends their attempts and answers as it does for any that ends without a response (503 if no endpoint has run it, else 502), and what has no answer after that, such as a call of the batch API, is answered 504. A CallerResponse ignores what comes after its end.

--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -2,7 +2,7 @@
 import type { Refusal } from "./refusal";
 import type { WireCodec } from "./wireCodec";
 
-/** The HTTP response to one caller; at most one response is written. */
+/** The HTTP response to one caller; at most one response is written, and what comes after its end is ignored. */
 export class CallerResponse {
     private wasStarted = false;
     private wasEnded = false;
@@ -37,6 +37,9 @@
      * @param rawHeaders - Headers of the endpoint's response.
      */
     startStream(status: number, rawHeaders: readonly string[]): void {
+        if (this.hasEnded) {
+            return;
+        }
         this.wasStarted = true;
         const headers = this.wire.toCallerHeaders(rawHeaders);
         const withoutLength = withoutHeader(headers, "content-length");
@@ -51,7 +54,7 @@
      * drained or the connection has closed.
      */
     write(bytes: Buffer): Promise<void> | undefined {
-        if (this.response.destroyed || this.response.write(bytes)) {
+        if (this.hasEnded || this.response.write(bytes)) {
             return undefined;
         }
         return new Promise(resolve => {
@@ -67,6 +70,9 @@
 
     /** Ends a streaming response that is complete. */
     endStream(): void {
+        if (this.hasEnded) {
+            return;
+        }
         this.wasEnded = true;
         this.response.end();
     }
@@ -85,6 +91,9 @@
      * @param body - The complete body.
      */
     sendFull(status: number, rawHeaders: readonly string[], body: Buffer): void {
+        if (this.hasEnded) {
+            return;
+        }
         this.wasStarted = true;
         this.wasEnded = true;
         const headers = withoutHeader(this.wire.toCallerHeaders(rawHeaders), "content-length");
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -349,10 +349,14 @@
         while (this.ingress.openConnectionCount > 0 && performance.now() < endAtMs) {
             await sleep(DRAIN_POLL_MS);
         }
+        const cut = this.ingress.openRequestCount;
+        if (cut > 0) {
+            await this.ingress.giveUpRequests();
+        }
         this.role.link.stop("stopping");
         this.deputy.stop();
         this.timers.forEach(timer => clearInterval(timer));
-        this.logger.info({ event: "stopped", cut: this.ingress.openRequestCount });
+        this.logger.info({ event: "stopped", cut });
         this.ingress.close();
         this.rpcServer.close();
     }
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -1,4 +1,4 @@
-import type { Logger } from "@heatherline/common";
+import { type Logger, sleep } from "@heatherline/common";
 import type { FleetView } from "@heatherline/fleet";
 import http from "node:http";
 import net from "node:net";
@@ -6,7 +6,7 @@
 import type { BatchApi, BatchApiRequest } from "./batchApi";
 import { CallerResponse } from "./callerResponse";
 import { IdleConnections } from "./idleConnections";
-import type { OnlineHandler } from "./onlineHandler";
+import type { OnlineHandler, OnlineRequest } from "./onlineHandler";
 import { afterNextPoll } from "./pollPhase";
 import { newRefusal, type Refusal } from "./refusal";
 import type { StartupGate } from "./startupGate";
@@ -24,6 +24,16 @@
 const IDLE_TIMEOUT_MARGIN_MS = 2_000;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
+/** Time for requests that are given up to be answered, and for the answers to be sent. */
+const ANSWER_MS = 50;
+
+/** A request whose response is not finished. */
+interface OpenRequest {
+    readonly response: CallerResponse;
+    /** Ends the work at the request, so that it is answered. */
+    readonly giveUp: AbortController;
+}
+
 /** What an {@link Ingress} depends on. */
 export interface IngressDependencies {
     readonly admission: Admission;
@@ -40,7 +50,7 @@
 export class Ingress {
     private readonly server: http.Server;
     private readonly idleConnections: IdleConnections;
-    private openRequests = 0;
+    private readonly openRequests = new Set<OpenRequest>();
 
     /**
      * @param deps - What the server depends on.
@@ -72,7 +82,7 @@
 
     /** Number of requests whose responses are not finished. */
     get openRequestCount(): number {
-        return this.openRequests;
+        return this.openRequests.size;
     }
 
     /** Number of open connections, idle or not. */
@@ -100,6 +110,18 @@
         this.idleConnections.closeAll();
     }
 
+    /** Gives up what is still open, since the process is about to end, and answers the requests that have no response. */
+    async giveUpRequests(): Promise<void> {
+        this.openRequests.forEach(({ giveUp }) => giveUp.abort());
+        await sleep(ANSWER_MS);
+        for (const { response } of this.openRequests) {
+            if (!response.hasStarted) {
+                response.sendRefusal(newRefusal("outcome-unknown"));
+            }
+        }
+        await sleep(ANSWER_MS);
+    }
+
     /** Closes all connections. */
     close(): void {
         this.server.close();
@@ -107,10 +129,6 @@
     }
 
     private async handle(request: http.IncomingMessage, serverResponse: http.ServerResponse): Promise<void> {
-        this.openRequests += 1;
-        serverResponse.once("close", () => {
-            this.openRequests -= 1;
-        });
         const callerGone = new AbortController();
         serverResponse.once("close", () => {
             if (!serverResponse.writableFinished) {
@@ -121,6 +139,9 @@
         const arrivedAtMs = performance.now();
         const caller = this.deps.wire.parseRequestHead(request.headers);
         const response = new CallerResponse(serverResponse, this.deps.wire, caller.requestId, this.deps.isStopping);
+        const openRequest = { response, giveUp: new AbortController() };
+        this.openRequests.add(openRequest);
+        serverResponse.once("close", () => this.openRequests.delete(openRequest));
         const headerBytes = countHeaderBytes(request);
         const { maxHeaderBytes = MAX_HEADER_BYTES } = this.deps.view.routes?.config.limits ?? {};
         if (headerBytes > maxHeaderBytes) {
@@ -143,7 +164,10 @@
         const method = request.method ?? "GET";
         const callerRequest: BatchApiRequest = { caller, method, path, query, body, response, arrivedAtMs };
         try {
-            await this.dispatch(callerRequest, request, callerGone.signal);
+            await this.dispatch(callerRequest, request, {
+                callerGone: callerGone.signal,
+                giveUp: openRequest.giveUp.signal,
+            });
         }
         catch (error) {
             this.deps.logger.error({ event: "request-crashed", requestId: caller.requestId, error: String(error) });
@@ -154,7 +178,7 @@
     private async dispatch(
         callerRequest: BatchApiRequest,
         request: http.IncomingMessage,
-        callerGone: AbortSignal,
+        signals: Pick<OnlineRequest, "callerGone" | "giveUp">,
     ): Promise<void> {
         const { caller, path, body, response, arrivedAtMs } = callerRequest;
         await this.deps.startupGate.wait();
@@ -176,7 +200,7 @@
             await this.deps.batch.submit(callerRequest, admitted.value);
             return;
         }
-        const onlineRequest = { caller, incoming: request, path, body, response, arrivedAtMs, callerGone };
+        const onlineRequest = { caller, incoming: request, path, body, response, arrivedAtMs, ...signals };
         await this.deps.online.handle(onlineRequest, admitted.value);
     }
 
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -41,6 +41,8 @@
     readonly arrivedAtMs: number;
     /** Aborted when the caller disconnects. */
     readonly callerGone: AbortSignal;
+    /** Aborted when the process is about to end. */
+    readonly giveUp: AbortSignal;
 }
 
 /** What an {@link OnlineHandler} depends on. */
@@ -111,9 +113,11 @@
     }
 
     async run(): Promise<void> {
-        const { callerGone } = this.request;
+        const { callerGone, giveUp } = this.request;
         const onGone = () => this.abortController.abort("caller-gone");
+        const onGiveUp = () => this.abortController.abort("stopping");
         callerGone.addEventListener("abort", onGone, { once: true });
+        giveUp.addEventListener("abort", onGiveUp, { once: true });
         const timer = setTimeout(
             () => this.abortController.abort("timeout"),
             Math.max(0, this.deadlineAtMs - performance.now()),
@@ -127,6 +131,7 @@
         finally {
             clearTimeout(timer);
             callerGone.removeEventListener("abort", onGone);
+            giveUp.removeEventListener("abort", onGiveUp);
         }
     }
 
