Read a refused body to its end, and judge it by the highest limit since the request began

After a 413 the connection stayed open, but nothing was read from it any more: the next request on it got no answer and no refusal. And a body that a raised limit allows was refused if the limit was raised after the request's head had arrived.

The cause: leaving the loop over the body ends the reading of the request for good, while the response says keep-alive. The limit was read once, before the body.

readCallerBody reads on and discards what is over the limit, and gives up after 16 MB more, in which case the response announces that the connection closes. It compares with the highest limit that has been in force since the request began.

--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -4,6 +4,7 @@
 import net from "node:net";
 import type { Admission } from "./admission";
 import type { BatchApi, BatchApiRequest } from "./batchApi";
+import { readCallerBody } from "./callerBody";
 import { CallerResponse } from "./callerResponse";
 import { IdleConnections } from "./idleConnections";
 import type { OnlineHandler, OnlineRequest } from "./onlineHandler";
@@ -138,7 +139,13 @@
         serverResponse.on("error", () => callerGone.abort());
         const arrivedAtMs = performance.now();
         const caller = this.deps.wire.parseRequestHead(request.headers);
-        const response = new CallerResponse(serverResponse, this.deps.wire, caller.requestId, this.deps.isStopping);
+        let isClosing = false;
+        const response = new CallerResponse(
+            serverResponse,
+            this.deps.wire,
+            caller.requestId,
+            () => isClosing || this.deps.isStopping(),
+        );
         const openRequest = { response, giveUp: new AbortController() };
         this.openRequests.add(openRequest);
         serverResponse.once("close", () => this.openRequests.delete(openRequest));
@@ -148,11 +155,13 @@
             this.refuse(caller.requestId, response, newRefusal("headers-too-large", `${headerBytes} bytes`));
             return;
         }
-        const body = await readBody(request, this.getMaxBodyBytes());
+        const body = await readCallerBody(request, () => this.getMaxBodyBytes());
         if (body === "gone") {
+            // No response can be sent.
             return;
         }
-        if (body === "too-large") {
+        if (body === "too-large" || body === "unread") {
+            isClosing = body === "unread";
             const detail = `more than ${this.getMaxBodyBytes()} bytes`;
             this.refuse(caller.requestId, response, newRefusal("body-too-large", detail));
             return;
@@ -236,22 +245,3 @@
     const lineBytes = method.length + url.length + REQUEST_LINE_EXTRA_BYTES;
     return rawHeaders.reduce((sum, part) => sum + part.length + HEADER_PART_EXTRA_BYTES, lineBytes);
 }
-
-async function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Buffer | "gone" | "too-large"> {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    try {
-        for await (const chunk of request as AsyncIterable<Buffer>) {
-            sizeBytes += chunk.length;
-            if (sizeBytes > maxBytes) {
-                return "too-large";
-            }
-            chunks.push(chunk);
-        }
-    }
-    catch {
-        // The caller disconnected before its request was complete, so no response can be sent.
-        return "gone";
-    }
-    return Buffer.concat(chunks);
-}
