Close connections of heatherlined's planned stop only when nothing is left to read or send

The same fault as at the gateway: at a planned stop, a response that a caller read slowly was cut, a request that had arrived but was yet to be read got no answer, and a connection without a request stayed open. CallerServer used http.Server.close and closeIdleConnections.

IdleConnections moves to packages/common with what stops accepting connections, and CallerServer uses it; the announced idle time stays 65 s, and connections are closed 2 s later. The process ends when no connection is open.

--- a/packages/gateway/src/idleConnections.ts
+++ b/packages/common/src/idleConnections.ts
@@ -1,5 +1,5 @@
 import type http from "node:http";
-import type { Socket } from "node:net";
+import net, { type Socket } from "node:net";
 import { afterNextPoll } from "./pollPhase";
 
 const SWEEP_INTERVAL_MS = 250;
@@ -36,7 +36,7 @@
      * before and didn't announce that.
      */
     constructor(
-        server: http.Server,
+        private readonly server: http.Server,
         private idleTimeoutMs: number,
         private readonly isStopping: () => boolean,
     ) {
@@ -66,8 +66,14 @@
         }
     }
 
-    /** Closes idle connections, and from now on each as soon as it is idle. */
-    closeAll(): void {
+    /**
+     * Accepts no more connections and closes idle ones; open requests continue, and their connections are closed after
+     * their responses. What has arrived before is read first.
+     */
+    async stopAccepting(): Promise<void> {
+        await new Promise<void>(resolve => afterNextPoll(resolve));
+        // The method of http.Server also closes connections whose responses callers have not read to the end.
+        net.Server.prototype.close.call(this.server);
         this.isClosingAll = true;
         this.sweep();
     }
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./errors";
+export * from "./idleConnections";
 export * from "./idsAndHashes";
 export * from "./invariant";
 export * from "./logger";
--- a/packages/daemon/src/callerServer.ts
+++ b/packages/daemon/src/callerServer.ts
@@ -1,4 +1,4 @@
-import { describeError, type Logger, newRequestId } from "@heatherline/common";
+import { describeError, IdleConnections, type Logger, newRequestId } from "@heatherline/common";
 import type { ConfigReplica } from "@heatherline/config";
 import { type NotRun, type Pipeline, Refusal } from "@heatherline/serving";
 import http from "node:http";
@@ -9,6 +9,8 @@
 import { serveOnline } from "./onlineApi";
 
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+/** Added to the time that is announced to callers, so that the connection isn't closed while a request is on its way. */
+const IDLE_TIMEOUT_MARGIN_MS = 2_000;
 const HEADERS_TIMEOUT_MS = 20_000;
 
 /** Parts of the daemon that the server uses. */
@@ -44,6 +46,7 @@
 /** HTTP server for callers and operators. */
 export class CallerServer {
     private readonly server: http.Server;
+    private readonly idleConnections: IdleConnections;
     private openRequests = 0;
 
     /**
@@ -55,6 +58,11 @@
             headersTimeout: HEADERS_TIMEOUT_MS,
         });
         this.server.requestTimeout = 0;
+        this.idleConnections = new IdleConnections(
+            this.server,
+            KEEP_ALIVE_TIMEOUT_MS + IDLE_TIMEOUT_MARGIN_MS,
+            dependencies.isDraining,
+        );
         this.server.on("request", (request, response) => this.onRequest(request, response));
         this.server.on("clientError", (error, socket) => {
             if (socket.writable) {
@@ -78,12 +86,14 @@
         });
     }
 
-    /** Stops accepting connections and waits until the open requests are finished. */
-    close(): Promise<void> {
-        return new Promise(resolve => {
-            this.server.close(() => resolve());
-            this.server.closeIdleConnections();
-        });
+    /** Accepts no more connections, and closes the open ones as soon as they are idle. */
+    stopAccepting(): Promise<void> {
+        return this.idleConnections.stopAccepting();
+    }
+
+    /** @returns Number of open connections, idle or not. */
+    countOpenConnections(): number {
+        return this.idleConnections.openCount;
     }
 
     /** @returns Number of requests without a complete response. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -286,12 +286,11 @@
         await sleep(this.settings.drainDelayMs);
         this.jobRunner.stop();
         this.endpointReconciler.stop();
-        const closed = this.callerServer.close();
+        await this.callerServer.stopAccepting();
         const untilMs = performance.now() + this.settings.drainTimeoutMs;
-        while (this.callerServer.countOpenRequests() > 0 && performance.now() < untilMs) {
+        while (this.callerServer.countOpenConnections() > 0 && performance.now() < untilMs) {
             await sleep(DRAIN_POLL_MS);
         }
-        await Promise.race([closed, sleep(DRAIN_POLL_MS)]);
         if (this.limiter instanceof GrantLimiter) {
             this.limiter.stop();
         }
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -1,14 +1,11 @@
-import { type Logger, sleep } from "@heatherline/common";
+import { IdleConnections, type Logger, sleep } from "@heatherline/common";
 import type { FleetView } from "@heatherline/fleet";
 import http from "node:http";
-import net from "node:net";
 import type { Admission } from "./admission";
 import type { BatchApi, BatchApiRequest } from "./batchApi";
 import { readCallerBody } from "./callerBody";
 import { CallerResponse } from "./callerResponse";
-import { IdleConnections } from "./idleConnections";
 import type { OnlineHandler, OnlineRequest } from "./onlineHandler";
-import { afterNextPoll } from "./pollPhase";
 import { newRefusal, type Refusal } from "./refusal";
 import type { StartupGate } from "./startupGate";
 import type { WireCodec } from "./wireCodec";
@@ -104,11 +101,8 @@
      * Accepts no more connections and closes idle ones; open requests continue, and their connections are closed after
      * their responses. What has arrived before is read first.
      */
-    async stopAccepting(): Promise<void> {
-        await new Promise<void>(resolve => afterNextPoll(resolve));
-        // The method of http.Server also closes connections whose responses callers have not read to the end.
-        net.Server.prototype.close.call(this.server);
-        this.idleConnections.closeAll();
+    stopAccepting(): Promise<void> {
+        return this.idleConnections.stopAccepting();
     }
 
     /** Gives up what is still open, since the process is about to end, and answers the requests that have no response. */
