--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -2,7 +2,7 @@
 import type { Refusal } from "./refusal";
 import type { WireCodec } from "./wireCodec";
 
-/** The HTTP response to one caller; at most one response is written. */
+/** The HTTP response to one caller; at most one response is written, and what comes after its end is ignored. */
 export class CallerResponse {
     private wasStarted = false;
     private wasEnded = false;
@@ -37,10 +37,14 @@
      * @param rawHeaders - Headers of the endpoint's response.
      */
     startStream(status: number, rawHeaders: readonly string[]): void {
-        this.wasStarted = true;
+        if (this.hasEnded) {
+            return;
+        }
         const headers = this.wire.toCallerHeaders(rawHeaders);
         const withoutLength = withoutHeader(headers, "content-length");
+        // Throws if the head is invalid; another response can be sent then.
         this.response.writeHead(status, this.withConnectionClose(withoutLength));
+        this.wasStarted = true;
     }
 
     /**
@@ -51,7 +55,7 @@
      * drained or the connection has closed.
      */
     write(bytes: Buffer): Promise<void> | undefined {
-        if (this.response.destroyed || this.response.write(bytes)) {
+        if (this.hasEnded || this.response.write(bytes)) {
             return undefined;
         }
         return new Promise(resolve => {
@@ -67,6 +71,9 @@
 
     /** Ends a streaming response that is complete. */
     endStream(): void {
+        if (this.hasEnded) {
+            return;
+        }
         this.wasEnded = true;
         this.response.end();
     }
@@ -85,11 +92,14 @@
      * @param body - The complete body.
      */
     sendFull(status: number, rawHeaders: readonly string[], body: Buffer): void {
-        this.wasStarted = true;
-        this.wasEnded = true;
+        if (this.hasEnded) {
+            return;
+        }
         const headers = withoutHeader(this.wire.toCallerHeaders(rawHeaders), "content-length");
         headers.push("Content-Length", String(body.length));
         this.response.writeHead(status, this.withConnectionClose(headers));
+        this.wasStarted = true;
+        this.wasEnded = true;
         this.response.end(body);
     }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -345,14 +345,18 @@
         const endAtMs = startedAtMs + this.settings.graceMs - KILL_MARGIN_MS;
         await sleep(Math.min(BALANCER_DRAIN_MS, endAtMs - performance.now()));
         // A request that arrives late on a kept-alive connection would be cut off, so idle connections are closed.
-        this.ingress.stopAccepting();
-        while (this.ingress.openRequestCount > 0 && performance.now() < endAtMs) {
+        await this.ingress.stopAccepting();
+        while (this.ingress.openConnectionCount > 0 && performance.now() < endAtMs) {
             await sleep(DRAIN_POLL_MS);
         }
+        const cut = this.ingress.openRequestCount;
+        if (cut > 0) {
+            await this.ingress.giveUpRequests();
+        }
         this.role.link.stop("stopping");
         this.deputy.stop();
         this.timers.forEach(timer => clearInterval(timer));
-        this.logger.info({ event: "stopped", cut: this.ingress.openRequestCount });
+        this.logger.info({ event: "stopped", cut });
         this.ingress.close();
         this.rpcServer.close();
     }
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -1,10 +1,11 @@
-import type { Logger } from "@heatherline/common";
+import { IdleConnections, type Logger, sleep } from "@heatherline/common";
 import type { FleetView } from "@heatherline/fleet";
 import http from "node:http";
 import type { Admission } from "./admission";
 import type { BatchApi, BatchApiRequest } from "./batchApi";
+import { readCallerBody } from "./callerBody";
 import { CallerResponse } from "./callerResponse";
-import type { OnlineHandler } from "./onlineHandler";
+import type { OnlineHandler, OnlineRequest } from "./onlineHandler";
 import { newRefusal, type Refusal } from "./refusal";
 import type { StartupGate } from "./startupGate";
 import type { WireCodec } from "./wireCodec";
@@ -18,9 +19,19 @@
 /** A name is followed by a colon and a space, a value by a line end. */
 const HEADER_PART_EXTRA_BYTES = 2;
 /** Added to the configured idle timeout, so that the connection isn't closed while a caller sends its next request. */
-const IDLE_TIMEOUT_MARGIN_MS = 1_000;
+const IDLE_TIMEOUT_MARGIN_MS = 2_000;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
+/** Time for requests that are given up to be answered, and for the answers to be sent. */
+const ANSWER_MS = 50;
+
+/** A request whose response is not finished. */
+interface OpenRequest {
+    readonly response: CallerResponse;
+    /** Ends the work at the request, so that it is answered. */
+    readonly giveUp: AbortController;
+}
+
 /** What an {@link Ingress} depends on. */
 export interface IngressDependencies {
     readonly admission: Admission;
@@ -36,7 +47,8 @@
 /** HTTP server for callers: reads requests, admits them and dispatches them to the online handler or the batch API. */
 export class Ingress {
     private readonly server: http.Server;
-    private openRequests = 0;
+    private readonly idleConnections: IdleConnections;
+    private readonly openRequests = new Set<OpenRequest>();
 
     /**
      * @param deps - What the server depends on.
@@ -50,10 +62,17 @@
         );
         // The size of the headers is limited, not their number, beyond which the parser would drop some.
         this.server.maxHeadersCount = 0;
+        this.idleConnections = new IdleConnections(
+            this.server,
+            DEFAULT_IDLE_TIMEOUT_MS + IDLE_TIMEOUT_MARGIN_MS,
+            deps.isStopping,
+        );
         deps.view.onChange(part => {
             const limits = deps.view.routes?.config.limits;
             if (part === "config" && limits !== undefined) {
-                this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
+                // Node.js announces this time in each response.
+                this.server.keepAliveTimeout = limits.idleTimeoutMs;
+                this.idleConnections.setIdleTimeout(limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS);
                 this.server.headersTimeout = limits.headerTimeoutMs;
             }
         });
@@ -61,7 +80,12 @@
 
     /** Number of requests whose responses are not finished. */
     get openRequestCount(): number {
-        return this.openRequests;
+        return this.openRequests.size;
+    }
+
+    /** Number of open connections, idle or not. */
+    get openConnectionCount(): number {
+        return this.idleConnections.openCount;
     }
 
     /**
@@ -73,10 +97,24 @@
         return listen(this.server, host, port);
     }
 
-    /** Accepts no more connections and closes idle ones; open requests continue. */
-    stopAccepting(): void {
-        this.server.close();
-        this.server.closeIdleConnections();
+    /**
+     * Accepts no more connections and closes idle ones; open requests continue, and their connections are closed after
+     * their responses. What has arrived before is read first.
+     */
+    stopAccepting(): Promise<void> {
+        return this.idleConnections.stopAccepting();
+    }
+
+    /** Gives up what is still open, since the process is about to end, and answers the requests that have no response. */
+    async giveUpRequests(): Promise<void> {
+        this.openRequests.forEach(({ giveUp }) => giveUp.abort());
+        await sleep(ANSWER_MS);
+        for (const { response } of this.openRequests) {
+            if (!response.hasStarted) {
+                response.sendRefusal(newRefusal("outcome-unknown"));
+            }
+        }
+        await sleep(ANSWER_MS);
     }
 
     /** Closes all connections. */
@@ -86,10 +124,6 @@
     }
 
     private async handle(request: http.IncomingMessage, serverResponse: http.ServerResponse): Promise<void> {
-        this.openRequests += 1;
-        serverResponse.once("close", () => {
-            this.openRequests -= 1;
-        });
         const callerGone = new AbortController();
         serverResponse.once("close", () => {
             if (!serverResponse.writableFinished) {
@@ -99,18 +133,29 @@
         serverResponse.on("error", () => callerGone.abort());
         const arrivedAtMs = performance.now();
         const caller = this.deps.wire.parseRequestHead(request.headers);
-        const response = new CallerResponse(serverResponse, this.deps.wire, caller.requestId, this.deps.isStopping);
+        let isClosing = false;
+        const response = new CallerResponse(
+            serverResponse,
+            this.deps.wire,
+            caller.requestId,
+            () => isClosing || this.deps.isStopping(),
+        );
+        const openRequest = { response, giveUp: new AbortController() };
+        this.openRequests.add(openRequest);
+        serverResponse.once("close", () => this.openRequests.delete(openRequest));
         const headerBytes = countHeaderBytes(request);
         const { maxHeaderBytes = MAX_HEADER_BYTES } = this.deps.view.routes?.config.limits ?? {};
         if (headerBytes > maxHeaderBytes) {
             this.refuse(caller.requestId, response, newRefusal("headers-too-large", `${headerBytes} bytes`));
             return;
         }
-        const body = await readBody(request, this.getMaxBodyBytes());
+        const body = await readCallerBody(request, () => this.getMaxBodyBytes());
         if (body === "gone") {
+            // No response can be sent.
             return;
         }
-        if (body === "too-large") {
+        if (body === "too-large" || body === "unread") {
+            isClosing = body === "unread";
             const detail = `more than ${this.getMaxBodyBytes()} bytes`;
             this.refuse(caller.requestId, response, newRefusal("body-too-large", detail));
             return;
@@ -122,7 +167,10 @@
         const method = request.method ?? "GET";
         const callerRequest: BatchApiRequest = { caller, method, path, query, body, response, arrivedAtMs };
         try {
-            await this.dispatch(callerRequest, request, callerGone.signal);
+            await this.dispatch(callerRequest, request, {
+                callerGone: callerGone.signal,
+                giveUp: openRequest.giveUp.signal,
+            });
         }
         catch (error) {
             this.deps.logger.error({ event: "request-crashed", requestId: caller.requestId, error: String(error) });
@@ -133,7 +181,7 @@
     private async dispatch(
         callerRequest: BatchApiRequest,
         request: http.IncomingMessage,
-        callerGone: AbortSignal,
+        signals: Pick<OnlineRequest, "callerGone" | "giveUp">,
     ): Promise<void> {
         const { caller, path, body, response, arrivedAtMs } = callerRequest;
         await this.deps.startupGate.wait();
@@ -155,7 +203,7 @@
             await this.deps.batch.submit(callerRequest, admitted.value);
             return;
         }
-        const onlineRequest = { caller, incoming: request, path, body, response, arrivedAtMs, callerGone };
+        const onlineRequest = { caller, incoming: request, path, body, response, arrivedAtMs, ...signals };
         await this.deps.online.handle(onlineRequest, admitted.value);
     }
 
@@ -191,22 +239,3 @@
     const lineBytes = method.length + url.length + REQUEST_LINE_EXTRA_BYTES;
     return rawHeaders.reduce((sum, part) => sum + part.length + HEADER_PART_EXTRA_BYTES, lineBytes);
 }
-
-async function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Buffer | "gone" | "too-large"> {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    try {
-        for await (const chunk of request as AsyncIterable<Buffer>) {
-            sizeBytes += chunk.length;
-            if (sizeBytes > maxBytes) {
-                return "too-large";
-            }
-            chunks.push(chunk);
-        }
-    }
-    catch {
-        // The caller disconnected before its request was complete, so no response can be sent.
-        return "gone";
-    }
-    return Buffer.concat(chunks);
-}
