Answer an empty page from memory only while no other runner can have written results

At 53.2 s e-3, asked on behalf of a caller, had two results and answered 200 with none at position 2.

Cause: that no other instance had been assigned the job (a recent reply of the coordinator) was taken as proof that no other one writes results. The instance that ran the job before still may, as long as it does not know; e-3 had even found its index taken, and went on as before. The reply did not even prove the former: it counted also if it answered a report from before the run began, and a coordinator trusted itself without a report.

Now there are two parts of the proof. A claim: the job was in an answered report (or created) so recently that it can't be assigned to another one. And a fence: whoever adopts a job, or notices a chunk of another writer, reads the store for empty pages until it has written a chunk itself; who finds an index taken writes again only after a confirmation, and stops if none comes. So once a confirmed runner has written, no other one can write behind it unnoticed. An instance that was out of contact reads the store for three seconds more, as the other one learns of it later. A read of the store serves all callers for 400 ms; a run that its own instance created and reports still needs none.

--- a/packages/gateway/src/batchApi.ts
+++ b/packages/gateway/src/batchApi.ts
@@ -7,6 +7,7 @@
     type FleetView,
     type MemberEntry,
     METHODS,
+    newTimestamp,
     type RpcCaller,
 } from "@heatherline/fleet";
 import type { Admission, AdmittedRequest } from "./admission";
@@ -139,13 +140,14 @@
         if (refusal !== undefined) {
             return refusal;
         }
+        const startedAt = newTimestamp();
         const created = await this.deps.store.create(manifest, bodies, untilMs);
         if (created.isErr()) {
             const reason = created.error.kind === "unknown" ? "outcome-unknown" : "store-unavailable";
             return newRefusal(reason, created.error.toString());
         }
         if (created.value === "created") {
-            this.deps.runner.add(manifest, bodies);
+            this.deps.runner.add(manifest, bodies, undefined, startedAt);
         }
         // A job that existed already runs at another instance, or the coordinator notices that none runs it.
         return undefined;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,6 @@
 import {
     type Announcement,
     FleetView,
-    getMaxReplyAgeMs,
     type MemberEntry,
     METHODS,
     PlacementClient,
@@ -31,6 +30,7 @@
 import { MemberRegistration } from "./registration";
 import { RelayedStore } from "./relayedStore";
 import { RetirementAcknowledger } from "./retirementAcknowledger";
+import { isSoleRunner, type RunnerClaim } from "./runnerClaim";
 import { StartupGate } from "./startupGate";
 import { StreamOriginStore } from "./streamOriginStore";
 import { Sweeper } from "./sweeper";
@@ -195,6 +195,7 @@
             wire,
             metrics,
             isJobStateFresh: () => view.getConfigAgeMs() < MAX_JOB_STATE_AGE_MS,
+            isSoleRunner: claim => this.isSoleRunner(claim),
             logger,
         });
         const { runner } = this;
@@ -215,7 +216,7 @@
             rpc,
             getMembers,
             self: this.self,
-            isSoleRunner: () => lease.isHolder || link.lastReplyAgeMs < getMaxReplyAgeMs(view.members.length),
+            isSoleRunner: claim => this.isSoleRunner(claim),
         });
         this.ingress = new Ingress({
             admission,
@@ -426,6 +427,15 @@
         this.deputy.update(isCoordinatorKnown);
     }
 
+    private isSoleRunner(claim: RunnerClaim): boolean {
+        return isSoleRunner(claim, {
+            isCoordinator: () => this.role.lease.isHolder,
+            getOwnReportAgeMs: () => this.ownJobSync.reportAgeMs,
+            getReplyAgeMs: () => this.role.link.lastReplyAgeMs,
+            getInstanceCount: () => this.view.members.length,
+        });
+    }
+
     private sweep(): void {
         const coordinator = this.role.activeCoordinator;
         if (coordinator !== undefined && !this.feed.isStoreFailing) {
--- a/packages/gateway/src/jobReader.ts
+++ b/packages/gateway/src/jobReader.ts
@@ -2,10 +2,11 @@
 import { type Coordinator, type CoordinatorLink, type MemberEntry, METHODS, type RpcCaller } from "@heatherline/fleet";
 import { LRUCache } from "lru-cache";
 import { err, ok, type Result } from "neverthrow";
-import { newPage } from "./jobRun";
+import { type JobRun, newPage } from "./jobRun";
 import type { JobRunner } from "./jobRunner";
 import type { JobManifest, JobStore, ResultChunk } from "./jobStore";
 import { newRefusal, type Refusal } from "./refusal";
+import type { RunnerClaim } from "./runnerClaim";
 import type { ItemResult, ResultsPage } from "./wireCodec";
 
 /** Limit of the output in one page of results. */
@@ -46,8 +47,8 @@
     readonly rpc: RpcCaller;
     readonly getMembers: () => readonly MemberEntry[];
     readonly self: MemberEntry;
-    /** Whether it is certain that no other instance runs jobs of this one. */
-    readonly isSoleRunner: () => boolean;
+    /** Whether it is certain that no other instance has been assigned a job of this one since the claim began. */
+    readonly isSoleRunner: (claim: RunnerClaim) => boolean;
 }
 
 /** Reads results of jobs: from the instance that runs the job if there is one, otherwise from the store. */
@@ -105,10 +106,7 @@
             return { kind: "not-here" };
         }
         await run.waitForResult(after, waitMs);
-        const page = run.read(after, MAX_PAGE_BYTES);
-        const mayBeStale = !run.isFinished && page.results.length === 0
-            && (run.publishedCount < after || !run.isVerified || !this.deps.isSoleRunner());
-        const isUpToDate = !mayBeStale || await run.loadNewResults();
+        const isUpToDate = this.hasNewestResults(run, after) || await run.bringUpToDate();
         if (!run.isReadable || !isUpToDate) {
             return { kind: "not-here" };
         }
@@ -135,6 +133,12 @@
         return ok(read.value.manifest);
     }
 
+    /** Whether there is a published result at the position, or certainly none in the store either. */
+    private hasNewestResults(run: JobRun, after: number): boolean {
+        return run.isFinished || run.publishedCount > after
+            || (run.publishedCount === after && !run.mayLackResults && this.deps.isSoleRunner(run.claim));
+    }
+
     /**
      * Reads through the job's designated reader: one instance, chosen by rendezvous hashing, reads the job from the store
      * and caches its chunks, so that not every instance reads them.
--- a/packages/gateway/src/jobRun.ts
+++ b/packages/gateway/src/jobRun.ts
@@ -1,9 +1,10 @@
 import { type Logger, sleep } from "@heatherline/common";
-import type { JobProgress } from "@heatherline/fleet";
+import type { JobProgress, Timestamp } from "@heatherline/fleet";
 import { setMaxListeners } from "node:events";
 import type PQueue from "p-queue";
 import { type ItemJob, ItemRun, type ItemRunDependencies, type ItemState } from "./itemRun";
 import type { JobItem, JobManifest, JobStore } from "./jobStore";
+import type { RunnerClaim } from "./runnerClaim";
 import type { ItemResult, ResultsPage } from "./wireCodec";
 
 /** Results that arrive within this time are written to the store in one chunk. */
@@ -11,6 +12,16 @@
 /** Limit of the output in one chunk of results; a single larger result still makes a chunk. */
 const MAX_CHUNK_BYTES = 500_000;
 const RETRY_DELAY_MS = 300;
+/** How often a run that needs a confirmation before it writes checks whether there is one. */
+const CONFIRMATION_CHECK_MS = 50;
+/** Without a confirmation for this long, an adopted run writes nevertheless; one whose chunk was not the first stops. */
+const CONFIRMATION_TIMEOUT_MS = 5_000;
+/** An instance that is back in contact learns within this time that another one runs its job, and so does the other. */
+const SETTLED_CONTACT_MS = 3_000;
+/** A read of the store serves all callers for this long: less than the time in which results must be readable everywhere. */
+const MAX_LOAD_AGE_MS = 400;
+/** A read of the store that took longer than this does not show that there is no result now. */
+const MAX_LOAD_DURATION_MS = 600;
 
 /** What a {@link JobRun} depends on. */
 export interface JobRunDependencies {
@@ -22,6 +33,8 @@
         item: JobItem,
         getBody: () => Promise<Buffer | undefined>,
     ) => ItemRunDependencies;
+    /** Whether it is certain that no other instance has been assigned the job since the claim began. */
+    readonly isSoleRunner: (claim: RunnerClaim) => boolean;
     readonly logger: Logger;
 }
 
@@ -54,19 +67,39 @@
     private requiredVerifications = 0;
     private doneVerifications = 0;
     private isClosed = false;
+    /** Since when this instance may count as the runner. */
+    readonly claim: RunnerClaim;
+    /** Since when a confirmation is needed before the next write; `undefined` if none is needed. */
+    private unconfirmedSinceMs: number | undefined;
+    /** Whether another instance has written a chunk since this one started the job. */
+    private hasMetOtherWriter = false;
+    private isStarted = false;
+    /** Another writer that does not know of this one yet may write until then. */
+    private otherWriterUntilMs = -Infinity;
+    /** Index of the chunk whose write has been sent and whose outcome is not known yet. */
+    private sentIndex: number | undefined;
+    /** When the last read that found all results in the store began. */
+    private loadedAtMs = -Infinity;
+    private loading: Promise<boolean> | undefined;
 
     /**
      * @param manifest - The job.
      * @param bodies - Bodies of its items in base64; read from the store if absent.
      * @param deps - What running the job depends on.
      * @param handover - Progress that another instance has made with the job.
+     * @param createdAt - A moment before the job was in the store, if this instance created it.
      */
     constructor(
         readonly manifest: JobManifest,
         bodies: Map<string, string> | undefined,
         private readonly deps: JobRunDependencies,
         private readonly handover: JobHandover | undefined,
+        createdAt?: Timestamp,
     ) {
+        this.claim = { createdAt, reportedSinceMs: performance.now() };
+        if (bodies === undefined) {
+            this.expectOtherWriter();
+        }
         this.handedOverStates = new Map(handover?.items.map(state => [state.itemId, state]));
         this.unwrittenResults = [...handover?.finished ?? []];
         // Every running item adds a listener, so there is no fixed limit.
@@ -101,9 +134,15 @@
         return this.doneVerifications === this.requiredVerifications;
     }
 
+    /** Whether it takes a read of the store to know that it has no results that are not published here. */
+    get mayLackResults(): boolean {
+        return !this.isVerified || performance.now() < this.otherWriterUntilMs;
+    }
+
     /** Records that another instance may have run the job meanwhile, so that the store must be read once more. */
     requireVerification(): void {
         this.requiredVerifications += 1;
+        this.otherWriterUntilMs = Math.max(this.otherWriterUntilMs, performance.now() + SETTLED_CONTACT_MS);
     }
 
     /** @returns The job's progress, including results that are not written yet. */
@@ -123,6 +162,7 @@
                 await sleep(RETRY_DELAY_MS, this.stopping.signal);
             }
         }
+        this.isStarted = true;
         const { route } = this.manifest;
         this.deps.logger.info({
             event: "job-started",
@@ -213,26 +253,84 @@
         return this.loadNewResults();
     }
 
+    /**
+     * Publishes results that another instance may have written, unless the store was read just before.
+     *
+     * @returns Whether all results in the store are published now; `false` if that can't be known.
+     */
+    async bringUpToDate(): Promise<boolean> {
+        if (this.isLoadRecent(MAX_LOAD_AGE_MS)) {
+            return true;
+        }
+        const isShared = this.loading !== undefined;
+        this.loading ??= this.loadNewResults().finally(() => {
+            this.loading = undefined;
+        });
+        const isLoaded = await this.loading && this.isLoadRecent(MAX_LOAD_DURATION_MS);
+        // A read of the store that had begun before this call may have been too early.
+        return isLoaded || (isShared && await this.loadNewResults() && this.isLoadRecent(MAX_LOAD_DURATION_MS));
+    }
+
+    private isLoadRecent(maxAgeMs: number): boolean {
+        return this.isVerified && performance.now() - this.loadedAtMs <= maxAgeMs;
+    }
+
     /**
      * Publishes results that another instance may have written to the store.
      *
-     * @returns Whether all results in the store are published now; `false` if the store can't be read.
+     * @returns Whether the store has been read to the end of its results; `false` if it can't be read.
      */
     async loadNewResults(): Promise<boolean> {
         const { requiredVerifications } = this;
         for (;;) {
             const index = this.chunkCount;
+            const startedAtMs = performance.now();
             const chunk = await this.deps.store.readChunk(this.manifest.jobId, index);
             if (chunk.isErr()) {
                 return false;
             }
             if (chunk.value === undefined) {
                 this.doneVerifications = requiredVerifications;
+                this.loadedAtMs = Math.max(this.loadedAtMs, startedAtMs);
                 return true;
             }
             if (index === this.chunkCount) {
                 this.publish(chunk.value.results);
+                if (this.isStarted && index !== this.sentIndex) {
+                    this.hasMetOtherWriter = true;
+                    this.expectOtherWriter();
+                }
+            }
+        }
+    }
+
+    /** Another instance writes results of the job, or may still write the last ones since this one took it over. */
+    private expectOtherWriter(): void {
+        this.unconfirmedSinceMs = performance.now();
+        this.otherWriterUntilMs = Infinity;
+    }
+
+    /**
+     * Waits until the coordinator has confirmed, since another writer was last noticed, that this instance is the runner.
+     * Once a confirmed runner has written a chunk, any other writer finds its index taken and needs a confirmation itself,
+     * so the store has no results that the confirmed runner doesn't know.
+     */
+    private async waitForConfirmation(): Promise<void> {
+        const startedAtMs = performance.now();
+        while (this.unconfirmedSinceMs !== undefined && !this.isStopped) {
+            const { unconfirmedSinceMs } = this;
+            if (this.deps.isSoleRunner({ createdAt: undefined, reportedSinceMs: unconfirmedSinceMs })) {
+                this.unconfirmedSinceMs = undefined;
+                return;
+            }
+            if (performance.now() - startedAtMs > CONFIRMATION_TIMEOUT_MS) {
+                if (this.hasMetOtherWriter) {
+                    // The other one may be the runner that the coordinator knows; two would go on side by side.
+                    this.stop("another instance writes its results");
+                }
+                return;
             }
+            await sleep(CONFIRMATION_CHECK_MS, this.stopping.signal);
         }
     }
 
@@ -279,14 +377,22 @@
         this.isWriting = true;
         while (this.unwrittenResults.length > 0 && !this.isStopped) {
             await sleep(this.hasAllResults() ? 0 : WRITE_DELAY_MS, this.stopping.signal);
+            await this.waitForConfirmation();
+            this.unwrittenResults = this.unwrittenResults.filter(({ itemId }) => !this.publishedIds.has(itemId));
+            if (this.unwrittenResults.length === 0 || this.isStopped) {
+                break;
+            }
             const ownResults = takeUpToBytes(this.unwrittenResults, MAX_CHUNK_BYTES);
             const { store } = this.deps;
             const { jobId } = this.manifest;
             const index = this.chunkCount;
+            this.sentIndex = index;
             const outcome = await store.writeChunk(jobId, index, ownResults, this.stopping.signal);
+            this.sentIndex = undefined;
             if (outcome === undefined) {
                 break;
             }
+            this.recordWriter(outcome.kind === "written" && this.chunkCount <= index + 1);
             const results = outcome.kind === "written" ? ownResults : outcome.chunk.results;
             this.deps.logger.info({
                 event: "results-written",
@@ -304,6 +410,16 @@
         await this.closeIfFinished();
     }
 
+    private recordWriter(isLastChunkOwn: boolean): void {
+        if (isLastChunkOwn) {
+            // Any other writer has not seen this chunk, so its next write finds the index taken.
+            this.otherWriterUntilMs = -Infinity;
+            return;
+        }
+        this.hasMetOtherWriter = true;
+        this.expectOtherWriter();
+    }
+
     private hasAllResults(): boolean {
         return this.publishedResults.length + this.unwrittenResults.length >= this.manifest.items.length;
     }
--- a/packages/gateway/src/jobRunner.ts
+++ b/packages/gateway/src/jobRunner.ts
@@ -6,6 +6,7 @@
     METHODS,
     type PlacementClient,
     type RpcCaller,
+    type Timestamp,
 } from "@heatherline/fleet";
 import PQueue from "p-queue";
 import type { EndpointClient } from "./endpointClient";
@@ -15,6 +16,7 @@
 import { type JobHandover, JobRun } from "./jobRun";
 import type { JobItem, JobManifest, JobStore } from "./jobStore";
 import type { GatewayMetrics } from "./metrics";
+import type { RunnerClaim } from "./runnerClaim";
 import type { WireCodec } from "./wireCodec";
 
 /** Items of an instance that run or wait for a place; a waiting one costs little memory beyond its job's bodies. */
@@ -38,6 +40,8 @@
     readonly metrics: GatewayMetrics;
     /** Whether this instance's knowledge of which jobs are closed is recent enough to start runs of items. */
     readonly isJobStateFresh: () => boolean;
+    /** Whether it is certain that no other instance has been assigned a job of this one since the claim began. */
+    readonly isSoleRunner: (claim: RunnerClaim) => boolean;
     readonly logger: Logger;
 }
 
@@ -61,18 +65,31 @@
      * @param manifest - The job.
      * @param bodies - Bodies of its items in base64; read from the store if absent.
      * @param handover - Progress that another instance has made with the job.
+     * @param createdAt - A moment before the job was in the store, if this instance created it.
      */
-    add(manifest: JobManifest, bodies: Map<string, string> | undefined, handover?: JobHandover): void {
+    add(
+        manifest: JobManifest,
+        bodies: Map<string, string> | undefined,
+        handover?: JobHandover,
+        createdAt?: Timestamp,
+    ): void {
         const existing = this.runs.get(manifest.jobId);
         if (this.isStopping || manifest.state !== "open" || (existing !== undefined && !existing.isStopped)) {
             return;
         }
-        const run = new JobRun(manifest, bodies, {
-            store: this.deps.store,
-            queue: this.queue,
-            newItemRunDependencies: (job, item, getBody) => this.newItemRunDependencies(job, item, getBody),
-            logger: this.deps.logger,
-        }, handover);
+        const run = new JobRun(
+            manifest,
+            bodies,
+            {
+                store: this.deps.store,
+                queue: this.queue,
+                newItemRunDependencies: (job, item, getBody) => this.newItemRunDependencies(job, item, getBody),
+                isSoleRunner: claim => this.deps.isSoleRunner(claim),
+                logger: this.deps.logger,
+            },
+            handover,
+            createdAt,
+        );
         this.runs.set(manifest.jobId, run);
         void run.start();
         this.evictOldRuns();
--- a/packages/gateway/src/ownJobSync.ts
+++ b/packages/gateway/src/ownJobSync.ts
@@ -1,4 +1,4 @@
-import type { Coordinator, PlacementClient } from "@heatherline/fleet";
+import { type Coordinator, getElapsedMs, newTimestamp, type PlacementClient, type Timestamp } from "@heatherline/fleet";
 import type { JobRunner } from "./jobRunner";
 
 /** How often each own job is read in fallback mode to learn whether it is closed. */
@@ -20,18 +20,25 @@
  */
 export class OwnJobSync {
     private closedJobsCheckedAtMs = -Infinity;
+    private reportedAt: Timestamp | undefined;
 
     /**
      * @param deps - What it depends on.
      */
     constructor(private readonly deps: OwnJobSyncDependencies) {}
 
+    /** Time since own jobs were last reported to this instance's coordinator, in milliseconds. */
+    get reportAgeMs(): number {
+        return this.reportedAt === undefined ? Infinity : getElapsedMs(this.reportedAt);
+    }
+
     /** Reports the progress of own jobs to this instance's coordinator, or checks them in fallback mode. */
     sync(): void {
         const { instanceId, runner, placement, getCoordinator, isStopping } = this.deps;
         const coordinator = getCoordinator();
         if (coordinator !== undefined && !isStopping()) {
             const { closed, taken } = coordinator.jobs.recordProgress(instanceId, runner.getProgress());
+            this.reportedAt = newTimestamp();
             void runner.stopClosedJobs(closed);
             taken.forEach(jobId => runner.stopTakenOver(jobId));
             for (const jobId of coordinator.assignJobs(instanceId)) {
