Read the store for an empty page while the runner's own write is under way

What callers could see: LOST. A runner lists the results of a chunk once it has handled the response to its write; until then the store has them, and whoever can't reach the runner in time reads them there. While the response was late (a slow store, a lost response, a process with little processor time), the runner answered with an empty page. Now a write that was sent and has no outcome counts as something that the runner may lack.

Evidence: the case "also while that instance waits for the response to the write" was red before.

--- a/packages/gateway/src/jobRun.ts
+++ b/packages/gateway/src/jobRun.ts
@@ -136,7 +136,7 @@
 
     /** Whether it takes a read of the store to know that it has no results that are not published here. */
     get mayLackResults(): boolean {
-        return !this.isVerified || performance.now() < this.otherWriterUntilMs;
+        return !this.isVerified || this.sentIndex !== undefined || performance.now() < this.otherWriterUntilMs;
     }
 
     /** Records that another instance may have run the job meanwhile, so that the store must be read once more. */
--- a/packages/gateway/tests/emptyPages.test.ts
+++ b/packages/gateway/tests/emptyPages.test.ts
@@ -119,6 +119,15 @@
 });
 
 describe("a result that was read from the store is listed by the instance that runs the job", () => {
+    it("also while that instance waits for the response to the write", async () => {
+        writeResponse = new Promise(() => undefined);
+        const run = newRun(true, ["item-1"]);
+        await vi.advanceTimersByTimeAsync(WRITE_MS);
+        expect(await read(undefined, 0)).toEqual(["item-1"]);
+        await vi.advanceTimersByTimeAsync(SETTLE_MS);
+        expect(await read(run, 0)).toEqual(["item-1"]);
+    });
+
     it.each([
         { what: "before this one has written any", ownResults: [] },
         { what: "before a write of this one", ownResults: ["item-2"] },
