Refuse an empty page that the store took too long to show

What callers could see: LOST. A read of the store may take 1.2 s, but a result that was read at one instance must be readable at all others after one second, so a read that is answered that late can show an empty page that is not true any more. Found by reading. Now an empty page whose read took more than 0.8 s is refused with 503; pages with results are as before.

Evidence: the case "is 503 after a read of the store that takes 950 ms" was red before (200 with no results).

--- a/packages/gateway/src/jobReader.ts
+++ b/packages/gateway/src/jobReader.ts
@@ -20,6 +20,11 @@
 const UNRESPONSIVE_READER_MS = 3_000;
 /** How long the instance that runs a job is remembered before the coordinator is asked again. */
 const RUNNER_CACHE_TTL_MS = 4_000;
+/**
+ * A read of the store that took longer does not show that there is no result now: results must be readable at all instances
+ * soon after they were read at one.
+ */
+const MAX_EMPTY_READ_MS = 800;
 const MAX_CACHED_JOBS = 500;
 const MAX_CACHED_CHUNK_BYTES = 8_000_000;
 
@@ -215,7 +220,9 @@
             return err(manifest.error);
         }
         const results: ItemResult[] = [];
+        let startedAtMs = performance.now();
         for (let index = 0; results.length < manifest.value.items.length; index += 1) {
+            startedAtMs = performance.now();
             const chunk = await this.readChunk(jobId, index);
             if (chunk.isErr()) {
                 return err(chunk.error);
@@ -227,6 +234,9 @@
             results.push(...chunk.value.results.filter(({ itemId }) => !seenIds.has(itemId)));
         }
         const page = newPage(manifest.value.items.length, results, after, MAX_PAGE_BYTES);
+        if (page.results.length === 0 && performance.now() - startedAtMs > MAX_EMPTY_READ_MS) {
+            return err(newRefusal("store-unavailable", "the store took too long to show that there is no result"));
+        }
         return ok({ kind: "page", organisation: manifest.value.organisation, page });
     }
 
--- a/packages/gateway/tests/emptyPages.test.ts
+++ b/packages/gateway/tests/emptyPages.test.ts
@@ -221,4 +221,13 @@
         await Promise.all(Array.from({ length: 20 }, () => read(run, 0)));
         expect(storeReads).toBeLessThanOrEqual(1);
     });
+
+    // An answer that took longer than the time in which results must be readable everywhere proves nothing.
+    it.each([{ readMs: 100, expected: [] }, { readMs: 950, expected: 503 }])(
+        "is $expected after a read of the store that takes $readMs ms",
+        async ({ readMs, expected }) => {
+            readDurationMs = readMs;
+            expect(await read(undefined, 0)).toEqual(expected);
+        },
+    );
 });
