Assign a job that no instance runs to another one each time

What callers could see: items that don't run again for as long as an instance takes to stop. A stopping instance still syncs until its open requests are done, and has ever fewer jobs, so the coordinator assigned each job that it could not hand over to it again and again; it ignores them. The same with an instance that can't read the job. Found by reading.

Now an assignment that was not followed by a report goes to another instance next, until all have been tried.

--- a/packages/fleet/src/jobTracker.ts
+++ b/packages/fleet/src/jobTracker.ts
@@ -19,6 +19,8 @@
     reportedAtMs: number;
     assignedTo: string | undefined;
     assignedAtMs: number;
+    /** Instances that it was assigned to since it was last reported, and that don't run it. */
+    triedIds: readonly string[];
 }
 
 /** Reported jobs that the reporting instance should stop running. */
@@ -77,6 +79,7 @@
                     reportedAtMs: nowMs,
                     assignedTo: undefined,
                     assignedAtMs: 0,
+                    triedIds: [],
                 },
                 summary,
             });
@@ -111,12 +114,13 @@
             entry.runner = instanceId;
             entry.reportedAtMs = nowMs;
             entry.assignedTo = undefined;
+            entry.triedIds = [];
         }
         return { closed, taken };
     }
 
     /**
-     * Assigns jobs that no instance runs to an instance, if it is the least loaded one.
+     * Assigns jobs that no instance runs to an instance, if it is the least loaded one of those that have not been tried.
      *
      * @param instanceId - The instance.
      * @param liveInstances - All instances that can run jobs, including this one.
@@ -131,12 +135,15 @@
             if (!isUnclaimed || (isAssigned && entry.assignedTo !== instanceId)) {
                 continue;
             }
-            if (!isAssigned && this.getLeastLoaded(liveInstances) !== instanceId) {
+            const untriedIds = liveInstances.filter(id => !entry.triedIds.includes(id));
+            const candidates = untriedIds.length > 0 ? untriedIds : liveInstances;
+            if (!isAssigned && this.getLeastLoaded(candidates) !== instanceId) {
                 continue;
             }
             if (!isAssigned) {
                 entry.assignedTo = instanceId;
                 entry.assignedAtMs = nowMs;
+                entry.triedIds = untriedIds.length > 0 ? [...entry.triedIds, instanceId] : [instanceId];
             }
             assigned.push(jobId);
         }
