Test of another writer that goes on after a write of this one that has no response yet

Guards a condition that the mend of the runner's own write has: a write of its own only proves that no other one writes if nothing stands behind it. Red with that condition taken out (1 of 15 cases), green with it.

--- a/packages/gateway/tests/emptyPages.test.ts
+++ b/packages/gateway/tests/emptyPages.test.ts
@@ -159,6 +159,23 @@
         expect(await read(run, 1)).toEqual(["item-2"]);
     });
 
+    it("also if another instance goes on after a write of this one that has no response yet", async () => {
+        let respond: () => void = () => undefined;
+        writeResponse = new Promise(resolve => {
+            respond = resolve;
+        });
+        const run = newRun(true, ["item-1"]);
+        await vi.advanceTimersByTimeAsync(WRITE_MS);
+        const pendingWrite = store.writeChunk(JOB, 1, [toResult("item-2")], SIGNAL);
+        await vi.advanceTimersByTimeAsync(1);
+        expect(await read(run, 1)).toEqual(["item-2"]);
+        respond();
+        await pendingWrite;
+        await store.writeChunk(JOB, 2, [toResult("item-3")], SIGNAL);
+        await vi.advanceTimersByTimeAsync(SETTLE_MS);
+        expect(await read(run, 2)).toEqual(["item-3"]);
+    });
+
     it("also if another instance wrote it after this one was back in contact and had checked the store", async () => {
         const run = newRun(true, []);
         run.requireVerification();
