--- a/packages/gateway/tests/ingressShutdown.test.ts
+++ b/packages/gateway/tests/ingressShutdown.test.ts
@@ -42,7 +42,7 @@
             void response.write(Buffer.from("first"));
             streams.push(response);
         }
-        else {
+        else if (path !== "/never") {
             response.sendFull(200, [], Buffer.from("ok"));
         }
     });
@@ -148,4 +148,20 @@
         expect(await answer).toContain("HTTP/1.1 200");
         await worker.terminate();
     });
+
+    it("answers what nobody has answered when the process is about to end, and only that", async () => {
+        const [waiting, streaming] = [await harness.connect(), await harness.connect()];
+        waiting.send("/never");
+        streaming.send("/stream");
+        await pause(SHORT_MS);
+        stop();
+        await harness.ingress.giveUpRequests();
+        streams[0]?.endStream();
+        await pause(SHORT_MS);
+        expect(waiting.statuses).toEqual([504]);
+        expect(waiting.received).toContain("outcome-unknown");
+        expect(waiting.isClosed).toBe(true);
+        expect(streaming.statuses).toEqual([200]);
+        expect(streaming.received).toMatch(/\r\n0\r\n\r\n$/);
+    });
 });
