Stand-ins: strand single gateways from engines, and engines that are silent for a while

A test can cut a gateway's connections to all or some engines (hang, reset, refuse), while those to the store, to other gateways and to callers work. A file that only the stand-in loads into the gateway's process does this; the test tells it the ports and the mode over an IPC channel, which doesn't keep the process alive. What a cut holds, requests that were written included, goes on when the cut ends, as the kernel's retransmissions would.

--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -85,6 +85,7 @@
     responseDelayMs = 0;
     /** When its process started, in milliseconds since the epoch. */
     startedAt = Date.now();
+    private silentUntilMs = 0;
     private readonly server = http.createServer((request, response) => void this.handle(request, response));
 
     /**
@@ -105,6 +106,21 @@
         return closeServer(this.server);
     }
 
+    /**
+     * Sends nothing for a while, and goes on then; it accepts connections and requests meanwhile.
+     *
+     * @param durationMs - How long, in milliseconds.
+     */
+    silence(durationMs: number): void {
+        this.silentUntilMs = Math.max(this.silentUntilMs, Date.now() + durationMs);
+    }
+
+    private async waitWhileSilent(): Promise<void> {
+        while (Date.now() < this.silentUntilMs) {
+            await sleep(this.silentUntilMs - Date.now());
+        }
+    }
+
     /** @returns Its entry in the platform's list of servers. */
     getRegistration(state: "ready" | "draining" = "ready"): Record<string, unknown> {
         return {
@@ -125,11 +141,13 @@
         const requestId = String(request.headers["request-id"] ?? "");
         const expected = request.headers["target-instance"];
         if (expected !== undefined && expected !== this.id) {
+            await this.waitWhileSilent();
             response.writeHead(421, { "Instance-Id": this.id }).end();
             return;
         }
         const faultText = this.shouldSimulateFault(requestId, body) ? body : "";
         if (this.running >= (this.options.slots ?? 8) || faultText.includes("FULL")) {
+            await this.waitWhileSilent();
             response.writeHead(503, { "Not-Executed": "1", "Request-Id": requestId }).end();
             return;
         }
@@ -181,6 +199,7 @@
             return;
         }
         await sleep(this.responseDelayMs);
+        await this.waitWhileSilent();
         const requestId = faultText.includes("STRAY") ? "somebody-else" : entry.requestId;
         const signatureHeaders = faultText.includes("UNSIGNED")
             ? {}
@@ -211,6 +230,7 @@
         const eventCount = Number(/events=(\d+)/.exec(entry.body)?.[1] ?? DEFAULT_EVENT_COUNT);
         const firstEventId = Number(entry.headers["last-event-id"] ?? -1) + 1;
         for (let eventId = firstEventId; eventId < eventCount; eventId += 1) {
+            await this.waitWhileSilent();
             if (response.destroyed) {
                 return;
             }
--- a/standins/operators/fleet.ts
+++ b/standins/operators/fleet.ts
@@ -10,6 +10,10 @@
 export const GATEWAY_PROGRAM = ["../target/gateway.cjs", "../../target/gateway.cjs"]
     .map(path => new URL(path, import.meta.url).pathname)
     .find(path => existsSync(path)) ?? "";
+/** Path of the file through which a test cuts a gateway's connections, relative to the same files. */
+const CUT_FILE = ["./strandedSockets.cjs", "../standins/operators/strandedSockets.cjs"]
+    .map(path => new URL(path, import.meta.url).pathname)
+    .find(path => existsSync(path)) ?? "";
 const READY_TIMEOUT_MS = 15_000;
 const POLL_MS = 25;
 
@@ -19,6 +23,24 @@
 /** Host name of all routes in {@link newConfig}. */
 export const HOST = "api.example";
 
+/**
+ * What happens to a gateway's connections to engines while it is stranded.
+ *
+ * - `hang`: nothing passes on existing connections, and new ones are not established.
+ * - `reset`: existing connections are reset, and new ones are not established.
+ * - `refuse`: existing connections live on, and new ones are refused at once.
+ */
+export type StrandMode = "hang" | "reset" | "refuse";
+
+/** All ways in which a gateway may be stranded. */
+export const STRAND_MODES: readonly StrandMode[] = ["hang", "reset", "refuse"];
+
+interface Cut {
+    readonly mode: StrandMode | "none";
+    /** Ports of the engines that can't be reached. */
+    readonly ports: readonly number[];
+}
+
 /** A gateway process and its ports. */
 export interface GatewayProcess {
     readonly name: string;
@@ -42,6 +64,8 @@
     readonly gateways: GatewayProcess[] = [];
     private storePort = 0;
     private configVersion = 0;
+    private cutCount = 0;
+    private readonly cuts = new Map<GatewayProcess, Cut>();
     private readonly folder = mkdtempSync(join(tmpdir(), "heatherline-"));
 
     /** Starts the object store. */
@@ -146,9 +170,62 @@
      */
     async restart(gateway: GatewayProcess): Promise<void> {
         gateway.child = startGatewayProcess(gateway.settingsPath, gateway.lines);
+        const cut = this.cuts.get(gateway);
+        if (cut !== undefined) {
+            await this.applyCut(gateway, cut);
+        }
         await this.waitReady(gateway);
     }
 
+    /**
+     * Cuts a gateway's connections to engines; those to the store, to other gateways and to callers work. The cut is
+     * in force when the promise resolves, and stays through a restart.
+     *
+     * @param gateway - The gateway.
+     * @param mode - What happens to the connections.
+     * @param engines - The engines that it can't reach; all that exist if left out.
+     */
+    async strand(gateway: GatewayProcess, mode: StrandMode, engines: readonly Engine[] = this.engines): Promise<void> {
+        const cut = { mode, ports: engines.map(({ port }) => port) };
+        this.cuts.set(gateway, cut);
+        await this.applyCut(gateway, cut);
+    }
+
+    /**
+     * Ends a gateway's cut: what it held goes on.
+     *
+     * @param gateway - The gateway.
+     */
+    async heal(gateway: GatewayProcess): Promise<void> {
+        this.cuts.delete(gateway);
+        await this.applyCut(gateway, { mode: "none", ports: [] });
+    }
+
+    /** Resolves when the process has applied the cut, or has exited. */
+    private applyCut({ child }: GatewayProcess, cut: Cut): Promise<void> {
+        this.cutCount += 1;
+        const number = this.cutCount;
+        return new Promise(resolve => {
+            const finish = () => {
+                child.off("message", onMessage);
+                child.off("exit", finish);
+                resolve();
+            };
+            const onMessage = (message: unknown) => {
+                if ((message as { appliedNumber?: number; }).appliedNumber === number) {
+                    finish();
+                }
+            };
+            child.on("message", onMessage);
+            child.on("exit", finish);
+            if (!child.connected) {
+                finish();
+                return;
+            }
+            child.send({ ...cut, number }, error => error === null ? undefined : finish());
+        });
+    }
+
     /**
      * Waits until a gateway's readiness check succeeds.
      *
@@ -218,17 +295,17 @@
 }
 
 function startGatewayProcess(settingsPath: string, lines: string[]): ChildProcess {
-    const child = spawn(process.execPath, [GATEWAY_PROGRAM], {
+    const child = spawn(process.execPath, ["--require", CUT_FILE, GATEWAY_PROGRAM], {
         env: { PATH: process.env.PATH, HEATHERLINE_CONFIG: settingsPath },
-        stdio: ["ignore", "pipe", "pipe"],
+        stdio: ["ignore", "pipe", "pipe", "ipc"],
     });
     let partialLine = "";
-    child.stdout.on("data", (chunk: Buffer) => {
+    child.stdout?.on("data", (chunk: Buffer) => {
         const parts = (partialLine + chunk.toString("utf8")).split("\n");
         partialLine = parts.pop() ?? "";
         lines.push(...parts);
     });
-    child.stderr.on("data", (chunk: Buffer) => lines.push(chunk.toString("utf8")));
+    child.stderr?.on("data", (chunk: Buffer) => lines.push(chunk.toString("utf8")));
     return child;
 }
 
