Stand-ins: engines see which gateway sent a request

Each gateway process has a loopback address of its own for its outgoing connections, so that tests can tell requests that an instance sends itself from those that another sends for it.

--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -35,6 +35,8 @@
     readonly body: string;
     readonly headers: http.IncomingHttpHeaders;
     readonly atMs: number;
+    /** Address of the gateway that sent it. */
+    readonly sourceAddress: string;
     /** When the response was closed; undefined while the request runs. */
     endedAtMs: number | undefined;
     /** Events sent so far. */
@@ -158,6 +160,7 @@
             body,
             headers: request.headers,
             atMs: Date.now(),
+            sourceAddress: request.socket.remoteAddress ?? "",
             endedAtMs: undefined,
             events: 0,
         };
--- a/standins/operators/fleet.ts
+++ b/standins/operators/fleet.ts
@@ -52,6 +52,8 @@
     /** Lines that it wrote to standard output, and chunks that it wrote to standard error. */
     readonly lines: string[];
     readonly settingsPath: string;
+    /** Address from which it connects to engines. */
+    readonly sourceAddress: string;
 }
 
 /**
@@ -155,8 +157,10 @@
             }),
         );
         const lines: string[] = [];
-        const child = startGatewayProcess(settingsPath, lines);
-        const gateway = { name, port, readyPort, controlPort, metricsPort, child, lines, settingsPath };
+        const sourceAddress = `127.0.1.${this.gateways.length + 1}`;
+        const child = startGatewayProcess(settingsPath, sourceAddress, lines);
+        const ports = { port, readyPort, controlPort, metricsPort };
+        const gateway = { name, ...ports, child, lines, settingsPath, sourceAddress };
         this.gateways.push(gateway);
         await this.waitReady(gateway);
         return gateway;
@@ -169,7 +173,7 @@
      * @throws Error if it isn't ready in time.
      */
     async restart(gateway: GatewayProcess): Promise<void> {
-        gateway.child = startGatewayProcess(gateway.settingsPath, gateway.lines);
+        gateway.child = startGatewayProcess(gateway.settingsPath, gateway.sourceAddress, gateway.lines);
         const cut = this.cuts.get(gateway);
         if (cut !== undefined) {
             await this.applyCut(gateway, cut);
@@ -294,9 +298,9 @@
     };
 }
 
-function startGatewayProcess(settingsPath: string, lines: string[]): ChildProcess {
+function startGatewayProcess(settingsPath: string, sourceAddress: string, lines: string[]): ChildProcess {
     const child = spawn(process.execPath, ["--require", CUT_FILE, GATEWAY_PROGRAM], {
-        env: { PATH: process.env.PATH, HEATHERLINE_CONFIG: settingsPath },
+        env: { PATH: process.env.PATH, HEATHERLINE_CONFIG: settingsPath, SOURCE_ADDRESS: sourceAddress },
         stdio: ["ignore", "pipe", "pipe", "ipc"],
     });
     let partialLine = "";
--- a/standins/operators/strandedGateway.test.ts
+++ b/standins/operators/strandedGateway.test.ts
@@ -134,6 +134,8 @@
             "requests are served",
             async () => (await call(east.port, { path: "/lookup/a", requestId })).status === 200,
         );
+        const runs = fleet.engines.flatMap(({ seen }) => seen).filter(run => run.requestId === requestId);
+        expect(runs.at(-1)?.sourceAddress).toBe(east.sourceAddress);
     });
 });
 
--- a/standins/operators/strandedSockets.cjs
+++ b/standins/operators/strandedSockets.cjs
@@ -1,10 +1,13 @@
 // Loaded into gateway processes that tests start, before the gateway's program. On a message from the test's process it
-// cuts the process's connections to certain ports of the loopback interface; all other connections work.
+// cuts the process's connections to certain ports of the loopback interface; all other connections work. All outgoing
+// connections have the local address that the environment names, by which engines tell who sent a request.
 "use strict";
 const net = require("node:net"); // eslint-disable-line @typescript-eslint/no-require-imports
 
 const { connect, _write: write, _writev: writev, _final: finish } = net.Socket.prototype;
 
+const SOURCE_ADDRESS = process.env.SOURCE_ADDRESS;
+
 /** Sockets that have been connected and not been closed, with their remote ports. */
 const openSockets = new Map();
 /** Sockets whose connections are not established until the cut has ended, with the arguments of their connect calls. */
@@ -29,6 +32,11 @@
 
 net.Socket.prototype.connect = function connectUnlessCut(...args) {
     const port = getPort(args);
+    if (SOURCE_ADDRESS !== undefined && Array.isArray(args[0])) {
+        // An agent finds its sockets by the options that it passed, so these stay as they are.
+        const [options] = args[0];
+        args[0] = Object.assign([...args[0]], args[0], { 0: { ...options, localAddress: SOURCE_ADDRESS } });
+    }
     openSockets.set(this, port);
     this.once("close", () => {
         openSockets.delete(this);
