--- a/standins/operators/strandedSockets.cjs
+++ b/standins/operators/strandedSockets.cjs
@@ -47,7 +47,8 @@
     }
     this.connecting = true;
     if (cut.mode === "refuse") {
-        process.nextTick(() => this.destroy(newError("ECONNREFUSED", "connect", port)));
+        // As with a real refusal, whoever connects sees the socket connecting before it fails.
+        setImmediate(() => this.destroy(newError("ECONNREFUSED", "connect", port)));
     }
     else {
         waitingSockets.set(this, args);
