--- a/standins/operators/strandedGateway.test.ts
+++ b/standins/operators/strandedGateway.test.ts
@@ -23,6 +23,7 @@
         socket.destroy();
     });
     socket.on("error", ({ code }) => print("new " + code));
+    process.nextTick(() => socket.connecting || print("failed before its user has it"));
     setTimeout(() => socket.destroy(), 100);
 }, 20);
 `;
