Send requests of a stranded instance through other instances, and blame endpoints only for their own faults

Callers of the other instances were refused, too, as overloaded or without an endpoint.

Cause: an instance took a fault of its own link for a fault of the endpoint. It excluded one endpoint after the other, and reported each as unreachable, silent or broken, so that whoever grants places paused them for all: 10 to 19 pauses a second, all by reports of cut instances. After a reset it took endpoints for crashed, which may block prompts.

Now an instance that can't connect tries a few other endpoints (`EndpointLinks`). If it reaches none, it is stranded, and sends its requests through other instances (`LinkedEndpointClient`, `RelayClient`, `RelayServer`), until a probe finds its link back. Only the transport changes: the place is granted as before, so that rates, limits, versions and the queue hold, and the head of the endpoint's response is read by both. What may have been sent isn't sent through the next instance; what is relayed isn't relayed again; before each try, admission and the time left are checked again. A single endpoint that only others reach is treated alike. A broken connection or silence is reported as `lost` unless this instance reaches the endpoint, or another one that reaches others says that it doesn't reach it either.

--- a/packages/agreement/src/peerRpc.ts
+++ b/packages/agreement/src/peerRpc.ts
@@ -106,9 +106,13 @@
     }
 }
 
-/** Serves RPCs of other instances. */
+/** Handles the requests for one path that carry no RPC. */
+export type PeerRequestHandler = (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>;
+
+/** Serves RPCs of other instances, and other requests of theirs on paths of their own. */
 export class RpcPeerServer {
     private readonly rpc = new JSONRPCServer();
+    private readonly routes = new Map<string, PeerRequestHandler>();
     private readonly server: http.Server;
 
     /**
@@ -128,6 +132,14 @@
         this.rpc.addMethod(method, async params => await handler(params as Params) ?? null);
     }
 
+    /**
+     * @param path - Path of requests that carry no RPC.
+     * @param handler - Handles them.
+     */
+    addRoute(path: string, handler: PeerRequestHandler): void {
+        this.routes.set(path, handler);
+    }
+
     /**
      * @param address - IP address to listen on.
      * @param port - Port; 0 for any free port.
@@ -150,6 +162,11 @@
     }
 
     private async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const route = this.routes.get(request.url ?? "");
+        if (route !== undefined && request.headers["x-peer-secret"] === this.secret) {
+            await route(request, response).catch(() => response.destroy());
+            return;
+        }
         const chunks: Buffer[] = [];
         let sizeBytes = 0;
         try {
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -30,6 +30,7 @@
     endJob: "jobs.end",
     takeOverJob: "jobs.takeOver",
     callStore: "store.call",
+    checkEndpoint: "endpoints.check",
 } as const;
 
 /** Result of an instance's own reads from the store. */
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -4,10 +4,13 @@
 import http from "node:http";
 import net from "node:net";
 import { EndpointAgent } from "./endpointAgent";
+import type { Fault } from "./endpointLinks";
 import type { EndpointResponseHead, WireCodec } from "./wireCodec";
 
 /** Endpoints in the same region accept a connection within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 250;
+/** After this time it is likely that no connection will be established. */
+const SLOW_CONNECT_MS = 100;
 /** Informational heads (1xx) before a response; endpoints send one at most. */
 const MAX_INFORMATIONAL_HEADS = 8;
 /** Lower ones don't end a request, or are none. */
@@ -29,12 +32,21 @@
      */
     readonly mayReuseConnection: boolean;
     readonly signal: AbortSignal;
+    /**
+     * Asked before the request is sent another way, after time has passed: its headers by then, or `undefined` if it may
+     * no longer be sent. Without it the headers stay the same.
+     */
+    readonly renewHeaders?: () => readonly string[] | undefined;
+    /** Called if the connection is not established soon, long before the attempt is given up. */
+    readonly onSlowConnect?: () => void;
 }
 
 /** Status and headers of an endpoint's response; the body is yet to be read from `incoming`. */
 export interface EndpointResponse {
     readonly status: number;
     readonly head: EndpointResponseHead;
+    /** Headers as the endpoint sent them, names and values alternating. */
+    readonly rawHeaders: readonly string[];
     readonly incoming: http.IncomingMessage;
     readonly endObserver: ResponseEndObserver;
 }
@@ -46,12 +58,37 @@
  * - `broken`: the connection broke after part of the request may have been sent.
  * - `invalid-response`: the endpoint sent the response to another request, or data that is not HTTP.
  * - `aborted`: the gateway aborted the request.
+ * - `no-path`: this instance doesn't reach the endpoint, and no other one relays the request; it was not sent. Says nothing
+ *   about the endpoint.
  */
 export interface SendFailure {
-    readonly kind: "unreachable" | "broken" | "invalid-response" | "aborted";
+    readonly kind: "unreachable" | "broken" | "invalid-response" | "aborted" | "no-path";
     readonly reason: string;
 }
 
+/** Sends requests to endpoints. */
+export interface EndpointSender {
+    /**
+     * Sends a request to an endpoint.
+     *
+     * @param request - The request.
+     * @returns Status and headers of the response, or why there is none.
+     */
+    send(request: EndpointRequest): Promise<Result<EndpointResponse, SendFailure>>;
+    /**
+     * Finds out why an endpoint has not answered as expected.
+     *
+     * @param endpoint - The endpoint.
+     * @returns Where the fault is.
+     */
+    findFault(endpoint: EndpointEntry): Promise<Fault>;
+    /**
+     * @param endpointId - An endpoint.
+     * @returns Monotonic time at which the endpoint's latest response began to arrive; -Infinity if there was none.
+     */
+    getLastResponseAtMs(endpointId: string): number;
+}
+
 /** Receives what endpoints say of themselves in their responses. */
 export interface EndpointStatementListener {
     /**
@@ -67,8 +104,8 @@
     recordLimit(endpoint: EndpointEntry, ratePerS: number | undefined, ageMs: number): void;
 }
 
-/** Sends requests to endpoints over HTTP. */
-export class EndpointClient {
+/** Sends requests to endpoints over connections of this instance. */
+export class EndpointClient implements EndpointSender {
     private readonly agent = new EndpointAgent();
     private readonly lastResponseAtMs = new Map<string, number>();
 
@@ -78,10 +115,6 @@
      */
     constructor(private readonly wire: WireCodec, private readonly listener?: EndpointStatementListener) {}
 
-    /**
-     * @param endpointId - An endpoint.
-     * @returns Monotonic time at which the endpoint's latest response began to arrive; -Infinity if there was none.
-     */
     getLastResponseAtMs(endpointId: string): number {
         return this.lastResponseAtMs.get(endpointId) ?? -Infinity;
     }
@@ -99,12 +132,6 @@
         }
     }
 
-    /**
-     * Sends a request to an endpoint.
-     *
-     * @param endpointRequest - The request.
-     * @returns Status and headers of the response, or why there is none.
-     */
     send(endpointRequest: EndpointRequest): Promise<Result<EndpointResponse, SendFailure>> {
         const { signal, endpoint } = endpointRequest;
         if (signal.aborted) {
@@ -121,14 +148,21 @@
                 headers: endpointRequest.headers as unknown as http.OutgoingHttpHeaders,
                 agent: endpointRequest.mayReuseConnection ? this.agent : false,
             });
-            const connectTimer = setTimeout(() => {
-                request.destroy(new Error("connect timeout"));
-            }, CONNECT_TIMEOUT_MS);
+            const connectTimer = setTimeout(
+                // A connection that was established while the process was busy is seen first.
+                () => setImmediate(() => isConnected || request.destroy(new Error("connect timeout"))),
+                CONNECT_TIMEOUT_MS,
+            );
+            const slowConnectTimer = setTimeout(
+                () => setImmediate(() => isConnected || endpointRequest.onSlowConnect?.()),
+                SLOW_CONNECT_MS,
+            );
             const onAbort = () => request.destroy(new Error("aborted"));
             signal.addEventListener("abort", onAbort, { once: true });
             const onConnected = () => {
                 isConnected = true;
                 clearTimeout(connectTimer);
+                clearTimeout(slowConnectTimer);
             };
             request.on("socket", socket => {
                 if (socket.connecting) {
@@ -140,6 +174,7 @@
             });
             request.on("close", () => {
                 clearTimeout(connectTimer);
+                clearTimeout(slowConnectTimer);
                 signal.removeEventListener("abort", onAbort);
                 // After a response that switches protocols, the connection closes without any other event.
                 resolve(err({ kind: "invalid-response", reason: "closed without a response" }));
@@ -157,18 +192,26 @@
                 }
             };
             request.on("information", onInformational);
-            request.on("response", incoming => resolve(this.toResponse(endpointRequest, incoming, sentAtMs)));
+            request.on("response", incoming => {
+                // Without a listener, an error while the body arrives would end the process. Whoever reads the body
+                // sees the error there.
+                incoming.on("error", () => undefined);
+                const endObserver = new ResponseEndObserver(incoming, endpointRequest.method);
+                const { statusCode = 0, rawHeaders } = incoming;
+                const response = { status: statusCode, rawHeaders, incoming, endObserver };
+                resolve(this.checkResponse(endpointRequest, response, sentAtMs));
+            });
             request.end(endpointRequest.body);
         });
     }
 
     /**
-     * Checks whether an endpoint accepts connections.
+     * Checks whether an endpoint accepts connections of this instance.
      *
      * @param endpoint - The endpoint.
      * @returns Whether it has accepted one within the connect timeout.
      */
-    isListening({ host, port }: EndpointEntry): Promise<boolean> {
+    canConnect({ host, port }: EndpointEntry): Promise<boolean> {
         return new Promise(resolve => {
             const socket = net.connect({ host, port, timeout: CONNECT_TIMEOUT_MS });
             const finish = (isListening: boolean) => {
@@ -176,22 +219,32 @@
                 resolve(isListening);
             };
             socket.once("connect", () => finish(true));
-            socket.once("timeout", () => finish(false));
+            socket.once("timeout", () => setImmediate(() => finish(false)));
             socket.once("error", () => finish(false));
         });
     }
 
-    private toResponse(
-        endpointRequest: EndpointRequest,
-        incoming: http.IncomingMessage,
+    async findFault(endpoint: EndpointEntry): Promise<Fault> {
+        return await this.canConnect(endpoint) ? "none" : "endpoint";
+    }
+
+    /**
+     * Checks the head of a response, and records what the endpoint says of itself in it.
+     *
+     * @param request - The request that it responds to.
+     * @param response - The response, of which the head has arrived.
+     * @param sentAtMs - Monotonic time at which the request was sent.
+     * @returns The response, or why it is none to this request.
+     */
+    checkResponse(
+        { requestId, endpoint }: EndpointRequest,
+        response: Omit<EndpointResponse, "head">,
         sentAtMs: number,
     ): Result<EndpointResponse, SendFailure> {
-        // Without a listener, an error while the body arrives would end the process. Whoever reads the body sees the
-        // error there.
-        incoming.on("error", () => undefined);
-        this.lastResponseAtMs.set(endpointRequest.endpoint.endpointId, performance.now());
+        const { status, incoming } = response;
+        this.lastResponseAtMs.set(endpoint.endpointId, performance.now());
         const head = this.wire.parseResponseHead(incoming.headers);
-        if (head.requestId !== undefined && head.requestId !== endpointRequest.requestId) {
+        if (head.requestId !== undefined && head.requestId !== requestId) {
             incoming.destroy();
             return err({ kind: "invalid-response", reason: `response to request ${head.requestId}` });
         }
@@ -200,15 +253,10 @@
             return err({ kind: "invalid-response", reason: `status ${incoming.statusCode}` });
         }
         // A response that the request reached another endpoint says nothing about the one that it was sent to.
-        if (incoming.statusCode !== STATUS_MISDIRECTED) {
-            this.reportStatements(endpointRequest.endpoint, head, sentAtMs);
+        if (status !== STATUS_MISDIRECTED) {
+            this.reportStatements(endpoint, head, sentAtMs);
         }
-        return ok({
-            status: incoming.statusCode ?? 0,
-            head,
-            incoming,
-            endObserver: new ResponseEndObserver(incoming, endpointRequest.method),
-        });
+        return ok({ ...response, head });
     }
 
     private reportStatements(endpoint: EndpointEntry, head: EndpointResponseHead, sentAtMs: number): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,8 +13,8 @@
 import { BlockedPromptStore } from "./blockedPromptStore";
 import { CoordinatorRole } from "./coordinatorRole";
 import { DeputyRole } from "./deputyRole";
+import { EndpointAccess } from "./endpointAccess";
 import { EndpointChangeLogger } from "./endpointChangeLogger";
-import { EndpointClient } from "./endpointClient";
 import { FeedScopePolicy } from "./feedScopePolicy";
 import type { GatewayDependencies, GatewaySettings, ReloadableSettings } from "./gatewaySettings";
 import { Ingress } from "./ingress";
@@ -62,6 +62,7 @@
     private readonly rpc: RpcPeerTransport;
     private readonly rpcServer = new RpcPeerServer("");
     private readonly placement: PlacementClient;
+    private readonly endpoints: EndpointAccess;
     private readonly runner: JobRunner;
     private readonly ingress: Ingress;
     private readonly retirement: RetirementAcknowledger;
@@ -176,13 +177,26 @@
             new RelayedStore({ directStore: store, rpc: this.rpc, getRelay, logger }),
             logger,
         );
-        const endpoints = new EndpointClient(wire, this.placement.statements);
+        this.endpoints = new EndpointAccess({
+            self: this.self,
+            view,
+            statements: this.placement.statements,
+            getRegion,
+            rpc: this.rpc,
+            wire,
+            getMetrics: () => this.metrics,
+            isStopping: () => this.isStopping,
+            logger,
+        });
+        const endpoints = this.endpoints.sender;
         this.metrics = new GatewayMetrics({
             getQueueStats: () => this.role.localCoordinator?.getServiceStats() ?? [],
             getConfigAgeMs: () => view.getConfigAgeMs(),
             getStoreCalls: deps.getStoreCalls,
             getJobs: () => this.runner.getStats(),
             isCoordinator: () => lease.isHolder,
+            isStranded: () => this.endpoints.isStranded,
+            getOpenRelayCount: () => this.endpoints.openRelayCount,
         });
         const { metrics, placement, admission, rpc } = this;
         this.runner = new JobRunner({
@@ -253,6 +267,7 @@
             store,
             onAnnouncement,
         });
+        this.endpoints.serve(this.rpcServer);
         this.sweeper = new Sweeper({
             store,
             jobs: jobStore,
@@ -279,7 +294,7 @@
             }
             if (part === "endpoints") {
                 endpointChangeLogger.logChanges(view);
-                endpoints.retainOnly(new Set(view.getEndpoints().map(({ endpointId }) => endpointId)));
+                this.endpoints.onEndpointsChanged();
             }
             if (part === "members" && !this.isStopping) {
                 this.updateDeputy();
@@ -347,7 +362,7 @@
         await sleep(Math.min(BALANCER_DRAIN_MS, endAtMs - performance.now()));
         // A request that arrives late on a kept-alive connection would be cut off, so idle connections are closed.
         await this.ingress.stopAccepting();
-        while (this.ingress.openConnectionCount > 0 && performance.now() < endAtMs) {
+        while (this.ingress.openConnectionCount + this.endpoints.openRelayCount > 0 && performance.now() < endAtMs) {
             await sleep(DRAIN_POLL_MS);
         }
         const cut = this.ingress.openRequestCount;
@@ -356,6 +371,7 @@
         }
         this.role.link.stop("stopping");
         this.deputy.stop();
+        this.endpoints.stop();
         this.timers.forEach(timer => clearInterval(timer));
         this.logger.info({ event: "stopped", cut });
         this.ingress.close();
@@ -456,6 +472,8 @@
             endpoints: this.view.getEndpoints().length,
             members: this.view.members.length,
             openRequests: this.ingress.openRequestCount,
+            openRelays: this.endpoints.openRelayCount,
+            isStranded: this.endpoints.isStranded,
             jobs: this.runner.getStats(),
             residentBytes: process.memoryUsage.rss(),
             storeCalls: this.deps.getStoreCalls(),
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -11,11 +11,12 @@
     type StreamOrigin,
 } from "@heatherline/fleet";
 import { discardBody, readChunks } from "./bodyReader";
-import type { EndpointClient, EndpointResponse } from "./endpointClient";
+import type { EndpointResponse, EndpointSender } from "./endpointClient";
 import { EventStreamParser, getEventData, hasContent } from "./eventStreamParser";
 import type { ItemDurationEstimator } from "./itemDurationEstimator";
 import type { ItemPlacementQueue } from "./itemPlacementQueue";
 import type { JobItem } from "./jobStore";
+import { releasePlace } from "./placeRelease";
 import type { ItemResult, WireCodec } from "./wireCodec";
 
 /** Timeout of a place request; the item then requests a place again, with its queue position recomputed. */
@@ -46,7 +47,7 @@
 /** What the runs of an item depend on. */
 export interface ItemRunDependencies {
     readonly placement: PlacementClient;
-    readonly endpoints: EndpointClient;
+    readonly endpoints: EndpointSender;
     readonly wire: WireCodec;
     readonly durationEstimator: ItemDurationEstimator;
     readonly placementQueue: ItemPlacementQueue;
@@ -88,6 +89,7 @@
  * - `cannot-be-done`: the endpoint states that the item can't be processed.
  * - `called-back`: preempted, because the place is needed for other work.
  * - `unreachable`: no connection was established.
+ * - `no-path`: this instance reaches no endpoint, and no other one relays the request.
  * - `rejected`: the endpoint did not run the request.
  * - `broken`: the connection broke, or the response was unsigned or had another status than those above.
  * - `silent`: no data arrived for too long.
@@ -99,6 +101,7 @@
     | "cannot-be-done"
     | "called-back"
     | "unreachable"
+    | "no-path"
     | "rejected"
     | "broken"
     | "silent"
@@ -231,8 +234,10 @@
         const startedAtMs = performance.now();
         const end = await this.runAtPlace(place, body);
         const eventCount = this.data.length - previousEventCount;
-        place.release(toRequestEnd(end, eventCount));
-        this.emptyRuns = end === "broken" && eventCount === 0 ? this.emptyRuns + 1 : 0;
+        const placeEnd = { end: toRequestEnd(end, eventCount), wasSilent: end === "silent" };
+        await releasePlace(place, placeEnd, this.deps.endpoints);
+        const isEmpty = end === "no-path" || (end === "broken" && eventCount === 0);
+        this.emptyRuns = isEmpty ? this.emptyRuns + 1 : 0;
         this.deps.durationEstimator.recordRun(eventCount, performance.now() - startedAtMs);
         if (end === "complete") {
             this.deps.durationEstimator.recordFinished(this.data.length);
@@ -281,29 +286,32 @@
         place.preemptSignal.addEventListener("abort", onPreempted, { once: true });
         this.signal.addEventListener("abort", onStopped, { once: true });
         const silenceTimer = setTimeout(() => abortController.abort("silent"), SILENCE_TIMEOUT_MS);
+        const headers = wire.toEndpointHeaders(
+            wire.toItemHeaders(this.job.host, this.item.itemId, this.item.headers),
+            {
+                endpointId: place.endpoint.endpointId,
+                organisation: this.job.organisation,
+                timeLeftMs: MAX_RUN_MS,
+                lastEventId: this.lastEventId,
+                bodyBytes: body.length,
+            },
+        );
         try {
             const result = await endpoints.send({
                 requestId: this.item.itemId,
                 endpoint: place.endpoint,
                 method: "POST",
                 path: this.item.path,
-                headers: wire.toEndpointHeaders(
-                    wire.toItemHeaders(this.job.host, this.item.itemId, this.item.headers),
-                    {
-                        endpointId: place.endpoint.endpointId,
-                        organisation: this.job.organisation,
-                        timeLeftMs: MAX_RUN_MS,
-                        lastEventId: this.lastEventId,
-                        bodyBytes: body.length,
-                    },
-                ),
+                headers,
+                renewHeaders: () => this.deps.mayRun() ? headers : undefined,
                 body,
                 mayReuseConnection: true,
                 signal: abortController.signal,
             });
             if (result.isErr()) {
                 const { kind } = result.error;
-                return this.toAbortEnd(abortController.signal) ?? (kind === "unreachable" ? "unreachable" : "broken");
+                return this.toAbortEnd(abortController.signal)
+                    ?? (kind === "unreachable" || kind === "no-path" ? kind : "broken");
             }
             const { status, head, incoming } = result.value;
             if (status !== 200 || !head.isSigned) {
@@ -383,6 +391,7 @@
         case "broken":
             return events > 1 ? "lost" : "broken";
         case "failed":
+        case "no-path":
             return "lost";
         case "complete":
         case "cannot-be-done":
--- a/packages/gateway/src/jobRunner.ts
+++ b/packages/gateway/src/jobRunner.ts
@@ -9,7 +9,7 @@
     type Timestamp,
 } from "@heatherline/fleet";
 import PQueue from "p-queue";
-import type { EndpointClient } from "./endpointClient";
+import type { EndpointSender } from "./endpointClient";
 import { ItemDurationEstimator } from "./itemDurationEstimator";
 import { ItemPlacementQueue } from "./itemPlacementQueue";
 import type { ItemRunDependencies } from "./itemRun";
@@ -35,7 +35,7 @@
     readonly view: FleetView;
     readonly placement: PlacementClient;
     readonly rpc: RpcCaller;
-    readonly endpoints: EndpointClient;
+    readonly endpoints: EndpointSender;
     readonly wire: WireCodec;
     readonly metrics: GatewayMetrics;
     /** Whether this instance's knowledge of which jobs are closed is recent enough to start runs of items. */
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -13,6 +13,10 @@
     readonly getStoreCalls: () => Readonly<Record<string, number>>;
     readonly getJobs: () => { open: number; oldestAgeMs: number; };
     readonly isCoordinator: () => boolean;
+    /** @returns Whether this instance reaches no endpoint itself. */
+    readonly isStranded: () => boolean;
+    /** @returns Requests of other instances that are being relayed. */
+    readonly getOpenRelayCount: () => number;
 }
 
 /** The metrics of one instance. */
@@ -23,6 +27,7 @@
     private readonly waits: Histogram;
     private readonly forecastErrors: Histogram;
     private readonly items: Counter;
+    private readonly relayedRequests: Counter;
 
     /**
      * @param sources - Values that are read each time the metrics are collected.
@@ -60,6 +65,12 @@
             labelNames: ["end"],
             registers,
         });
+        this.relayedRequests = new Counter({
+            name: "heatherline_relayed_requests_total",
+            help: "Requests that this instance sent through another one, by what came of it",
+            labelNames: ["outcome"],
+            registers,
+        });
         this.addGauges(sources);
     }
 
@@ -96,6 +107,15 @@
         this.items.inc({ end });
     }
 
+    /**
+     * Records a request that this instance sent through another one.
+     *
+     * @param outcome - What came of it.
+     */
+    recordRelayedRequest(outcome: string): void {
+        this.relayedRequests.inc({ outcome });
+    }
+
     /** @returns All metrics in the Prometheus text format. */
     render(): Promise<string> {
         return this.registry.metrics();
@@ -143,6 +163,12 @@
             "1 if this instance is the coordinator, otherwise 0",
             () => sources.isCoordinator() ? 1 : 0,
         );
+        addGauge(
+            "heatherline_is_stranded",
+            "1 if this instance reaches no endpoint itself, otherwise 0",
+            () => sources.isStranded() ? 1 : 0,
+        );
+        addGauge("heatherline_open_relays", "Requests relayed for other instances now", sources.getOpenRelayCount);
         addGauge("heatherline_log_lines_dropped", "Log lines dropped", getDroppedLineCount);
         addGauge("process_resident_memory_bytes", "Resident memory of the process", () => process.memoryUsage.rss());
     }
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -14,8 +14,9 @@
 import type { AttemptOutcome, FailureResponse } from "./attemptOutcome";
 import { discardBody, readFullBody } from "./bodyReader";
 import type { CallerResponse } from "./callerResponse";
-import { type EndpointClient, type EndpointResponse, type SendFailure } from "./endpointClient";
+import type { EndpointResponse, EndpointSender, SendFailure } from "./endpointClient";
 import type { GatewayMetrics } from "./metrics";
+import { releasePlace } from "./placeRelease";
 import { newRefusal, type Refusal } from "./refusal";
 import { StreamRelay } from "./responseRelay";
 import { isRetryable, RetryPolicy } from "./retryPolicy";
@@ -49,7 +50,7 @@
 export interface OnlineHandlerDependencies {
     readonly admission: Admission;
     readonly placement: PlacementClient;
-    readonly endpoints: EndpointClient;
+    readonly endpoints: EndpointSender;
     readonly wire: WireCodec;
     readonly metrics: GatewayMetrics;
     readonly logger: Logger;
@@ -202,15 +203,16 @@
     /** An endpoint that crashed accepts no connections; one that only lost this one does. */
     private async reportIfCrashed(place: HeldPlace): Promise<void> {
         const { endpoint } = place;
-        const isListening = await this.deps.endpoints.isListening(endpoint);
-        if (!isListening) {
+        const fault = await this.deps.endpoints.findFault(endpoint);
+        if (fault === "endpoint") {
             place.reportCrash();
         }
         this.deps.logger.info({
             event: "endpoint-checked",
             endpoint: endpoint.endpointId,
             requestId: this.request.caller.requestId,
-            isListening,
+            isListening: fault === "none",
+            fault,
         });
     }
 
@@ -297,18 +299,21 @@
         const startedAtMs = performance.now();
         this.firstResponseAtMs = undefined;
         const stopWatching = this.watchForSilence(place, attemptController, startedAtMs);
-        const response = await this.deps.endpoints.send({
-            requestId: caller.requestId ?? "",
-            endpoint: place.endpoint,
-            method: incoming.method ?? "GET",
-            path: incoming.url ?? "/",
-            headers: this.deps.wire.toEndpointHeaders(incoming.rawHeaders, {
+        const newHeaders = () =>
+            this.deps.wire.toEndpointHeaders(incoming.rawHeaders, {
                 endpointId: place.endpoint.endpointId,
                 organisation: organisation?.name,
                 timeLeftMs: this.deadlineAtMs - performance.now(),
                 lastEventId: isNothingRelayed ? caller.lastEventId : this.relay.resumeAfterEventId,
                 bodyBytes: body.length,
-            }),
+            });
+        const response = await this.deps.endpoints.send({
+            requestId: caller.requestId ?? "",
+            endpoint: place.endpoint,
+            method: incoming.method ?? "GET",
+            path: incoming.url ?? "/",
+            headers: newHeaders(),
+            renewHeaders: () => this.mayStillBeSent(place) ? newHeaders() : undefined,
             body,
             mayReuseConnection: isRetryable(route),
             signal: attemptController.signal,
@@ -317,14 +322,25 @@
         stopWatching();
         this.abortController.signal.removeEventListener("abort", onAbort);
         const firstResponseMs = this.firstResponseAtMs === undefined ? undefined : this.firstResponseAtMs - startedAtMs;
-        place.release(
-            attemptController.signal.reason === "silent" ? "silent" : this.toRequestEnd(outcome, startedAtMs),
-            firstResponseMs,
-            this.hasResponded(outcome),
-        );
+        const end = attemptController.signal.reason === "silent" ? "silent" : this.toRequestEnd(outcome, startedAtMs);
+        // What ended while the endpoint was silent is released as failed, although the endpoint has not answered.
+        const wasSilent = end === "silent" ||
+            (end === "failed" && outcome.kind === "ended" && outcome.end !== "failed");
+        const placeEnd = { end, wasSilent, firstResponseMs, hasResponded: this.hasResponded(outcome) };
+        const released = releasePlace(place, placeEnd, this.deps.endpoints);
+        if (end === "broken") {
+            // Whether the request crashes endpoints is known before it is sent to the next one.
+            await released;
+        }
         return outcome;
     }
 
+    /** Whether the request may still be sent to the endpoint of its place, after time has passed. */
+    private mayStillBeSent({ endpoint }: HeldPlace): boolean {
+        return this.deadlineAtMs - performance.now() >= MIN_TIME_LEFT_MS && this.recheckAdmission() === undefined
+            && getServices(this.admitted.route).includes(endpoint.service);
+    }
+
     private watchForSilence(place: HeldPlace, attemptController: AbortController, startedAtMs: number): () => void {
         const { endpointId } = place.endpoint;
         return watchForSilence({
@@ -332,7 +348,7 @@
             getQuietMs: () => this.relay.quietMs,
             isEndpointSilent: () => this.deps.endpoints.getLastResponseAtMs(endpointId) < startedAtMs,
             mayResume: this.admitted.route.kind === "streaming" && this.retryPolicy.mayRetryOnSilence(),
-            reportSilence: () => place.reportSilence(),
+            reportSilence: () => void this.reportSilence(place),
             abort: () => {
                 if (this.retryPolicy.mayRetryOnSilence()) {
                     attemptController.abort("silent");
@@ -341,12 +357,18 @@
         });
     }
 
+    private async reportSilence(place: HeldPlace): Promise<void> {
+        if (await this.deps.endpoints.findFault(place.endpoint) !== "link") {
+            place.reportSilence();
+        }
+    }
+
     private async deliver(result: Result<EndpointResponse, SendFailure>): Promise<AttemptOutcome> {
         if (result.isErr()) {
             const { kind, reason } = result.error;
-            return { kind: "ended", end: kind === "unreachable" ? "unreachable" : "broken", reason };
+            return { kind: "ended", end: kind === "unreachable" || kind === "no-path" ? kind : "broken", reason };
         }
-        const { status, head, incoming } = result.value;
+        const { status, head, rawHeaders, incoming } = result.value;
         if (head.isNotExecuted || status === 421) {
             discardBody(incoming);
             return { kind: "ended", end: "rejected", reason: `status ${status}` };
@@ -372,10 +394,10 @@
             };
         }
         if (status >= MIN_FAILURE_STATUS || this.request.response.hasStarted) {
-            const failure = { status, rawHeaders: incoming.rawHeaders, body: fullBody };
+            const failure = { status, rawHeaders, body: fullBody };
             return { kind: "ended", end: "failed", reason: `status ${status}`, failure };
         }
-        this.request.response.sendFull(status, incoming.rawHeaders, fullBody);
+        this.request.response.sendFull(status, rawHeaders, fullBody);
         return { kind: "answered", status };
     }
 
@@ -391,6 +413,9 @@
                 performance.now() - startedAtMs > FIRST_RESPONSE_TIMEOUT_MS;
             return outcome.kind === "ended" && wasSilent ? "failed" : "done";
         }
+        if (outcome.end === "no-path") {
+            return "lost";
+        }
         return outcome.end === "broken" && this.relay.eventCount > MAX_EVENTS_BEFORE_CRASH ? "lost" : outcome.end;
     }
 
--- /dev/null
+++ b/packages/gateway/src/placeRelease.ts
@@ -0,0 +1,28 @@
+import type { HeldPlace, RequestEnd } from "@heatherline/fleet";
+import type { EndpointSender } from "./endpointClient";
+
+/** How a request that held a place ended. */
+export interface PlaceEnd {
+    readonly end: RequestEnd;
+    /** Whether the endpoint is blamed for having sent nothing. */
+    readonly wasSilent: boolean;
+    /** Time from the grant of the place to the first part of the response. */
+    readonly firstResponseMs?: number | undefined;
+    /** Whether the endpoint produced enough to show that the request doesn't crash it. */
+    readonly hasResponded?: boolean;
+}
+
+/**
+ * Releases a place. An endpoint is blamed for a broken connection or for silence only if the fault isn't this instance's
+ * own link, since whoever grants places pauses a blamed endpoint for all instances.
+ *
+ * @param place - The place.
+ * @param placeEnd - How the request there ended.
+ * @param endpoints - Finds out where the fault is.
+ */
+export async function releasePlace(place: HeldPlace, placeEnd: PlaceEnd, endpoints: EndpointSender): Promise<void> {
+    const { end, wasSilent, firstResponseMs, hasResponded } = placeEnd;
+    const needsCheck = end === "broken" || wasSilent;
+    const isLinkFault = needsCheck && await endpoints.findFault(place.endpoint) === "link";
+    place.release(isLinkFault ? "lost" : end, firstResponseMs, hasResponded);
+}
--- /dev/null
+++ b/packages/gateway/src/relayClient.ts
@@ -0,0 +1,115 @@
+import { ResponseEndObserver } from "@heatherline/common";
+import type { MemberEntry } from "@heatherline/fleet";
+import http from "node:http";
+import type { EndpointRequest, EndpointResponse } from "./endpointClient";
+import {
+    encodeRelayRequest,
+    isRelayFailure,
+    RELAY_FAILURE_HEADER,
+    RELAY_PATH,
+    RELAYED_ENDPOINT_HEADER,
+    type RelayFailure,
+} from "./relayProtocol";
+
+/** Instances accept connections of each other within a few milliseconds. */
+const CONNECT_TIMEOUT_MS = 250;
+const MAX_SOCKETS_PER_PEER = 256;
+const IDLE_MS = 2_000;
+const RELAY_HEADERS = new Set([RELAYED_ENDPOINT_HEADER, RELAY_FAILURE_HEADER]);
+
+/** What came of a request that was sent through another instance. */
+export type RelayOutcome =
+    | { readonly kind: "response"; readonly response: Omit<EndpointResponse, "head">; }
+    | { readonly kind: "failed"; readonly failure: RelayFailure; readonly reason: string; }
+    /** The connection to the other instance broke; the request may have been sent on. */
+    | { readonly kind: "lost"; readonly reason: string; }
+    /** The other instance didn't take the request: it can't be reached or doesn't relay. */
+    | { readonly kind: "not-taken"; readonly reason: string; };
+
+/** Sends requests to endpoints through another instance. */
+export class RelayClient {
+    private readonly agent = new http.Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_PEER, timeout: IDLE_MS });
+
+    /**
+     * @param instanceId - This instance.
+     */
+    constructor(private readonly instanceId: string) {}
+
+    /**
+     * @param peer - The instance that is to relay the request.
+     * @param request - The request.
+     * @param headers - Its headers, names and values alternating.
+     * @returns The endpoint's response, or why there is none.
+     */
+    send(peer: MemberEntry, request: EndpointRequest, headers: readonly string[]): Promise<RelayOutcome> {
+        const { requestId, endpoint, method, path, mayReuseConnection, signal } = request;
+        const { endpointId } = endpoint;
+        const { instanceId } = this;
+        const head = { requestId, endpointId, instanceId, method, path, headers, mayReuseConnection };
+        const message = encodeRelayRequest(head, request.body);
+        return new Promise(resolve => {
+            let isConnected = false;
+            const outgoing = http.request({
+                host: peer.host,
+                port: peer.rpcPort,
+                method: "POST",
+                path: RELAY_PATH,
+                headers: { "Content-Length": message.length, "X-Peer-Secret": "" },
+                agent: mayReuseConnection ? this.agent : false,
+            });
+            const connectTimer = setTimeout(
+                // A connection that was established meanwhile is seen first.
+                () => setImmediate(() => isConnected || outgoing.destroy(new Error("connect timeout"))),
+                CONNECT_TIMEOUT_MS,
+            );
+            const onAbort = () => outgoing.destroy(new Error("aborted"));
+            signal.addEventListener("abort", onAbort, { once: true });
+            const onConnected = () => {
+                isConnected = true;
+                clearTimeout(connectTimer);
+            };
+            outgoing.on("socket", socket => socket.connecting ? socket.once("connect", onConnected) : onConnected());
+            outgoing.on("close", () => {
+                clearTimeout(connectTimer);
+                signal.removeEventListener("abort", onAbort);
+            });
+            outgoing.on("error", (error: NodeJS.ErrnoException) => {
+                const reason = `${peer.instanceId}: ${error.code ?? error.message}`;
+                resolve(
+                    signal.aborted
+                        ? { kind: "failed", failure: "aborted", reason }
+                        : { kind: isConnected ? "lost" : "not-taken", reason },
+                );
+            });
+            outgoing.on("response", incoming => resolve(toOutcome(peer, endpointId, incoming)));
+            outgoing.end(message);
+        });
+    }
+}
+
+function toOutcome(peer: MemberEntry, endpointId: string, incoming: http.IncomingMessage): RelayOutcome {
+    // Without a listener, an error while the body arrives would end the process.
+    incoming.on("error", () => undefined);
+    const failure = incoming.headers[RELAY_FAILURE_HEADER];
+    if (typeof failure === "string" && isRelayFailure(failure)) {
+        incoming.resume();
+        return { kind: "failed", failure, reason: `${peer.instanceId} says ${failure}` };
+    }
+    if (incoming.headers[RELAYED_ENDPOINT_HEADER] !== endpointId) {
+        incoming.resume();
+        return { kind: "not-taken", reason: `${peer.instanceId} doesn't relay` };
+    }
+    return {
+        kind: "response",
+        response: {
+            status: incoming.statusCode ?? 0,
+            rawHeaders: withoutRelayHeaders(incoming.rawHeaders),
+            incoming,
+            endObserver: new ResponseEndObserver(incoming, "POST"),
+        },
+    };
+}
+
+function withoutRelayHeaders(rawHeaders: readonly string[]): string[] {
+    return rawHeaders.filter((_, index) => !RELAY_HEADERS.has(rawHeaders[index - index % 2]?.toLowerCase() ?? ""));
+}
--- a/packages/gateway/src/responseRelay.ts
+++ b/packages/gateway/src/responseRelay.ts
@@ -62,7 +62,7 @@
      * @param upstream - The endpoint's response.
      * @returns Whether the stream is complete.
      */
-    async relay({ status, incoming, endObserver }: EndpointResponse): Promise<RelayOutcome> {
+    async relay({ status, rawHeaders, incoming, endObserver }: EndpointResponse): Promise<RelayOutcome> {
         const parser = new EventStreamParser();
         try {
             for await (const chunk of readChunks(incoming)) {
@@ -71,7 +71,7 @@
                     if (eventId !== undefined && eventId <= (this.lastEventId ?? -1)) {
                         continue;
                     }
-                    this.startIfNeeded(status, incoming.rawHeaders);
+                    this.startIfNeeded(status, rawHeaders);
                     if (hasContent(event)) {
                         this.relayedEvents += 1;
                         this.lastEventAtMs = performance.now();
@@ -100,7 +100,7 @@
         if (parser.isInsideEvent) {
             return { kind: "broken", reason: "the endpoint's response ended inside an event" };
         }
-        this.startIfNeeded(status, incoming.rawHeaders);
+        this.startIfNeeded(status, rawHeaders);
         if (parser.getRemainder().length > 0) {
             void this.response.write(parser.getRemainder());
         }
--- a/packages/gateway/src/retryPolicy.ts
+++ b/packages/gateway/src/retryPolicy.ts
@@ -3,16 +3,19 @@
 
 /** Limit of attempts that did not run the request; they don't count towards the route's `maxAttempts`. */
 const MAX_REJECTED_ATTEMPTS = 4;
+/** Without a way to one endpoint there is hardly one to others, so that few are tried. */
+const NO_PATH_WEIGHT = 2;
 
 /**
  * How one attempt at a request ended without a response for the caller.
  *
  * - `unreachable`: not sent.
+ * - `no-path`: not sent, since neither this instance nor another one that relays requests reaches the endpoint.
  * - `rejected`: the endpoint states that it did not run it.
  * - `broken`: it may have run, in part or wholly.
  * - `failed`: it ran, and the endpoint answered with a failure.
  */
-export type AttemptEnd = "unreachable" | "rejected" | "broken" | "failed";
+export type AttemptEnd = "unreachable" | "no-path" | "rejected" | "broken" | "failed";
 
 /** Counts the attempts at one request and decides whether it may be retried. */
 export class RetryPolicy {
@@ -40,8 +43,8 @@
      * @returns Whether the request may be sent again.
      */
     recordAttempt(end: AttemptEnd): boolean {
-        if (end === "unreachable" || end === "rejected") {
-            this.rejectedAttempts += 1;
+        if (end === "unreachable" || end === "rejected" || end === "no-path") {
+            this.rejectedAttempts += end === "no-path" ? NO_PATH_WEIGHT : 1;
             return this.rejectedAttempts <= MAX_REJECTED_ATTEMPTS &&
                 (this.runs === 0 || this.runs < this.route.maxAttempts);
         }
--- /dev/null
+++ b/packages/gateway/tests/placeRelease.test.ts
@@ -0,0 +1,36 @@
+import type { HeldPlace, RequestEnd } from "@heatherline/fleet";
+import { describe, expect, it } from "vitest";
+import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
+import type { EndpointSender } from "../src/endpointClient";
+import type { Fault } from "../src/endpointLinks";
+import { releasePlace } from "../src/placeRelease";
+
+// Fails if an instance that has lost its own link has endpoints paused for all instances.
+describe("what an instance reports of an endpoint when a place is released", () => {
+    const cases: { end: RequestEnd; wasSilent?: boolean; fault: Fault; reported: RequestEnd; }[] = [
+        { end: "broken", fault: "link", reported: "lost" },
+        { end: "broken", fault: "endpoint", reported: "broken" },
+        { end: "broken", fault: "none", reported: "broken" },
+        { end: "silent", wasSilent: true, fault: "link", reported: "lost" },
+        { end: "silent", wasSilent: true, fault: "endpoint", reported: "silent" },
+        { end: "silent", wasSilent: true, fault: "none", reported: "silent" },
+        { end: "failed", wasSilent: true, fault: "link", reported: "lost" },
+        { end: "failed", wasSilent: false, fault: "link", reported: "failed" },
+        { end: "done", fault: "link", reported: "done" },
+        { end: "rejected", fault: "link", reported: "rejected" },
+        { end: "unreachable", fault: "endpoint", reported: "unreachable" },
+    ];
+    it.each(cases)(
+        "$end (silent: $wasSilent) with a fault of: $fault",
+        async ({ end, wasSilent = false, fault, reported }) => {
+            const released: unknown[] = [];
+            const place = {
+                endpoint: newTestEndpoint(),
+                release: (...args: unknown[]) => released.push(args),
+            } as unknown as HeldPlace;
+            const endpoints = { findFault: async () => fault } as unknown as EndpointSender;
+            await releasePlace(place, { end, wasSilent, firstResponseMs: 7, hasResponded: true }, endpoints);
+            expect(released).toEqual([[reported, 7, true]]);
+        },
+    );
+});
