Keep the last usable endpoint of a service in use while it is silent

Sound endpoints may all be silent for a second and go on. Callers who came during the last 0.4 s of it were refused: after 0.6 s each endpoint was reported as silent and paused, so that none was left.

Now silence pauses an endpoint only while another one of its service is usable; requests wait at the last one. An endpoint that can't be reached is paused as before.

--- a/packages/fleet/src/endpointHealth.ts
+++ b/packages/fleet/src/endpointHealth.ts
@@ -45,9 +45,10 @@
      * Records the end of a request.
      *
      * @param end - How it ended.
+     * @param mayPauseForSilence - Whether the endpoint is paused if it was silent.
      * @returns Whether it starts a pause of the endpoint.
      */
-    recordEnd(end: RequestEnd): boolean {
+    recordEnd(end: RequestEnd, mayPauseForSilence = true): boolean {
         const weight = FAILURE_WEIGHTS[end];
         if (weight !== undefined) {
             const previous = this.failureRate;
@@ -62,8 +63,9 @@
                 this.isProbing = false;
                 return false;
             case "unreachable":
-            case "silent":
                 return this.pause();
+            case "silent":
+                return mayPauseForSilence && this.pause();
             case "broken":
                 this.consecutiveBreaks += 1;
                 return this.consecutiveBreaks >= BREAKS_FOR_PAUSE || this.isProbing ? this.pause() : false;
--- a/packages/fleet/src/endpointPool.ts
+++ b/packages/fleet/src/endpointPool.ts
@@ -177,7 +177,7 @@
         if (end === "done" || end === "failed" || end === "rejected") {
             state.lastResponseAtMs = performance.now();
         }
-        return state.health.recordEnd(end) ? state.health.getPauseLeftMs() : undefined;
+        return state.health.recordEnd(end, this.hasOtherUsable(state)) ? state.health.getPauseLeftMs() : undefined;
     }
 
     /**
@@ -189,9 +189,10 @@
      */
     recordSilence(place: Place): number | undefined {
         const state = this.byId.get(place.endpointId);
-        return state !== undefined && state.lastResponseAtMs <= place.grantedAtMs && state.health.recordEnd("silent")
-            ? state.health.getPauseLeftMs()
-            : undefined;
+        if (state === undefined || state.lastResponseAtMs > place.grantedAtMs) {
+            return undefined;
+        }
+        return state.health.recordEnd("silent", this.hasOtherUsable(state)) ? state.health.getPauseLeftMs() : undefined;
     }
 
     /**
@@ -311,6 +312,16 @@
         return isRegionAllowed && isVersionAllowed && !request.excluded.includes(entry.endpointId);
     }
 
+    /**
+     * Endpoints may all be silent for a second. The last one stays in use, so that requests wait there instead of being
+     * refused.
+     */
+    private hasOtherUsable({ entry }: EndpointState): boolean {
+        return (this.byService.get(entry.service) ?? []).some(other =>
+            other.entry !== entry && this.getUsableCapacity(other) > 0
+        );
+    }
+
     /** After a pause an endpoint counts as one place, since it is sent one request at a time until one succeeds. */
     private getUsableCapacity({ entry, health }: EndpointState): number {
         if (entry.state !== "ready" || !health.canAccept(0)) {
