Refuse at once what waits for endpoints that can't be reached

Callers whose endpoints nobody reached were refused only after up to 1.8 s: the request waited at the last endpoint until it was paused, went on waiting without a look at the pause, and after its own attempt failed was sent to the next endpoint that was just being tried again, each for 0.4 s.

Now a request that waits is refused when the last endpoint is paused for longer than it can wait and still be in time, and a request of which an attempt has failed isn't sent to an endpoint that is only being tried again after a pause.

--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -163,7 +163,7 @@
             this.updateForecast(place, end, firstAnswerMs);
         }
         const pauseMs = this.pool.removePlace(place, end);
-        this.dispatchAfterPause(place.service, pauseMs);
+        this.handlePause(place.service, pauseMs);
         this.dispatchService(place.service);
         return { place, isPaused: pauseMs !== undefined };
     }
@@ -177,7 +177,7 @@
     recordSilence(placeId: string): boolean {
         const place = this.places.get(placeId);
         const pauseMs = place === undefined ? undefined : this.pool.recordSilence(place);
-        this.dispatchAfterPause(place?.service ?? "", pauseMs);
+        this.handlePause(place?.service ?? "", pauseMs);
         return pauseMs !== undefined;
     }
 
@@ -364,10 +364,17 @@
         }
     }
 
-    /** Dispatches waiting requests when the pause of an endpoint ends. */
-    private dispatchAfterPause(service: string, pauseMs: number | undefined): void {
-        if (pauseMs !== undefined) {
-            setTimeout(() => this.dispatchService(service), pauseMs + 1).unref();
+    /** Dispatches waiting requests when the pause of an endpoint ends; refuses those for which that is too late. */
+    private handlePause(service: string, pauseMs: number | undefined): void {
+        if (pauseMs === undefined) {
+            return;
+        }
+        setTimeout(() => this.dispatchService(service), pauseMs + 1).unref();
+        for (const waiter of this.getService(service).queue.getOnline()) {
+            const { capacity, pauseLeftMs } = this.getQueueState(waiter.request, waiter.rank);
+            if (capacity === 0 && performance.now() + pauseLeftMs > waiter.usefulUntilMs) {
+                this.refuse(waiter, pauseLeftMs);
+            }
         }
     }
 
--- a/packages/fleet/src/endpointHealth.ts
+++ b/packages/fleet/src/endpointHealth.ts
@@ -41,6 +41,11 @@
         return this.averageFailure * Math.exp((this.averagedAtMs - performance.now()) / FAILURE_DECAY_MS);
     }
 
+    /** Whether it is paused, or is sent one request at a time until one succeeds. */
+    get isTriedAgain(): boolean {
+        return this.isProbing;
+    }
+
     /**
      * Records the end of a request.
      *
--- a/packages/fleet/src/endpointPool.ts
+++ b/packages/fleet/src/endpointPool.ts
@@ -304,7 +304,10 @@
         return limitPerS === undefined ? coldWaitMs : Math.max(coldWaitMs, getLimiter(state).getWaitMs(limitPerS));
     }
 
-    private isAllowed({ entry }: EndpointState, request: PlaceRequest): boolean {
+    private isAllowed({ entry, health }: EndpointState, request: PlaceRequest): boolean {
+        if (request.isRetry === true && health.isTriedAgain) {
+            return false;
+        }
         const isRegionAllowed = request.allowedRegions.length === 0
             || request.allowedRegions.includes(this.deps.getRegion(entry.dataCentre));
         const isVersionAllowed = request.softwareVersion === undefined
--- a/packages/fleet/tests/silentEndpoints.test.ts
+++ b/packages/fleet/tests/failingEndpoints.test.ts
@@ -72,3 +72,61 @@
         },
     );
 });
+
+// Fails if a request that has lost time at one unreachable endpoint is sent to the next one.
+describe("a request whose first attempt has failed", () => {
+    const cases = [
+        {
+            title: "gets a place at an endpoint that serves others",
+            unreachable: ["e1"],
+            isRetry: true,
+            expected: "placed",
+        },
+        {
+            title: "is refused at once if all are being tried again",
+            unreachable: ["e1", "e2"],
+            isRetry: true,
+            expected: "refused",
+        },
+        {
+            title: "(not: a new one) tries an endpoint again",
+            unreachable: ["e1", "e2"],
+            isRetry: false,
+            expected: "placed",
+        },
+    ];
+    it.each(cases)("$title", async ({ unreachable, isRetry, expected }) => {
+        const dispatcher = newDispatcher(["e1", "e2"]);
+        const placeIds = await placeEverywhere(dispatcher, ["e1", "e2"]);
+        placeIds.forEach((placeId, index) =>
+            dispatcher.release(placeId, unreachable.includes(`e${index + 1}`) ? "unreachable" : "done")
+        );
+        // The pauses are over.
+        vi.advanceTimersByTime(200);
+        const outcome = await dispatcher.place(newTestRequest({ isRetry }));
+        expect(outcome.kind).toBe(expected);
+        if (outcome.kind === "placed" && isRetry) {
+            expect(unreachable).not.toContain(outcome.endpointId);
+        }
+    });
+});
+
+// Fails if a request is held although the last endpoint of its service has been paused for longer than it may wait.
+describe("a request that waits while the last endpoint can't be reached", () => {
+    const cases = [
+        { title: "is refused at once if it would be late after the pause", usefulForMs: 400, isRefused: true },
+        { title: "waits if it would still be in time", usefulForMs: 1_000, isRefused: false },
+    ];
+    it.each(cases)("$title", async ({ usefulForMs, isRefused }) => {
+        const dispatcher = newDispatcher(["e1"]);
+        const placeIds = await placeEverywhere(dispatcher, Array.from({ length: 8 }, () => "e1"));
+        let outcome: PlaceOutcome | undefined;
+        const request = newTestRequest({ usefulForMs, targetLatencyMs: 1_000 });
+        void dispatcher.place(request).then(decided => outcome = decided);
+        await vi.advanceTimersByTimeAsync(300);
+        expect(outcome).toBeUndefined();
+        dispatcher.release(placeIds[0] ?? "", "unreachable");
+        await vi.advanceTimersByTimeAsync(1);
+        expect(outcome?.kind).toBe(isRefused ? "refused" : undefined);
+    });
+});
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -263,6 +263,7 @@
                 : undefined,
             rate: mustTakeToken ? { ratePerS: organisation.ratePerS, burst: organisation.burst } : undefined,
             excluded: this.excluded,
+            isRetry: this.attempts > 0,
             signal: this.abortController.signal,
         });
         const waitedMs = performance.now() - nowMs;
