--- /dev/null
+++ b/packages/fleet/tests/failingEndpoints.test.ts
@@ -0,0 +1,132 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { Dispatcher, type PlaceOutcome, type RequestEnd } from "../src";
+import { newTestEndpoint } from "./testEndpoint";
+import { newTestRequest } from "./testRequest";
+
+beforeEach(() => {
+    vi.useFakeTimers();
+});
+
+afterEach(() => {
+    vi.useRealTimers();
+});
+
+function newDispatcher(endpointIds: readonly string[]): Dispatcher {
+    const dispatcher = new Dispatcher({
+        getCapacity: ({ slots }) => slots,
+        getColdRatePerS: () => 0,
+        getLimitPerS: () => undefined,
+        getRegion: () => "region",
+        preempt: () => undefined,
+    });
+    dispatcher.setEndpoints(endpointIds.map(endpointId => newTestEndpoint({ endpointId })));
+    return dispatcher;
+}
+
+async function placeEverywhere(dispatcher: Dispatcher, endpointIds: readonly string[]): Promise<string[]> {
+    const outcomes: PlaceOutcome[] = [];
+    for (const endpointId of endpointIds) {
+        const excluded = endpointIds.filter(other => other !== endpointId);
+        outcomes.push(await dispatcher.place(newTestRequest({ excluded })));
+    }
+    return outcomes.map(outcome => outcome.kind === "placed" ? outcome.placeId : "");
+}
+
+// Fails if callers are refused because all endpoints of a service are silent for a moment.
+describe("endpoints that are silent", () => {
+    const cases: { title: string; endpoints: string[]; silent: string[]; end: RequestEnd; isServed: boolean; }[] = [
+        { title: "one of two", endpoints: ["e1", "e2"], silent: ["e1"], end: "silent", isServed: true },
+        { title: "all of two", endpoints: ["e1", "e2"], silent: ["e1", "e2"], end: "silent", isServed: true },
+        { title: "the only one", endpoints: ["e1"], silent: ["e1"], end: "silent", isServed: true },
+        {
+            title: "all, which can't be reached",
+            endpoints: ["e1", "e2"],
+            silent: ["e1", "e2"],
+            end: "unreachable",
+            isServed: false,
+        },
+    ];
+    const ways = cases.flatMap(testCase => [{ ...testCase, way: "reported" }, { ...testCase, way: "released" }]);
+    it.each(ways.filter(({ end, way }) => end === "silent" || way === "released"))(
+        "$title, $way: a request gets a place at once: $isServed",
+        async ({ endpoints, silent, end, way, isServed }) => {
+            const dispatcher = newDispatcher(endpoints);
+            const placeIds = await placeEverywhere(dispatcher, endpoints);
+            vi.advanceTimersByTime(600);
+            silent.forEach(endpointId => {
+                const placeId = placeIds[endpoints.indexOf(endpointId)] ?? "";
+                if (way === "reported") {
+                    dispatcher.recordSilence(placeId);
+                }
+                else {
+                    dispatcher.release(placeId, end);
+                }
+            });
+            let outcome: PlaceOutcome | undefined;
+            void dispatcher.place(newTestRequest({ usefulForMs: 50 })).then(decided => outcome = decided);
+            await vi.advanceTimersByTimeAsync(10);
+            expect(outcome?.kind === "placed").toBe(isServed);
+            if (endpoints.length > silent.length && outcome?.kind === "placed") {
+                expect(silent).not.toContain(outcome.endpointId);
+            }
+        },
+    );
+});
+
+// Fails if a request that has lost time at one unreachable endpoint is sent to the next one.
+describe("a request whose first attempt has failed", () => {
+    const cases = [
+        {
+            title: "gets a place at an endpoint that serves others",
+            unreachable: ["e1"],
+            isRetry: true,
+            expected: "placed",
+        },
+        {
+            title: "is refused at once if all are being tried again",
+            unreachable: ["e1", "e2"],
+            isRetry: true,
+            expected: "refused",
+        },
+        {
+            title: "(not: a new one) tries an endpoint again",
+            unreachable: ["e1", "e2"],
+            isRetry: false,
+            expected: "placed",
+        },
+    ];
+    it.each(cases)("$title", async ({ unreachable, isRetry, expected }) => {
+        const dispatcher = newDispatcher(["e1", "e2"]);
+        const placeIds = await placeEverywhere(dispatcher, ["e1", "e2"]);
+        placeIds.forEach((placeId, index) =>
+            dispatcher.release(placeId, unreachable.includes(`e${index + 1}`) ? "unreachable" : "done")
+        );
+        // The pauses are over.
+        vi.advanceTimersByTime(200);
+        const outcome = await dispatcher.place(newTestRequest({ isRetry }));
+        expect(outcome.kind).toBe(expected);
+        if (outcome.kind === "placed" && isRetry) {
+            expect(unreachable).not.toContain(outcome.endpointId);
+        }
+    });
+});
+
+// Fails if a request is held although the last endpoint of its service has been paused for longer than it may wait.
+describe("a request that waits while the last endpoint can't be reached", () => {
+    const cases = [
+        { title: "is refused at once if it would be late after the pause", usefulForMs: 400, isRefused: true },
+        { title: "waits if it would still be in time", usefulForMs: 1_000, isRefused: false },
+    ];
+    it.each(cases)("$title", async ({ usefulForMs, isRefused }) => {
+        const dispatcher = newDispatcher(["e1"]);
+        const placeIds = await placeEverywhere(dispatcher, Array.from({ length: 8 }, () => "e1"));
+        let outcome: PlaceOutcome | undefined;
+        const request = newTestRequest({ usefulForMs, targetLatencyMs: 1_000 });
+        void dispatcher.place(request).then(decided => outcome = decided);
+        await vi.advanceTimersByTimeAsync(300);
+        expect(outcome).toBeUndefined();
+        dispatcher.release(placeIds[0] ?? "", "unreachable");
+        await vi.advanceTimersByTimeAsync(1);
+        expect(outcome?.kind).toBe(isRefused ? "refused" : undefined);
+    });
+});
