--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -40,7 +40,7 @@
 /**
  * Why there is no response.
  *
- * - `unreachable`: no connection was established; the request was not sent.
+ * - `unreachable`: no connection was established, or the request can't be sent; it was not sent.
  * - `broken`: the connection broke after part of the request may have been sent.
  * - `invalid-response`: the endpoint sent the response to another request, or data that is not HTTP.
  * - `aborted`: the gateway aborted the request.
@@ -104,21 +104,19 @@
      * @returns Status and headers of the response, or why there is none.
      */
     send(endpointRequest: EndpointRequest): Promise<Result<EndpointResponse, SendFailure>> {
-        const { signal, endpoint } = endpointRequest;
+        const { signal } = endpointRequest;
         if (signal.aborted) {
             return Promise.resolve(err({ kind: "aborted", reason: "aborted before sending" }));
         }
         return new Promise(resolve => {
             let isConnected = false;
             const sentAtMs = performance.now();
-            const request = http.request({
-                host: endpoint.host,
-                port: endpoint.port,
-                method: endpointRequest.method,
-                path: endpointRequest.path,
-                headers: endpointRequest.headers as unknown as http.OutgoingHttpHeaders,
-                agent: endpointRequest.mayReuseConnection ? this.agent : false,
-            });
+            const opened = this.openRequest(endpointRequest);
+            if (opened.isErr()) {
+                resolve(err(opened.error));
+                return;
+            }
+            const request = opened.value;
             const connectTimer = setTimeout(() => {
                 request.destroy(new Error("connect timeout"));
             }, CONNECT_TIMEOUT_MS);
@@ -177,6 +175,24 @@
         });
     }
 
+    /** Node.js throws at once for what can't be sent: a port out of range, or a character that no header may have. */
+    private openRequest(endpointRequest: EndpointRequest): Result<http.ClientRequest, SendFailure> {
+        const { endpoint, method, path, headers, mayReuseConnection } = endpointRequest;
+        try {
+            return ok(http.request({
+                host: endpoint.host,
+                port: endpoint.port,
+                method,
+                path,
+                headers: headers as unknown as http.OutgoingHttpHeaders,
+                agent: mayReuseConnection ? this.agent : false,
+            }));
+        }
+        catch (error) {
+            return err({ kind: "unreachable", reason: (error as NodeJS.ErrnoException).code ?? String(error) });
+        }
+    }
+
     private toResponse(
         endpointRequest: EndpointRequest,
         incoming: http.IncomingMessage,
--- a/standins/operators/objectApi.ts
+++ b/standins/operators/objectApi.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import http from "node:http";
 import { closeServer, listenOnLoopback, readBody, sendJson } from "./httpServer";
 
@@ -64,6 +65,8 @@
     private oldestRevision = 0;
     private readonly server = http.createServer((request, response) => void this.handle(request, response));
     private readonly addresses: StoreAddress[] = [];
+    /** Contents that were written as bytes, by the text that stands for them. */
+    private readonly contents = new Map<string, string>();
 
     /** @returns The port on which it listens. */
     listen(): Promise<number> {
@@ -135,6 +138,19 @@
         return [...this.getObjects(kind).keys()];
     }
 
+    /**
+     * Writes an object whose content need not be what a JSON library writes.
+     *
+     * @param kind - Kind of the object.
+     * @param name - Its name.
+     * @param content - Bytes that are sent as its content.
+     */
+    writeBytes(kind: string, name: string, content: Buffer): void {
+        const token = `content-${this.contents.size}-${randomUUID()}`;
+        this.contents.set(token, content.toString("latin1"));
+        this.write(kind, name, token);
+    }
+
     /** Drops the change history, so that pending watches fail with 410 and the watchers must list again. */
     compact(): void {
         this.oldestRevision = this.revision;
@@ -169,7 +185,7 @@
     private async get(url: URL, kind: string, name: string | undefined, response: http.ServerResponse): Promise<void> {
         if (name !== undefined) {
             const object = this.getObjects(kind).get(name);
-            sendJson(response, object === undefined ? 404 : 200, object ?? { error: "no such object" });
+            this.send(response, object === undefined ? 404 : 200, object ?? { error: "no such object" });
             return;
         }
         const watch = url.searchParams.get("watch");
@@ -180,7 +196,7 @@
         const after = url.searchParams.get("after") ?? "";
         const names = [...this.getObjects(kind).keys()].sort().filter(other => other > after);
         const items = names.slice(0, PAGE_SIZE).map(other => this.getObjects(kind).get(other));
-        sendJson(response, 200, { items, hasMore: names.length > PAGE_SIZE, storeRevision: this.revision });
+        this.send(response, 200, { items, hasMore: names.length > PAGE_SIZE, storeRevision: this.revision });
     }
 
     private async watch(kind: string, after: number, waitMs: number, response: http.ServerResponse): Promise<void> {
@@ -196,7 +212,7 @@
             const events = this.changes.filter(change => change.kind === kind && change.revision > after);
             if (events.length > 0 || Date.now() >= endAtMs || response.destroyed || this.faults.isDown) {
                 const reported = events.map(({ object, deleted }) => ({ object, deleted }));
-                sendJson(response, this.faults.isDown ? 503 : 200, { events: reported, storeRevision: this.revision });
+                this.send(response, this.faults.isDown ? 503 : 200, { events: reported, storeRevision: this.revision });
                 return;
             }
             await this.waitForChange(endAtMs - Date.now());
@@ -267,6 +283,16 @@
         return [200, object];
     }
 
+    private send(response: http.ServerResponse, status: number, body: unknown): void {
+        let text = Buffer.from(JSON.stringify(body)).toString("latin1");
+        for (const [token, content] of this.contents) {
+            text = text.replaceAll(`"${token}"`, () => content);
+        }
+        const bytes = Buffer.from(text, "latin1");
+        response.writeHead(status, { "Content-Type": "application/json", "Content-Length": bytes.length });
+        response.end(bytes);
+    }
+
     private recordChange(kind: string, object: StoredObject, deleted: boolean): void {
         this.revision += 1;
         object.metadata.revision = this.revision;
