Run no job whose object is not a job, so that it can't end one instance after the other

What callers saw: an object of kind heatherline-jobs that had a job's summary and no items (or nested ones) ended the process that was to run it. The coordinator then assigned it to the next instance, which ended, too. With tokens that are no numbers, what an organisation may have waiting couldn't be computed.

Cause: only the summary of a job was checked; the rest of the object was taken for a manifest by a cast.

The whole object is decoded now, into known fields only, and checked against its name; once for each object read.

--- a/packages/fleet/src/jobTracker.ts
+++ b/packages/fleet/src/jobTracker.ts
@@ -227,10 +227,15 @@
 export function decodeJobSummary(value: Record<string, unknown>): JobSummary | undefined {
     const { jobId, organisation, route, submittedAt, itemTokens, state } = value as Partial<JobSummary>;
     const isComplete = typeof jobId === "string" && typeof organisation === "string" && typeof route === "string"
-        && typeof submittedAt === "number" && Array.isArray(itemTokens) && typeof state === "string";
+        && isCount(submittedAt) && Array.isArray(itemTokens) && itemTokens.every(isCount)
+        && (state === "open" || state === "ended");
     return isComplete ? { jobId, organisation, route, submittedAt, itemTokens, state } : undefined;
 }
 
+function isCount(value: unknown): value is number {
+    return typeof value === "number" && Number.isFinite(value) && value >= 0;
+}
+
 function sum(values: readonly number[]): number {
     return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,7 +21,7 @@
 import { Ingress } from "./ingress";
 import { JobReader } from "./jobReader";
 import { JobRunner } from "./jobRunner";
-import { JobStore } from "./jobStore";
+import { JobStore, toManifest } from "./jobStore";
 import { GatewayMetrics } from "./metrics";
 import { OnlineHandler } from "./onlineHandler";
 import { OwnJobSync } from "./ownJobSync";
@@ -106,8 +106,9 @@
             {
                 onRetirements: names => this.retirement.setRequested(names),
                 onJobs: objects => {
-                    this.role.localCoordinator?.updateJobs(objects);
-                    this.sweeper.setJobs(objects);
+                    const jobs = new Map([...objects].filter(([, object]) => toManifest(object) !== undefined));
+                    this.role.localCoordinator?.updateJobs(jobs);
+                    this.sweeper.setJobs(jobs);
                 },
             },
             () => this.isFollower,
--- a/packages/gateway/src/jobStore.ts
+++ b/packages/gateway/src/jobStore.ts
@@ -3,6 +3,7 @@
 import { type ObjectStore, type StoredObject, StoreError } from "@heatherline/store";
 import { LRUCache } from "lru-cache";
 import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
 import type { ItemResult, SubmittedItem } from "./wireCodec";
 
 const BODY_KIND = "heatherline-job-bodies";
@@ -303,11 +304,41 @@
 }
 
 /**
- * @param object - A stored job object.
+ * @param object - A stored job object. Another writer may have written it, so it may be invalid.
  * @returns The job, or `undefined` if the object is not a valid job.
  */
 export function toManifest(object: StoredObject): JobManifest | undefined {
-    return decodeJobSummary(object.value) === undefined ? undefined : object.value as unknown as JobManifest;
+    if (!manifests.has(object)) {
+        manifests.set(object, decodeManifest(object));
+    }
+    return manifests.get(object);
+}
+
+/** Objects are read again and again with the list of jobs, and never change. */
+const manifests = new WeakMap<StoredObject, JobManifest | undefined>();
+
+const manifestSchema = z.object({
+    host: z.string(),
+    items: z.array(z.object({
+        itemId: z.string().min(1),
+        path: z.string(),
+        headers: z.record(z.string(), z.string()),
+        tokens: z.number().nonnegative(),
+    })),
+    bodyParts: z.number().int().nonnegative(),
+    isEndedByCaller: z.boolean(),
+});
+
+function decodeManifest({ path, value }: StoredObject): JobManifest | undefined {
+    const summary = decodeJobSummary(value);
+    const parsed = manifestSchema.safeParse(value);
+    if (summary === undefined || !parsed.success || path !== `${JOB_KIND}/${summary.jobId}`) {
+        return undefined;
+    }
+    const { items, bodyParts } = parsed.data;
+    // No part is empty, except the only one of a job without bodies.
+    const isConsistent = items.length === summary.itemTokens.length && bodyParts <= Math.max(1, items.length);
+    return isConsistent ? { ...summary, ...parsed.data } : undefined;
 }
 
 /**
--- a/packages/gateway/tests/jobReader.test.ts
+++ b/packages/gateway/tests/jobReader.test.ts
@@ -27,7 +27,7 @@
     itemTokens: [1],
     state: "open",
     host: "api",
-    items: [{ itemId: "item-1", path: "/jobs/1", headers: [], tokens: 1 }] as unknown as JobManifest["items"],
+    items: [{ itemId: "item-1", path: "/jobs/1", headers: {}, tokens: 1 }] as unknown as JobManifest["items"],
     bodyParts: 1,
     isEndedByCaller: false,
 };
@@ -111,8 +111,8 @@
 });
 
 describe("results of a job that this instance runs, after another one has run it", () => {
-    const items = ["item-1", "item-2"].map(itemId => ({ itemId, path: "/jobs/1", headers: [], tokens: 1 }));
-    const manifest = { ...MANIFEST, items } as unknown as JobManifest;
+    const items = ["item-1", "item-2"].map(itemId => ({ itemId, path: "/jobs/1", headers: {}, tokens: 1 }));
+    const manifest = { ...MANIFEST, items, itemTokens: [1, 1] } as unknown as JobManifest;
     const toResult = (itemId: string) => ({ itemId, state: "completed" as const, output: "" });
 
     it.each([
