Take a lease over that another writer has made unreadable

What callers saw: no coordinator any more, for ever; with a holder that was null each instance that read the lease ended.

Cause: a lease without readable fields was logged and waited for without end; a null holder passed the check.

An unreadable lease counts as held by an unknown holder for a term and is then taken over. Its epoch is the version of the object: each epoch takes a write at least, so that no earlier epoch is higher.

--- a/packages/fleet/src/coordinatorLease.ts
+++ b/packages/fleet/src/coordinatorLease.ts
@@ -306,16 +306,20 @@
     }
 
     private observe(object: StoredObject): void {
+        if (object.version === this.observed?.version) {
+            return;
+        }
         const record = decodeRecord(object);
+        this.observed = {
+            record: record ?? newUnreadableRecord(object.version),
+            version: object.version,
+            seenAt: newTimestamp(),
+        };
         if (record === undefined) {
             this.logger.error({ event: "lease-unreadable", version: object.version });
-            return;
         }
-        if (object.version !== this.observed?.version) {
-            this.observed = { record, version: object.version, seenAt: newTimestamp() };
-            if (!record.isReleased) {
-                this.deps.onOtherHolder(record.holder, record.epoch);
-            }
+        else if (!record.isReleased) {
+            this.deps.onOtherHolder(record.holder, record.epoch);
         }
     }
 
@@ -366,8 +370,27 @@
 }
 
 function decodeRecord(object: StoredObject | undefined): LeaseRecord | undefined {
-    const record = object?.value as Partial<LeaseRecord> | undefined;
-    const isComplete = record?.holder !== undefined && typeof record.epoch === "number"
-        && typeof record.renewal === "number";
-    return isComplete ? record as LeaseRecord : undefined;
+    const { holder, epoch, renewal, isReleased } = (object?.value ?? {}) as Partial<LeaseRecord>;
+    const { instanceId, incarnation, host, rpcPort, dataCentre } = (holder ?? {}) as Partial<MemberEntry>;
+    const isHolderComplete = [instanceId, incarnation, host, dataCentre].every(text => typeof text === "string")
+        && typeof rpcPort === "number";
+    const isComplete = holder !== undefined && isHolderComplete && Number.isSafeInteger(epoch)
+        && typeof renewal === "number";
+    return isComplete ? { holder, epoch: epoch as number, renewal, isReleased: isReleased === true } : undefined;
+}
+
+/**
+ * Stands for a lease that another writer has overwritten: it is waited for like any other, then taken over. Each epoch
+ * takes at least one write to the store, so no earlier epoch is higher than the version of the object.
+ */
+function newUnreadableRecord(version: number): LeaseRecord {
+    const holder = {
+        instanceId: "",
+        incarnation: "unreadable",
+        host: "",
+        rpcPort: 0,
+        dataCentre: "",
+        processorShare: 0,
+    };
+    return { holder, epoch: version, renewal: 0, isReleased: false };
 }
