Answer a call with 500 whose reply can't be written as JSON

What callers saw: JSON.parse reads any depth of nesting, JSON.stringify throws at some thousand levels. A reply that held a deeply nested object, such as one that is read from the store on behalf of another instance, ended the process.

Evidence: peerRpc.test.ts, 1 of 2 cases red before (unhandled RangeError), green now.

--- a/packages/agreement/src/peerRpc.ts
+++ b/packages/agreement/src/peerRpc.ts
@@ -170,8 +170,22 @@
             response.writeHead(403).end();
             return;
         }
-        const reply = await this.rpc.receiveJSON(Buffer.concat(chunks).toString("utf8"));
-        response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(reply));
+        const reply = await this.getReplyText(Buffer.concat(chunks).toString("utf8"));
+        if (reply === undefined) {
+            response.writeHead(500).end();
+            return;
+        }
+        response.writeHead(200, { "content-type": "application/json" }).end(reply);
+    }
+
+    /** @returns The reply as JSON; `undefined` if it can't be written as JSON, since it is nested too deeply. */
+    private async getReplyText(text: string): Promise<string | undefined> {
+        try {
+            return JSON.stringify(await this.rpc.receiveJSON(text));
+        }
+        catch {
+            return undefined;
+        }
     }
 }
 
