Go on following objects when applying them has failed

What callers saw: nothing yet; a feed whose objects couldn't be applied ended the process, since the loop's promise isn't handled. It logs the error now, waits as after a failed read, and lists again.

Evidence: kindFeed.test.ts red before (unhandled RangeError), green now.

--- a/packages/fleet/src/kindFeed.ts
+++ b/packages/fleet/src/kindFeed.ts
@@ -77,7 +77,19 @@
     }
 
     private startReading(): () => Promise<void> {
-        return startLoop(() => this.getPauseMs(), signal => this.readOnce(signal));
+        return startLoop(() => this.getPauseMs(), signal => this.readSafely(signal));
+    }
+
+    /** What was read may be anything; if it can't be applied, the objects are listed again, and others can be read. */
+    private async readSafely(signal: AbortSignal): Promise<void> {
+        try {
+            await this.readOnce(signal);
+        }
+        catch (error) {
+            this.logger.error({ event: "feed-failed", kind: this.kind, error: String(error) });
+            this.consecutiveFailures += 1;
+            this.revision = 0;
+        }
     }
 
     private async readOnce(signal: AbortSignal): Promise<void> {
