Don't take an error without a request id on a kept connection for this request's

What callers saw: a faulty replica that wrote an earlier refusal once more, without an id, made the request that was sent next on that connection count as not run, while it may have been running: the caller could be told 503, and the request ran at a second replica.

Cause: only a wrong id was noticed; on a kept connection a missing one can belong to any request, too.

Such a response counts as invalid now: its connection is closed and the request may have run. On a connection of its own, which requests that must not run twice always get, a refusal without an id still counts.

--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -11,6 +11,7 @@
 /** Informational heads (1xx) before a response; endpoints send one at most. */
 const MAX_INFORMATIONAL_HEADS = 8;
 const STATUS_MISDIRECTED = 421;
+const MIN_ERROR_STATUS = 400;
 
 /** One request to one endpoint. */
 export interface EndpointRequest {
@@ -151,7 +152,9 @@
                 }
             };
             request.on("information", onInformational);
-            request.on("response", incoming => resolve(this.toResponse(endpointRequest, incoming, sentAtMs)));
+            request.on("response", incoming => {
+                resolve(this.toResponse(endpointRequest, incoming, sentAtMs, request.reusedSocket));
+            });
             request.end(endpointRequest.body);
         });
     }
@@ -197,6 +200,7 @@
         endpointRequest: EndpointRequest,
         incoming: http.IncomingMessage,
         sentAtMs: number,
+        isConnectionReused: boolean,
     ): Result<EndpointResponse, SendFailure> {
         // Without a listener, an error while the body arrives would end the process. Whoever reads the body sees the
         // error there.
@@ -207,6 +211,11 @@
             incoming.destroy();
             return err({ kind: "invalid-response", reason: `response to request ${head.requestId}` });
         }
+        // A faulty endpoint may send an earlier refusal once more; this request may be running meanwhile.
+        if (head.requestId === undefined && isConnectionReused && (incoming.statusCode ?? 0) >= MIN_ERROR_STATUS) {
+            incoming.destroy();
+            return err({ kind: "invalid-response", reason: `status ${incoming.statusCode} without a request id` });
+        }
         // A response that the request reached another endpoint says nothing about the one that it was sent to.
         if (incoming.statusCode !== STATUS_MISDIRECTED) {
             this.reportStatements(endpointRequest.endpoint, head, sentAtMs);
