Don't pass on 503, 429 or 408 of an endpoint that doesn't state that it has not run the request

What callers saw: 503, 429 or 408, which promise that the request has not run, for requests that a replica had run and answered so without the header Not-Executed.

Cause: 429 and 408 were relayed like any answer, 503 like any failure; only the header makes the statement.

These count as failed runs now. The request is repeated where that is allowed; otherwise the caller gets a 502.

--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -28,6 +28,8 @@
 const MIN_TIME_LEFT_MS = 5;
 /** Responses with this status or a higher one count as failed. */
 const MIN_FAILURE_STATUS = 500;
+/** These tell callers that a request has not run; an endpoint says so with a header of its own. */
+const NOT_EXECUTED_STATUSES = new Set([408, 429, 503]);
 /** A request that crashes the endpoint does so as soon as the endpoint begins to respond. */
 const MAX_EVENTS_BEFORE_CRASH = 1;
 
@@ -366,6 +368,9 @@
                 reason: fullBody === undefined ? "the body is incomplete or too large" : "the response is not signed",
             };
         }
+        if (NOT_EXECUTED_STATUSES.has(status)) {
+            return { kind: "ended", end: "failed", reason: `status ${status}, though it may have run` };
+        }
         if (status >= MIN_FAILURE_STATUS || this.request.response.hasStarted) {
             const failure = { status, rawHeaders: incoming.rawHeaders, body: fullBody };
             return { kind: "ended", end: "failed", reason: `status ${status}`, failure };
--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -20,6 +20,10 @@
     | "FAIL"
     /** Responds 422: the request can never succeed. */
     | "NEVER"
+    /** Runs the request and responds 503, 429 or 408 without the header `Not-Executed`. */
+    | "BUSY"
+    | "LIMITED"
+    | "LATE"
     /** Responds with the id of another request. */
     | "STRAY"
     /** Sends nothing and leaves the connection open. */
@@ -51,6 +55,7 @@
     readonly eventGapMs?: number;
 }
 
+const FAILURE_STATUSES = { FAIL: 500, NEVER: 422, BUSY: 503, LIMITED: 429, LATE: 408 } as const;
 const DEFAULT_EVENT_COUNT = 6;
 const DEFAULT_EVENT_GAP_MS = 10;
 const DRIBBLE_GAP_MS = 100;
@@ -191,8 +196,9 @@
             ...this.isLeaving ? { "Server-Leaving": "1" } : {},
             ...this.namedLimit === undefined ? {} : { "Server-Limit": this.namedLimit },
         };
-        if (faultText.includes("FAIL") || faultText.includes("NEVER")) {
-            response.writeHead(faultText.includes("FAIL") ? 500 : 422, headers).end("failed");
+        const failure = Object.entries(FAILURE_STATUSES).find(([word]) => faultText.includes(word));
+        if (failure !== undefined) {
+            response.writeHead(failure[1], headers).end("failed");
             return;
         }
         if (entry.headers.model === undefined) {
