Send a refused batch item again on a connection of its own

What was seen: a faulty replica that wrote a true refusal twice made the next run of the same item at it, on the same connection, count as refused, since even the id is right; the item was sent on while it ran there.

Evidence: the case of staleRefusals.test.ts red before (refused again and again), green now. Online requests don't go to the same endpoint twice.

--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -118,6 +118,8 @@
     private failures: number;
     /** Consecutive runs that broke before they produced anything. */
     private emptyRuns = 0;
+    /** Whether a run was refused. A faulty endpoint may send the refusal again, with the same id, on its connection. */
+    private wasRejected = false;
     /** How the response of the latest run ended, for the log. */
     private lastResponseEnd: ResponseEnd | undefined;
     private routeLastSeenAtMs = performance.now();
@@ -230,6 +232,7 @@
         const previousEventCount = this.data.length;
         const startedAtMs = performance.now();
         const end = await this.runAtPlace(place, body);
+        this.wasRejected ||= end === "rejected";
         const eventCount = this.data.length - previousEventCount;
         place.release(toRequestEnd(end, eventCount));
         this.emptyRuns = end === "broken" && eventCount === 0 ? this.emptyRuns + 1 : 0;
@@ -298,7 +301,7 @@
                     },
                 ),
                 body,
-                mayReuseConnection: true,
+                mayReuseConnection: !this.wasRejected,
                 signal: abortController.signal,
             });
             if (result.isErr()) {
