Count an object without items as no job, too

A job that is accepted has an item at least. An object with an empty list of items passed the check and could be read as a job of another writer; the case of oddEntries.test.ts that asks for it was red, and with it those after it.

--- a/packages/gateway/src/jobStore.ts
+++ b/packages/gateway/src/jobStore.ts
@@ -324,7 +324,7 @@
         path: z.string(),
         headers: z.record(z.string(), z.string()),
         tokens: z.number().nonnegative(),
-    })),
+    })).min(1),
     bodyParts: z.number().int().nonnegative(),
     isEndedByCaller: z.boolean(),
 });
