Go on with a stream only with the event after its last one

What callers saw, after a stream had begun and broken off: text of an error, also with its whole head, in the middle of their stream; parts of two runs joined (a stream that began again, a later part, a stream without ids from its begin); a stream that was ended as complete by an empty response that had been cut off, or by one that is no event stream.

Cause: every block of bytes up to a blank line was relayed as an event, whatever it held, and any signed 200 could go on with a stream.

A response that goes on must be an event stream and begin with the next id; what is no event breaks a stream off; an empty response counts as the end only with a length or a last chunk; without ids nothing is resumed.

An event stream that is empty and ends with a last chunk is still taken for the end: a stream may have broken off after its last event, and nothing tells the two apart.

--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -165,7 +165,8 @@
             this.lastFailure = outcome.failure ?? this.lastFailure;
             this.excluded.push(place.endpoint.endpointId);
             const mayRetry = this.retryPolicy.recordAttempt(outcome.end);
-            const isResponseCommitted = this.request.response.hasStarted && !isRetryable(this.admitted.route);
+            const mayResume = isRetryable(this.admitted.route) && this.relay.isResumable;
+            const isResponseCommitted = this.request.response.hasStarted && !mayResume;
             this.deps.logger.info({
                 event: "attempt-ended",
                 requestId: this.request.caller.requestId,
--- a/packages/gateway/src/responseRelay.ts
+++ b/packages/gateway/src/responseRelay.ts
@@ -3,6 +3,7 @@
 import type { CallerResponse } from "./callerResponse";
 import type { EndpointResponse } from "./endpointClient";
 import { EventStreamParser, hasContent } from "./eventStreamParser";
+import { StreamContinuation } from "./streamContinuation";
 
 /** How relaying one endpoint's response ended. */
 export type RelayOutcome =
@@ -20,6 +21,7 @@
     private lastEventId: number | undefined;
     private relayedEvents = 0;
     private lastEventAtMs = performance.now();
+    private hasEventsWithoutId = false;
     private isWaitingForCaller = false;
     private lastResponseEnd: StreamEnd | undefined;
 
@@ -41,6 +43,11 @@
         return this.lastEventId;
     }
 
+    /** Whether it is known which events the caller has received, so that the stream can be resumed after them. */
+    get isResumable(): boolean {
+        return !this.hasEventsWithoutId;
+    }
+
     /** Time since the last event or since the relay was created, in milliseconds; 0 while the caller reads too slowly. */
     get quietMs(): number {
         return this.isWaitingForCaller ? 0 : performance.now() - this.lastEventAtMs;
@@ -62,17 +69,29 @@
      * @param upstream - The endpoint's response.
      * @returns Whether the stream is complete.
      */
-    async relay({ status, incoming, endObserver }: EndpointResponse): Promise<RelayOutcome> {
+    async relay(upstream: EndpointResponse): Promise<RelayOutcome> {
+        const { status, incoming, endObserver } = upstream;
         const parser = new EventStreamParser();
+        const continuation = new StreamContinuation(this.lastEventId, this.relayedEvents > 0);
+        const headFault = continuation.findHeadFault(upstream);
+        if (headFault !== undefined) {
+            incoming.destroy();
+            return { kind: "broken", reason: headFault };
+        }
         try {
             for await (const chunk of readChunks(incoming)) {
                 for (const event of parser.parse(chunk)) {
                     const { bytes, eventId } = event;
+                    const fault = continuation.findFault(event);
+                    if (fault !== undefined) {
+                        return { kind: "broken", reason: fault };
+                    }
                     if (eventId !== undefined && eventId <= (this.lastEventId ?? -1)) {
                         continue;
                     }
                     this.startIfNeeded(status, incoming.rawHeaders);
                     if (hasContent(event)) {
+                        this.hasEventsWithoutId ||= eventId === undefined;
                         this.relayedEvents += 1;
                         this.lastEventAtMs = performance.now();
                         this.onEvent();
@@ -100,6 +119,10 @@
         if (parser.isInsideEvent) {
             return { kind: "broken", reason: "the endpoint's response ended inside an event" };
         }
+        const endFault = continuation.findEndFault(upstream);
+        if (endFault !== undefined) {
+            return { kind: "broken", reason: endFault };
+        }
         this.startIfNeeded(status, incoming.rawHeaders);
         if (parser.getRemainder().length > 0) {
             void this.response.write(parser.getRemainder());
