Take results of batch items from whole event streams only

What callers saw: outputs with the text of an error's blocks (as empty lines), with events missing or twice, with an empty line for each comment, or empty ones for a response that was empty or HTML, all listed as completed.

--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -16,6 +16,7 @@
 import type { ItemDurationEstimator } from "./itemDurationEstimator";
 import type { ItemPlacementQueue } from "./itemPlacementQueue";
 import type { JobItem } from "./jobStore";
+import { StreamContinuation } from "./streamContinuation";
 import type { ItemResult, WireCodec } from "./wireCodec";
 
 /** Timeout of a place request; the item then requests a place again, with its queue position recomputed. */
@@ -191,7 +192,8 @@
     }
 
     private async runOnce(route: Route): Promise<RunEnd> {
-        if (this.origin !== undefined && !getServices(route).includes(this.origin.service)) {
+        const isUnresumable = this.data.length > 0 && this.lastEventId === undefined;
+        if (isUnresumable || (this.origin !== undefined && !getServices(route).includes(this.origin.service))) {
             this.startAnew();
         }
         const service = this.origin?.service ?? pickService(route, Math.random());
@@ -333,17 +335,27 @@
      * @returns Whether the response is complete.
      */
     private async readEvents(
-        { incoming, endObserver }: EndpointResponse,
+        response: EndpointResponse,
         { endpoint }: HeldPlace,
         silenceTimer: NodeJS.Timeout,
     ): Promise<boolean> {
+        const { incoming, endObserver } = response;
         const parser = new EventStreamParser();
+        const continuation = new StreamContinuation(this.lastEventId, true);
+        if (continuation.findHeadFault(response) !== undefined) {
+            incoming.destroy();
+            return false;
+        }
         try {
             for await (const chunk of readChunks(incoming)) {
                 for (const event of parser.parse(chunk)) {
-                    if (hasContent(event)) {
-                        silenceTimer.refresh();
+                    if (continuation.findFault(event) !== undefined) {
+                        return false;
+                    }
+                    if (!hasContent(event)) {
+                        continue;
                     }
+                    silenceTimer.refresh();
                     if (event.eventId === undefined || event.eventId > (this.lastEventId ?? -1)) {
                         this.origin ??= { service: endpoint.service, softwareVersion: getSoftwareVersion(endpoint) };
                         this.lastEventId = event.eventId ?? this.lastEventId;
@@ -359,7 +371,8 @@
         finally {
             this.lastResponseEnd = endObserver.responseEnd;
         }
-        return endObserver.isComplete && !parser.isInsideEvent;
+        const isWhole = endObserver.isComplete && !parser.isInsideEvent;
+        return isWhole && this.data.length > 0 && continuation.findEndFault(response) === undefined;
     }
 }
 
