Don't end on a configuration document that is null

What callers saw: a document that another writer left as null threw where its fields are taken, in the loop that reads documents; nobody handles its promise, so that the daemon ended, and each other one that read it.

Evidence: replica.test.ts, 1 of 8 new cases red before (null); the others (nested 100,000 levels, text, a list and so on) show that they can't do it.

--- a/packages/config/src/replica.test.ts
+++ b/packages/config/src/replica.test.ts
@@ -60,3 +60,25 @@
         );
     });
 });
+
+describe("a document that another writer has left", () => {
+    const nested = JSON.parse("[".repeat(100_000) + "]".repeat(100_000));
+
+    // The error ended the loop that reads documents, and with it the process.
+    it.each([
+        { what: "null", value: null },
+        { what: "a text", value: "text" },
+        { what: "a number", value: 1e308 },
+        { what: "a list", value: [1] },
+        { what: "nested", value: nested },
+        { what: "nested in a field", value: { kind: "data-centre", dataCentre: nested, state: "in" } },
+        { what: "of an unknown kind", value: { kind: "__proto__" } },
+        { what: "without fields", value: {} },
+    ])("is not applied, and the next one is: $what", ({ value }) => {
+        const replica = new ConfigReplica();
+        const path = "config/data-centre/east";
+        expect(replica.merge({ path, version: 1, value } as unknown as VersionedDocument)).toBe("invalid");
+        const good = { kind: "data-centre", dataCentre: "east", state: "out" };
+        expect(replica.merge({ path, version: 2, value: good })).toBe("applied");
+    });
+});
--- a/packages/config/src/replica.ts
+++ b/packages/config/src/replica.ts
@@ -59,7 +59,8 @@
             this.install(offered.path, { version: offered.version });
             return "applied";
         }
-        const { writeIds: unusedWriteIds, ...content } = offered.value;
+        // Another writer may have left anything in the store, also null, which has no fields.
+        const { writeIds: unusedWriteIds, ...content } = (offered.value as VersionedDocument["value"] | null) ?? {};
         const validated = validateDocument(content);
         if (validated.isErr()) {
             this.invalidVersions.set(offered.path, offered.version);
