--- a/packages/store/src/httpStore.ts
+++ b/packages/store/src/httpStore.ts
@@ -105,7 +105,7 @@
     switch (status) {
         case 200:
         case 201:
-            return ok(JSON.parse(text) as Body);
+            return parseJson<Body>(text);
         case 409:
             return err(new StoreError("conflict", text));
         case 410:
@@ -120,3 +120,13 @@
             return err(new StoreError("unknown", `status ${status}: ${text}`));
     }
 }
+
+/** The store has processed the call, but its response doesn't say how. */
+function parseJson<Body>(text: string): Result<Body, StoreError> {
+    try {
+        return ok(JSON.parse(text) as Body);
+    }
+    catch (error) {
+        return err(new StoreError("unknown", "the response is not valid JSON", error));
+    }
+}
