Don't throw for a request to an endpoint that can't be sent

As in the gateway: http.request throws for a path, a header or a port that can't be used; the run of a batch item passed the error on to nobody. It counts as not sent now.

--- a/packages/serving/src/httpDispatcher.ts
+++ b/packages/serving/src/httpDispatcher.ts
@@ -86,23 +86,18 @@
         if (signal.aborted) {
             return Promise.resolve(err(new DispatchError("aborted", "aborted before the request was sent", false)));
         }
-        const isIdempotent = exchange.route?.idempotent === true;
         return new Promise(resolve => {
             let isSent = false;
             const markSent = () => {
                 isSent = true;
                 exchange.isSent = true;
             };
-            const request = http.request({
-                host: slot.spec.address,
-                port: slot.spec.port,
-                method: exchange.method,
-                path: exchange.upstreamPath,
-                headers: getUpstreamHeaders(exchange),
-                // The endpoint may close an idle connection just as a request is sent on it; then it is unknown whether
-                // the request ran. Requests that must not run twice therefore use a new connection.
-                agent: isIdempotent ? this.agents[exchange.workClass] : false,
-            });
+            const opened = this.openRequest(exchange, slot);
+            if (opened.isErr()) {
+                resolve(err(opened.error));
+                return;
+            }
+            const request = opened.value;
             const onAbort = () => request.destroy(new Error("the request was aborted"));
             signal.addEventListener("abort", onAbort, { once: true });
             request.on("close", () => signal.removeEventListener("abort", onAbort));
@@ -124,6 +119,26 @@
             request.end(exchange.body);
         });
     }
+
+    /** Node.js throws at once for what can't be sent, such as a path with a space. */
+    private openRequest(exchange: Exchange, slot: EndpointSlot): Result<http.ClientRequest, DispatchError> {
+        const isIdempotent = exchange.route?.idempotent === true;
+        try {
+            return ok(http.request({
+                host: slot.spec.address,
+                port: slot.spec.port,
+                method: exchange.method,
+                path: exchange.upstreamPath,
+                headers: getUpstreamHeaders(exchange),
+                // The endpoint may close an idle connection just as a request is sent on it; then it is unknown whether
+                // the request ran. Requests that must not run twice therefore use a new connection.
+                agent: isIdempotent ? this.agents[exchange.workClass] : false,
+            }));
+        }
+        catch (error) {
+            return err(new DispatchError("refused", "the request can't be sent", false, error));
+        }
+    }
 }
 
 function toDispatchError(error: NodeJS.ErrnoException, isSent: boolean, isAborted: boolean): DispatchError {
