Refuse a job of the own interface with an item that can't be sent or stored

What callers saw: a path with a space was accepted and never ran; a body nested some thousand levels threw in the write of its chunk, since JSON of any depth can be read, but not written.

Evidence: oddItems.test.ts, 4 of 4 cases red before, green now.

--- a/packages/batch/src/jobSubmitter.ts
+++ b/packages/batch/src/jobSubmitter.ts
@@ -18,11 +18,14 @@
 const MAX_CONCURRENT_WRITES = 4;
 const MAX_CUSTOM_ID_CHARACTERS = 128;
 
+/** Characters that can be sent in a request; an item with others could never run. */
+const PATH_PATTERN = /^\/[\x21-\xff]*$/;
+
 const lineSchema = z.strictObject({
     custom_id: z.string().min(1).max(MAX_CUSTOM_ID_CHARACTERS),
     method: z.literal("POST").default("POST"),
-    url: z.string().startsWith("/"),
-    body: z.unknown(),
+    url: z.string().regex(PATH_PATTERN, "must be a path without spaces and control characters"),
+    body: z.unknown().refine(canBeWritten, "is nested too deeply"),
 });
 
 /** A job that a caller submits. */
@@ -246,6 +249,17 @@
     return ok({ customId, method, path, body });
 }
 
+/** JSON of any depth can be read, but not written. */
+function canBeWritten(value: unknown): boolean {
+    try {
+        JSON.stringify(value);
+        return true;
+    }
+    catch {
+        return false;
+    }
+}
+
 function newUnavailableError(cause: StoreError | undefined): BatchError {
     return new BatchError(
         "unavailable",
