Ignore odd registrations of instances and odd blocked prompts

What callers saw: a registration with infinite processor time (1e400) ranked first for the lease and as the deputy of its data centre; one under another name than its id was never removed by the sweeper, which looks for the id; both count when slots are divided. Numbers that JavaScript reads as infinite go to other instances as null.

--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -60,6 +60,8 @@
 /** Retry delay of an instance that another one sends the state, while neither reaches the store; in milliseconds. */
 const FOLLOWER_RETRY_MS = 1_200;
 
+const MAX_PORT = 65_535;
+
 /** How much an instance reads from the store itself, rather than from the coordinator's updates. */
 export type FeedScope = "nothing" | "essentials" | "everything";
 
@@ -261,18 +263,32 @@
     }
 }
 
-function decodeMember({ value }: StoredObject): MemberEntry[] {
+function decodeMember({ path, value }: StoredObject): MemberEntry[] {
     const { instanceId, incarnation, host, rpcPort, dataCentre, processorShare } = value;
     const isComplete = typeof instanceId === "string" && typeof incarnation === "string" && typeof host === "string"
-        && typeof rpcPort === "number" && typeof dataCentre === "string"
-        && typeof processorShare === "number";
-    return isComplete ? [{ instanceId, incarnation, host, rpcPort, dataCentre, processorShare }] : [];
+        && isPort(rpcPort) && typeof dataCentre === "string" && Number.isFinite(processorShare)
+        && path === `${MEMBER_KIND}/${instanceId}`;
+    return isComplete
+        ? [{ instanceId, incarnation, host, rpcPort, dataCentre, processorShare: Number(processorShare) }]
+        : [];
+}
+
+function isPort(value: unknown): value is number {
+    return typeof value === "number" && Number.isInteger(value) && value > 0 && value <= MAX_PORT;
 }
 
 function decodeBlockedPrompt({ path, value }: StoredObject): BlockedPrompt[] {
     const { parts, trials, laterCrashes, blockedAt } = value;
     const isComplete = Array.isArray(parts) && parts.length > 0 && parts.every(part => typeof part === "string")
-        && typeof trials === "number" && typeof laterCrashes === "number" && typeof blockedAt === "number";
+        && [trials, laterCrashes, blockedAt].every(Number.isFinite);
     const blockId = path.slice(path.indexOf("/") + 1);
-    return isComplete ? [{ blockId, parts, trials, laterCrashes, blockedAt }] : [];
+    return isComplete
+        ? [{
+            blockId,
+            parts,
+            trials: Number(trials),
+            laterCrashes: Number(laterCrashes),
+            blockedAt: Number(blockedAt),
+        }]
+        : [];
 }
