Let a response without a content type go on with a stream that it continues

The next id is proof enough; another type is still a fault, and an empty response without a type is not the end. brokenOffResponses.test.ts (unchanged) and resumedStreams.test.ts: all green.

--- a/packages/gateway/src/streamContinuation.ts
+++ b/packages/gateway/src/streamContinuation.ts
@@ -24,7 +24,7 @@
      */
     findHeadFault({ incoming }: EndpointResponse): string | undefined {
         const type = incoming.headers["content-type"]?.trim().toLowerCase();
-        return this.lastEventId === undefined || type?.startsWith(EVENT_STREAM_TYPE) === true
+        return this.lastEventId === undefined || type === undefined || type.startsWith(EVENT_STREAM_TYPE)
             ? undefined
             : "the response that was to go on with the stream is no event stream";
     }
@@ -49,15 +49,16 @@
     }
 
     /**
-     * A stream may have broken off after its last event. An empty response that ends with its connection doesn't show
-     * that, since it may have been cut off.
+     * A stream may have broken off after its last event. An empty response shows that only if it is an event stream and
+     * doesn't end with its connection, since it may have been cut off.
      *
      * @param response - The endpoint's response, which is complete.
      * @returns Why the stream is not complete; `undefined` if it is.
      */
-    findEndFault({ endObserver }: EndpointResponse): string | undefined {
+    findEndFault({ incoming, endObserver }: EndpointResponse): string | undefined {
         const isEmpty = this.lastEventId !== undefined && !this.hasContinued;
-        return isEmpty && endObserver.responseEnd.framing === "connection"
+        const mayBeCutOff = endObserver.responseEnd.framing === "connection";
+        return isEmpty && (mayBeCutOff || incoming.headers["content-type"] === undefined)
             ? "the response that was to go on with the stream is empty"
             : undefined;
     }
