--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -16,6 +16,7 @@
 /** Lower ones don't end a request, or are none. */
 const MIN_FINAL_STATUS = 200;
 const STATUS_MISDIRECTED = 421;
+const MIN_ERROR_STATUS = 400;
 
 /** One request to one endpoint. */
 export interface EndpointRequest {
@@ -54,7 +55,7 @@
 /**
  * Why there is no response.
  *
- * - `unreachable`: no connection was established; the request was not sent.
+ * - `unreachable`: no connection was established, or the request can't be sent; it was not sent.
  * - `broken`: the connection broke after part of the request may have been sent.
  * - `invalid-response`: the endpoint sent the response to another request, or data that is not HTTP.
  * - `aborted`: the gateway aborted the request.
@@ -66,6 +67,14 @@
     readonly reason: string;
 }
 
+/** How a request was sent. */
+interface Sending {
+    /** Monotonic time at which it was sent. */
+    readonly sentAtMs: number;
+    /** Whether an earlier request was sent over the same connection to the endpoint. */
+    readonly isConnectionReused: boolean;
+}
+
 /** Sends requests to endpoints. */
 export interface EndpointSender {
     /**
@@ -133,21 +142,19 @@
     }
 
     send(endpointRequest: EndpointRequest): Promise<Result<EndpointResponse, SendFailure>> {
-        const { signal, endpoint } = endpointRequest;
+        const { signal } = endpointRequest;
         if (signal.aborted) {
             return Promise.resolve(err({ kind: "aborted", reason: "aborted before sending" }));
         }
         return new Promise(resolve => {
             let isConnected = false;
             const sentAtMs = performance.now();
-            const request = http.request({
-                host: endpoint.host,
-                port: endpoint.port,
-                method: endpointRequest.method,
-                path: endpointRequest.path,
-                headers: endpointRequest.headers as unknown as http.OutgoingHttpHeaders,
-                agent: endpointRequest.mayReuseConnection ? this.agent : false,
-            });
+            const opened = this.openRequest(endpointRequest);
+            if (opened.isErr()) {
+                resolve(err(opened.error));
+                return;
+            }
+            const request = opened.value;
             const connectTimer = setTimeout(
                 // A connection that was established while the process was busy is seen first.
                 () => setImmediate(() => isConnected || request.destroy(new Error("connect timeout"))),
@@ -199,7 +206,8 @@
                 const endObserver = new ResponseEndObserver(incoming, endpointRequest.method);
                 const { statusCode = 0, rawHeaders } = incoming;
                 const response = { status: statusCode, rawHeaders, incoming, endObserver };
-                resolve(this.checkResponse(endpointRequest, response, sentAtMs));
+                const { reusedSocket } = request;
+                resolve(this.checkResponse(endpointRequest, response, { sentAtMs, isConnectionReused: reusedSocket }));
             });
             request.end(endpointRequest.body);
         });
@@ -233,13 +241,13 @@
      *
      * @param request - The request that it responds to.
      * @param response - The response, of which the head has arrived.
-     * @param sentAtMs - Monotonic time at which the request was sent.
+     * @param sending - How the request was sent.
      * @returns The response, or why it is none to this request.
      */
     checkResponse(
         { requestId, endpoint }: EndpointRequest,
         response: Omit<EndpointResponse, "head">,
-        sentAtMs: number,
+        { sentAtMs, isConnectionReused }: Sending,
     ): Result<EndpointResponse, SendFailure> {
         const { status, incoming } = response;
         this.lastResponseAtMs.set(endpoint.endpointId, performance.now());
@@ -248,9 +256,14 @@
             incoming.destroy();
             return err({ kind: "invalid-response", reason: `response to request ${head.requestId}` });
         }
-        if ((incoming.statusCode ?? 0) < MIN_FINAL_STATUS) {
+        if (status < MIN_FINAL_STATUS) {
+            incoming.destroy();
+            return err({ kind: "invalid-response", reason: `status ${status}` });
+        }
+        // A faulty endpoint may send an earlier refusal once more; this request may be running meanwhile.
+        if (head.requestId === undefined && isConnectionReused && status >= MIN_ERROR_STATUS) {
             incoming.destroy();
-            return err({ kind: "invalid-response", reason: `status ${incoming.statusCode}` });
+            return err({ kind: "invalid-response", reason: `status ${status} without a request id` });
         }
         // A response that the request reached another endpoint says nothing about the one that it was sent to.
         if (status !== STATUS_MISDIRECTED) {
@@ -259,6 +272,24 @@
         return ok({ ...response, head });
     }
 
+    /** Node.js throws at once for what can't be sent: a port out of range, or a character that no header may have. */
+    private openRequest(endpointRequest: EndpointRequest): Result<http.ClientRequest, SendFailure> {
+        const { endpoint, method, path, headers, mayReuseConnection } = endpointRequest;
+        try {
+            return ok(http.request({
+                host: endpoint.host,
+                port: endpoint.port,
+                method,
+                path,
+                headers: headers as unknown as http.OutgoingHttpHeaders,
+                agent: mayReuseConnection ? this.agent : false,
+            }));
+        }
+        catch (error) {
+            return err({ kind: "unreachable", reason: (error as NodeJS.ErrnoException).code ?? String(error) });
+        }
+    }
+
     private reportStatements(endpoint: EndpointEntry, head: EndpointResponseHead, sentAtMs: number): void {
         if (head.isLeaving) {
             this.listener?.markLeaving(endpoint);
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -17,6 +17,7 @@
 import type { ItemPlacementQueue } from "./itemPlacementQueue";
 import type { JobItem } from "./jobStore";
 import { releasePlace } from "./placeRelease";
+import { StreamContinuation } from "./streamContinuation";
 import type { ItemResult, WireCodec } from "./wireCodec";
 
 /** Timeout of a place request; the item then requests a place again, with its queue position recomputed. */
@@ -121,6 +122,8 @@
     private failures: number;
     /** Consecutive runs that broke before they produced anything. */
     private emptyRuns = 0;
+    /** Whether a run was refused. A faulty endpoint may send the refusal again, with the same id, on its connection. */
+    private wasRejected = false;
     /** How the response of the latest run ended, for the log. */
     private lastResponseEnd: ResponseEnd | undefined;
     private routeLastSeenAtMs = performance.now();
@@ -192,7 +195,8 @@
     }
 
     private async runOnce(route: Route): Promise<RunEnd> {
-        if (this.origin !== undefined && !getServices(route).includes(this.origin.service)) {
+        const isUnresumable = this.data.length > 0 && this.lastEventId === undefined;
+        if (isUnresumable || (this.origin !== undefined && !getServices(route).includes(this.origin.service))) {
             this.startAnew();
         }
         const service = this.origin?.service ?? pickService(route, Math.random());
@@ -233,6 +237,7 @@
         const previousEventCount = this.data.length;
         const startedAtMs = performance.now();
         const end = await this.runAtPlace(place, body);
+        this.wasRejected ||= end === "rejected";
         const eventCount = this.data.length - previousEventCount;
         const placeEnd = { end: toRequestEnd(end, eventCount), wasSilent: end === "silent" };
         await releasePlace(place, placeEnd, this.deps.endpoints);
@@ -305,7 +310,7 @@
                 headers,
                 renewHeaders: () => this.deps.mayRun() ? headers : undefined,
                 body,
-                mayReuseConnection: true,
+                mayReuseConnection: !this.wasRejected,
                 signal: abortController.signal,
             });
             if (result.isErr()) {
@@ -338,17 +343,27 @@
      * @returns Whether the response is complete.
      */
     private async readEvents(
-        { incoming, endObserver }: EndpointResponse,
+        response: EndpointResponse,
         { endpoint }: HeldPlace,
         silenceTimer: NodeJS.Timeout,
     ): Promise<boolean> {
+        const { incoming, endObserver } = response;
         const parser = new EventStreamParser();
+        const continuation = new StreamContinuation(this.lastEventId, true);
+        if (continuation.findHeadFault(response) !== undefined) {
+            incoming.destroy();
+            return false;
+        }
         try {
             for await (const chunk of readChunks(incoming)) {
                 for (const event of parser.parse(chunk)) {
-                    if (hasContent(event)) {
-                        silenceTimer.refresh();
+                    if (continuation.findFault(event) !== undefined) {
+                        return false;
+                    }
+                    if (!hasContent(event)) {
+                        continue;
                     }
+                    silenceTimer.refresh();
                     if (event.eventId === undefined || event.eventId > (this.lastEventId ?? -1)) {
                         this.origin ??= { service: endpoint.service, softwareVersion: getSoftwareVersion(endpoint) };
                         this.lastEventId = event.eventId ?? this.lastEventId;
@@ -364,7 +379,8 @@
         finally {
             this.lastResponseEnd = endObserver.responseEnd;
         }
-        return endObserver.isComplete && !parser.isInsideEvent;
+        const isWhole = endObserver.isComplete && !parser.isInsideEvent;
+        return isWhole && this.data.length > 0 && continuation.findEndFault(response) === undefined;
     }
 }
 
--- a/packages/gateway/src/linkedEndpointClient.ts
+++ b/packages/gateway/src/linkedEndpointClient.ts
@@ -156,7 +156,8 @@
             case "response":
                 outcome.response.incoming.once("close", () => signal.removeEventListener("abort", onAbort));
                 peers.recordSuccess(peer.instanceId);
-                return direct.checkResponse(request, outcome.response, sentAtMs);
+                // The other instance has checked that the response is no earlier one on its connection.
+                return direct.checkResponse(request, outcome.response, { sentAtMs, isConnectionReused: false });
             case "failed":
                 signal.removeEventListener("abort", onAbort);
                 return err({ kind: outcome.failure, reason: outcome.reason });
