Close connections on which bytes came that belong to no request

A line end after the last request, or the rest of a body that nobody reads, kept a caller's connection open beyond every limit, and a stop ran until the end of its grace period. Found by the review: IdleConnections took any byte for the begin of a request. Such bytes are now waited on for 30 s, and for 1.5 s while the process stops.

Evidence: ingressShutdown.test.ts, the new case red before.

--- a/packages/common/src/idleConnections.ts
+++ b/packages/common/src/idleConnections.ts
@@ -6,6 +6,11 @@
 /** While the server stops, the first request on a new connection is awaited for this long. */
 const FIRST_REQUEST_WAIT_MS = 500;
 
+/** Bytes that have arrived without a request after them are taken for the begin of one for this long. */
+const STRAY_BYTES_WAIT_MS = 30_000;
+/** The same while the server stops. */
+const STOPPING_STRAY_BYTES_WAIT_MS = 1_500;
+
 /** State of one open connection. */
 interface OpenConnection {
     /** Requests whose responses are not finished. */
@@ -14,6 +19,10 @@
     idleSinceMs: number;
     /** Bytes that had been received by then. */
     bytesRead: number;
+    /** Bytes that had been received when they were last looked at. */
+    seenBytes: number;
+    /** When more bytes were last seen. */
+    bytesSeenAtMs: number;
     /** Highest limit that has been in force since then. */
     idleTimeoutMs: number;
     /** Whether there has been a request. */
@@ -83,6 +92,8 @@
             openRequests: 0,
             idleSinceMs: performance.now(),
             bytesRead: 0,
+            seenBytes: 0,
+            bytesSeenAtMs: performance.now(),
             idleTimeoutMs: this.idleTimeoutMs,
             isUsed: false,
         });
@@ -108,29 +119,39 @@
     }
 
     private sweep(): void {
+        for (const [{ bytesRead }, connection] of this.connections) {
+            if (bytesRead !== connection.seenBytes) {
+                connection.seenBytes = bytesRead;
+                connection.bytesSeenAtMs = performance.now();
+            }
+        }
         this.closeWhere(connection => isOverLimit(connection) || (this.isClosingAll && isUnneeded(connection)));
     }
 
+    /** Bytes of which no request has come for long, such as line ends after the last one, belong to none. */
+    private isIdle(socket: Socket, connection: OpenConnection): boolean {
+        const { openRequests, bytesRead, seenBytes, bytesSeenAtMs } = connection;
+        const patienceMs = this.isClosingAll ? STOPPING_STRAY_BYTES_WAIT_MS : STRAY_BYTES_WAIT_MS;
+        const areBytesStray = socket.bytesRead === seenBytes && performance.now() - bytesSeenAtMs > patienceMs;
+        return openRequests === 0 && (socket.bytesRead === bytesRead || areBytesStray);
+    }
+
     /** Closes idle connections, but for those on which something has arrived that is yet to be read. */
     private closeWhere(mayClose: (connection: OpenConnection) => boolean): void {
         const idle = [...this.connections].filter(([socket, connection]) =>
-            isIdle(socket, connection) && mayClose(connection)
+            this.isIdle(socket, connection) && mayClose(connection)
         );
         if (idle.length === 0) {
             return;
         }
         // However late the timer fires, requests that have arrived by then are answered.
         afterNextPoll(() => {
-            idle.filter(([socket, connection]) => isIdle(socket, connection) && mayClose(connection))
+            idle.filter(([socket, connection]) => this.isIdle(socket, connection) && mayClose(connection))
                 .forEach(([socket]) => socket.destroy());
         });
     }
 }
 
-function isIdle(socket: Socket, { openRequests, bytesRead }: OpenConnection): boolean {
-    return openRequests === 0 && socket.bytesRead === bytesRead;
-}
-
 function isOverLimit({ idleSinceMs, idleTimeoutMs }: OpenConnection): boolean {
     return performance.now() - idleSinceMs > idleTimeoutMs;
 }
--- a/packages/gateway/tests/ingressShutdown.test.ts
+++ b/packages/gateway/tests/ingressShutdown.test.ts
@@ -118,6 +118,19 @@
         expect(caller.isClosed).toBe(true);
     });
 
+    // Fails if bytes that belong to no request keep a connection, and with it the process, until the grace period is over.
+    it("closes a connection on which a line end came after the last request", async () => {
+        const caller = await harness.connect();
+        caller.send("/a");
+        await pause(100);
+        caller.socket.write("\r\n");
+        await pause(400);
+        stop();
+        await pause(2_500);
+        expect(caller.isClosed).toBe(true);
+        expect(harness.ingress.openConnectionCount).toBe(0);
+    });
+
     it("closes idle connections at once", async () => {
         const caller = await harness.connect();
         caller.send("/a");
