heatherlined: end attempts whose connection closes without a response

After a response that switches protocols, Node.js reports neither a response nor an error, so that the request stayed open for ever.

--- a/packages/serving/src/httpDispatcher.ts
+++ b/packages/serving/src/httpDispatcher.ts
@@ -100,7 +100,11 @@
             const request = opened.value;
             const onAbort = () => request.destroy(new Error("the request was aborted"));
             signal.addEventListener("abort", onAbort, { once: true });
-            request.on("close", () => signal.removeEventListener("abort", onAbort));
+            request.on("close", () => {
+                signal.removeEventListener("abort", onAbort);
+                // After a response that switches protocols, the connection closes without any other event.
+                resolve(err(toDispatchError(new Error("closed without a response"), isSent, signal.aborted)));
+            });
             request.on("socket", socket => {
                 socket.setNoDelay(true);
                 if (socket.connecting) {
