--- a/packages/common/src/responseEnd.ts
+++ b/packages/common/src/responseEnd.ts
@@ -27,8 +27,13 @@
     /**
      * @param incoming - A response whose headers have arrived.
      * @param method - Method of the request.
+     * @param relayedFraming - How its sender marked its end, if another instance has relayed it with a framing of its own.
      */
-    constructor(private readonly incoming: http.IncomingMessage, method: string) {
+    constructor(
+        private readonly incoming: http.IncomingMessage,
+        method: string,
+        private readonly relayedFraming?: BodyFraming,
+    ) {
         this.framing = getBodyFraming(incoming, method);
         if (this.framing === "connection") {
             this.observeEnd(incoming.socket);
@@ -46,7 +51,9 @@
 
     /** How the response ended, or would if it ended now. */
     get responseEnd(): ResponseEnd {
-        return { framing: this.framing, hasRemoteEnded: this.hasRemoteEnded };
+        return this.relayedFraming === undefined
+            ? { framing: this.framing, hasRemoteEnded: this.hasRemoteEnded }
+            : { framing: this.relayedFraming, hasRemoteEnded: this.relayedFraming === "connection" && this.isComplete };
     }
 
     /**
--- a/packages/fleet/src/endpointPool.ts
+++ b/packages/fleet/src/endpointPool.ts
@@ -305,7 +305,7 @@
     }
 
     private isAllowed({ entry, health }: EndpointState, request: PlaceRequest): boolean {
-        if (request.isRetry === true && health.isTriedAgain) {
+        if (request.wasUnreachable === true && health.isTriedAgain) {
             return false;
         }
         const isRegionAllowed = request.allowedRegions.length === 0
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -187,8 +187,8 @@
     readonly streamId?: string | undefined;
     /** The stream that the request goes on with, where the requesting instance doesn't know its origin. */
     readonly resumedStream?: ResumedStream | undefined;
-    /** An attempt at the request has failed, so that it isn't sent to an endpoint that is only being tried again. */
-    readonly isRetry?: boolean | undefined;
+    /** An endpoint could not be reached for the request, so that it isn't sent to one that is only being tried again. */
+    readonly wasUnreachable?: boolean | undefined;
     /** Rate limit that the request takes a token from; `undefined` if it takes none. */
     readonly rate: RateBounds | undefined;
 }
--- a/packages/fleet/tests/failingEndpoints.test.ts
+++ b/packages/fleet/tests/failingEndpoints.test.ts
@@ -74,28 +74,28 @@
 });
 
 // Fails if a request that has lost time at one unreachable endpoint is sent to the next one.
-describe("a request whose first attempt has failed", () => {
+describe("a request for which an endpoint could not be reached", () => {
     const cases = [
         {
             title: "gets a place at an endpoint that serves others",
             unreachable: ["e1"],
-            isRetry: true,
+            wasUnreachable: true,
             expected: "placed",
         },
         {
             title: "is refused at once if all are being tried again",
             unreachable: ["e1", "e2"],
-            isRetry: true,
+            wasUnreachable: true,
             expected: "refused",
         },
         {
             title: "(not: a new one) tries an endpoint again",
             unreachable: ["e1", "e2"],
-            isRetry: false,
+            wasUnreachable: false,
             expected: "placed",
         },
     ];
-    it.each(cases)("$title", async ({ unreachable, isRetry, expected }) => {
+    it.each(cases)("$title", async ({ unreachable, wasUnreachable, expected }) => {
         const dispatcher = newDispatcher(["e1", "e2"]);
         const placeIds = await placeEverywhere(dispatcher, ["e1", "e2"]);
         placeIds.forEach((placeId, index) =>
@@ -103,9 +103,9 @@
         );
         // The pauses are over.
         vi.advanceTimersByTime(200);
-        const outcome = await dispatcher.place(newTestRequest({ isRetry }));
+        const outcome = await dispatcher.place(newTestRequest({ wasUnreachable }));
         expect(outcome.kind).toBe(expected);
-        if (outcome.kind === "placed" && isRetry) {
+        if (outcome.kind === "placed" && wasUnreachable) {
             expect(unreachable).not.toContain(outcome.endpointId);
         }
     });
--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -58,15 +58,7 @@
         if (this.hasEnded || this.response.write(bytes)) {
             return undefined;
         }
-        return new Promise(resolve => {
-            const done = () => {
-                this.response.removeListener("drain", done);
-                this.response.removeListener("close", done);
-                resolve();
-            };
-            this.response.once("drain", done);
-            this.response.once("close", done);
-        });
+        return waitUntilDrained(this.response);
     }
 
     /** Ends a streaming response that is complete. */
@@ -145,6 +137,22 @@
     }
 }
 
+/**
+ * @param response - A response whose write buffer is full.
+ * @returns Resolves when the buffer has drained or the connection has closed.
+ */
+export function waitUntilDrained(response: http.ServerResponse): Promise<void> {
+    return new Promise(resolve => {
+        const done = () => {
+            response.removeListener("drain", done);
+            response.removeListener("close", done);
+            resolve();
+        };
+        response.once("drain", done);
+        response.once("close", done);
+    });
+}
+
 function withoutHeader(headers: readonly string[], name: string): string[] {
     return headers.filter((_, index) => headers[index - index % 2]?.toLowerCase() !== name);
 }
--- a/packages/gateway/src/endpointAccess.ts
+++ b/packages/gateway/src/endpointAccess.ts
@@ -4,6 +4,7 @@
     type EndpointEntry,
     type EndpointStatements,
     type FleetView,
+    getSoftwareVersion,
     type MemberEntry,
     METHODS,
     type RpcCaller,
@@ -14,7 +15,7 @@
 import type { GatewayMetrics } from "./metrics";
 import { RelayClient } from "./relayClient";
 import { RelayPeers } from "./relayPeers";
-import { RELAY_PATH } from "./relayProtocol";
+import { RELAY_PATH, type RelayRequestHead } from "./relayProtocol";
 import { RelayServer } from "./relayServer";
 import type { WireCodec } from "./wireCodec";
 
@@ -79,7 +80,7 @@
         this.relayServer = new RelayServer({
             client: direct,
             links,
-            getUsableEndpoint: endpointId => this.getUsableEndpoint(endpointId),
+            getUsableEndpoint: head => this.getUsableEndpoint(head),
             isStopping,
             logger,
         });
@@ -130,11 +131,16 @@
         return await this.links.checkLink(endpoint) ? "unreachable" : "unknown";
     }
 
-    /** Another instance may not know yet that an endpoint leaves or that its data centre is evacuated. */
-    private getUsableEndpoint(endpointId: string): EndpointEntry | undefined {
+    /**
+     * Another instance may not know yet that an endpoint leaves, that its data centre is evacuated, or that its id has been
+     * registered anew.
+     */
+    private getUsableEndpoint(head: RelayRequestHead): EndpointEntry | undefined {
+        const { endpointId, service, softwareVersion } = head;
         const { view, statements } = this.deps;
         const entry = view.getEndpoint(endpointId);
-        const isUsable = entry?.state === "ready" && !view.evacuated.has(entry.dataCentre)
+        const isUsable = entry?.state === "ready" && entry.service === service
+            && getSoftwareVersion(entry) === softwareVersion && !view.evacuated.has(entry.dataCentre)
             && !statements.getLeavingIds(id => view.getEndpoint(id)).includes(endpointId);
         return isUsable ? entry : undefined;
     }
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -55,7 +55,8 @@
 /**
  * Why there is no response.
  *
- * - `unreachable`: no connection was established, or the request can't be sent; it was not sent.
+ * - `unreachable`: no connection was established; the request was not sent.
+ * - `unsendable`: the request can't be written as HTTP, to any endpoint; it was not sent.
  * - `broken`: the connection broke after part of the request may have been sent.
  * - `invalid-response`: the endpoint sent the response to another request, or data that is not HTTP.
  * - `aborted`: the gateway aborted the request.
@@ -63,7 +64,7 @@
  *   about the endpoint.
  */
 export interface SendFailure {
-    readonly kind: "unreachable" | "broken" | "invalid-response" | "aborted" | "no-path";
+    readonly kind: "unreachable" | "unsendable" | "broken" | "invalid-response" | "aborted" | "no-path";
     readonly reason: string;
 }
 
@@ -286,7 +287,8 @@
             }));
         }
         catch (error) {
-            return err({ kind: "unreachable", reason: (error as NodeJS.ErrnoException).code ?? String(error) });
+            const { code = String(error) } = error as NodeJS.ErrnoException;
+            return err({ kind: code === "ERR_SOCKET_BAD_PORT" ? "unreachable" : "unsendable", reason: code });
         }
     }
 
@@ -304,6 +306,14 @@
     }
 }
 
+/**
+ * @param kind - Why there is no response.
+ * @returns Whether the request was certainly not sent.
+ */
+export function isNotSent(kind: SendFailure["kind"]): kind is "unreachable" | "unsendable" | "no-path" {
+    return kind === "unreachable" || kind === "unsendable" || kind === "no-path";
+}
+
 function toFailure(error: NodeJS.ErrnoException, isConnected: boolean, wasAborted: boolean): SendFailure {
     const reason = error.code ?? error.message;
     if (wasAborted) {
--- a/packages/gateway/src/endpointLinks.ts
+++ b/packages/gateway/src/endpointLinks.ts
@@ -32,8 +32,10 @@
  */
 export class EndpointLinks {
     private readonly outOfReach = new Map<string, EndpointEntry>();
-    private wasStranded = false;
-    private nextProbe = 0;
+    /** How many endpoints of a service have been tried, so that other ones are tried next. */
+    private readonly triedCounts = new Map<string, number>();
+    private checkedOutOfReach = 0;
+    private isCutOff = false;
     private lastCheck: { readonly isSound: Promise<boolean>; readonly startedAtMs: number; } | undefined;
     private probeTimer: NodeJS.Timeout | undefined;
 
@@ -44,7 +46,7 @@
 
     /** Whether this instance reaches no endpoint. */
     get isStranded(): boolean {
-        return this.wasStranded;
+        return this.isCutOff;
     }
 
     /**
@@ -52,7 +54,7 @@
      * @returns Whether requests for it are sent directly.
      */
     isDirect({ endpointId }: EndpointEntry): boolean {
-        return !this.wasStranded && !this.outOfReach.has(endpointId);
+        return !this.isCutOff && !this.outOfReach.has(endpointId);
     }
 
     /**
@@ -62,7 +64,7 @@
      * @returns Whether it reaches another one; otherwise it is stranded from now on.
      */
     async checkLink(endpoint: EndpointEntry): Promise<boolean> {
-        if (this.wasStranded) {
+        if (this.isCutOff) {
             return false;
         }
         const nowMs = performance.now();
@@ -70,8 +72,8 @@
             this.lastCheck = { isSound: this.reachesAnyBut(endpoint.endpointId), startedAtMs: nowMs };
         }
         const isSound = await this.lastCheck.isSound;
-        if (!isSound && !this.wasStranded) {
-            this.wasStranded = true;
+        if (!isSound && !this.isCutOff) {
+            this.isCutOff = true;
             this.deps.logger.info({ event: "endpoint-link", state: "relayed", unreachable: endpoint.endpointId });
             this.startProbing();
         }
@@ -102,27 +104,30 @@
 
     /** Looks for the link back. */
     private async probe(): Promise<void> {
-        if (this.wasStranded && await this.reachesAnyBut(undefined)) {
-            this.wasStranded = false;
+        if (this.isCutOff && await this.reachesAnyBut(undefined)) {
+            this.isCutOff = false;
             this.lastCheck = undefined;
             this.deps.logger.info({ event: "endpoint-link", state: "direct" });
         }
-        await Promise.all(this.takeNext([...this.outOfReach.values()]).map(endpoint => this.probeOne(endpoint)));
-        if (!this.wasStranded && this.outOfReach.size === 0) {
+        const next = [...this.outOfReach.values()];
+        const chosen = next.splice(this.checkedOutOfReach % Math.max(1, next.length), PROBES_AT_ONCE);
+        this.checkedOutOfReach += chosen.length;
+        await Promise.all(chosen.map(endpoint => this.probeOne(endpoint)));
+        if (!this.isCutOff && this.outOfReach.size === 0) {
             this.stop();
         }
     }
 
-    private async probeOne(endpoint: EndpointEntry): Promise<void> {
-        const { endpointId } = endpoint;
-        const isListed = this.deps.getEndpoints().some(entry => entry.endpointId === endpointId);
-        if (!isListed || await this.deps.canConnect(endpoint)) {
+    private async probeOne({ endpointId, host, port }: EndpointEntry): Promise<void> {
+        const entry = this.deps.getEndpoints().find(listed => listed.endpointId === endpointId);
+        const isSame = entry?.host === host && entry.port === port;
+        if (!isSame || await this.deps.canConnect(entry)) {
             this.outOfReach.delete(endpointId);
             this.deps.logger.info({ event: "endpoint-link", state: "direct", endpoint: endpointId });
         }
     }
 
-    /** Tries to connect to a few endpoints, other ones each time. */
+    /** Tries to connect to a few endpoints, other ones each time, and of several services if there are any. */
     private async reachesAnyBut(endpointId: string | undefined): Promise<boolean> {
         const others = this.deps.getEndpoints().filter(entry => entry.endpointId !== endpointId);
         const probes = this.takeNext(others).map(async endpoint => {
@@ -133,11 +138,22 @@
         return Promise.any(probes).then(() => true, () => false);
     }
 
+    /** Takes turns among the services, since all endpoints of one may have crashed, and among the endpoints of each. */
     private takeNext(endpoints: readonly EndpointEntry[]): EndpointEntry[] {
-        const first = this.nextProbe;
-        this.nextProbe += PROBES_AT_ONCE;
-        return endpoints.slice(0, PROBES_AT_ONCE)
-            .map((_, index) => endpoints[(first + index) % endpoints.length])
-            .filter(endpoint => endpoint !== undefined);
+        const byService = new Map<string, EndpointEntry[]>();
+        for (const endpoint of endpoints) {
+            byService.set(endpoint.service, [...byService.get(endpoint.service) ?? [], endpoint]);
+        }
+        const services = [...byService].sort(([first], [second]) => this.getTried(first) - this.getTried(second));
+        return Array.from({ length: Math.min(PROBES_AT_ONCE, endpoints.length) }, (_, index) => {
+            const [service, entries] = services[index % services.length] as [string, EndpointEntry[]];
+            const tried = this.getTried(service);
+            this.triedCounts.set(service, tried + 1);
+            return entries[tried % entries.length] as EndpointEntry;
+        });
+    }
+
+    private getTried(service: string): number {
+        return this.triedCounts.get(service) ?? 0;
     }
 }
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -11,7 +11,7 @@
     type StreamOrigin,
 } from "@heatherline/fleet";
 import { discardBody, readChunks } from "./bodyReader";
-import type { EndpointResponse, EndpointSender } from "./endpointClient";
+import { type EndpointResponse, type EndpointSender, isNotSent } from "./endpointClient";
 import { EventStreamParser, getEventData, hasContent } from "./eventStreamParser";
 import type { ItemDurationEstimator } from "./itemDurationEstimator";
 import type { ItemPlacementQueue } from "./itemPlacementQueue";
@@ -90,7 +90,7 @@
  * - `cannot-be-done`: the endpoint states that the item can't be processed.
  * - `called-back`: preempted, because the place is needed for other work.
  * - `unreachable`: no connection was established.
- * - `no-path`: this instance reaches no endpoint, and no other one relays the request.
+ * - `no-path`: this instance reaches no endpoint, and no other one relays the request, or the request can't be sent.
  * - `rejected`: the endpoint did not run the request.
  * - `broken`: the connection broke, or the response was unsigned or had another status than those above.
  * - `silent`: no data arrived for too long.
@@ -316,7 +316,7 @@
             if (result.isErr()) {
                 const { kind } = result.error;
                 return this.toAbortEnd(abortController.signal)
-                    ?? (kind === "unreachable" || kind === "no-path" ? kind : "broken");
+                    ?? (kind === "unsendable" ? "no-path" : isNotSent(kind) ? kind : "broken");
             }
             const { status, head, incoming } = result.value;
             if (status !== 200 || !head.isSigned) {
--- a/packages/gateway/src/jobRun.ts
+++ b/packages/gateway/src/jobRun.ts
@@ -412,6 +412,7 @@
 
     private recordWriter(isLastChunkOwn: boolean): void {
         if (isLastChunkOwn) {
+            this.unconfirmedSinceMs = undefined;
             // Any other writer has not seen this chunk, so its next write finds the index taken.
             this.otherWriterUntilMs = -Infinity;
             return;
--- a/packages/gateway/src/linkedEndpointClient.ts
+++ b/packages/gateway/src/linkedEndpointClient.ts
@@ -95,7 +95,8 @@
             if (experience === "unknown" && await direct.canConnect(endpoint)) {
                 return "none";
             }
-            if (!await links.checkLink(endpoint)) {
+            // Endpoints that have all crashed look like a fault of the own link, and others can tell.
+            if (!await links.checkLink(endpoint) && experience === "not-connected") {
                 return "link";
             }
         }
@@ -147,8 +148,7 @@
     ): Promise<Result<EndpointResponse, { readonly kind: RelayFailure; readonly reason: string; }>> {
         const { peers, relays, direct } = this.deps;
         const { signal } = request;
-        // What has stalled may have stalled at the other instance.
-        const onAbort = () => signal.reason === "silent" && peers.recordFailure(peer.instanceId);
+        const onAbort = () => signal.reason === "silent" && void this.checkPeer(peer, request.endpoint);
         signal.addEventListener("abort", onAbort, { once: true });
         const sentAtMs = performance.now();
         const outcome = await relays.send(peer, request, request.headers);
@@ -171,6 +171,13 @@
         }
     }
 
+    /** Either the other instance or the endpoint may be silent. */
+    private async checkPeer(peer: MemberEntry, { endpointId }: EndpointEntry): Promise<void> {
+        if (await this.deps.askPeer(peer, endpointId) === undefined) {
+            this.deps.peers.recordFailure(peer.instanceId);
+        }
+    }
+
     private async askOthers(endpoint: EndpointEntry): Promise<ReachCheck> {
         const { peers, askPeer } = this.deps;
         const triedIds = new Set<string>();
@@ -181,6 +188,9 @@
             }
             triedIds.add(peer.instanceId);
             const check = await askPeer(peer, endpoint.endpointId);
+            if (check === undefined) {
+                peers.recordFailure(peer.instanceId);
+            }
             if (check === "reachable" || check === "unreachable") {
                 return check;
             }
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -1,4 +1,4 @@
-import { type Logger, type ResponseEnd, sha256Hex } from "@heatherline/common";
+import { type Logger, type ResponseEnd, sha256Hex, sleep } from "@heatherline/common";
 import {
     getServices,
     getSoftwareVersion,
@@ -14,7 +14,7 @@
 import type { AttemptOutcome, FailureResponse } from "./attemptOutcome";
 import { discardBody, readFullBody } from "./bodyReader";
 import type { CallerResponse } from "./callerResponse";
-import type { EndpointResponse, EndpointSender, SendFailure } from "./endpointClient";
+import { type EndpointResponse, type EndpointSender, isNotSent, type SendFailure } from "./endpointClient";
 import type { GatewayMetrics } from "./metrics";
 import { releasePlace } from "./placeRelease";
 import { newRefusal, type Refusal } from "./refusal";
@@ -31,6 +31,8 @@
 const MIN_FAILURE_STATUS = 500;
 /** These tell callers that a request has not run; an endpoint says so with a header of its own. */
 const NOT_EXECUTED_STATUSES = new Set([408, 429, 503]);
+/** A retry waits this long at most until it is known why the connection broke. */
+const MAX_FAULT_CHECK_MS = 300;
 /** A request that crashes the endpoint does so as soon as the endpoint begins to respond. */
 const MAX_EVENTS_BEFORE_CRASH = 1;
 
@@ -85,6 +87,7 @@
     private readonly abortController = new AbortController();
     private readonly excluded: string[] = [];
     private attempts = 0;
+    private wasUnreachable = false;
     /** Where the stream began, of which the caller has received a part. */
     private origin: StreamOrigin | undefined;
     private lastFailure: FailureResponse | undefined;
@@ -170,6 +173,7 @@
             }
             this.lastFailure = outcome.failure ?? this.lastFailure;
             this.excluded.push(place.endpoint.endpointId);
+            this.wasUnreachable ||= outcome.end === "unreachable";
             const mayRetry = this.retryPolicy.recordAttempt(outcome.end);
             const mayResume = isRetryable(this.admitted.route) && this.relay.isResumable;
             const isResponseCommitted = this.request.response.hasStarted && !mayResume;
@@ -266,7 +270,7 @@
                 : undefined,
             rate: mustTakeToken ? { ratePerS: organisation.ratePerS, burst: organisation.burst } : undefined,
             excluded: this.excluded,
-            isRetry: this.attempts > 0,
+            wasUnreachable: this.wasUnreachable,
             signal: this.abortController.signal,
         });
         const waitedMs = performance.now() - nowMs;
@@ -295,7 +299,7 @@
 
     private async runAttempt(place: HeldPlace): Promise<AttemptOutcome> {
         const { caller, incoming, body } = this.request;
-        const { route, organisation } = this.admitted;
+        const { route } = this.admitted;
         const isNothingRelayed = this.relay.resumeAfterEventId === caller.lastEventId;
         const attemptController = new AbortController();
         const onAbort = () => attemptController.abort("ended");
@@ -306,7 +310,7 @@
         const newHeaders = () =>
             this.deps.wire.toEndpointHeaders(incoming.rawHeaders, {
                 endpointId: place.endpoint.endpointId,
-                organisation: organisation?.name,
+                organisation: this.admitted.organisation?.name,
                 timeLeftMs: this.deadlineAtMs - performance.now(),
                 lastEventId: isNothingRelayed ? caller.lastEventId : this.relay.resumeAfterEventId,
                 bodyBytes: body.length,
@@ -334,7 +338,7 @@
         const released = releasePlace(place, placeEnd, this.deps.endpoints);
         if (end === "broken") {
             // Whether the request crashes endpoints is known before it is sent to the next one.
-            await released;
+            await Promise.race([released, sleep(MAX_FAULT_CHECK_MS)]);
         }
         return outcome;
     }
@@ -370,7 +374,7 @@
     private async deliver(result: Result<EndpointResponse, SendFailure>): Promise<AttemptOutcome> {
         if (result.isErr()) {
             const { kind, reason } = result.error;
-            return { kind: "ended", end: kind === "unreachable" || kind === "no-path" ? kind : "broken", reason };
+            return { kind: "ended", end: isNotSent(kind) ? kind : "broken", reason };
         }
         const { status, head, rawHeaders, incoming } = result.value;
         if (head.isNotExecuted || status === 421) {
@@ -420,7 +424,7 @@
                 performance.now() - startedAtMs > FIRST_RESPONSE_TIMEOUT_MS;
             return outcome.kind === "ended" && wasSilent ? "failed" : "done";
         }
-        if (outcome.end === "no-path") {
+        if (outcome.end === "no-path" || outcome.end === "unsendable") {
             return "lost";
         }
         return outcome.end === "broken" && this.relay.eventCount > MAX_EVENTS_BEFORE_CRASH ? "lost" : outcome.end;
@@ -431,7 +435,10 @@
         return this.relay.eventCount > MAX_EVENTS_BEFORE_CRASH || outcome.kind === "answered";
     }
 
-    private newFinalRefusal({ reason }: Extract<AttemptOutcome, { kind: "ended"; }>): Refusal {
+    private newFinalRefusal({ end, reason }: Extract<AttemptOutcome, { kind: "ended"; }>): Refusal {
+        if (end === "unsendable" && !this.retryPolicy.mayHaveRun) {
+            return newRefusal("bad-request", reason);
+        }
         if (this.abortController.signal.reason === "timeout") {
             return this.retryPolicy.mayHaveRun ? newRefusal("timeout", reason) : newRefusal("unavailable", reason);
         }
--- a/packages/gateway/src/relayClient.ts
+++ b/packages/gateway/src/relayClient.ts
@@ -1,5 +1,5 @@
 import { ResponseEndObserver } from "@heatherline/common";
-import type { MemberEntry } from "@heatherline/fleet";
+import { getSoftwareVersion, type MemberEntry } from "@heatherline/fleet";
 import http from "node:http";
 import type { EndpointRequest, EndpointResponse } from "./endpointClient";
 import {
@@ -8,17 +8,19 @@
     RELAY_FAILURE_HEADER,
     RELAY_PATH,
     RELAYED_ENDPOINT_HEADER,
+    RELAYED_FRAMING_HEADER,
     type RelayFailure,
+    toBodyFraming,
 } from "./relayProtocol";
 
 /** Instances accept connections of each other within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 250;
 const MAX_SOCKETS_PER_PEER = 256;
 const IDLE_MS = 2_000;
-const RELAY_HEADERS = new Set([RELAYED_ENDPOINT_HEADER, RELAY_FAILURE_HEADER]);
+const RELAY_HEADERS = new Set([RELAYED_ENDPOINT_HEADER, RELAYED_FRAMING_HEADER, RELAY_FAILURE_HEADER]);
 
 /** What came of a request that was sent through another instance. */
-export type RelayOutcome =
+export type RelaySendOutcome =
     | { readonly kind: "response"; readonly response: Omit<EndpointResponse, "head">; }
     | { readonly kind: "failed"; readonly failure: RelayFailure; readonly reason: string; }
     /** The connection to the other instance broke; the request may have been sent on. */
@@ -41,11 +43,22 @@
      * @param headers - Its headers, names and values alternating.
      * @returns The endpoint's response, or why there is none.
      */
-    send(peer: MemberEntry, request: EndpointRequest, headers: readonly string[]): Promise<RelayOutcome> {
+    send(peer: MemberEntry, request: EndpointRequest, headers: readonly string[]): Promise<RelaySendOutcome> {
         const { requestId, endpoint, method, path, mayReuseConnection, signal } = request;
-        const { endpointId } = endpoint;
+        const { endpointId, service } = endpoint;
         const { instanceId } = this;
-        const head = { requestId, endpointId, instanceId, method, path, headers, mayReuseConnection };
+        const softwareVersion = getSoftwareVersion(endpoint);
+        const head = {
+            requestId,
+            endpointId,
+            service,
+            softwareVersion,
+            instanceId,
+            method,
+            path,
+            headers,
+            mayReuseConnection,
+        };
         const message = encodeRelayRequest(head, request.body);
         return new Promise(resolve => {
             let isConnected = false;
@@ -62,7 +75,11 @@
                 () => setImmediate(() => isConnected || outgoing.destroy(new Error("connect timeout"))),
                 CONNECT_TIMEOUT_MS,
             );
-            const onAbort = () => outgoing.destroy(new Error("aborted"));
+            const onAbort = () => {
+                outgoing.destroy(new Error("aborted"));
+                // A request that waits for a connection of the agent ends without an event.
+                resolve({ kind: "failed", failure: "aborted", reason: `${peer.instanceId}: aborted` });
+            };
             signal.addEventListener("abort", onAbort, { once: true });
             const onConnected = () => {
                 isConnected = true;
@@ -72,6 +89,8 @@
             outgoing.on("close", () => {
                 clearTimeout(connectTimer);
                 signal.removeEventListener("abort", onAbort);
+                // After a response that switches protocols, the connection closes without any other event.
+                resolve({ kind: "lost", reason: `${peer.instanceId}: closed without a response` });
             });
             outgoing.on("error", (error: NodeJS.ErrnoException) => {
                 const reason = `${peer.instanceId}: ${error.code ?? error.message}`;
@@ -87,7 +106,7 @@
     }
 }
 
-function toOutcome(peer: MemberEntry, endpointId: string, incoming: http.IncomingMessage): RelayOutcome {
+function toOutcome(peer: MemberEntry, endpointId: string, incoming: http.IncomingMessage): RelaySendOutcome {
     // Without a listener, an error while the body arrives would end the process.
     incoming.on("error", () => undefined);
     const failure = incoming.headers[RELAY_FAILURE_HEADER];
@@ -95,9 +114,12 @@
         incoming.resume();
         return { kind: "failed", failure, reason: `${peer.instanceId} says ${failure}` };
     }
-    if (incoming.headers[RELAYED_ENDPOINT_HEADER] !== endpointId) {
+    const relayedId = incoming.headers[RELAYED_ENDPOINT_HEADER];
+    if (relayedId !== endpointId) {
         incoming.resume();
-        return { kind: "not-taken", reason: `${peer.instanceId} doesn't relay` };
+        return relayedId === undefined
+            ? { kind: "not-taken", reason: `${peer.instanceId} doesn't relay` }
+            : { kind: "lost", reason: `${peer.instanceId} has relayed a request to ${String(relayedId)}` };
     }
     return {
         kind: "response",
@@ -105,7 +127,11 @@
             status: incoming.statusCode ?? 0,
             rawHeaders: withoutRelayHeaders(incoming.rawHeaders),
             incoming,
-            endObserver: new ResponseEndObserver(incoming, "POST"),
+            endObserver: new ResponseEndObserver(
+                incoming,
+                "POST",
+                toBodyFraming(incoming.headers[RELAYED_FRAMING_HEADER]),
+            ),
         },
     };
 }
--- a/packages/gateway/src/relayProtocol.ts
+++ b/packages/gateway/src/relayProtocol.ts
@@ -1,9 +1,12 @@
+import type { BodyFraming } from "@heatherline/common";
 import type { SendFailure } from "./endpointClient";
 
 /** Path at which instances relay requests of others. */
 export const RELAY_PATH = "/relay";
 /** Names the endpoint in a relayed response; a response without it comes from an instance that can't relay. */
 export const RELAYED_ENDPOINT_HEADER = "relayed-endpoint";
+/** Says how the endpoint marked the end of the response that is relayed. */
+export const RELAYED_FRAMING_HEADER = "relayed-framing";
 /** Says why there is no relayed response. */
 export const RELAY_FAILURE_HEADER = "relay-failure";
 const LENGTH_BYTES = 4;
@@ -12,6 +15,9 @@
 export interface RelayRequestHead {
     readonly requestId: string;
     readonly endpointId: string;
+    /** What the asking instance takes the endpoint for; its id may be registered anew meanwhile. */
+    readonly service: string;
+    readonly softwareVersion: string;
     /** The instance that asks. */
     readonly instanceId: string;
     readonly method: string;
@@ -38,6 +44,7 @@
     "stopping",
     "not-usable",
     "unreachable",
+    "unsendable",
     "broken",
     "invalid-response",
     "aborted",
@@ -52,6 +59,16 @@
     return FAILURES.has(text);
 }
 
+const FRAMINGS: ReadonlySet<string> = new Set<BodyFraming>(["none", "length", "chunked", "connection"]);
+
+/**
+ * @param value - Value of a header.
+ * @returns The framing that it names, if it names one.
+ */
+export function toBodyFraming(value: string | string[] | undefined): BodyFraming | undefined {
+    return typeof value === "string" && FRAMINGS.has(value) ? value as BodyFraming : undefined;
+}
+
 /**
  * @param head - Head of a request.
  * @param body - Its body.
--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/relayServer.ts
@@ -1,8 +1,8 @@
 import type { Logger } from "@heatherline/common";
 import type { EndpointEntry } from "@heatherline/fleet";
-import { once } from "node:events";
 import type http from "node:http";
 import { readChunks } from "./bodyReader";
+import { waitUntilDrained } from "./callerResponse";
 import type { EndpointClient, EndpointResponse } from "./endpointClient";
 import type { EndpointLinks } from "./endpointLinks";
 import { LoopDelayMonitor } from "./loopDelayMonitor";
@@ -10,6 +10,7 @@
     decodeRelayRequest,
     RELAY_FAILURE_HEADER,
     RELAYED_ENDPOINT_HEADER,
+    RELAYED_FRAMING_HEADER,
     type RelayFailure,
     type RelayRequestHead,
 } from "./relayProtocol";
@@ -30,6 +31,7 @@
     "upgrade",
     "content-length",
     RELAYED_ENDPOINT_HEADER,
+    RELAYED_FRAMING_HEADER,
     RELAY_FAILURE_HEADER,
 ]);
 
@@ -39,7 +41,7 @@
     readonly client: EndpointClient;
     readonly links: EndpointLinks;
     /** @returns An endpoint that may be sent requests, as far as this instance knows. */
-    readonly getUsableEndpoint: (endpointId: string) => EndpointEntry | undefined;
+    readonly getUsableEndpoint: (head: RelayRequestHead) => EndpointEntry | undefined;
     readonly isStopping: () => boolean;
     readonly logger: Logger;
 }
@@ -67,42 +69,49 @@
      */
     async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         response.on("error", () => undefined);
-        const message = decodeRelayRequest(await readMessage(request));
-        if (message === undefined) {
-            response.writeHead(STATUS_BAD_GATEWAY).end();
+        this.loopDelay.start();
+        const refusal = this.getRefusal();
+        if (refusal !== undefined) {
+            request.resume();
+            sendFailure(response, refusal);
             return;
         }
         this.openRelays += 1;
-        this.loopDelay.start();
         try {
+            const message = decodeRelayRequest(await readMessage(request));
+            if (message === undefined) {
+                response.writeHead(STATUS_BAD_GATEWAY).end();
+                return;
+            }
             const failure = await this.relay(message.head, message.body, response);
             if (failure !== undefined) {
-                response.writeHead(STATUS_OK, { [RELAY_FAILURE_HEADER]: failure }).end();
+                sendFailure(response, failure);
             }
             this.log(message.head, failure ?? "relayed");
         }
         finally {
             this.openRelays -= 1;
-            if (this.openRelays === 0) {
-                this.loopDelay.stop();
-            }
         }
     }
 
+    /** @returns Why no request of another instance is taken now, whatever it is. */
+    private getRefusal(): RelayFailure | undefined {
+        if (this.deps.isStopping()) {
+            return "stopping";
+        }
+        const isBusy = this.openRelays >= MAX_OPEN_RELAYS || this.loopDelay.delayMs > MAX_LOOP_DELAY_MS;
+        return isBusy ? "busy" : undefined;
+    }
+
     /** @returns Why there is no response, or `undefined` if one has been relayed, in part or wholly. */
     private async relay(
-        { requestId, endpointId, method, path, headers, mayReuseConnection }: RelayRequestHead,
+        head: RelayRequestHead,
         body: Buffer,
         response: http.ServerResponse,
     ): Promise<RelayFailure | undefined> {
-        const { client, links, getUsableEndpoint, isStopping } = this.deps;
-        if (isStopping()) {
-            return "stopping";
-        }
-        if (this.openRelays > MAX_OPEN_RELAYS || this.loopDelay.delayMs > MAX_LOOP_DELAY_MS) {
-            return "busy";
-        }
-        const endpoint = getUsableEndpoint(endpointId);
+        const { requestId, endpointId, method, path, headers, mayReuseConnection } = head;
+        const { client, links, getUsableEndpoint } = this.deps;
+        const endpoint = getUsableEndpoint(head);
         if (endpoint === undefined) {
             return "not-usable";
         }
@@ -147,12 +156,13 @@
     const relayed = rawHeaders.filter((_, index) =>
         !HEADERS_NOT_RELAYED.has(rawHeaders[index - index % 2]?.toLowerCase() ?? "")
     );
-    response.writeHead(status, [...relayed, RELAYED_ENDPOINT_HEADER, endpointId]);
+    const { framing } = endObserver.responseEnd;
+    response.writeHead(status, [...relayed, RELAYED_ENDPOINT_HEADER, endpointId, RELAYED_FRAMING_HEADER, framing]);
     response.flushHeaders();
     try {
         for await (const chunk of readChunks(incoming)) {
             if (!response.write(chunk) && !response.destroyed) {
-                await Promise.race([once(response, "drain"), once(response, "close")]);
+                await waitUntilDrained(response);
             }
         }
     }
@@ -168,6 +178,10 @@
     }
 }
 
+function sendFailure(response: http.ServerResponse, failure: RelayFailure): void {
+    response.writeHead(STATUS_OK, { [RELAY_FAILURE_HEADER]: failure }).end();
+}
+
 async function readMessage(request: http.IncomingMessage): Promise<Buffer> {
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
--- a/packages/gateway/src/retryPolicy.ts
+++ b/packages/gateway/src/retryPolicy.ts
@@ -11,11 +11,12 @@
  *
  * - `unreachable`: not sent.
  * - `no-path`: not sent, since neither this instance nor another one that relays requests reaches the endpoint.
+ * - `unsendable`: not sent, since it can't be sent to any endpoint.
  * - `rejected`: the endpoint states that it did not run it.
  * - `broken`: it may have run, in part or wholly.
  * - `failed`: it ran, and the endpoint answered with a failure.
  */
-export type AttemptEnd = "unreachable" | "no-path" | "rejected" | "broken" | "failed";
+export type AttemptEnd = "unreachable" | "no-path" | "unsendable" | "rejected" | "broken" | "failed";
 
 /** Counts the attempts at one request and decides whether it may be retried. */
 export class RetryPolicy {
@@ -43,6 +44,9 @@
      * @returns Whether the request may be sent again.
      */
     recordAttempt(end: AttemptEnd): boolean {
+        if (end === "unsendable") {
+            return false;
+        }
         if (end === "unreachable" || end === "rejected" || end === "no-path") {
             this.rejectedAttempts += end === "no-path" ? NO_PATH_WEIGHT : 1;
             return this.rejectedAttempts <= MAX_REJECTED_ATTEMPTS &&
--- a/packages/gateway/tests/endpointLinks.test.ts
+++ b/packages/gateway/tests/endpointLinks.test.ts
@@ -1,4 +1,5 @@
 import { newLogger } from "@heatherline/common";
+import type { EndpointEntry } from "@heatherline/fleet";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
 import { EndpointLinks } from "../src/endpointLinks";
@@ -82,6 +83,44 @@
     });
 });
 
+// Fails if the turns of the probes leave endpoints out, whatever the size of the fleet.
+describe("the probes for the link back", () => {
+    it.each([1, 2, 5, 6, 7, 12, 30])("reach the only sound one of %d endpoints", async count => {
+        const endpoints = Array.from(
+            { length: count },
+            (_, index) => newTestEndpoint({ endpointId: `n${index}`, service: index % 3 === 0 ? "plain" : "lm" }),
+        );
+        for (const sound of endpoints) {
+            let isHealed = false;
+            const { endpointId } = sound;
+            const tested = new EndpointLinks({
+                getEndpoints: () => endpoints,
+                canConnect: async entry => isHealed && entry.endpointId === endpointId,
+                logger: newLogger("test", "fatal"),
+            });
+            await tested.checkLink(sound);
+            tested.markOutOfReach(sound);
+            isHealed = true;
+            await vi.advanceTimersByTimeAsync(PROBE_ROUNDS_MS * count);
+            expect(tested.isStranded, endpointId).toBe(false);
+            expect(tested.isDirect(sound), endpointId).toBe(true);
+            tested.stop();
+        }
+    });
+
+    it("try endpoints of several services", async () => {
+        const endpoints = ["lm", "lm", "lm", "lm", "lm", "lm", "plain"].map((service, index) =>
+            newTestEndpoint({ endpointId: `n${index}`, service })
+        );
+        const tested = new EndpointLinks({
+            getEndpoints: () => endpoints,
+            canConnect: async ({ service }) => service === "plain",
+            logger: newLogger("test", "fatal"),
+        });
+        expect(await tested.checkLink(endpoints[0] as EndpointEntry)).toBe(true);
+    });
+});
+
 describe("a single endpoint that only others reach", () => {
     it("is not used directly until it can be reached; the others are", async () => {
         reachable = new Set(["e2"]);
--- a/packages/gateway/tests/linkFaults.test.ts
+++ b/packages/gateway/tests/linkFaults.test.ts
@@ -25,6 +25,7 @@
 let direct: number;
 
 function newClient({ canConnect, reachesOthers, peerSays, isAlreadyStranded = false }: Case): LinkedEndpointClient {
+    let isStranded = isAlreadyStranded;
     const send = async () => {
         direct += 1;
         return canConnect
@@ -38,8 +39,11 @@
             checkResponse: () => ok({} as EndpointResponse),
         } as unknown as EndpointClient,
         links: {
-            isDirect: () => !isAlreadyStranded,
-            checkLink: async () => reachesOthers && !isAlreadyStranded,
+            isDirect: () => !isStranded,
+            checkLink: async () => {
+                isStranded ||= !reachesOthers;
+                return !isStranded;
+            },
             markOutOfReach: () => markedOutOfReach += 1,
         } as unknown as EndpointLinks,
         peers: {
@@ -104,6 +108,13 @@
             peerSays: "unreachable",
             fault: "endpoint",
         },
+        {
+            title: "all endpoints crashed, which looks like a cut",
+            canConnect: false,
+            reachesOthers: false,
+            peerSays: "unreachable",
+            fault: "endpoint",
+        },
         {
             title: "nobody can tell",
             canConnect: false,
--- a/packages/gateway/tests/relay.test.ts
+++ b/packages/gateway/tests/relay.test.ts
@@ -52,7 +52,8 @@
         this.relays = new RelayServer({
             client: new EndpointClient(wire, this.listener),
             links: newLinks(this.state !== "stranded"),
-            getUsableEndpoint: () => this.state === "not-usable" ? undefined : endpoint,
+            getUsableEndpoint: ({ service }) =>
+                this.state === "not-usable" || service !== endpoint.service ? undefined : endpoint,
             isStopping: () => this.state === "stopping",
             logger,
         });
@@ -170,23 +171,44 @@
         status?: number;
         body?: string;
         isComplete?: boolean;
+        framing?: string;
     }[] = [
         {
             title: "with a length",
+            framing: "length",
             respond: (_, response) => response.setHeader("Content-Length", 3).end("abc"),
             body: "abc",
         },
-        { title: "in chunks", respond: (_, response) => response.end(BODY), body: BODY },
+        {
+            title: "in chunks",
+            respond: (_, response) => {
+                response.write(BODY);
+                response.end();
+            },
+            body: BODY,
+        },
         {
             title: "that ends with its connection",
+            framing: "connection",
             respond: (_, response) => {
                 response.useChunkedEncodingByDefault = false;
                 response.writeHead(200).end("abc");
             },
             body: "abc",
         },
-        { title: "that is a refusal", respond: (_, response) => response.writeHead(503).end(), status: 503, body: "" },
-        { title: "without a body", respond: (_, response) => response.writeHead(204).end(), status: 204, body: "" },
+        {
+            title: "that is a refusal",
+            respond: (_, response) => response.writeHead(503).end(),
+            status: 503,
+            body: "",
+        },
+        {
+            title: "without a body",
+            framing: "none",
+            respond: (_, response) => response.writeHead(204).end(),
+            status: 204,
+            body: "",
+        },
         {
             title: "that breaks off",
             respond: (_, response) => {
@@ -197,16 +219,21 @@
             isComplete: false,
         },
     ];
-    it.each(responses)("gets a response $title", async ({ respond: answer, status = 200, body, isComplete = true }) => {
-        respond = answer;
-        const sender = await newSender(["sound"]);
-        const response = (await sender.send(newRequest()))._unsafeUnwrap();
-        expect(response.status).toBe(status);
-        expect(await readBody(response.incoming)).toBe(body);
-        expect(response.endObserver.isComplete).toBe(isComplete);
-        expect(received).toMatchObject([{ method: "PUT", url: "/a/b?c=d", body: "the body" }]);
-        expect(received[0]?.headers).toMatchObject({ "request-id": "r1", deadline: "900", "content-length": "8" });
-    });
+    it.each(responses)(
+        "gets a response $title",
+        async ({ respond: answer, status = 200, body, isComplete = true, framing = "chunked" }) => {
+            respond = answer;
+            const sender = await newSender(["sound"]);
+            const response = (await sender.send(newRequest()))._unsafeUnwrap();
+            expect(response.status).toBe(status);
+            expect(await readBody(response.incoming)).toBe(body);
+            expect(response.endObserver.isComplete).toBe(isComplete);
+            // An empty response that ends with its connection may have been cut off, and must not look like another one.
+            expect(response.endObserver.responseEnd.framing).toBe(framing);
+            expect(received).toMatchObject([{ method: "PUT", url: "/a/b?c=d", body: "the body" }]);
+            expect(received[0]?.headers).toMatchObject({ "request-id": "r1", deadline: "900", "content-length": "8" });
+        },
+    );
 
     const ways: { title: string; states: PeerState[]; isSent: boolean; }[] = [
         { title: "an instance that relays", states: ["sound"], isSent: true },
@@ -226,6 +253,28 @@
         expect(received).toHaveLength(isSent ? 1 : 0);
     });
 
+    it("is given up when the other instance's connection closes without a response", async () => {
+        const server = http.createServer();
+        server.on("connection", socket =>
+            socket.on("data", () => {
+                socket.write("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n");
+                socket.on("error", () => undefined);
+            }));
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const { port } = server.address() as AddressInfo;
+        const entry = { ...new Peer("p", "sound").getEntry(), rpcPort: port };
+        const outcome = await new RelayClient("self").send(entry, newRequest(), []);
+        expect(outcome.kind).toBe("lost");
+        server.closeAllConnections();
+        server.close();
+    });
+
+    it("is sent as what the asking instance takes the endpoint for", async () => {
+        const sender = await newSender(["sound"]);
+        await sender.send(newRequest({ endpoint: newTestEndpoint({ ...endpoint, service: "other" }) }));
+        expect(received).toEqual([]);
+    });
+
     it("is not sent through the next instance if it may have run", async () => {
         respond = (_, response) => response.destroy();
         const sender = await newSender(["sound", "sound"]);
