Log each failed attempt to reach the coordinator, and how long it took to reply in the end

The log had one line when an instance lost its coordinator and none until it had it back, so that it could not be told why an instance stayed without its coordinator for tens of seconds: whether requests had a connection, an old or a new one, or whether the coordinator was slow. Now failed attempts are logged with their cause (the first eight in a row, then one in ten), a timeout says whether the connection was a new one, and the line on the regained coordinator has the time that the reply took, the time without the coordinator and the number of failed attempts.

Test: two cases of coordinatorLink.test.ts (red before: no such lines) bound the number of lines.

--- a/packages/fleet/src/coordinatorLink.ts
+++ b/packages/fleet/src/coordinatorLink.ts
@@ -16,6 +16,9 @@
 const FIRST_SYNC_COST_MS = 2;
 /** One in this many sync requests reports all places in use. */
 const SYNCS_PER_FULL_REPORT = 4;
+/** Failed attempts in a row that are logged, one by one; of those after them, one in so many is. */
+const MAX_LOGGED_ATTEMPTS = 8;
+const LOGGED_ATTEMPT_INTERVAL = 10;
 /** Consecutive refused connections after which the coordinator's process counts as ended. */
 const REFUSALS_FOR_ENDED_PROCESS = 2;
 
@@ -57,6 +60,8 @@
     private disconnectController = newDisconnectController();
     private generation = 0;
     private lastReplyAt: Timestamp | undefined;
+    private disconnectedAt = newTimestamp();
+    private failedAttempts = 0;
 
     /**
      * @param role - Whether it follows the coordinator or the deputy of its data centre; names the events in the log.
@@ -175,7 +180,7 @@
                 consecutiveRefusals = 0;
                 backoffFactor = 1;
                 this.lastReplyAt = sentAt;
-                this.markConnected();
+                this.markConnected(getElapsedMs(sentAt));
                 this.deps.onSyncReply(reply.value, getElapsedMs(sentAt));
                 continue;
             }
@@ -183,7 +188,7 @@
                 this.follow(reply.value.coordinator, reply.value.epoch);
                 return;
             }
-            this.markDisconnected(reply.isErr() ? reply.error.toString() : "it is not the coordinator");
+            this.recordFailure(reply.isErr() ? reply.error.toString() : "it is not the coordinator");
             if (reply.isOk()) {
                 this.target = undefined;
                 this.deps.onStepDown();
@@ -199,19 +204,42 @@
         }
     }
 
-    private markConnected(): void {
+    private markConnected(replyMs: number): void {
         if (!this.isConnected) {
             this.isConnected = true;
             this.disconnectController = newDisconnectController();
             const { member, epoch } = this.target ?? {};
-            this.logger.info({ event: `${this.role}-regained`, [this.role]: member?.instanceId, epoch });
+            this.logger.info({
+                event: `${this.role}-regained`,
+                [this.role]: member?.instanceId,
+                epoch,
+                replyMs: Math.round(replyMs),
+                disconnectedMs: Math.round(getElapsedMs(this.disconnectedAt)),
+                failedAttempts: this.failedAttempts,
+            });
+            this.failedAttempts = 0;
             this.deps.onConnectionChange(true, "");
         }
     }
 
+    /** Logs failed attempts to reach the coordinator, fewer of them once there have been many. */
+    private recordFailure(reason: string): void {
+        const wasConnected = this.isConnected;
+        this.markDisconnected(reason);
+        this.failedAttempts += 1;
+        const isLogged = this.failedAttempts <= MAX_LOGGED_ATTEMPTS ||
+            this.failedAttempts % LOGGED_ATTEMPT_INTERVAL === 0;
+        if (!wasConnected && isLogged) {
+            const { member } = this.target ?? {};
+            const attempt = this.failedAttempts;
+            this.logger.info({ event: `${this.role}-unreached`, [this.role]: member?.instanceId, attempt, reason });
+        }
+    }
+
     private markDisconnected(reason: string): void {
         if (this.isConnected) {
             this.isConnected = false;
+            this.disconnectedAt = newTimestamp();
             this.logger.info({ event: `${this.role}-lost`, [this.role]: this.target?.member.instanceId, reason });
             this.disconnectController.abort();
             this.deps.onConnectionChange(false, reason);
--- a/packages/fleet/tests/coordinatorLink.test.ts
+++ b/packages/fleet/tests/coordinatorLink.test.ts
@@ -63,7 +63,7 @@
     };
 }
 
-function follow(rpc: RpcCaller, followerCount: number): CoordinatorLink[] {
+function follow(rpc: RpcCaller, followerCount: number, logger = newLogger("test", "fatal")): CoordinatorLink[] {
     return Array.from({ length: followerCount }, (_, index) => {
         const link = new CoordinatorLink("coordinator", METHODS.sync, rpc, {
             newSyncRequest: (_isFull, waitMs) => ({
@@ -79,7 +79,7 @@
             onConnectionChange: () => undefined,
             onProcessEnded: () => undefined,
             onStepDown: () => undefined,
-        }, newLogger("test", "fatal"));
+        }, logger);
         link.follow(COORDINATOR, 1);
         return link;
     });
@@ -142,4 +142,23 @@
         await vi.advanceTimersByTimeAsync(10_000);
         expect(rpc.requests).toBeLessThan(10);
     });
+
+    it.each([
+        { minutes: 0.2, minLines: 3, maxLines: 6 },
+        { minutes: 10, minLines: 9, maxLines: 25 },
+    ])("logs each attempt at first and some later while there is no reply for $minutes min", async (
+        { minutes, minLines, maxLines },
+    ) => {
+        const logger = newLogger("test", "fatal");
+        const log = vi.spyOn(logger, "info").mockReturnValue(undefined);
+        const [link] = follow(new BusyCoordinator(Infinity), 1, logger);
+        await vi.advanceTimersByTimeAsync(minutes * 60_000);
+        link?.stop("over");
+        await vi.advanceTimersByTimeAsync(10_000);
+        const reasons = log.mock.calls.map(([line]) => line as unknown as { event: string; reason: string; })
+            .filter(({ event }) => event === "coordinator-unreached").map(({ reason }) => reason);
+        expect(reasons.length).toBeGreaterThanOrEqual(minLines);
+        expect(reasons.length).toBeLessThanOrEqual(maxLines);
+        expect(new Set(reasons)).toEqual(new Set(["peer/lost: no reply"]));
+    });
 });
--- a/packages/store/src/httpCall.ts
+++ b/packages/store/src/httpCall.ts
@@ -56,7 +56,10 @@
             signal: call.signal,
             headers: call.headers,
         });
-        const timer = setTimeout(() => fail(new Error(`no response within ${call.timeoutMs} ms`)), call.timeoutMs);
+        const timer = setTimeout(() => {
+            const connection = connected && !request.reusedSocket ? " over a new connection" : "";
+            fail(new Error(`no response within ${call.timeoutMs} ms${connection}`));
+        }, call.timeoutMs);
         request.on("socket", socket => {
             if (socket.connecting) {
                 socket.once("connect", () => {
