Keep the connection to another instance when a call over it times out

What callers saw: an instance stayed without its coordinator for up to tens of seconds though both lived and reached each other: requests decided by deputies or alone, 503 for old configurations, second runners of jobs (a cause of LOST).

Cause: Node.js accepts one connection per iteration of the event loop. An instance with little processor time has iterations of 0.1 s and more under load, so it accepts some 10 to 80 connections a second. Each call that timed out closed its connection, and its successor opened a new one at the end of the queue of connections to be accepted. Closed ones stay in that queue, are accepted, and their requests are handled for nobody. Once the queue takes longer than a call's timeout, no call over a new connection is answered any more, and the retries keep it so.

Now the connection is kept for 5 s for a late reply, which is dropped, and serves later calls. A call that had no connection in time is still cancelled, as its caller is told that it was not sent.

Tests: peerRpc.test.ts (2 cases) and httpCall.test.ts (1 of 4 new cases; the other three guard what has to stay) were red before.

--- a/packages/agreement/src/peerRpc.ts
+++ b/packages/agreement/src/peerRpc.ts
@@ -24,6 +24,8 @@
 const ESTIMATED_HEADER_BYTES = 160;
 const MAX_SOCKETS_PER_PEER = 24;
 const MAX_BODY_BYTES = 4_000_000;
+/** How long a connection is kept for a reply that comes after the timeout of its call, in milliseconds. */
+const LATE_REPLY_MS = 5_000;
 
 /** Sends RPCs to other instances as JSON-RPC 2.0 over HTTP. */
 export class RpcPeerTransport implements PeerTransport {
@@ -80,6 +82,9 @@
                 method: "POST",
                 body,
                 timeoutMs,
+                // A busy peer accepts one connection per iteration of its event loop. New connections in place of those
+                // that are closed at each timeout would queue there behind closed ones.
+                lateResponseMs: LATE_REPLY_MS,
                 agent: this.agent,
                 headers: { "content-type": "application/json", "x-peer-secret": this.secret },
             });
--- a/packages/store/src/httpCall.ts
+++ b/packages/store/src/httpCall.ts
@@ -12,6 +12,11 @@
     readonly headers?: http.OutgoingHttpHeaders;
     readonly body?: string | Buffer;
     readonly timeoutMs: number;
+    /**
+     * How long the connection is kept for a late response after the timeout, which is dropped, so that later calls can use
+     * the connection; by default it is closed at once.
+     */
+    readonly lateResponseMs?: number;
     readonly agent?: http.Agent;
     readonly signal?: AbortSignal;
 }
@@ -44,22 +49,38 @@
 export function callHttp(call: HttpCall): Promise<Result<HttpReply, HttpFailure>> {
     return new Promise(resolve => {
         let connected = false;
-        const fail = (error: NodeJS.ErrnoException) => {
-            clearTimeout(timer);
-            request.destroy();
+        let lateTimer: NodeJS.Timeout | undefined;
+        const resolveFailed = (error: NodeJS.ErrnoException) => {
             const kind = error.code === "ECONNREFUSED" ? "refused" : connected ? "lost" : "unsent";
             resolve(err({ kind, message: error.code ?? error.message }));
         };
+        const clearTimers = () => {
+            clearTimeout(timer);
+            clearTimeout(lateTimer);
+        };
+        const fail = (error: NodeJS.ErrnoException) => {
+            clearTimers();
+            request.destroy();
+            resolveFailed(error);
+        };
+        const onTimeout = () => {
+            const connection = connected && !request.reusedSocket ? " over a new connection" : "";
+            const error = new Error(`no response within ${call.timeoutMs} ms${connection}`);
+            // A request without a connection must not be sent later, as the caller is told that it was not.
+            if (!connected || call.lateResponseMs === undefined) {
+                fail(error);
+                return;
+            }
+            resolveFailed(error);
+            lateTimer = setTimeout(() => request.destroy(), call.lateResponseMs);
+        };
         const request = http.request(call.url, {
             method: call.method,
             agent: call.agent,
             signal: call.signal,
             headers: call.headers,
         });
-        const timer = setTimeout(() => {
-            const connection = connected && !request.reusedSocket ? " over a new connection" : "";
-            fail(new Error(`no response within ${call.timeoutMs} ms${connection}`));
-        }, call.timeoutMs);
+        const timer = setTimeout(onTimeout, call.timeoutMs);
         request.on("socket", socket => {
             if (socket.connecting) {
                 socket.once("connect", () => {
@@ -85,7 +106,7 @@
             });
             response.on("error", fail);
             response.on("end", () => {
-                clearTimeout(timer);
+                clearTimers();
                 if (!endObserver.isComplete) {
                     fail(new Error("the response ended early"));
                     return;
