Give heartbeats to the coordinator connections that other calls can't hold up

Heartbeats shared 24 connections per peer with all other calls, among them reads of results that wait. Now syncs with the coordinator and the deputy have connections of their own.

Tests: two cases of peerRpc.test.ts (100 calls under way, 100 calls that have timed out) were red before.

--- a/packages/agreement/src/peerRpc.test.ts
+++ b/packages/agreement/src/peerRpc.test.ts
@@ -17,7 +17,7 @@
 beforeEach(async () => {
     connections = 0;
     server = new RpcPeerServer("");
-    transport = new RpcPeerTransport(() => undefined, "");
+    transport = new RpcPeerTransport(() => undefined, "", ["heartbeat"]);
     const serverPort = await server.listen(HOST, 0);
     counter = net.createServer(client => {
         connections += 1;
@@ -52,3 +52,22 @@
         expect(connections).toBe(1);
     });
 });
+
+describe("heartbeats to a peer", () => {
+    it.each([
+        { others: "that are under way", timeoutMs: 2_000 },
+        { others: "that have timed out", timeoutMs: CALL_TIMEOUT_MS },
+    ])("wait for no other calls, $others", async ({ timeoutMs }) => {
+        server.addMethod("hang", () => sleep(1_000));
+        server.addMethod("heartbeat", () => "reply");
+        const hangingCalls = Array.from(
+            { length: 100 },
+            () => transport.callAddress(HOST, port, "hang", {}, timeoutMs),
+        );
+        await sleep(2 * CALL_TIMEOUT_MS);
+        const reply = await transport.callAddress(HOST, port, "heartbeat", {}, 300);
+        expect(reply._unsafeUnwrap()).toBe("reply");
+        server.close();
+        await Promise.all(hangingCalls);
+    });
+});
--- a/packages/agreement/src/peerRpc.ts
+++ b/packages/agreement/src/peerRpc.ts
@@ -23,6 +23,8 @@
 
 const ESTIMATED_HEADER_BYTES = 160;
 const MAX_SOCKETS_PER_PEER = 24;
+/** One for each call that has timed out but is kept for a late reply, and one for the next. */
+const MAX_HEARTBEAT_SOCKETS_PER_PEER = 8;
 const MAX_BODY_BYTES = 4_000_000;
 /** How long a connection is kept for a reply that comes after the timeout of its call, in milliseconds. */
 const LATE_REPLY_MS = 5_000;
@@ -31,14 +33,17 @@
 export class RpcPeerTransport implements PeerTransport {
     readonly traffic: PeerTraffic = { messagesSent: 0, bytesSent: 0, bytesReceived: 0 };
     private readonly agent = new http.Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_PEER });
+    private readonly heartbeatAgent = new http.Agent({ keepAlive: true, maxSockets: MAX_HEARTBEAT_SOCKETS_PER_PEER });
 
     /**
      * @param resolveAddress - Returns the address of a peer, or `undefined` when it is not known.
      * @param secret - Secret that all instances share; sent with each call.
+     * @param heartbeatMethods - Methods that have connections of their own, so that calls of them wait for no others.
      */
     constructor(
         private readonly resolveAddress: (peerId: string) => PeerAddress | undefined,
         private readonly secret: string,
+        private readonly heartbeatMethods: readonly string[] = [],
     ) {}
 
     async call<Reply>(
@@ -85,7 +90,7 @@
                 // A busy peer accepts one connection per iteration of its event loop. New connections in place of those
                 // that are closed at each timeout would queue there behind closed ones.
                 lateResponseMs: LATE_REPLY_MS,
-                agent: this.agent,
+                agent: this.heartbeatMethods.includes(method) ? this.heartbeatAgent : this.agent,
                 headers: { "content-type": "application/json", "x-peer-secret": this.secret },
             });
             if (reply.isErr()) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -97,7 +97,7 @@
         this.self = { instanceId, incarnation: newId(), host, rpcPort: peers.port, dataCentre, processorShare };
         this.registration = new MemberRegistration(store, this.self, () => this.isStopping, logger);
         this.admission = new Admission(view, settings.revokeMs);
-        this.rpc = new RpcPeerTransport(() => undefined, "");
+        this.rpc = new RpcPeerTransport(() => undefined, "", [METHODS.sync, METHODS.deputySync]);
         this.retirement = new RetirementAcknowledger(schema, deps.putStatus, logger);
         this.feed = new StateFeed(
             store,
