Retry a sync over the connection that the late reply frees

What callers saw: requests decided by deputies or alone for 1.3 to 2 s after each moment in which the coordinator replied late. Cause: 90 ms after a sync without a reply in time, the next one was sent. The late reply, which frees the old connection, mostly came a little later, so that the retry went over a new connection, which a busy coordinator accepts late, and was lost, too. Now the retry is sent as soon as the late reply comes, and without one after 450 ms. A request over a connection that has broken is still repeated after 90 ms.

The time without the coordinator in the log no longer counts the time in which the instance itself was the coordinator.

Tests: the case of coordinatorLink.test.ts with a reply after 1000 ms was red before (the other two guard what has to stay); peerRpc.test.ts: two cases for the call of onLateReply (new).

--- a/packages/agreement/src/peerRpc.test.ts
+++ b/packages/agreement/src/peerRpc.test.ts
@@ -53,6 +53,19 @@
     });
 });
 
+describe("the caller of a peer", () => {
+    it.each([
+        { reply: "late", replyAfterMs: LATE_REPLY_AFTER_MS, lateReplies: 1 },
+        { reply: "in time", replyAfterMs: 0, lateReplies: 0 },
+    ])("is told once that a reply has come late, if it is $reply", async ({ replyAfterMs, lateReplies }) => {
+        server.addMethod("call", () => sleep(replyAfterMs));
+        let calls = 0;
+        await transport.callAddress(HOST, port, "call", {}, CALL_TIMEOUT_MS, () => calls += 1);
+        await sleep(2 * LATE_REPLY_AFTER_MS);
+        expect(calls).toBe(lateReplies);
+    });
+});
+
 describe("heartbeats to a peer", () => {
     it.each([
         { others: "that are under way", timeoutMs: 2_000 },
--- a/packages/agreement/src/peerRpc.ts
+++ b/packages/agreement/src/peerRpc.ts
@@ -67,6 +67,7 @@
      * @param method - JSON-RPC method.
      * @param params - Parameters.
      * @param timeoutMs - Timeout in milliseconds.
+     * @param onLateReply - Called when the reply comes after the timeout; its connection is free for another call then.
      * @returns The reply.
      */
     async callAddress<Reply>(
@@ -75,6 +76,7 @@
         method: string,
         params: object,
         timeoutMs: number,
+        onLateReply?: () => void,
     ): Promise<Result<Reply, PeerError>> {
         let failure: PeerError | undefined;
         const client: JSONRPCClient = new JSONRPCClient(async payload => {
@@ -90,6 +92,7 @@
                 // A busy peer accepts one connection per iteration of its event loop. New connections in place of those
                 // that are closed at each timeout would queue there behind closed ones.
                 lateResponseMs: LATE_REPLY_MS,
+                onLateResponse: onLateReply,
                 agent: this.heartbeatMethods.includes(method) ? this.heartbeatAgent : this.agent,
                 headers: { "content-type": "application/json", "x-peer-secret": this.secret },
             });
--- a/packages/fleet/src/coordinatorLink.ts
+++ b/packages/fleet/src/coordinatorLink.ts
@@ -10,6 +10,11 @@
 /** Without a reply for this long beyond the long poll, the coordinator counts as unreachable, in milliseconds. */
 const REPLY_TIMEOUT_MS = 450;
 const RETRY_MS = 90;
+/**
+ * After the first sync without a reply, this much time for a late one, in milliseconds. The next sync then uses the same
+ * connection; a busy coordinator takes longer to accept a new one than to reply over one that it has accepted.
+ */
+const LATE_REPLY_WAIT_MS = 450;
 /** Each failed sync doubles the timeout and the pause before the next one, up to this factor. */
 const MAX_BACKOFF_FACTOR = 8;
 /** CPU time of a coordinator for one first sync; those of all instances are spread over that much time for each. */
@@ -30,6 +35,7 @@
      * @param method - RPC method.
      * @param params - Parameters of the method.
      * @param timeoutMs - Time limit of the call.
+     * @param onLateReply - Called when the reply comes after the time limit.
      * @returns The reply, or why there is none.
      */
     callAddress<Reply>(
@@ -38,6 +44,7 @@
         method: string,
         params: object,
         timeoutMs: number,
+        onLateReply?: () => void,
     ): Promise<Result<Reply, PeerError>>;
 }
 
@@ -60,7 +67,8 @@
     private disconnectController = newDisconnectController();
     private generation = 0;
     private lastReplyAt: Timestamp | undefined;
-    private disconnectedAt = newTimestamp();
+    /** Since when it has been without the coordinator; `undefined` while it is connected or follows none. */
+    private disconnectedAt: Timestamp | undefined;
     private failedAttempts = 0;
 
     /**
@@ -113,6 +121,8 @@
         }
         this.markDisconnected("another coordinator took over");
         this.target = { member, epoch };
+        this.failedAttempts = 0;
+        this.disconnectedAt ??= newTimestamp();
         this.generation += 1;
         void this.syncLoop(this.generation);
     }
@@ -126,6 +136,7 @@
         this.generation += 1;
         this.markDisconnected(reason);
         this.target = undefined;
+        this.disconnectedAt = undefined;
     }
 
     /**
@@ -165,6 +176,7 @@
             syncCount += 1;
             const waitMs = this.isConnected ? getLongPollMs(this.deps.getFollowerCount()) : 0;
             const sentAt = newTimestamp();
+            const late = new AbortController();
             const request = this.deps.newSyncRequest(report, waitMs);
             const reply = await this.rpc.callAddress<SyncReply>(
                 member.host,
@@ -172,6 +184,7 @@
                 this.syncMethod,
                 request,
                 waitMs + REPLY_TIMEOUT_MS * backoffFactor,
+                () => late.abort(),
             );
             if (generation !== this.generation) {
                 return;
@@ -198,7 +211,7 @@
             if (consecutiveRefusals >= REFUSALS_FOR_ENDED_PROCESS && isConnectionRefused(reply.error)) {
                 this.deps.onProcessEnded(member.incarnation);
             }
-            await sleep(backoffFactor === 1 ? RETRY_MS : withJitter(RETRY_MS * backoffFactor));
+            await sleep(getRetryDelayMs(reply.error, backoffFactor), late.signal);
             // An overloaded coordinator replies late; tries that are given up too soon would keep it overloaded.
             backoffFactor = Math.min(MAX_BACKOFF_FACTOR, 2 * backoffFactor);
         }
@@ -214,10 +227,11 @@
                 [this.role]: member?.instanceId,
                 epoch,
                 replyMs: Math.round(replyMs),
-                disconnectedMs: Math.round(getElapsedMs(this.disconnectedAt)),
+                disconnectedMs: Math.round(this.disconnectedAt === undefined ? 0 : getElapsedMs(this.disconnectedAt)),
                 failedAttempts: this.failedAttempts,
             });
             this.failedAttempts = 0;
+            this.disconnectedAt = undefined;
             this.deps.onConnectionChange(true, "");
         }
     }
@@ -247,6 +261,14 @@
     }
 }
 
+/** How long to wait after a failed sync; a late reply ends the wait. */
+function getRetryDelayMs(error: PeerError, backoffFactor: number): number {
+    if (backoffFactor === 1) {
+        return isTimeout(error) ? LATE_REPLY_WAIT_MS : RETRY_MS;
+    }
+    return withJitter(RETRY_MS * backoffFactor);
+}
+
 /** Each waiting place request adds a listener, so their number has no limit. */
 function newDisconnectController(): AbortController {
     const controller = new AbortController();
@@ -254,6 +276,11 @@
     return controller;
 }
 
+/** Whether the request was sent, over a connection that is still open, and no reply came in time. */
+function isTimeout(error: PeerError): boolean {
+    return error.kind === "lost" && error.message.includes("no response within");
+}
+
 /** Whether no process listens on the coordinator's port any more, as opposed to a call without a reply. */
 function isConnectionRefused(error: PeerError): boolean {
     return error.message.includes("ECONNREFUSED");
--- a/packages/fleet/tests/coordinatorLink.test.ts
+++ b/packages/fleet/tests/coordinatorLink.test.ts
@@ -1,5 +1,5 @@
 import { PeerError } from "@heatherline/agreement";
-import { newLogger } from "@heatherline/common";
+import { newLogger, sleep } from "@heatherline/common";
 import { err, ok, type Result } from "neverthrow";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { CoordinatorLink, type MemberEntry, METHODS, type RpcCaller, type SyncReply, type SyncRequest } from "../src";
@@ -48,6 +48,47 @@
     }
 }
 
+/** A coordinator that replies over its one old connection only, once of them late. */
+class UnacceptingCoordinator implements RpcCaller {
+    /** When the late reply comes. */
+    lateReplyAtMs = Infinity;
+    private nextDelayMs = 0;
+    private isOldConnectionInUse = false;
+
+    delayNextReply(delayMs: number): void {
+        this.nextDelayMs = delayMs;
+    }
+
+    async callAddress<Reply>(
+        _address: string,
+        _port: number,
+        _method: string,
+        params: object,
+        timeoutMs: number,
+        onLateReply?: () => void,
+    ): Promise<Result<Reply, PeerError>> {
+        const timeout = new PeerError("lost", `no response within ${timeoutMs} ms`);
+        if (this.isOldConnectionInUse) {
+            await sleep(timeoutMs);
+            return err(timeout);
+        }
+        const replyAfterMs = this.nextDelayMs === 0 ? (params as SyncRequest).waitMs : this.nextDelayMs;
+        this.nextDelayMs = 0;
+        if (replyAfterMs <= timeoutMs) {
+            await sleep(replyAfterMs);
+            return ok(newReply() as Reply);
+        }
+        this.isOldConnectionInUse = true;
+        this.lateReplyAtMs = performance.now() + replyAfterMs;
+        setTimeout(() => {
+            this.isOldConnectionInUse = false;
+            onLateReply?.();
+        }, replyAfterMs);
+        await sleep(timeoutMs);
+        return err(timeout);
+    }
+}
+
 function newReply(): SyncReply {
     return {
         kind: "news",
@@ -161,4 +202,25 @@
         expect(reasons.length).toBeLessThanOrEqual(maxLines);
         expect(new Set(reasons)).toEqual(new Set(["peer/lost: no reply"]));
     });
+
+    it.each([
+        { replyAfterMs: 750, regainedWithinMs: 100 },
+        { replyAfterMs: 1_000, regainedWithinMs: 100 },
+        { replyAfterMs: 1_700, regainedWithinMs: 1_300 },
+    ])("regains a coordinator that replies after $replyAfterMs ms and accepts no new connection", async (
+        { replyAfterMs, regainedWithinMs },
+    ) => {
+        const rpc = new UnacceptingCoordinator();
+        const [link] = follow(rpc, 1);
+        await vi.advanceTimersByTimeAsync(2_000);
+        expect(link?.coordinator).toBeDefined();
+        rpc.delayNextReply(replyAfterMs);
+        while (link?.coordinator !== undefined) {
+            await vi.advanceTimersByTimeAsync(10);
+        }
+        await vi.advanceTimersByTimeAsync(rpc.lateReplyAtMs - performance.now() + regainedWithinMs);
+        expect(link?.coordinator).toBeDefined();
+        link?.stop("over");
+        await vi.advanceTimersByTimeAsync(10_000);
+    });
 });
--- a/packages/store/src/httpCall.ts
+++ b/packages/store/src/httpCall.ts
@@ -17,6 +17,8 @@
      * the connection; by default it is closed at once.
      */
     readonly lateResponseMs?: number;
+    /** Called when a response comes late, so that its connection is free again. */
+    readonly onLateResponse?: (() => void) | undefined;
     readonly agent?: http.Agent;
     readonly signal?: AbortSignal;
 }
@@ -107,6 +109,10 @@
             response.on("error", fail);
             response.on("end", () => {
                 clearTimers();
+                if (lateTimer !== undefined) {
+                    call.onLateResponse?.();
+                    return;
+                }
                 if (!endObserver.isComplete) {
                     fail(new Error("the response ended early"));
                     return;
