--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -93,6 +93,7 @@
     /** When its process started, in milliseconds since the epoch. */
     startedAt = Date.now();
     private silentUntilMs = 0;
+    private restartTimer: NodeJS.Timeout | undefined;
     private readonly server = http.createServer((request, response) => void this.handle(request, response));
 
     /**
@@ -189,7 +190,8 @@
         this.crashes += 1;
         this.server.close();
         this.server.closeAllConnections();
-        setTimeout(() => this.server.listen(this.port, "127.0.0.1"), RESTART_MS);
+        clearTimeout(this.restartTimer);
+        this.restartTimer = setTimeout(() => this.server.listen(this.port, "127.0.0.1"), RESTART_MS);
     }
 
     private shouldSimulateFault(requestId: string, body: string): boolean {
