--- a/packages/gateway/src/loopDelayMonitor.ts
+++ b/packages/gateway/src/loopDelayMonitor.ts
@@ -11,7 +11,7 @@
     private startedAtMs = 0;
     private averageMs = 0;
 
-    /** Moving average of the delay, in milliseconds; 0 while nothing is measured. */
+    /** Moving average of the delay, in milliseconds; 0 while it is stopped. */
     get delayMs(): number {
         return this.timer === undefined ? 0 : this.averageMs;
     }
