Review: results that wait through an outage of the store are never listed

Claim (LOST): results of a batch job that collect while the store is down are written as one object that may exceed valueBytes, since characters are counted instead of bytes; the write is repeated without end and nothing of the job is listed any more.

--- /dev/null
+++ b/review/common/replica.mjs
@@ -0,0 +1,94 @@
+// Stand-in for a model replica (PROTOCOL.md, "Replicas"): runs requests for tokens as streams of events, `slots` at
+// once, and writes itself into the store.
+import http from "node:http";
+
+const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
+
+export class Replica {
+    /**
+     * @param options - `newEvents(request)` returns the data of a request's events; `gapMs` is the time between two.
+     */
+    constructor(id, { service, zone, slots = 8, gapMs = 3, newEvents, onRun = () => undefined }) {
+        Object.assign(this, { id, service, zone, slots, gapMs, newEvents, onRun });
+        this.running = 0;
+        this.born = Date.now();
+        this.sequence = 0;
+        this.isDown = false;
+        this.sockets = new Set();
+        this.server = http.createServer((request, response) => void this.handle(request, response));
+        this.server.on("connection", socket => {
+            this.sockets.add(socket);
+            socket.on("close", () => this.sockets.delete(socket));
+        });
+    }
+
+    async start(store, heartbeatMs) {
+        await new Promise(resolve => this.server.listen(0, "127.0.0.1", resolve));
+        this.port = this.server.address().port;
+        this.store = store;
+        this.register();
+        this.timer = setInterval(() => this.register(), heartbeatMs);
+    }
+
+    register() {
+        if (this.isDown || this.store.mode !== "up") {
+            return;
+        }
+        const { id, service, zone, slots, port, born } = this;
+        const address = `127.0.0.1:${port}`;
+        const entry = { service, address, zone, version: "v1", slots, state: "ready", warmupLeftMs: 0, sequence: 1 };
+        this.store.write("servers", id, { ...entry, born });
+    }
+
+    stop() {
+        clearInterval(this.timer);
+        this.server.closeAllConnections();
+        this.server.close();
+    }
+
+    async handle(request, response) {
+        response.on("error", () => undefined);
+        const chunks = [];
+        try {
+            for await (const chunk of request) {
+                chunks.push(chunk);
+            }
+        }
+        catch {
+            return;
+        }
+        const requestId = request.headers["request-id"] ?? "";
+        const target = request.headers["target-instance"];
+        if (target !== undefined && target !== this.id) {
+            response.writeHead(421, { "Instance-Id": this.id, "Request-Id": requestId }).end();
+            return;
+        }
+        if (this.running >= this.slots) {
+            response.writeHead(503, { "Not-Executed": "1", "Request-Id": requestId }).end();
+            return;
+        }
+        this.running += 1;
+        const body = Buffer.concat(chunks);
+        const run = { requestId, path: request.url, body, headers: request.headers, atMs: Date.now(), events: 0 };
+        this.onRun(this, run);
+        response.on("close", () => {
+            this.running -= 1;
+        });
+        const events = this.newEvents(run);
+        const first = Number(request.headers["last-event-id"] ?? -1) + 1;
+        response.writeHead(200, {
+            "Content-Type": "text/event-stream",
+            "Request-Id": requestId,
+            "Response-Signature": `sig.${requestId}`,
+            "Weight-Versions": "1",
+        });
+        const startedAtMs = performance.now();
+        for (let id = first; id < events.length && !response.destroyed; id += 1) {
+            response.write(`id: ${id}\ndata: ${events[id]}\n\n`);
+            run.events += 1;
+            await sleep(Math.max(0, startedAtMs + (id - first + 1) * this.gapMs - performance.now()));
+        }
+        run.isWhole = !response.destroyed;
+        response.end();
+    }
+}
