Review: gateways run out of memory some seconds after a burst of batch jobs

Claim (LOST): the bodies of finished jobs stay in memory, uncounted, until the heap limit of the deploy file is reached; the process then ends by itself and lookups that it had passed on get no answer.

--- a/review/common/replica.mjs
+++ b/review/common/replica.mjs
@@ -1,15 +1,19 @@
-// Stand-in for a model replica (PROTOCOL.md, "Replicas"): runs requests for tokens as streams of events, `slots` at
-// once, and writes itself into the store.
+// Stand-in for a replica (PROTOCOL.md, "Replicas"): runs `slots` requests at once, those for tokens as streams of events,
+// and writes itself into the store.
 import http from "node:http";
 
+/** The 800 bytes that the sheet has for an answer without tokens. */
+const PLAIN_ANSWER = "x".repeat(800);
+
 const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 
 export class Replica {
     /**
-     * @param options - `newEvents(request)` returns the data of a request's events; `gapMs` is the time between two.
+     * @param options - `newEvents(request)` returns the data of a request's events, `gapMs` is the time between two;
+     * without `newEvents`, an answer takes `workMs`.
      */
-    constructor(id, { service, zone, slots = 8, gapMs = 3, newEvents, onRun = () => undefined }) {
-        Object.assign(this, { id, service, zone, slots, gapMs, newEvents, onRun });
+    constructor(id, { service, zone, slots = 8, gapMs = 3, workMs = 40, newEvents, onRun = () => undefined }) {
+        Object.assign(this, { id, service, zone, slots, gapMs, workMs, newEvents, onRun });
         this.running = 0;
         this.born = Date.now();
         this.sequence = 0;
@@ -74,6 +78,12 @@
         response.on("close", () => {
             this.running -= 1;
         });
+        if (this.newEvents === undefined) {
+            await sleep(this.workMs);
+            const answer = { "Content-Length": PLAIN_ANSWER.length, "Response-Signature": `sig.${requestId}` };
+            response.writeHead(200, { "Request-Id": requestId, ...answer }).end(PLAIN_ANSWER);
+            return;
+        }
         const events = this.newEvents(run);
         const first = Number(request.headers["last-event-id"] ?? -1) + 1;
         response.writeHead(200, {
