Review: items of a service without replicas keep those of other services from running

Claim (LOST): accepted items whose replicas are sound and idle never reach one, because items of another service that has lost its only replica hold all turns of a gateway's placement queue.

--- a/review/common/jobs.mjs
+++ b/review/common/jobs.mjs
@@ -43,15 +43,15 @@
     return `${process.pid.toString(16).padStart(8, "0")}${count.toString(16).padStart(8, "0")}`;
 }
 
-export function newJob(itemCount, { bodyBytes = 300, tokens = 587 } = {}) {
+export function newJob(itemCount, { bodyBytes = 300, tokens = 587, prefix = "/pule252/" } = {}) {
     const jobId = newId();
     const items = Array.from({ length: itemCount }, () => {
         const id = newId();
         const headers = { Model: "m", "Token-Count": `350,${tokens - 350}`, "Prompt-Prefix": `9c2e41:100,${id}:250` };
         const body = Buffer.alloc(bodyBytes, `${id} `).toString("base64");
-        return { id, path: `/pule252/3/${id}`, headers, body, tokens };
+        return { id, path: `${prefix}3/${id}`, headers, body, tokens };
     });
-    return { jobId, items };
+    return { jobId, items, prefix };
 }
 
 function newHeaders(jobId, more = {}) {
@@ -59,7 +59,7 @@
 }
 
 /** Hands a job in, again after each answer that leaves it open, at another gateway each time. */
-export async function submit(gateways, { jobId, items }, { tries = 2, deadlineMs = 4_000 } = {}) {
+export async function submit(gateways, { jobId, items, prefix }, { tries = 2, deadlineMs = 4_000 } = {}) {
     const body = JSON.stringify({ items });
     const statuses = [];
     for (let index = 0; index < tries; index += 1) {
@@ -69,7 +69,7 @@
             "Content-Length": Buffer.byteLength(body),
             Deadline: String(deadlineMs),
         });
-        const reply = await call(port, { path: "/pule252/7c41e0", headers, body, timeoutMs: deadlineMs });
+        const reply = await call(port, { path: `${prefix}7c41e0`, headers, body, timeoutMs: deadlineMs });
         statuses.push(reply.status);
         if (reply.status === 202) {
             break;
@@ -83,7 +83,7 @@
 export async function readResults({ port }, jobId, after) {
     const headers = newHeaders(newId(), { "Poll-Wait": "1000" });
     const reply = await call(port, { method: "GET", path: `/-/lots/${jobId}?after=${after}`, headers });
-    return { status: reply.status, bytes: reply.body.length, page: reply.status === 200 ? JSON.parse(reply.body) : undefined };
+    return { status: reply.status, page: reply.status === 200 ? JSON.parse(reply.body) : undefined };
 }
 
 /** Reads a job's results at changing gateways until all are there or the time is over. */
--- a/review/common/replica.mjs
+++ b/review/common/replica.mjs
@@ -50,6 +50,13 @@
         this.server.close();
     }
 
+    /** Crashes for good: all channels end, nothing listens any more, and the entry is removed after some silence. */
+    crash(heartbeatMs) {
+        this.isDown = true;
+        this.stop();
+        setTimeout(() => this.store.remove("servers", this.id), 3 * heartbeatMs).unref();
+    }
+
     async handle(request, response) {
         response.on("error", () => undefined);
         const chunks = [];
