Review: streams of a replica that is silent for 1.3 s run at two replicas

Claim (TWICE): a resumable stream is sent to another replica 0.8 to 1.0 s after its last event, while the silent but sound replica works on it for more than 400 ms from then on.

--- a/review/common/replica.mjs
+++ b/review/common/replica.mjs
@@ -18,12 +18,19 @@
         this.born = Date.now();
         this.sequence = 0;
         this.isDown = false;
-        this.sockets = new Set();
+        this.silentUntilMs = 0;
         this.server = http.createServer((request, response) => void this.handle(request, response));
-        this.server.on("connection", socket => {
-            this.sockets.add(socket);
-            socket.on("close", () => this.sockets.delete(socket));
-        });
+    }
+
+    /** Reads and sends nothing for a while, and goes on then; what it runs goes on meanwhile. */
+    silence(durationMs) {
+        this.silentUntilMs = performance.now() + durationMs;
+    }
+
+    async waitWhileSilent() {
+        while (performance.now() < this.silentUntilMs) {
+            await sleep(Math.max(1, this.silentUntilMs - performance.now()));
+        }
     }
 
     async start(store, heartbeatMs) {
@@ -68,6 +75,10 @@
         catch {
             return;
         }
+        await this.waitWhileSilent();
+        if (response.destroyed) {
+            return;
+        }
         const requestId = request.headers["request-id"] ?? "";
         const target = request.headers["target-instance"];
         if (target !== undefined && target !== this.id) {
@@ -82,9 +93,12 @@
         const body = Buffer.concat(chunks);
         const run = { requestId, path: request.url, body, headers: request.headers, atMs: Date.now(), events: 0 };
         this.onRun(this, run);
-        response.on("close", () => {
-            this.running -= 1;
-        });
+        // While it is silent, it doesn't notice that a channel has been closed.
+        response.on("close", () =>
+            void this.waitWhileSilent().then(() => {
+                this.running -= 1;
+                run.endedAtMs = Date.now();
+            }));
         if (this.newEvents === undefined) {
             await sleep(this.workMs);
             const answer = { "Content-Length": PLAIN_ANSWER.length, "Response-Signature": `sig.${requestId}` };
@@ -100,11 +114,18 @@
             "Weight-Versions": "1",
         });
         const startedAtMs = performance.now();
-        for (let id = first; id < events.length && !response.destroyed; id += 1) {
-            response.write(`id: ${id}\ndata: ${events[id]}\n\n`);
+        let unsent = "";
+        for (let id = first; id < events.length && run.endedAtMs === undefined; id += 1) {
+            unsent += `id: ${id}\ndata: ${events[id]}\n\n`;
             run.events += 1;
+            if (performance.now() >= this.silentUntilMs) {
+                response.write(unsent);
+                unsent = "";
+            }
             await sleep(Math.max(0, startedAtMs + (id - first + 1) * this.gapMs - performance.now()));
         }
+        await this.waitWhileSilent();
+        response.write(unsent);
         run.isWhole = !response.destroyed;
         response.end();
     }
