--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -6,6 +6,7 @@
 export class CallerResponse {
     private wasStarted = false;
     private wasEnded = false;
+    private wasAborted = false;
 
     /**
      * @param response - The response to write to.
@@ -25,6 +26,11 @@
         return this.wasStarted;
     }
 
+    /** Whether the response was given up before it was complete. */
+    get isAborted(): boolean {
+        return this.wasAborted;
+    }
+
     /** Whether the response is complete or aborted. */
     get hasEnded(): boolean {
         return this.wasEnded || this.response.destroyed;
@@ -73,6 +79,7 @@
     /** Closes the connection, so that the caller can tell that the response is incomplete. */
     abort(): void {
         this.wasEnded = true;
+        this.wasAborted = true;
         this.response.destroy();
     }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -254,6 +254,7 @@
             }),
             isStopping: () => this.isStopping,
             startupGate: this.startupGate,
+            metrics,
             logger,
         });
         const onAnnouncement = ({ coordinator, epoch }: Announcement) => this.role.follow(coordinator, epoch);
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -5,6 +5,8 @@
 import type { BatchApi, BatchApiRequest } from "./batchApi";
 import { readCallerBody } from "./callerBody";
 import { CallerResponse } from "./callerResponse";
+import { findCutBy } from "./cutObserver";
+import type { GatewayMetrics } from "./metrics";
 import type { OnlineHandler, OnlineRequest } from "./onlineHandler";
 import { newRefusal, type Refusal } from "./refusal";
 import type { StartupGate } from "./startupGate";
@@ -41,6 +43,7 @@
     readonly batch: BatchApi;
     readonly isStopping: () => boolean;
     readonly startupGate: StartupGate;
+    readonly metrics: GatewayMetrics;
     readonly logger: Logger;
 }
 
@@ -49,6 +52,7 @@
     private readonly server: http.Server;
     private readonly idleConnections: IdleConnections;
     private readonly openRequests = new Set<OpenRequest>();
+    private configChangedAtMs = performance.now();
 
     /**
      * @param deps - What the server depends on.
@@ -70,6 +74,7 @@
         deps.view.onChange(part => {
             const limits = deps.view.routes?.config.limits;
             if (part === "config" && limits !== undefined) {
+                this.configChangedAtMs = performance.now();
                 // Node.js announces this time in each response.
                 this.server.keepAliveTimeout = limits.idleTimeoutMs;
                 this.idleConnections.setIdleTimeout(limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS);
@@ -160,6 +165,7 @@
             this.refuse(caller.requestId, response, newRefusal("body-too-large", detail));
             return;
         }
+        this.observeCut(serverResponse, response, caller.requestId, arrivedAtMs);
         const url = request.url ?? "/";
         const queryAt = url.indexOf("?");
         const path = queryAt < 0 ? url : url.slice(0, queryAt);
@@ -207,6 +213,31 @@
         await this.deps.online.handle(onlineRequest, admitted.value);
     }
 
+    /** Records that the connection of a request that has been read closes before the response is complete. */
+    private observeCut(
+        serverResponse: http.ServerResponse,
+        response: CallerResponse,
+        requestId: string | undefined,
+        arrivedAtMs: number,
+    ): void {
+        serverResponse.once("close", () => {
+            if (serverResponse.writableFinished) {
+                return;
+            }
+            const cutBy = findCutBy(serverResponse, response.isAborted);
+            this.deps.metrics.recordCut(cutBy);
+            this.deps.logger.info({
+                event: "request-cut",
+                requestId,
+                cutBy,
+                hasStarted: response.hasStarted,
+                durationMs: Math.round(performance.now() - arrivedAtMs),
+                sinceConfigMs: Math.round(performance.now() - this.configChangedAtMs),
+                isStopping: this.deps.isStopping(),
+            });
+        });
+    }
+
     private refuse(requestId: string | undefined, response: CallerResponse, refusal: Refusal): void {
         const { status, reason, detail } = refusal;
         this.deps.logger.info({ event: "request", requestId, outcome: "refused", status, reason, detail });
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,5 +1,6 @@
 import { getDroppedLineCount } from "@heatherline/common";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { CutBy } from "./cutObserver";
 
 const DURATION_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 300, 500, 1_000, 2_000, 5_000, 15_000];
 /** Negative errors: the wait was shorter than forecast. */
@@ -28,6 +29,7 @@
     private readonly forecastErrors: Histogram;
     private readonly items: Counter;
     private readonly relayedRequests: Counter;
+    private readonly cutRequests: Counter;
 
     /**
      * @param sources - Values that are read each time the metrics are collected.
@@ -71,6 +73,12 @@
             labelNames: ["outcome"],
             registers,
         });
+        this.cutRequests = new Counter({
+            name: "heatherline_requests_cut_total",
+            help: "Requests that were read and whose connection closed before the response was complete",
+            labelNames: ["by"],
+            registers,
+        });
         this.addGauges(sources);
     }
 
@@ -116,6 +124,15 @@
         this.relayedRequests.inc({ outcome });
     }
 
+    /**
+     * Records a request whose connection closed before the response was complete.
+     *
+     * @param cutBy - Who closed it.
+     */
+    recordCut(cutBy: CutBy): void {
+        this.cutRequests.inc({ by: cutBy });
+    }
+
     /** @returns All metrics in the Prometheus text format. */
     render(): Promise<string> {
         return this.registry.metrics();
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -36,6 +36,9 @@
 /** A request that crashes the endpoint does so as soon as the endpoint begins to respond. */
 const MAX_EVENTS_BEFORE_CRASH = 1;
 
+/** Why a request is given up. */
+type AbortReason = "caller-gone" | "timeout" | "stopping";
+
 /** An online request with its body read. */
 export interface OnlineRequest {
     readonly caller: CallerRequestHead;
@@ -98,6 +101,8 @@
     private placedAfterMs: number | undefined;
     /** How the latest response that was no stream ended, for the log. */
     private bodyEnd: ResponseEnd | undefined;
+    /** Why this instance aborted the latest attempt; `undefined` if it didn't. */
+    private abortedFor: AbortReason | "silence" | undefined;
     private lastEndpoint = "";
     private lastSoftwareVersion: string | undefined;
     private lastPlace: { readonly givenBy: string; readonly expectedWaitMs: number; } | undefined;
@@ -120,12 +125,12 @@
 
     async run(): Promise<void> {
         const { callerGone, giveUp } = this.request;
-        const onGone = () => this.abortController.abort("caller-gone");
-        const onGiveUp = () => this.abortController.abort("stopping");
+        const onGone = () => this.abort("caller-gone");
+        const onGiveUp = () => this.abort("stopping");
         callerGone.addEventListener("abort", onGone, { once: true });
         giveUp.addEventListener("abort", onGiveUp, { once: true });
         const timer = setTimeout(
-            () => this.abortController.abort("timeout"),
+            () => this.abort("timeout"),
             Math.max(0, this.deadlineAtMs - performance.now()),
         );
         try {
@@ -141,6 +146,10 @@
         }
     }
 
+    private abort(reason: AbortReason): void {
+        this.abortController.abort(reason);
+    }
+
     /** @returns The refusal to send, or `undefined` if an endpoint's response was delivered. */
     private async runAttempts(): Promise<Refusal | undefined> {
         for (;;) {
@@ -184,6 +193,7 @@
                 softwareVersion: this.lastSoftwareVersion,
                 end: outcome.end,
                 reason: outcome.reason,
+                abortedFor: this.abortedFor,
                 events: this.relay.eventCount,
                 ...this.relay.responseEnd ?? this.bodyEnd,
                 quietMs: Math.round(this.relay.quietMs),
@@ -328,6 +338,9 @@
         });
         const outcome = await this.deliver(response);
         stopWatching();
+        const { signal } = this.abortController;
+        const isSilent = attemptController.signal.reason === "silent";
+        this.abortedFor = isSilent ? "silence" : signal.aborted ? signal.reason as AbortReason : undefined;
         this.abortController.signal.removeEventListener("abort", onAbort);
         const firstResponseMs = this.firstResponseAtMs === undefined ? undefined : this.firstResponseAtMs - startedAtMs;
         const end = attemptController.signal.reason === "silent" ? "silent" : this.toRequestEnd(outcome, startedAtMs);
--- a/packages/gateway/tests/ingressHarness.ts
+++ b/packages/gateway/tests/ingressHarness.ts
@@ -21,6 +21,8 @@
     };
     isStopping = false;
     port = 0;
+    /** Lines of the log. */
+    readonly logged: Record<string, unknown>[] = [];
     readonly ingress: Ingress;
     private readonly listeners: ((part: string) => void)[] = [];
 
@@ -34,7 +36,10 @@
             },
         };
         const admitted = { isErr: () => false, value: { route: { kind: "idempotent" } } };
-        const logger = { info: () => undefined, error: () => undefined } as unknown as Logger;
+        const logger = {
+            info: (line: Record<string, unknown>) => this.logged.push(line),
+            error: () => undefined,
+        } as unknown as Logger;
         this.ingress = new Ingress({
             admission: { admit: () => admitted },
             view: {
@@ -51,6 +56,7 @@
             batch: {},
             isStopping: () => this.isStopping,
             startupGate: { wait: () => Promise.resolve() },
+            metrics: { recordCut: () => undefined },
             logger,
         } as unknown as IngressDependencies);
     }
