--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -129,6 +129,13 @@
         }
     }
 
+    /** While it is silent, it doesn't notice either that a connection has been closed. */
+    private async endRun(entry: SeenRequest): Promise<void> {
+        await this.waitWhileSilent();
+        entry.endedAtMs ??= Date.now();
+        this.running -= 1;
+    }
+
     /** @returns Its entry in the platform's list of servers. */
     getRegistration(state: "ready" | "draining" = "ready"): Record<string, unknown> {
         return {
@@ -172,10 +179,7 @@
         };
         this.seen.push(entry);
         this.running += 1;
-        response.on("close", () => {
-            entry.endedAtMs ??= Date.now();
-            this.running -= 1;
-        });
+        response.on("close", () => void this.endRun(entry));
         const parts = String(request.headers["prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0]);
         if (this.crashingPromptPart !== undefined && parts.includes(this.crashingPromptPart)) {
             await sleep(CRASH_DELAY_MS);
