Leave a silent endpoint only once a place elsewhere is held

What callers saw: streams that endpoints worked on were cut in the middle, and requests got 502, because the endpoints were silent for a second, which is no impairment.

Cause: what is held was given up before its replacement was held. watchForSilence aborted an attempt after 0.6 s (0.8 s within a stream), and only then another place was requested; at full load, or while all endpoints are silent and paused for it, there is none, and nothing was left to answer with.

Now SilenceWatch keeps the attempt, and asks for a place elsewhere beside it, again and again; the attempt ends when that place is held, and the request for it is withdrawn when the endpoint goes on. Whether the configuration still lets the request run is checked before, not after. A request that may not run at two endpoints side by side stays with an endpoint that accepts connections for 1.2 s (callers leave after two), so that one that was only silent works on for less than 0.4 s beside the next one; an endpoint that can't be reached is left as soon as before.

--- /dev/null
+++ b/packages/gateway/src/exchangePlaces.ts
@@ -0,0 +1,251 @@
+import { sha256Hex } from "@heatherline/common";
+import {
+    type EndpointEntry,
+    getServices,
+    getSoftwareVersion,
+    type HeldPlace,
+    pickService,
+    type PlacementClient,
+    type StreamOrigin,
+} from "@heatherline/fleet";
+import type { Admission, AdmittedRequest } from "./admission";
+import type { GatewayMetrics } from "./metrics";
+import type { OnlineRequest } from "./onlineHandler";
+import { newRefusal, type Refusal } from "./refusal";
+import type { AttemptEnd, RetryPolicy } from "./retryPolicy";
+
+/** With less time left, no place is requested. */
+export const MIN_TIME_LEFT_MS = 5;
+
+/** What {@link ExchangePlaces} depends on. */
+export interface ExchangePlacesDependencies {
+    readonly admission: Admission;
+    readonly placement: PlacementClient;
+    readonly metrics: GatewayMetrics;
+}
+
+/** The request that needs places. */
+export interface ExchangePlacesOptions {
+    readonly request: OnlineRequest;
+    /** What the configuration grants it. */
+    readonly admitted: AdmittedRequest;
+    /** Monotonic time at which it must be answered. */
+    readonly deadlineAtMs: number;
+    readonly retryPolicy: RetryPolicy;
+}
+
+/** Who granted a place, and how long the request was expected to wait for it. */
+export interface PlaceGrant {
+    readonly givenBy: string;
+    readonly expectedWaitMs: number;
+}
+
+/** Gets the places for the attempts at one request, as the configuration in force allows. */
+export class ExchangePlaces {
+    private readonly online: OnlineRequest;
+    private readonly fingerprint: string;
+    private readonly excluded: string[] = [];
+    private wasUnreachable = false;
+    private isRateCharged = false;
+    /** Where the stream began, of which the caller has received a part. */
+    private origin: StreamOrigin | undefined;
+    /** A place that is held beside the one of the current attempt, to move there. */
+    private next: HeldPlace | undefined;
+    private currentAdmitted: AdmittedRequest;
+    private latestGrant: PlaceGrant | undefined;
+    private firstDecisionAfterMs: number | undefined;
+
+    /**
+     * @param deps - What it depends on.
+     * @param options - The request.
+     */
+    constructor(
+        private readonly deps: ExchangePlacesDependencies,
+        private readonly options: ExchangePlacesOptions,
+    ) {
+        const { request, admitted } = options;
+        this.online = request;
+        this.currentAdmitted = admitted;
+        const organisation = admitted.organisation?.name ?? "";
+        this.fingerprint = sha256Hex(`${organisation}\0${request.path}\0${request.body.toString("latin1")}`);
+    }
+
+    /** What the configuration grants the request, as checked last. */
+    get admitted(): AdmittedRequest {
+        return this.currentAdmitted;
+    }
+
+    /** The latest grant, for the log. */
+    get lastPlace(): PlaceGrant | undefined {
+        return this.latestGrant;
+    }
+
+    /** Time from arrival to the first decision about a place, in milliseconds; `undefined` before it. */
+    get placedAfterMs(): number | undefined {
+        return this.firstDecisionAfterMs;
+    }
+
+    /** Whether the caller goes on with a stream that another request began. */
+    get isTakingUp(): boolean {
+        return this.admitted.route.kind === "streaming" && this.online.caller.lastEventId !== undefined;
+    }
+
+    /**
+     * From now on, only endpoints like the one that began the stream may go on with it.
+     *
+     * @param place - A place at that endpoint.
+     */
+    pinOrigin({ endpoint }: HeldPlace): void {
+        this.origin ??= { service: endpoint.service, softwareVersion: getSoftwareVersion(endpoint) };
+    }
+
+    /**
+     * Doesn't use the endpoint of an attempt that has ended again.
+     *
+     * @param place - The place of the attempt.
+     * @param end - How it ended.
+     */
+    exclude({ endpoint }: HeldPlace, end: AttemptEnd): void {
+        this.excluded.push(endpoint.endpointId);
+        this.wasUnreachable ||= end === "unreachable";
+    }
+
+    /**
+     * @param endpoint - The endpoint of a place.
+     * @returns Whether the configuration in force still lets the request run there.
+     */
+    mayRunAt(endpoint: EndpointEntry): boolean {
+        return this.recheckAdmission() === undefined && getServices(this.admitted.route).includes(endpoint.service);
+    }
+
+    /** @returns Whether the configuration in force lets the request run, if it has begun, where it began. */
+    mayRequest(): boolean {
+        return this.recheckAdmission() === undefined
+            && (this.origin === undefined || getServices(this.admitted.route).includes(this.origin.service));
+    }
+
+    /**
+     * @param place - A place to move to, which is held until it is taken or released.
+     */
+    setNext(place: HeldPlace): void {
+        this.releaseNext();
+        this.next = place;
+    }
+
+    /** @returns The place to move to, unless the response has begun meanwhile at another version. */
+    takeNext(): HeldPlace | undefined {
+        const { next, origin } = this;
+        if (next === undefined || origin === undefined) {
+            this.next = undefined;
+            return next;
+        }
+        const { service, softwareVersion } = origin;
+        if (next.endpoint.service !== service || getSoftwareVersion(next.endpoint) !== softwareVersion) {
+            this.releaseNext();
+            return undefined;
+        }
+        this.next = undefined;
+        return next;
+    }
+
+    /** Releases the place to move to, if there is one. */
+    releaseNext(): void {
+        this.next?.release("lost");
+        this.next = undefined;
+    }
+
+    /**
+     * Requests a place, if the configuration in force still admits the request.
+     *
+     * @param signal - Withdraws the request for a place.
+     * @returns The place, or why there is none.
+     */
+    async requestAdmitted(signal: AbortSignal): Promise<HeldPlace | Refusal> {
+        const refusal = this.recheckAdmission();
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        const place = await this.request(signal);
+        if (!("endpoint" in place)) {
+            return place;
+        }
+        const refusalAfterWait = this.recheckAdmission();
+        if (refusalAfterWait !== undefined) {
+            place.release("lost");
+        }
+        return refusalAfterWait ?? place;
+    }
+
+    /**
+     * Requests a place.
+     *
+     * @param signal - Withdraws the request.
+     * @param alsoExcluded - Endpoints that are not to be used, beside those of earlier attempts.
+     * @returns The place, or why there is none.
+     */
+    async request(signal: AbortSignal, alsoExcluded: readonly string[] = []): Promise<HeldPlace | Refusal> {
+        const { retryPolicy, deadlineAtMs } = this.options;
+        const { caller, arrivedAtMs } = this.online;
+        const { route, organisation, allowedRegions, priority } = this.admitted;
+        const { origin } = this;
+        const services = getServices(route);
+        const service = origin === undefined ? pickService(route, Math.random()) : origin.service;
+        const nowMs = performance.now();
+        const leftMs = deadlineAtMs - nowMs;
+        if (service === undefined || leftMs < MIN_TIME_LEFT_MS) {
+            return retryPolicy.correctRefusal(newRefusal(service === undefined ? "no-endpoint" : "timeout"));
+        }
+        if (origin !== undefined && !services.includes(origin.service)) {
+            const detail = `the route no longer leads to ${origin.service}, which began the stream`;
+            return retryPolicy.correctRefusal(newRefusal("version-gone", detail));
+        }
+        const mustTakeToken = organisation !== undefined && organisation.ratePerS > 0 && !this.isRateCharged;
+        this.isRateCharged = true;
+        const outcome = await this.deps.placement.requestPlace({
+            service,
+            workClass: "online",
+            organisation: organisation?.name ?? "",
+            priority,
+            usefulForMs: arrivedAtMs + route.targetLatencyMs - nowMs,
+            targetLatencyMs: route.targetLatencyMs,
+            giveUpAfterMs: leftMs,
+            dueInMs: leftMs,
+            remainingMs: 0,
+            allowedRegions,
+            fingerprint: this.fingerprint,
+            promptParts: caller.sharedPromptParts,
+            softwareVersion: origin?.softwareVersion,
+            streamId: route.kind === "streaming" && route.isResumable ? caller.requestId : undefined,
+            resumedStream: this.isTakingUp && origin === undefined
+                ? { requestId: caller.resumedRequestId ?? "", services }
+                : undefined,
+            rate: mustTakeToken ? { ratePerS: organisation.ratePerS, burst: organisation.burst } : undefined,
+            excluded: [...this.excluded, ...alsoExcluded],
+            wasUnreachable: this.wasUnreachable,
+            signal,
+        });
+        const decidedAtMs = performance.now();
+        this.firstDecisionAfterMs ??= Math.round(decidedAtMs - arrivedAtMs);
+        if (outcome.kind === "placed") {
+            const { givenBy, expectedWaitMs } = outcome.place;
+            this.latestGrant = { givenBy, expectedWaitMs: Math.round(expectedWaitMs) };
+            this.deps.metrics.recordPlacementWait(decidedAtMs - nowMs, expectedWaitMs);
+            return outcome.place;
+        }
+        const detail = `${outcome.detail}; decided by ${outcome.decidedBy}`;
+        const reason = signal.reason === "timeout" ? "timeout" : outcome.reason;
+        const refusal = newRefusal(reason, detail, outcome.retryAfterMs > 0 ? outcome.retryAfterMs : undefined);
+        return retryPolicy.correctRefusal(refusal);
+    }
+
+    /** Checks again whether the request may run, because the configuration may have changed while it waited. */
+    private recheckAdmission(): Refusal | undefined {
+        const { caller, path } = this.online;
+        const readmitted = this.deps.admission.admit({ host: caller.host, path, apiKey: caller.apiKey });
+        if (readmitted.isErr()) {
+            return this.options.retryPolicy.correctRefusal(readmitted.error);
+        }
+        this.currentAdmitted = readmitted.value;
+        return undefined;
+    }
+}
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -1,13 +1,5 @@
-import { type Logger, type ResponseEnd, sha256Hex, sleep } from "@heatherline/common";
-import {
-    getServices,
-    getSoftwareVersion,
-    type HeldPlace,
-    pickService,
-    type PlacementClient,
-    type RequestEnd,
-    type StreamOrigin,
-} from "@heatherline/fleet";
+import { type Logger, type ResponseEnd, sleep } from "@heatherline/common";
+import type { HeldPlace, PlacementClient, RequestEnd } from "@heatherline/fleet";
 import type { Result } from "neverthrow";
 import type http from "node:http";
 import type { Admission, AdmittedRequest } from "./admission";
@@ -15,18 +7,18 @@
 import { discardBody, readFullBody } from "./bodyReader";
 import type { CallerResponse } from "./callerResponse";
 import { type EndpointResponse, type EndpointSender, isNotSent, type SendFailure } from "./endpointClient";
+import type { Fault } from "./endpointLinks";
+import { ExchangePlaces, MIN_TIME_LEFT_MS } from "./exchangePlaces";
 import type { GatewayMetrics } from "./metrics";
 import { releasePlace } from "./placeRelease";
 import { newRefusal, type Refusal } from "./refusal";
 import { StreamRelay } from "./responseRelay";
 import { isRetryable, RetryPolicy } from "./retryPolicy";
-import { FIRST_RESPONSE_TIMEOUT_MS, watchForSilence } from "./silenceWatch";
+import { FIRST_RESPONSE_TIMEOUT_MS, SilenceWatch } from "./silenceWatch";
 import type { CallerRequestHead, WireCodec } from "./wireCodec";
 
 /** Subtracted from the caller's timeout, so that the response arrives before the caller gives up. */
 const DEADLINE_MARGIN_MS = 30;
-/** With less time left, no place is requested. */
-const MIN_TIME_LEFT_MS = 5;
 /** Responses with this status or a higher one count as failed. */
 const MIN_FAILURE_STATUS = 500;
 /** These tell callers that a request has not run; an endpoint says so with a header of its own. */
@@ -86,41 +78,33 @@
     private readonly retryPolicy: RetryPolicy;
     private readonly relay: StreamRelay;
     private readonly deadlineAtMs: number;
-    private readonly fingerprint: string;
     private readonly abortController = new AbortController();
-    private readonly excluded: string[] = [];
+    private readonly places: ExchangePlaces;
     private attempts = 0;
-    private wasUnreachable = false;
-    /** Where the stream began, of which the caller has received a part. */
-    private origin: StreamOrigin | undefined;
     private lastFailure: FailureResponse | undefined;
-    private isRateCharged = false;
+    private silenceWatch: SilenceWatch | undefined;
     /** When the response of the current attempt began to arrive. */
     private firstResponseAtMs: number | undefined;
-    /** Time from arrival to the first decision about a place. */
-    private placedAfterMs: number | undefined;
     /** How the latest response that was no stream ended, for the log. */
     private bodyEnd: ResponseEnd | undefined;
     /** Why this instance aborted the latest attempt; `undefined` if it didn't. */
     private abortedFor: AbortReason | "silence" | undefined;
     private lastEndpoint = "";
     private lastSoftwareVersion: string | undefined;
-    private lastPlace: { readonly givenBy: string; readonly expectedWaitMs: number; } | undefined;
 
     constructor(
         private readonly deps: OnlineHandlerDependencies,
         private readonly request: OnlineRequest,
-        private admitted: AdmittedRequest,
+        admitted: AdmittedRequest,
     ) {
-        const { caller, arrivedAtMs, body, path } = request;
-        const { route, organisation } = admitted;
+        const { caller, arrivedAtMs } = request;
+        const { route } = admitted;
         this.retryPolicy = new RetryPolicy(route);
-        this.relay = new StreamRelay(request.response, caller.lastEventId, () => {
-            this.firstResponseAtMs ??= performance.now();
-        });
+        this.relay = new StreamRelay(request.response, caller.lastEventId, () => this.recordResponse());
         const callerMs = caller.timeLeftMs === undefined ? Infinity : caller.timeLeftMs - DEADLINE_MARGIN_MS;
         this.deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, callerMs);
-        this.fingerprint = sha256Hex(`${organisation?.name ?? ""}\0${path}\0${body.toString("latin1")}`);
+        const { deadlineAtMs, retryPolicy } = this;
+        this.places = new ExchangePlaces(deps, { request, admitted, deadlineAtMs, retryPolicy });
     }
 
     async run(): Promise<void> {
@@ -140,6 +124,7 @@
             }
         }
         finally {
+            this.places.releaseNext();
             clearTimeout(timer);
             callerGone.removeEventListener("abort", onGone);
             giveUp.removeEventListener("abort", onGiveUp);
@@ -153,38 +138,28 @@
     /** @returns The refusal to send, or `undefined` if an endpoint's response was delivered. */
     private async runAttempts(): Promise<Refusal | undefined> {
         for (;;) {
-            const refusal = this.recheckAdmission();
-            if (refusal !== undefined) {
-                return refusal;
-            }
-            const place = await this.requestPlace();
+            const place = this.places.takeNext() ?? await this.places.requestAdmitted(this.abortController.signal);
             if (!("endpoint" in place)) {
                 return place;
             }
-            const refusalAfterWait = this.recheckAdmission();
-            if (refusalAfterWait !== undefined) {
-                place.release("lost");
-                return refusalAfterWait;
-            }
             this.attempts += 1;
             this.lastEndpoint = place.endpoint.endpointId;
             this.lastSoftwareVersion = place.endpoint.softwareVersion;
-            if (this.isTakingUp) {
-                this.pinOrigin(place);
+            if (this.places.isTakingUp) {
+                this.places.pinOrigin(place);
             }
             const outcome = await this.runAttempt(place);
             if (this.request.response.hasStarted) {
-                this.pinOrigin(place);
+                this.places.pinOrigin(place);
             }
             if (outcome.kind === "answered") {
                 this.log("answered", outcome.status, "", "");
                 return undefined;
             }
             this.lastFailure = outcome.failure ?? this.lastFailure;
-            this.excluded.push(place.endpoint.endpointId);
-            this.wasUnreachable ||= outcome.end === "unreachable";
+            this.places.exclude(place, outcome.end);
             const mayRetry = this.retryPolicy.recordAttempt(outcome.end);
-            const mayResume = isRetryable(this.admitted.route) && this.relay.isResumable;
+            const mayResume = isRetryable(this.places.admitted.route) && this.relay.isResumable;
             const isResponseCommitted = this.request.response.hasStarted && !mayResume;
             this.deps.logger.info({
                 event: "attempt-ended",
@@ -233,94 +208,20 @@
         });
     }
 
-    /** Checks again whether the request may run, because the configuration may have changed while it waited. */
-    private recheckAdmission(): Refusal | undefined {
-        const { caller, path } = this.request;
-        const readmitted = this.deps.admission.admit({ host: caller.host, path, apiKey: caller.apiKey });
-        if (readmitted.isErr()) {
-            return this.retryPolicy.correctRefusal(readmitted.error);
-        }
-        this.admitted = readmitted.value;
-        return undefined;
-    }
-
-    private async requestPlace(): Promise<HeldPlace | Refusal> {
-        const { route, organisation, allowedRegions, priority } = this.admitted;
-        const { origin } = this;
-        const services = getServices(route);
-        const service = origin === undefined ? pickService(route, Math.random()) : origin.service;
-        const nowMs = performance.now();
-        const leftMs = this.deadlineAtMs - nowMs;
-        if (service === undefined || leftMs < MIN_TIME_LEFT_MS) {
-            return this.retryPolicy.correctRefusal(newRefusal(service === undefined ? "no-endpoint" : "timeout"));
-        }
-        if (origin !== undefined && !services.includes(origin.service)) {
-            const detail = `the route no longer leads to ${origin.service}, which began the stream`;
-            return this.retryPolicy.correctRefusal(newRefusal("version-gone", detail));
-        }
-        const mustTakeToken = organisation !== undefined && organisation.ratePerS > 0 && !this.isRateCharged;
-        this.isRateCharged = true;
-        const outcome = await this.deps.placement.requestPlace({
-            service,
-            workClass: "online",
-            organisation: organisation?.name ?? "",
-            priority,
-            usefulForMs: this.request.arrivedAtMs + route.targetLatencyMs - nowMs,
-            targetLatencyMs: route.targetLatencyMs,
-            giveUpAfterMs: leftMs,
-            dueInMs: leftMs,
-            remainingMs: 0,
-            allowedRegions,
-            fingerprint: this.fingerprint,
-            promptParts: this.request.caller.sharedPromptParts,
-            softwareVersion: origin?.softwareVersion,
-            streamId: route.kind === "streaming" && route.isResumable ? this.request.caller.requestId : undefined,
-            resumedStream: this.isTakingUp && origin === undefined
-                ? { requestId: this.request.caller.resumedRequestId ?? "", services }
-                : undefined,
-            rate: mustTakeToken ? { ratePerS: organisation.ratePerS, burst: organisation.burst } : undefined,
-            excluded: this.excluded,
-            wasUnreachable: this.wasUnreachable,
-            signal: this.abortController.signal,
-        });
-        const waitedMs = performance.now() - nowMs;
-        this.placedAfterMs ??= performance.now() - this.request.arrivedAtMs;
-        if (outcome.kind === "placed") {
-            const { givenBy, expectedWaitMs } = outcome.place;
-            this.lastPlace = { givenBy, expectedWaitMs: Math.round(expectedWaitMs) };
-            this.deps.metrics.recordPlacementWait(waitedMs, expectedWaitMs);
-            return outcome.place;
-        }
-        const detail = `${outcome.detail}; decided by ${outcome.decidedBy}`;
-        const reason = this.abortController.signal.reason === "timeout" ? "timeout" : outcome.reason;
-        const refusal = newRefusal(reason, detail, outcome.retryAfterMs > 0 ? outcome.retryAfterMs : undefined);
-        return this.retryPolicy.correctRefusal(refusal);
-    }
-
-    /** Whether the caller goes on with a stream that another request began. */
-    private get isTakingUp(): boolean {
-        return this.admitted.route.kind === "streaming" && this.request.caller.lastEventId !== undefined;
-    }
-
-    /** From now on, only endpoints like the one that began the stream may go on with it. */
-    private pinOrigin({ endpoint }: HeldPlace): void {
-        this.origin ??= { service: endpoint.service, softwareVersion: getSoftwareVersion(endpoint) };
-    }
-
     private async runAttempt(place: HeldPlace): Promise<AttemptOutcome> {
         const { caller, incoming, body } = this.request;
-        const { route } = this.admitted;
+        const { route } = this.places.admitted;
         const isNothingRelayed = this.relay.resumeAfterEventId === caller.lastEventId;
         const attemptController = new AbortController();
         const onAbort = () => attemptController.abort("ended");
         this.abortController.signal.addEventListener("abort", onAbort, { once: true });
         const startedAtMs = performance.now();
         this.firstResponseAtMs = undefined;
-        const stopWatching = this.watchForSilence(place, attemptController, startedAtMs);
+        this.silenceWatch = this.watchForSilence(place, attemptController, startedAtMs);
         const newHeaders = () =>
             this.deps.wire.toEndpointHeaders(incoming.rawHeaders, {
                 endpointId: place.endpoint.endpointId,
-                organisation: this.admitted.organisation?.name,
+                organisation: this.places.admitted.organisation?.name,
                 timeLeftMs: this.deadlineAtMs - performance.now(),
                 lastEventId: isNothingRelayed ? caller.lastEventId : this.relay.resumeAfterEventId,
                 bodyBytes: body.length,
@@ -337,7 +238,7 @@
             signal: attemptController.signal,
         });
         const outcome = await this.deliver(response);
-        stopWatching();
+        this.silenceWatch.stop();
         const { signal } = this.abortController;
         const isSilent = attemptController.signal.reason === "silent";
         this.abortedFor = isSilent ? "silence" : signal.aborted ? signal.reason as AbortReason : undefined;
@@ -358,30 +259,57 @@
 
     /** Whether the request may still be sent to the endpoint of its place, after time has passed. */
     private mayStillBeSent({ endpoint }: HeldPlace): boolean {
-        return this.deadlineAtMs - performance.now() >= MIN_TIME_LEFT_MS && this.recheckAdmission() === undefined
-            && getServices(this.admitted.route).includes(endpoint.service);
+        return this.deadlineAtMs - performance.now() >= MIN_TIME_LEFT_MS && this.places.mayRunAt(endpoint);
     }
 
-    private watchForSilence(place: HeldPlace, attemptController: AbortController, startedAtMs: number): () => void {
+    private watchForSilence(
+        place: HeldPlace,
+        attemptController: AbortController,
+        startedAtMs: number,
+    ): SilenceWatch {
         const { endpointId } = place.endpoint;
-        return watchForSilence({
+        const isStream = this.places.admitted.route.kind === "streaming";
+        return new SilenceWatch({
             hasResponded: () => this.firstResponseAtMs !== undefined,
-            getQuietMs: () => this.relay.quietMs,
+            getQuietMs: () => isStream ? this.relay.quietMs : 0,
             isEndpointSilent: () => this.deps.endpoints.getLastResponseAtMs(endpointId) < startedAtMs,
-            mayResume: this.admitted.route.kind === "streaming" && this.retryPolicy.mayRetryOnSilence(),
-            reportSilence: () => void this.reportSilence(place),
-            abort: () => {
-                if (this.retryPolicy.mayRetryOnSilence()) {
-                    attemptController.abort("silent");
+            isRepeatable: this.retryPolicy.mayRetryOnSilence(),
+            isExclusive: isStream,
+            mayMove: () => this.mayMove(),
+            checkEndpoint: () => this.checkSilentEndpoint(place),
+            requestPlace: async signal => {
+                if (this.request.response.hasStarted) {
+                    this.places.pinOrigin(place);
                 }
+                const next = await this.places.request(signal, [endpointId]);
+                return "endpoint" in next ? next : undefined;
+            },
+            move: next => {
+                this.places.setNext(next);
+                attemptController.abort("silent");
             },
         });
     }
 
-    private async reportSilence(place: HeldPlace): Promise<void> {
-        if (await this.deps.endpoints.findFault(place.endpoint) !== "link") {
+    /** Whether the request may go on at another endpoint, by the configuration in force as well. */
+    private mayMove(): boolean {
+        const mayBeRepeated = this.retryPolicy.mayRetryOnSilence() && this.relay.isResumable
+            && !this.abortController.signal.aborted;
+        return mayBeRepeated && this.places.mayRequest();
+    }
+
+    private async checkSilentEndpoint(place: HeldPlace): Promise<Fault> {
+        const fault = await this.deps.endpoints.findFault(place.endpoint);
+        if (fault !== "link" && this.firstResponseAtMs === undefined) {
             place.reportSilence();
         }
+        return fault;
+    }
+
+    /** Records that a part of the endpoint's response has arrived. */
+    private recordResponse(): void {
+        this.firstResponseAtMs ??= performance.now();
+        this.silenceWatch?.recordResponse();
     }
 
     private async deliver(result: Result<EndpointResponse, SendFailure>): Promise<AttemptOutcome> {
@@ -394,7 +322,7 @@
             discardBody(incoming);
             return { kind: "ended", end: "rejected", reason: `status ${status}` };
         }
-        if (this.admitted.route.kind === "streaming" && status === 200) {
+        if (this.places.admitted.route.kind === "streaming" && status === 200) {
             if (!head.isSigned) {
                 incoming.destroy();
                 return { kind: "ended", end: "broken", reason: "the response is not signed" };
@@ -404,7 +332,7 @@
                 ? { kind: "answered", status }
                 : { kind: "ended", end: "broken", reason: end.reason };
         }
-        this.firstResponseAtMs = performance.now();
+        this.recordResponse();
         const fullBody = await readFullBody(result.value);
         this.bodyEnd = result.value.endObserver.responseEnd;
         if (fullBody === undefined || (status < 300 && !head.isSigned)) {
@@ -478,7 +406,7 @@
 
     private log(outcome: string, status: number, reason: string, detail: string): void {
         const { caller, arrivedAtMs } = this.request;
-        const { route, organisation, configVersion } = this.admitted;
+        const { route, organisation, configVersion } = this.places.admitted;
         const durationMs = Math.round(performance.now() - arrivedAtMs);
         this.deps.metrics.recordRequest(route.kind, outcome, reason, durationMs);
         this.deps.logger.info({
@@ -497,10 +425,10 @@
             softwareVersion: this.lastSoftwareVersion,
             resumes: caller.resumedRequestId,
             resumedAfter: caller.lastEventId,
-            ...this.lastPlace,
+            ...this.places.lastPlace,
             events: this.relay.eventCount,
             ...this.relay.responseEnd ?? this.bodyEnd,
-            placedAfterMs: this.placedAfterMs === undefined ? undefined : Math.round(this.placedAfterMs),
+            placedAfterMs: this.places.placedAfterMs,
             durationMs,
         });
     }
--- a/packages/gateway/src/silenceWatch.ts
+++ b/packages/gateway/src/silenceWatch.ts
@@ -1,54 +1,124 @@
-/**
- * An endpoint with a free slot begins to respond within some tens of milliseconds; without a response for this long it
- * is considered unavailable.
- */
+import { sleep } from "@heatherline/common";
+import type { HeldPlace } from "@heatherline/fleet";
+import type { Fault } from "./endpointLinks";
+
+/** An endpoint with a free slot begins to respond within some tens of milliseconds; without a response it is checked. */
 export const FIRST_RESPONSE_TIMEOUT_MS = 600;
+/** A stream without an event for this long is checked; a slow endpoint sends events every few hundred milliseconds. */
+const STALL_TIMEOUT_MS = 800;
 /**
- * A stream without an event for this long counts as stalled; events arrive every few tens of milliseconds, every few
- * hundred from a slow endpoint.
+ * Sound endpoints may be silent for a second or so. One that works on meanwhile must not do so for long beside the endpoint
+ * to which its stream moves, and callers leave after two seconds without an event.
  */
-const STALL_TIMEOUT_MS = 800;
-const STALL_POLL_MS = 200;
+const SOUND_SILENCE_MS = 1_200;
+const POLL_MS = 100;
+/** Delay between two requests for a place elsewhere. */
+const PLACE_RETRY_MS = 200;
 
 /** What a watch needs to know of an attempt, and what it does. */
 export interface WatchedAttempt {
     /** @returns Whether the response has begun to arrive. */
     readonly hasResponded: () => boolean;
-    /** @returns Time since the last event, in milliseconds. */
+    /** @returns Time since the last event of a stream, in milliseconds; 0 for other responses that have begun. */
     readonly getQuietMs: () => number;
     /** @returns Whether the endpoint has responded to no other request since the attempt began either. */
     readonly isEndpointSilent: () => boolean;
-    /** Whether a stalled stream may resume at another endpoint. */
-    readonly mayResume: boolean;
-    /** Reports that the endpoint does not begin to respond in time. */
-    readonly reportSilence: () => void;
-    /** Aborts the attempt, if the request may be retried. */
-    readonly abort: () => void;
+    /** Whether the request may run more than once, and once more. */
+    readonly isRepeatable: boolean;
+    /** Whether the request must not run at two endpoints side by side. */
+    readonly isExclusive: boolean;
+    /** @returns Whether the request may be sent to another endpoint now. */
+    readonly mayMove: () => boolean;
+    /** Finds out whether the endpoint can be reached, after it has sent nothing of the response in time. */
+    readonly checkEndpoint: () => Promise<Fault>;
+    /**
+     * Requests a place at another endpoint.
+     *
+     * @param signal - Withdraws the request.
+     * @returns The place; `undefined` if there is none.
+     */
+    readonly requestPlace: (signal: AbortSignal) => Promise<HeldPlace | undefined>;
+    /** Ends the attempt, so that the request goes on at the place. */
+    readonly move: (place: HeldPlace) => void;
 }
 
 /**
- * Watches for an endpoint that does not begin to respond, or for a stream that stalls.
- *
- * @param attempt - The attempt.
- * @returns A function that stops watching.
+ * Watches an attempt whose endpoint may fall silent. The attempt goes on until a place at another endpoint is held: the
+ * endpoint may only be silent for a while, and without a place elsewhere there is nothing better to wait for.
  */
-export function watchForSilence(attempt: WatchedAttempt): () => void {
-    const firstResponseTimer = setTimeout(() => {
-        if (attempt.hasResponded()) {
+export class SilenceWatch {
+    private readonly startedAtMs = performance.now();
+    private readonly firstTimer: NodeJS.Timeout;
+    private pollTimer: NodeJS.Timeout | undefined;
+    private check: Promise<void> | undefined;
+    private isUnreachable = false;
+    /** Ends the search for a place elsewhere. */
+    private search: AbortController | undefined;
+
+    /**
+     * @param attempt - The attempt, which has just begun.
+     */
+    constructor(private readonly attempt: WatchedAttempt) {
+        this.firstTimer = setTimeout(() => {
+            if (!attempt.hasResponded()) {
+                this.checkEndpoint();
+            }
+            if (attempt.isRepeatable) {
+                this.poll();
+                this.pollTimer = setInterval(() => this.poll(), POLL_MS);
+            }
+        }, FIRST_RESPONSE_TIMEOUT_MS);
+    }
+
+    /** Records that a part of the response has arrived; a place elsewhere is no longer needed. */
+    recordResponse(): void {
+        this.check = undefined;
+        this.isUnreachable = false;
+        this.search?.abort();
+        this.search = undefined;
+    }
+
+    /** Stops watching. */
+    stop(): void {
+        clearTimeout(this.firstTimer);
+        clearInterval(this.pollTimer);
+        this.search?.abort();
+    }
+
+    private poll(): void {
+        const { attempt } = this;
+        const hasResponded = attempt.hasResponded();
+        const quietMs = hasResponded ? attempt.getQuietMs() : performance.now() - this.startedAtMs;
+        const timeoutMs = hasResponded ? STALL_TIMEOUT_MS : FIRST_RESPONSE_TIMEOUT_MS;
+        if (quietMs < timeoutMs || (!hasResponded && !attempt.isEndpointSilent())) {
             return;
         }
-        attempt.reportSilence();
-        if (attempt.isEndpointSilent()) {
-            attempt.abort();
+        this.checkEndpoint();
+        const isSoundForNow = attempt.isExclusive && !this.isUnreachable;
+        if (this.search === undefined && quietMs >= (isSoundForNow ? SOUND_SILENCE_MS : timeoutMs)) {
+            this.search = new AbortController();
+            void this.searchPlace(this.search.signal);
         }
-    }, FIRST_RESPONSE_TIMEOUT_MS);
-    const stallTimer = !attempt.mayResume ? undefined : setInterval(() => {
-        if (attempt.hasResponded() && attempt.getQuietMs() > STALL_TIMEOUT_MS) {
-            attempt.abort();
+    }
+
+    /** An endpoint that can't be reached doesn't go on. */
+    private checkEndpoint(): void {
+        this.check ??= this.attempt.checkEndpoint().then(fault => {
+            this.isUnreachable = fault !== "none";
+        });
+    }
+
+    private async searchPlace(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted && this.attempt.mayMove()) {
+            const place = await this.attempt.requestPlace(signal);
+            if (place !== undefined && signal.aborted) {
+                place.release("lost");
+            }
+            else if (place !== undefined) {
+                this.attempt.move(place);
+                return;
+            }
+            await sleep(PLACE_RETRY_MS, signal);
         }
-    }, STALL_POLL_MS);
-    return () => {
-        clearTimeout(firstResponseTimer);
-        clearInterval(stallTimer);
-    };
+    }
 }
