Block parts of prompts only for crashes that they explain

Cause: PromptPartTracker.blockCommonParts blocked all parts with the same, highest number of crashes as one block, also those that stood in no request together. Such a block explains no crash, so the same parts were found again, without end. It takes two parts whose crashes begin to count at the same moment: SUCCESS_TRUST_MS after their last success. A block could also hold parts that stood together in fewer crashes than are enough to blame anything.

Now parts form one block only if they stood in the same requests: a group is a part and those that stood in all of its requests. The block therefore explains all crashes for which its parts are blamed, three at least, and each round of the loop leaves fewer.

--- a/packages/common/src/promptPartTracker.ts
+++ b/packages/common/src/promptPartTracker.ts
@@ -50,11 +50,25 @@
     readonly blockedAt: number;
 }
 
-/** One crash of an endpoint, or of several at once, with the requests of which nothing had arrived then. */
+/** A request of which nothing had arrived when an endpoint crashed. */
+interface Suspect {
+    readonly fingerprint: string;
+    readonly parts: readonly string[];
+}
+
+/** One crash of an endpoint, or of several at once. */
 interface Crash {
     readonly endpointId: string;
     readonly atMs: number;
-    readonly suspects: { readonly fingerprint: string; readonly parts: readonly string[]; }[];
+    readonly suspects: Suspect[];
+}
+
+/** The crashes for which a part may be to blame, and the requests with it that ran then. */
+interface PartEvidence {
+    readonly part: string;
+    readonly crashes: Set<Crash>;
+    readonly suspects: Set<Suspect>;
+    readonly fingerprints: Set<string>;
 }
 
 /** A block with the time of its next trial, on the monotonic clock. */
@@ -252,35 +266,48 @@
         this.onChange(prompt, false);
     }
 
+    /** Each block explains the crashes for which its parts are blamed, so that there are fewer to explain each time. */
     private blockCommonParts(): void {
-        for (let parts = this.findCommonParts(); parts.length > 0; parts = this.findCommonParts()) {
-            const prompt = { blockId: newRequestId(), parts, trials: 0, laterCrashes: 0, blockedAt: Date.now() };
-            this.blocks.set(prompt.blockId, newActiveBlock(prompt, false));
-            this.onChange(prompt, false);
+        for (let groups = this.findCommonParts(); groups.length > 0; groups = this.findCommonParts()) {
+            for (const parts of groups) {
+                const prompt = { blockId: newRequestId(), parts, trials: 0, laterCrashes: 0, blockedAt: Date.now() };
+                this.blocks.set(prompt.blockId, newActiveBlock(prompt, false));
+                this.onChange(prompt, false);
+            }
         }
     }
 
-    /** @returns The parts that occur in the most crashes that no block explains, if these are enough to blame them. */
-    private findCommonParts(): string[] {
-        const crashesByPart = new Map<string, Set<Crash>>();
-        const requestsByPart = new Map<string, Set<string>>();
+    /**
+     * @returns The parts that occur in the most crashes that no block explains, if these are enough to blame them;
+     *     parts that stood in the same requests form one group.
+     */
+    private findCommonParts(): string[][] {
+        const candidates = this.getEvidence().filter(({ crashes, fingerprints }) =>
+            crashes.size >= CRASHES_TO_BLOCK && fingerprints.size >= REQUESTS_TO_BLOCK
+        );
+        const most = candidates.reduce((maximum, { crashes }) => Math.max(maximum, crashes.size), 0);
+        return groupByRequests(candidates.filter(({ crashes }) => crashes.size === most));
+    }
+
+    /** @returns What speaks against each part that may have caused a crash that no block explains. */
+    private getEvidence(): PartEvidence[] {
+        const evidence = new Map<string, PartEvidence>();
         for (const crash of this.getUnexplainedCrashes()) {
-            for (const { fingerprint, parts } of crash.suspects) {
-                for (const part of parts) {
+            for (const suspect of crash.suspects) {
+                for (const part of suspect.parts) {
                     if (
                         crash.atMs > (this.lastSuccessAtMs.get(part) ?? -Infinity) && !this.hasSucceededRecently(part)
                     ) {
-                        addTo(crashesByPart, part, crash);
-                        addTo(requestsByPart, part, fingerprint);
+                        const known = evidence.get(part) ?? newPartEvidence(part);
+                        evidence.set(part, known);
+                        known.crashes.add(crash);
+                        known.suspects.add(suspect);
+                        known.fingerprints.add(suspect.fingerprint);
                     }
                 }
             }
         }
-        const candidates = [...crashesByPart].filter(([part, crashes]) =>
-            crashes.size >= CRASHES_TO_BLOCK && (requestsByPart.get(part)?.size ?? 0) >= REQUESTS_TO_BLOCK
-        );
-        const most = Math.max(0, ...candidates.map(([, crashes]) => crashes.size));
-        return candidates.filter(([, crashes]) => crashes.size === most).map(([part]) => part);
+        return [...evidence.values()];
     }
 
     private getUnexplainedCrashes(): Crash[] {
@@ -314,8 +341,24 @@
     return required.every(part => parts.includes(part));
 }
 
-function addTo<Key, Value>(sets: Map<Key, Set<Value>>, key: Key, value: Value): void {
-    const set = sets.get(key) ?? new Set<Value>();
-    set.add(value);
-    sets.set(key, set);
+function newPartEvidence(part: string): PartEvidence {
+    return { part, crashes: new Set(), suspects: new Set(), fingerprints: new Set() };
+}
+
+/**
+ * Each group holds a part and those that stood in all of its requests, which therefore explain its crashes. Parts of a
+ * group that is included in another one form none of their own.
+ */
+function groupByRequests(parts: readonly PartEvidence[]): string[][] {
+    const grouped = new Set<string>();
+    const groups: string[][] = [];
+    // The groups of parts with fewer requests include those of parts with more of them.
+    for (const { part, suspects } of parts.toSorted((left, right) => left.suspects.size - right.suspects.size)) {
+        if (!grouped.has(part)) {
+            const group = parts.filter(other => [...suspects].every(suspect => other.suspects.has(suspect)));
+            groups.push(group.map(({ part: member }) => member));
+            group.forEach(({ part: member }) => grouped.add(member));
+        }
+    }
+    return groups;
 }
