Tell an instance to stop a job again only after a pause

Found by reading, in a search for loops whose pause depends on data. The coordinator answers a heartbeat at once if it reports a job that is closed or runs elsewhere. The instance reads the store before it stops; until that read is answered, and as long as the store fails or still lists the job, its next heartbeat reports the job again and is answered at once. So heartbeats, and a read of the store for each, follow each other without a pause, at the very moment at which the store is in trouble.

Now the coordinator tells the same instance of the same job again only after REMINDER_MS (200 ms); in between its heartbeats are held back as those without news are. The first time it is told at once, as before.

Test first, red on the code before in both cases: jobsToStop.test.ts, "expected 33 to be less than or equal to 32" (the test ends at the 33rd heartbeat; 33 ms of 2,000 had passed). After: green, all tests of packages/fleet too.

--- a/packages/fleet/src/jobTracker.ts
+++ b/packages/fleet/src/jobTracker.ts
@@ -9,6 +9,11 @@
 /** An admitted job whose object hasn't appeared in the store after this long was not written, in milliseconds. */
 const RESERVATION_MS = 5_000;
 
+/** An instance that still reports a job is told again to stop it after this long, in milliseconds. */
+const REMINDER_MS = 200;
+/** Maximum number of instances and jobs for which it is kept when they were told. */
+const MAX_TOLD = 5_000;
+
 /** Maximum number of ended jobs whose last runner is kept. */
 const MAX_LAST_RUNNERS = 5_000;
 
@@ -41,6 +46,8 @@
     private readonly jobs = new Map<string, TrackedJob>();
     private readonly reservations = new Map<string, Reservation>();
     private readonly lastRunners = new LRUCache<string, string>({ max: MAX_LAST_RUNNERS });
+    /** When instances were told last to stop a job. */
+    private readonly toldAtMs = new LRUCache<string, number>({ max: MAX_TOLD });
     private hasLoaded = false;
 
     /**
@@ -89,7 +96,8 @@
     /**
      * @param instanceId - The instance that reports.
      * @param reports - The jobs that it runs.
-     * @returns Those that it should stop running.
+     * @returns Those that it should stop running, without those of which it has just been told: an instance that can't
+     *     stop yet, because the store doesn't answer, reports again at once after each reply.
      */
     recordProgress(instanceId: string, reports: readonly JobProgress[]): JobsToStop {
         const nowMs = performance.now();
@@ -99,7 +107,7 @@
             const entry = this.jobs.get(jobId);
             if (entry === undefined) {
                 // A job that was just admitted may not have been read yet; its runner checks the store before it stops.
-                if (this.hasLoaded && !this.reservations.has(jobId)) {
+                if (this.hasLoaded && !this.reservations.has(jobId) && this.isDueToTell(instanceId, jobId)) {
                     closed.push(jobId);
                 }
                 continue;
@@ -107,7 +115,9 @@
             const isRunElsewhere = entry.runner !== undefined && entry.runner !== instanceId
                 && entry.runner !== handedOverBy && nowMs - entry.reportedAtMs < this.unclaimedMs;
             if (isRunElsewhere) {
-                taken.push(jobId);
+                if (this.isDueToTell(instanceId, jobId)) {
+                    taken.push(jobId);
+                }
                 continue;
             }
             entry.finishedTokens = Math.max(entry.finishedTokens, finishedTokens);
@@ -119,6 +129,17 @@
         return { closed, taken };
     }
 
+    /** Whether an instance was told to stop a job long enough ago to be told again; it counts as told then. */
+    private isDueToTell(instanceId: string, jobId: string): boolean {
+        const key = `${instanceId}/${jobId}`;
+        const nowMs = performance.now();
+        const isDue = nowMs - (this.toldAtMs.get(key) ?? -Infinity) >= REMINDER_MS;
+        if (isDue) {
+            this.toldAtMs.set(key, nowMs);
+        }
+        return isDue;
+    }
+
     /**
      * Assigns jobs that no instance runs to an instance, if it is the least loaded one of those that have not been tried.
      *
