Bound what a report of a crash costs the coordinator

Now PromptCrashLog keeps the requests by the parts of their prompts. What is blamed stays the same (the property test and all earlier tests of the tracker are unchanged).

--- a/packages/common/src/promptPartTracker.test.ts
+++ b/packages/common/src/promptPartTracker.test.ts
@@ -10,6 +10,12 @@
 /** Longer than the time within which crashes have a common cause. */
 const CRASH_GAP_MS = 101;
 
+/** Reports of 512 crashes; as many as are told from repeated ones. */
+const MANY_REPORTS = 2_048;
+const REPORTS_PER_CRASH = 4;
+/** Time within which an instance must respond again, in milliseconds. */
+const CONTACT_MS = 3_000;
+
 let changes: { prompt: BlockedPrompt; isEnded: boolean; }[];
 let reports = 0;
 
@@ -253,4 +259,28 @@
         tracker.recordCrash(report("3", "3", 0));
         expect(tracker.isBlocked(["bad"])).toBe(true);
     });
+
+    // Each report went through all requests of all crashes, so that many of them blocked the process.
+    it.each([
+        { what: "of their own", getPart: (report: number, position: number) => `${report}.${position}` },
+        {
+            what: "that others have, too",
+            getPart: (report: number, position: number) => `${(report + position) % 900}`,
+        },
+    ])("are searched in time when there are many crashes, of requests with parts $what", ({ getPart }) => {
+        vi.useRealTimers();
+        const tracker = newTracker();
+        const startedAtMs = performance.now();
+        for (let report = 0; report < MANY_REPORTS && performance.now() - startedAtMs < CONTACT_MS; report += 1) {
+            const crash = Math.floor(report / REPORTS_PER_CRASH);
+            tracker.recordCrash({
+                reportId: `many${report}`,
+                endpointId: `e${crash}`,
+                fingerprint: `${report}`,
+                promptParts: [1, 2, 3, 4, 5, 6, 7, 8].map(position => getPart(report, position)),
+                ageMs: (MANY_REPORTS / REPORTS_PER_CRASH - crash) * CRASH_GAP_MS,
+            });
+        }
+        expect(performance.now() - startedAtMs).toBeLessThan(CONTACT_MS);
+    });
 });
--- a/packages/common/src/promptPartTracker.ts
+++ b/packages/common/src/promptPartTracker.ts
@@ -1,19 +1,15 @@
 import { LRUCache } from "lru-cache";
 import { newRequestId } from "./idsAndHashes";
+import { type Crash, PromptCrashLog, type Suspect } from "./promptCrashLog";
 
 /** Crashes of endpoints after which a part that occurs in them is blocked; fewer than the five that users tolerate. */
 const CRASHES_TO_BLOCK = 3;
 /** Different requests among them; one request that crashes endpoints again and again says little about its parts. */
 const REQUESTS_TO_BLOCK = 2;
-/** Connections to an endpoint that break within this time belong to one crash, in milliseconds. */
-const CRASH_WINDOW_MS = 2_000;
-/** Endpoints that crash within this time crash for one reason, such as a power loss, in milliseconds. */
-const COMMON_CAUSE_WINDOW_MS = 100;
 /** A part with which a request has succeeded this recently is not to blame, in milliseconds. */
 const SUCCESS_TRUST_MS = 10_000;
 /** Crashes count for this long, in milliseconds. */
 const CRASH_TTL_MS = 600_000;
-const MAX_CRASHES = 512;
 const MAX_REPORTS = 2_048;
 const MAX_ENDED_BLOCKS = 256;
 /** Maximum number of parts whose last success is remembered. */
@@ -50,25 +46,12 @@
     readonly blockedAt: number;
 }
 
-/** A request of which nothing had arrived when an endpoint crashed. */
-interface Suspect {
-    readonly fingerprint: string;
-    readonly parts: readonly string[];
-}
-
-/** One crash of an endpoint, or of several at once. */
-interface Crash {
-    readonly endpointId: string;
-    readonly atMs: number;
-    readonly suspects: Suspect[];
-}
-
 /** The crashes for which a part may be to blame, and the requests with it that ran then. */
 interface PartEvidence {
     readonly part: string;
-    readonly crashes: Set<Crash>;
-    readonly suspects: Set<Suspect>;
-    readonly fingerprints: Set<string>;
+    readonly suspects: ReadonlySet<Suspect>;
+    readonly crashes: ReadonlySet<Crash>;
+    readonly fingerprints: ReadonlySet<string>;
 }
 
 /** A block with the time of its next trial, on the monotonic clock. */
@@ -93,7 +76,7 @@
  * of a request with one of them clears that one.
  */
 export class PromptPartTracker {
-    private readonly crashes = new LRUCache<string, Crash>({ max: MAX_CRASHES });
+    private readonly crashLog = new PromptCrashLog();
     private readonly knownReports = new LRUCache<string, true>({ max: MAX_REPORTS });
     private readonly lastSuccessAtMs = new LRUCache<string, number>({ max: MAX_PARTS });
     private readonly blocks = new Map<string, ActiveBlock>();
@@ -171,15 +154,9 @@
         }
         this.knownReports.set(reportId, true);
         const atMs = performance.now() - ageMs;
-        const known = [...this.crashes.values()].find(crash =>
-            Math.abs(crash.atMs - atMs) < (crash.endpointId === endpointId ? CRASH_WINDOW_MS : COMMON_CAUSE_WINDOW_MS)
-        );
-        const crash = known ?? { endpointId, atMs, suspects: [] };
+        const crash = this.crashLog.getCrash(endpointId, atMs);
         const explainedBefore = this.findExplanation(crash);
-        crash.suspects.push({ fingerprint, parts: promptParts });
-        if (known === undefined) {
-            this.crashes.set(reportId, crash);
-        }
+        this.crashLog.addSuspect(crash, fingerprint, promptParts);
         const explanation = this.findExplanation(crash);
         if (explanation !== undefined && explainedBefore === undefined) {
             this.setPrompt(explanation, {
@@ -289,32 +266,33 @@
         return groupByRequests(candidates.filter(({ crashes }) => crashes.size === most));
     }
 
-    /** @returns What speaks against each part that may have caused a crash that no block explains. */
+    /** @returns What speaks against each part that may have caused enough crashes that no block explains. */
     private getEvidence(): PartEvidence[] {
-        const evidence = new Map<string, PartEvidence>();
-        for (const crash of this.getUnexplainedCrashes()) {
-            for (const suspect of crash.suspects) {
-                for (const part of suspect.parts) {
-                    if (
-                        crash.atMs > (this.lastSuccessAtMs.get(part) ?? -Infinity) && !this.hasSucceededRecently(part)
-                    ) {
-                        const known = evidence.get(part) ?? newPartEvidence(part);
-                        evidence.set(part, known);
-                        known.crashes.add(crash);
-                        known.suspects.add(suspect);
-                        known.fingerprints.add(suspect.fingerprint);
-                    }
+        const explained = this.getExplainedCrashes();
+        const startedAtMs = performance.now() - CRASH_TTL_MS;
+        const evidence: PartEvidence[] = [];
+        for (const [part, suspects] of this.crashLog.getSuspectsByPart()) {
+            if (suspects.size >= CRASHES_TO_BLOCK && !this.hasSucceededRecently(part)) {
+                const sinceMs = Math.max(startedAtMs, this.lastSuccessAtMs.get(part) ?? -Infinity);
+                const counted = [...suspects].filter(({ crash }) => crash.atMs > sinceMs && !explained.has(crash));
+                if (counted.length >= CRASHES_TO_BLOCK) {
+                    evidence.push(newPartEvidence(part, counted));
                 }
             }
         }
-        return [...evidence.values()];
+        return evidence;
     }
 
-    private getUnexplainedCrashes(): Crash[] {
-        const nowMs = performance.now();
-        return [...this.crashes.values()].filter(crash =>
-            nowMs - crash.atMs < CRASH_TTL_MS && this.findExplanation(crash) === undefined
-        );
+    private getExplainedCrashes(): Set<Crash> {
+        const explained = new Set<Crash>();
+        for (const { prompt: { parts } } of this.blocks.values()) {
+            for (const suspect of this.crashLog.getSuspects(parts[0] ?? "")) {
+                if (hasAll(suspect.parts, parts)) {
+                    explained.add(suspect.crash);
+                }
+            }
+        }
+        return explained;
     }
 
     /** @returns The block whose parts one of the requests had that may have caused the crash. */
@@ -341,8 +319,13 @@
     return required.every(part => parts.includes(part));
 }
 
-function newPartEvidence(part: string): PartEvidence {
-    return { part, crashes: new Set(), suspects: new Set(), fingerprints: new Set() };
+function newPartEvidence(part: string, suspects: readonly Suspect[]): PartEvidence {
+    return {
+        part,
+        suspects: new Set(suspects),
+        crashes: new Set(suspects.map(({ crash }) => crash)),
+        fingerprints: new Set(suspects.map(({ fingerprint }) => fingerprint)),
+    };
 }
 
 /**
