--- a/packages/common/src/promptPartTracker.ts
+++ b/packages/common/src/promptPartTracker.ts
@@ -1,19 +1,15 @@
 import { LRUCache } from "lru-cache";
 import { newRequestId } from "./idsAndHashes";
+import { type Crash, PromptCrashLog, type Suspect } from "./promptCrashLog";
 
 /** Crashes of endpoints after which a part that occurs in them is blocked; fewer than the five that users tolerate. */
 const CRASHES_TO_BLOCK = 3;
 /** Different requests among them; one request that crashes endpoints again and again says little about its parts. */
 const REQUESTS_TO_BLOCK = 2;
-/** Connections to an endpoint that break within this time belong to one crash, in milliseconds. */
-const CRASH_WINDOW_MS = 2_000;
-/** Endpoints that crash within this time crash for one reason, such as a power loss, in milliseconds. */
-const COMMON_CAUSE_WINDOW_MS = 100;
 /** A part with which a request has succeeded this recently is not to blame, in milliseconds. */
 const SUCCESS_TRUST_MS = 10_000;
 /** Crashes count for this long, in milliseconds. */
 const CRASH_TTL_MS = 600_000;
-const MAX_CRASHES = 512;
 const MAX_REPORTS = 2_048;
 const MAX_ENDED_BLOCKS = 256;
 /** Maximum number of parts whose last success is remembered. */
@@ -50,11 +46,12 @@
     readonly blockedAt: number;
 }
 
-/** One crash of an endpoint, or of several at once, with the requests of which nothing had arrived then. */
-interface Crash {
-    readonly endpointId: string;
-    readonly atMs: number;
-    readonly suspects: { readonly fingerprint: string; readonly parts: readonly string[]; }[];
+/** The crashes for which a part may be to blame, and the requests with it that ran then. */
+interface PartEvidence {
+    readonly part: string;
+    readonly suspects: ReadonlySet<Suspect>;
+    readonly crashes: ReadonlySet<Crash>;
+    readonly fingerprints: ReadonlySet<string>;
 }
 
 /** A block with the time of its next trial, on the monotonic clock. */
@@ -79,7 +76,7 @@
  * of a request with one of them clears that one.
  */
 export class PromptPartTracker {
-    private readonly crashes = new LRUCache<string, Crash>({ max: MAX_CRASHES });
+    private readonly crashLog = new PromptCrashLog();
     private readonly knownReports = new LRUCache<string, true>({ max: MAX_REPORTS });
     private readonly lastSuccessAtMs = new LRUCache<string, number>({ max: MAX_PARTS });
     private readonly blocks = new Map<string, ActiveBlock>();
@@ -157,15 +154,9 @@
         }
         this.knownReports.set(reportId, true);
         const atMs = performance.now() - ageMs;
-        const known = [...this.crashes.values()].find(crash =>
-            Math.abs(crash.atMs - atMs) < (crash.endpointId === endpointId ? CRASH_WINDOW_MS : COMMON_CAUSE_WINDOW_MS)
-        );
-        const crash = known ?? { endpointId, atMs, suspects: [] };
+        const crash = this.crashLog.getCrash(endpointId, atMs);
         const explainedBefore = this.findExplanation(crash);
-        crash.suspects.push({ fingerprint, parts: promptParts });
-        if (known === undefined) {
-            this.crashes.set(reportId, crash);
-        }
+        this.crashLog.addSuspect(crash, fingerprint, promptParts);
         const explanation = this.findExplanation(crash);
         if (explanation !== undefined && explainedBefore === undefined) {
             this.setPrompt(explanation, {
@@ -252,42 +243,56 @@
         this.onChange(prompt, false);
     }
 
+    /** Each block explains the crashes for which its parts are blamed, so that there are fewer to explain each time. */
     private blockCommonParts(): void {
-        for (let parts = this.findCommonParts(); parts.length > 0; parts = this.findCommonParts()) {
-            const prompt = { blockId: newRequestId(), parts, trials: 0, laterCrashes: 0, blockedAt: Date.now() };
-            this.blocks.set(prompt.blockId, newActiveBlock(prompt, false));
-            this.onChange(prompt, false);
+        for (let groups = this.findCommonParts(); groups.length > 0; groups = this.findCommonParts()) {
+            for (const parts of groups) {
+                const prompt = { blockId: newRequestId(), parts, trials: 0, laterCrashes: 0, blockedAt: Date.now() };
+                this.blocks.set(prompt.blockId, newActiveBlock(prompt, false));
+                this.onChange(prompt, false);
+            }
         }
     }
 
-    /** @returns The parts that occur in the most crashes that no block explains, if these are enough to blame them. */
-    private findCommonParts(): string[] {
-        const crashesByPart = new Map<string, Set<Crash>>();
-        const requestsByPart = new Map<string, Set<string>>();
-        for (const crash of this.getUnexplainedCrashes()) {
-            for (const { fingerprint, parts } of crash.suspects) {
-                for (const part of parts) {
-                    if (
-                        crash.atMs > (this.lastSuccessAtMs.get(part) ?? -Infinity) && !this.hasSucceededRecently(part)
-                    ) {
-                        addTo(crashesByPart, part, crash);
-                        addTo(requestsByPart, part, fingerprint);
-                    }
+    /**
+     * @returns The parts that occur in the most crashes that no block explains, if these are enough to blame them;
+     *     parts that stood in the same requests form one group.
+     */
+    private findCommonParts(): string[][] {
+        const candidates = this.getEvidence().filter(({ crashes, fingerprints }) =>
+            crashes.size >= CRASHES_TO_BLOCK && fingerprints.size >= REQUESTS_TO_BLOCK
+        );
+        const most = candidates.reduce((maximum, { crashes }) => Math.max(maximum, crashes.size), 0);
+        return groupByRequests(candidates.filter(({ crashes }) => crashes.size === most));
+    }
+
+    /** @returns What speaks against each part that may have caused enough crashes that no block explains. */
+    private getEvidence(): PartEvidence[] {
+        const explained = this.getExplainedCrashes();
+        const startedAtMs = performance.now() - CRASH_TTL_MS;
+        const evidence: PartEvidence[] = [];
+        for (const [part, suspects] of this.crashLog.getSuspectsByPart()) {
+            if (suspects.size >= CRASHES_TO_BLOCK && !this.hasSucceededRecently(part)) {
+                const sinceMs = Math.max(startedAtMs, this.lastSuccessAtMs.get(part) ?? -Infinity);
+                const counted = [...suspects].filter(({ crash }) => crash.atMs > sinceMs && !explained.has(crash));
+                if (counted.length >= CRASHES_TO_BLOCK) {
+                    evidence.push(newPartEvidence(part, counted));
                 }
             }
         }
-        const candidates = [...crashesByPart].filter(([part, crashes]) =>
-            crashes.size >= CRASHES_TO_BLOCK && (requestsByPart.get(part)?.size ?? 0) >= REQUESTS_TO_BLOCK
-        );
-        const most = Math.max(0, ...candidates.map(([, crashes]) => crashes.size));
-        return candidates.filter(([, crashes]) => crashes.size === most).map(([part]) => part);
+        return evidence;
     }
 
-    private getUnexplainedCrashes(): Crash[] {
-        const nowMs = performance.now();
-        return [...this.crashes.values()].filter(crash =>
-            nowMs - crash.atMs < CRASH_TTL_MS && this.findExplanation(crash) === undefined
-        );
+    private getExplainedCrashes(): Set<Crash> {
+        const explained = new Set<Crash>();
+        for (const { prompt: { parts } } of this.blocks.values()) {
+            for (const suspect of this.crashLog.getSuspects(parts[0] ?? "")) {
+                if (hasAll(suspect.parts, parts)) {
+                    explained.add(suspect.crash);
+                }
+            }
+        }
+        return explained;
     }
 
     /** @returns The block whose parts one of the requests had that may have caused the crash. */
@@ -314,8 +319,29 @@
     return required.every(part => parts.includes(part));
 }
 
-function addTo<Key, Value>(sets: Map<Key, Set<Value>>, key: Key, value: Value): void {
-    const set = sets.get(key) ?? new Set<Value>();
-    set.add(value);
-    sets.set(key, set);
+function newPartEvidence(part: string, suspects: readonly Suspect[]): PartEvidence {
+    return {
+        part,
+        suspects: new Set(suspects),
+        crashes: new Set(suspects.map(({ crash }) => crash)),
+        fingerprints: new Set(suspects.map(({ fingerprint }) => fingerprint)),
+    };
+}
+
+/**
+ * Each group holds a part and those that stood in all of its requests, which therefore explain its crashes. Parts of a
+ * group that is included in another one form none of their own.
+ */
+function groupByRequests(parts: readonly PartEvidence[]): string[][] {
+    const grouped = new Set<string>();
+    const groups: string[][] = [];
+    // The groups of parts with fewer requests include those of parts with more of them.
+    for (const { part, suspects } of parts.toSorted((left, right) => left.suspects.size - right.suspects.size)) {
+        if (!grouped.has(part)) {
+            const group = parts.filter(other => [...suspects].every(suspect => other.suspects.has(suspect)));
+            groups.push(group.map(({ part: member }) => member));
+            group.forEach(({ part: member }) => grouped.add(member));
+        }
+    }
+    return groups;
 }
