Run items of batch jobs by their job's route, not by the one that their own paths select

Cause: the route of an item was looked up by the item's path in the newest configuration. Now it is the one that the job was submitted to: by its name, and where that is gone, by host and path of the submission, which the job names from now on. Jobs of earlier releases have no such path and fall back to the item's. Only batch routes count. While no configuration is known, or only an old one, nothing shows that the route is gone, and nothing is given up.

--- a/packages/gateway/src/batchApi.ts
+++ b/packages/gateway/src/batchApi.ts
@@ -135,7 +135,7 @@
         const untilMs = arrivedAtMs + (caller.timeLeftMs ?? DEFAULT_SUBMIT_TIMEOUT_MS) - SUBMIT_MARGIN_MS;
         const bodies = new Map(submission.value.items.map(({ itemId, bodyBase64 }) => [itemId, bodyBase64]));
         const bodyParts = splitBodies(bodies).length;
-        const manifest = newManifest(caller.requestId, caller.host, admitted, submission.value, bodyParts);
+        const manifest = newManifest(caller.requestId, request, admitted, submission.value, bodyParts);
         const refusal = await this.admitTokens(manifest, admitted);
         if (refusal !== undefined) {
             return refusal;
@@ -290,7 +290,7 @@
 
 function newManifest(
     jobId: string,
-    host: string,
+    { caller, path }: BatchApiRequest,
     { route, organisation }: AdmittedRequest,
     { items }: BatchSubmission,
     bodyParts: number,
@@ -299,7 +299,8 @@
         jobId,
         organisation: organisation?.name ?? "",
         route: route.name,
-        host,
+        host: caller.host,
+        path,
         submittedAt: Date.now(),
         itemTokens: items.map(({ tokens }) => tokens),
         state: "open",
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -52,8 +52,11 @@
     readonly wire: WireCodec;
     readonly durationEstimator: ItemDurationEstimator;
     readonly placementQueue: ItemPlacementQueue;
-    /** @returns The route that the current configuration has for the item's path. */
-    readonly findRoute: () => Route | undefined;
+    /**
+     * @returns The route of the item's job in the current configuration, `undefined` if it has none any more, or `unknown`
+     * while that can't be told.
+     */
+    readonly findRoute: () => Route | "unknown" | undefined;
     readonly getBody: () => Promise<Buffer | undefined>;
     /** Whether new runs may start. */
     readonly mayRun: () => boolean;
@@ -160,18 +163,22 @@
     /** @returns The result, or `undefined` if this instance is to stop running the item. */
     async run(): Promise<ItemResult | undefined> {
         while (!this.signal.aborted) {
-            const route = this.deps.findRoute();
+            const found = this.deps.findRoute();
+            const isRouteMissing = found === undefined;
+            const route = found === "unknown" ? undefined : found;
+            if (!isRouteMissing) {
+                this.routeLastSeenAtMs = performance.now();
+            }
             if (route !== undefined && Date.now() > this.job.submittedAt + route.retentionMs + CLOCK_SKEW_MARGIN_MS) {
                 return this.newDeadResult();
             }
             if (route === undefined || !this.deps.mayRun()) {
-                if (route === undefined && performance.now() - this.routeLastSeenAtMs > ROUTE_REMOVAL_GRACE_MS) {
+                if (isRouteMissing && performance.now() - this.routeLastSeenAtMs > ROUTE_REMOVAL_GRACE_MS) {
                     return this.newDeadResult();
                 }
                 await sleep(NOT_RUNNABLE_DELAY_MS, this.signal);
                 continue;
             }
-            this.routeLastSeenAtMs = performance.now();
             const end = await this.runOnce(route);
             if (end === "complete") {
                 return { itemId: this.item.itemId, state: "completed", output: this.data.join("\n") };
--- a/packages/gateway/src/jobRunner.ts
+++ b/packages/gateway/src/jobRunner.ts
@@ -13,6 +13,7 @@
 import { ItemDurationEstimator } from "./itemDurationEstimator";
 import { ItemPlacementQueue } from "./itemPlacementQueue";
 import type { ItemRunDependencies } from "./itemRun";
+import { findJobRoute } from "./jobRoute";
 import { type JobHandover, JobRun } from "./jobRun";
 import type { JobItem, JobManifest, JobStore } from "./jobStore";
 import type { GatewayMetrics } from "./metrics";
@@ -243,7 +244,7 @@
             wire: deps.wire,
             durationEstimator: this.durationEstimator,
             placementQueue: this.placementQueue,
-            findRoute: () => deps.view.routes?.findRoute(manifest.host, item.path),
+            findRoute: () => findJobRoute(deps.view, manifest, item),
             getBody,
             mayRun: () => !this.isStopping && deps.isJobStateFresh(),
             onRunEnded: ({ itemId }, end, detail) => {
--- a/packages/gateway/src/jobStore.ts
+++ b/packages/gateway/src/jobStore.ts
@@ -25,6 +25,8 @@
 /** A job as stored, without bodies and results. */
 export interface JobManifest extends JobSummary {
     readonly host: string;
+    /** Path that the job was submitted to; absent from jobs of earlier releases. */
+    readonly path?: string | undefined;
     readonly items: readonly JobItem[];
     /** Number of objects that hold the bodies. */
     readonly bodyParts: number;
@@ -319,6 +321,7 @@
 
 const manifestSchema = z.object({
     host: z.string(),
+    path: z.string().optional(),
     items: z.array(z.object({
         itemId: z.string().min(1),
         path: z.string(),
--- /dev/null
+++ b/packages/gateway/tests/jobRoute.test.ts
@@ -0,0 +1,138 @@
+import { newLogger } from "@heatherline/common";
+import { type PlaceRequest, type Route, RouteTable, type RoutingConfig } from "@heatherline/fleet";
+import { MemoryStore } from "@heatherline/store";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { JobRun } from "../src/jobRun";
+import { JobRunner, type JobRunnerDependencies } from "../src/jobRunner";
+import { type JobManifest, JobStore } from "../src/jobStore";
+
+const HOST = "api";
+const RETENTION_MS = 90_000;
+/** Longer than a route may be missing before its items are given up, and shorter than the retention time. */
+const PATIENCE_MS = 10_000;
+const JOBS: Partial<Route> = { name: "jobs", pathPrefix: "/jobs/", targets: [{ service: "digests", weight: 1 }] };
+const STREAMS: Partial<Route> = {
+    name: "streams",
+    pathPrefix: "/jobs/3/",
+    kind: "streaming",
+    retentionMs: 0,
+    targets: [{ service: "streams", weight: 1 }],
+};
+const MANIFEST: JobManifest = {
+    jobId: "job",
+    organisation: "",
+    route: "jobs",
+    submittedAt: 0,
+    itemTokens: [1],
+    state: "open",
+    host: HOST,
+    path: "/jobs/7",
+    items: [{ itemId: "item", path: "/jobs/3/9", headers: {}, tokens: 1 }],
+    bodyParts: 1,
+    isEndedByCaller: false,
+};
+/** As written by releases whose jobs don't name the path that they were submitted to. */
+const { path: unusedPath, ...OLD_MANIFEST } = MANIFEST;
+
+let requestedServices: string[];
+let configAgeMs: number;
+
+beforeEach(() => {
+    vi.useFakeTimers();
+    requestedServices = [];
+    configAgeMs = 0;
+});
+afterEach(() => vi.useRealTimers());
+
+function newRoutes(routes: readonly Partial<Route>[]): RouteTable {
+    const defaults = { host: HOST, kind: "batch", maxAttempts: 3, retentionMs: RETENTION_MS, allowedRegions: [] };
+    const config = { version: 1, routes: routes.map(route => ({ ...defaults, ...route })), services: [] };
+    return new RouteTable(config as unknown as RoutingConfig);
+}
+
+/** Runs a job whose place requests are all refused. */
+async function run(manifest: JobManifest, routes: RouteTable | undefined): Promise<JobRun> {
+    const runner = new JobRunner({
+        store: new JobStore(new MemoryStore(), newLogger("test", "fatal")),
+        logger: newLogger("test", "fatal"),
+        placement: {
+            requestPlace: async ({ service }: PlaceRequest) => {
+                requestedServices.push(service);
+                return { kind: "refused", reason: "overloaded" };
+            },
+        },
+        view: { routes, getConfigAgeMs: () => configAgeMs },
+        isJobStateFresh: () => true,
+    } as unknown as JobRunnerDependencies);
+    runner.add({ ...manifest, submittedAt: Date.now() }, new Map([["item", ""]]));
+    const jobRun = runner.getReadableRun("job") as JobRun;
+    await vi.advanceTimersByTimeAsync(PATIENCE_MS);
+    jobRun.stop("the test is over");
+    return jobRun;
+}
+
+describe("an item of a batch job", () => {
+    it.each([
+        { what: "a route that its own path selects was added", manifest: MANIFEST, routes: [JOBS, STREAMS] },
+        {
+            what: "a batch route that its own path selects was added",
+            manifest: MANIFEST,
+            routes: [JOBS, { ...STREAMS, kind: "batch" as const }],
+        },
+        {
+            what: "the submission's path selects another route now",
+            manifest: MANIFEST,
+            routes: [JOBS, { ...STREAMS, pathPrefix: "/jobs/7" }],
+        },
+        { what: "its own path selects no route", manifest: MANIFEST, routes: [{ ...JOBS, pathPrefix: "/jobs/7" }] },
+        {
+            what: "its job's route has another prefix now",
+            manifest: MANIFEST,
+            routes: [{ ...JOBS, pathPrefix: "/other/" }, STREAMS],
+        },
+        {
+            what: "its job's route has another name now",
+            manifest: MANIFEST,
+            routes: [{ ...JOBS, name: "renamed" }, STREAMS],
+        },
+        { what: "its job was submitted to an earlier release", manifest: OLD_MANIFEST, routes: [JOBS, STREAMS] },
+        {
+            what: "its job was submitted to an earlier release, and the route has another name now",
+            manifest: OLD_MANIFEST,
+            routes: [{ ...JOBS, name: "renamed" }],
+        },
+    ])("runs by its job's route when $what", async ({ manifest, routes }) => {
+        const jobRun = await run(manifest, newRoutes(routes));
+        expect(jobRun.publishedCount).toBe(0);
+        expect(new Set(requestedServices)).toEqual(new Set(["digests"]));
+    });
+
+    it("runs at the service that its job's route names now", async () => {
+        const jobRun = await run(
+            MANIFEST,
+            newRoutes([{ ...JOBS, targets: [{ service: "other", weight: 1 }] }, STREAMS]),
+        );
+        expect(jobRun.publishedCount).toBe(0);
+        expect(new Set(requestedServices)).toEqual(new Set(["other"]));
+    });
+
+    it.each([
+        { what: "has been removed", routes: [STREAMS], ageMs: 0, published: 1 },
+        {
+            what: "is for other requests now",
+            routes: [{ ...STREAMS, name: "jobs", pathPrefix: "/jobs/" }],
+            ageMs: 0,
+            published: 1,
+        },
+        { what: "is missing from an old configuration", routes: [STREAMS], ageMs: 60_000, published: 0 },
+        { what: "isn't known yet, as no configuration is", routes: undefined, ageMs: Infinity, published: 0 },
+    ])(
+        "is given up only if its job's route certainly doesn't exist: it $what",
+        async ({ routes, ageMs, published }) => {
+            configAgeMs = ageMs;
+            const jobRun = await run(MANIFEST, routes === undefined ? undefined : newRoutes(routes));
+            expect(jobRun.publishedCount).toBe(published);
+            expect(requestedServices).toEqual([]);
+        },
+    );
+});
