Pause between checks of an item whose route has no service with a weight

An item of a batch route whose backends all have the weight 0, or whose body can't be read, was checked again without a pause, which keeps the process from doing anything else. It waits now as for a place that was refused.

--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -209,6 +209,7 @@
         const service = this.origin?.service ?? pickService(route, Math.random());
         const body = await this.deps.getBody();
         if (service === undefined || body === undefined) {
+            await sleep(NOT_RUNNABLE_DELAY_MS, this.signal);
             return "stopped";
         }
         const remainingMs = this.deps.durationEstimator.getRemainingMs(this.data.length);
--- a/packages/gateway/tests/jobRoute.test.ts
+++ b/packages/gateway/tests/jobRoute.test.ts
@@ -10,6 +10,8 @@
 const RETENTION_MS = 90_000;
 /** Longer than a route may be missing before its items are given up, and shorter than the retention time. */
 const PATIENCE_MS = 10_000;
+/** More than an item that pauses is checked within the patience. */
+const MAX_CHECKS = 200;
 const JOBS: Partial<Route> = { name: "jobs", pathPrefix: "/jobs/", targets: [{ service: "digests", weight: 1 }] };
 const STREAMS: Partial<Route> = {
     name: "streams",
@@ -36,11 +38,13 @@
 
 let requestedServices: string[];
 let configAgeMs: number;
+let checks: number;
 
 beforeEach(() => {
     vi.useFakeTimers();
     requestedServices = [];
     configAgeMs = 0;
+    checks = 0;
 });
 afterEach(() => vi.useRealTimers());
 
@@ -62,7 +66,11 @@
             },
         },
         view: { routes, getConfigAgeMs: () => configAgeMs },
-        isJobStateFresh: () => true,
+        // Otherwise the test wouldn't end where items are checked again without a pause.
+        isJobStateFresh: () => {
+            checks += 1;
+            return checks < MAX_CHECKS;
+        },
     } as unknown as JobRunnerDependencies);
     runner.add({ ...manifest, submittedAt: Date.now() }, new Map([["item", ""]]));
     const jobRun = runner.getReadableRun("job") as JobRun;
@@ -135,4 +143,12 @@
             expect(requestedServices).toEqual([]);
         },
     );
+
+    // Fails if items are checked again without a pause, which would hang the process.
+    it("waits while all services of its job's route have the weight 0", async () => {
+        const jobRun = await run(MANIFEST, newRoutes([{ ...JOBS, targets: [{ service: "digests", weight: 0 }] }]));
+        expect(jobRun.publishedCount).toBe(0);
+        expect(requestedServices).toEqual([]);
+        expect(checks).toBeLessThan(MAX_CHECKS);
+    });
 });
