--- a/packages/gateway/src/jobRun.ts
+++ b/packages/gateway/src/jobRun.ts
@@ -4,6 +4,7 @@
 import type PQueue from "p-queue";
 import { type ItemJob, ItemRun, type ItemRunDependencies, type ItemState } from "./itemRun";
 import type { JobItem, JobManifest, JobStore } from "./jobStore";
+import { PublishedResults, takeUpToBytes } from "./publishedResults";
 import type { RunnerClaim } from "./runnerClaim";
 import type { ItemResult, ResultsPage } from "./wireCodec";
 
@@ -52,17 +53,14 @@
 /** Runs one job. Results are published only once the store has them, in the order in which they were written. */
 export class JobRun {
     private readonly stopping = new AbortController();
-    private readonly publishedResults: ItemResult[] = [];
-    private readonly publishedIds = new Set<string>();
+    private readonly published: PublishedResults;
     private readonly tokensByItem: Map<string, number>;
     private unwrittenResults: ItemResult[] = [];
-    private chunkCount = 0;
     private isWriting = false;
     private hasLoaded = false;
     private bodies: Map<string, string> | undefined;
     private readonly itemRuns = new Map<string, ItemRun>();
     private readonly handedOverStates: ReadonlyMap<string, ItemState>;
-    private waiters: (() => void)[] = [];
     /** How often another instance may have written results, and up to which of these times the store has been read. */
     private requiredVerifications = 0;
     private doneVerifications = 0;
@@ -96,6 +94,7 @@
         private readonly handover: JobHandover | undefined,
         createdAt?: Timestamp,
     ) {
+        this.published = new PublishedResults(manifest.items.length);
         this.claim = { createdAt, reportedSinceMs: performance.now() };
         if (bodies === undefined) {
             this.expectOtherWriter();
@@ -111,12 +110,12 @@
 
     /** Whether the store has the results of all items. */
     get isFinished(): boolean {
-        return this.publishedResults.length >= this.manifest.items.length;
+        return this.published.isComplete;
     }
 
     /** Number of published results. */
     get publishedCount(): number {
-        return this.publishedResults.length;
+        return this.published.count;
     }
 
     /** Whether this instance has stopped running the job. */
@@ -148,7 +147,7 @@
     /** @returns The job's progress, including results that are not written yet. */
     getProgress(): JobProgress {
         let finishedTokens = 0;
-        for (const { itemId } of [...this.publishedResults, ...this.unwrittenResults]) {
+        for (const { itemId } of [...this.published, ...this.unwrittenResults]) {
             finishedTokens += this.tokensByItem.get(itemId) ?? 0;
         }
         return { jobId: this.manifest.jobId, finishedTokens, handedOverBy: this.handover?.by ?? "" };
@@ -169,13 +168,13 @@
             job: this.manifest.jobId,
             route,
             items: this.manifest.items.length,
-            listed: this.publishedIds.size,
+            listed: this.published.count,
         });
-        this.unwrittenResults = this.unwrittenResults.filter(({ itemId }) => !this.publishedIds.has(itemId));
+        this.unwrittenResults = this.unwrittenResults.filter(({ itemId }) => !this.published.has(itemId));
         const unwrittenIds = new Set(this.unwrittenResults.map(({ itemId }) => itemId));
         void this.writeResults();
         for (const item of this.manifest.items) {
-            if (!this.publishedIds.has(item.itemId) && !unwrittenIds.has(item.itemId)) {
+            if (!this.published.has(item.itemId) && !unwrittenIds.has(item.itemId)) {
                 void this.deps.queue.add(() => this.runItem(item), { priority: -this.manifest.submittedAt });
             }
         }
@@ -190,9 +189,9 @@
     stop(reason: string): void {
         if (!this.isStopped) {
             const { jobId } = this.manifest;
-            this.deps.logger.info({ event: "job-stopped", job: jobId, reason, listed: this.publishedResults.length });
+            this.deps.logger.info({ event: "job-stopped", job: jobId, reason, listed: this.published.count });
             this.stopping.abort();
-            this.wakeWaiters();
+            this.published.wakeWaiters();
         }
     }
 
@@ -216,7 +215,7 @@
      * @returns A page of published results.
      */
     read(after: number, maxBytes: number): ResultsPage {
-        return newPage(this.manifest.items.length, this.publishedResults, after, maxBytes);
+        return this.published.read(after, maxBytes);
     }
 
     /**
@@ -226,14 +225,9 @@
      * @param waitMs - Longest wait.
      */
     async waitForResult(after: number, waitMs: number): Promise<void> {
-        if (after < this.publishedResults.length || this.isFinished || this.isStopped || waitMs <= 0) {
-            return;
+        if (after >= this.published.count && !this.isFinished && !this.isStopped && waitMs > 0) {
+            await this.published.waitForMore(waitMs);
         }
-        const waiting = new AbortController();
-        const wake = () => waiting.abort();
-        this.waiters.push(wake);
-        await sleep(waitMs, waiting.signal);
-        this.waiters = this.waiters.filter(other => other !== wake);
     }
 
     /**
@@ -283,7 +277,7 @@
     async loadNewResults(): Promise<boolean> {
         const { requiredVerifications } = this;
         for (;;) {
-            const index = this.chunkCount;
+            const index = this.published.chunkCount;
             const startedAtMs = performance.now();
             const chunk = await this.deps.store.readChunk(this.manifest.jobId, index);
             if (chunk.isErr()) {
@@ -294,8 +288,8 @@
                 this.loadedAtMs = Math.max(this.loadedAtMs, startedAtMs);
                 return true;
             }
-            if (index === this.chunkCount) {
-                this.publish(chunk.value.results);
+            if (index === this.published.chunkCount) {
+                this.published.addChunk(chunk.value.results);
                 if (this.isStarted && index !== this.sentIndex) {
                     this.hasMetOtherWriter = true;
                     this.expectOtherWriter();
@@ -334,25 +328,8 @@
         }
     }
 
-    private publish(results: readonly ItemResult[]): void {
-        this.chunkCount += 1;
-        for (const result of results) {
-            if (!this.publishedIds.has(result.itemId)) {
-                this.publishedIds.add(result.itemId);
-                this.publishedResults.push(result);
-            }
-        }
-        this.wakeWaiters();
-    }
-
-    private wakeWaiters(): void {
-        for (const wake of this.waiters.splice(0)) {
-            wake();
-        }
-    }
-
     private async runItem(item: JobItem): Promise<void> {
-        if (this.isStopped || this.publishedIds.has(item.itemId)) {
+        if (this.isStopped || this.published.has(item.itemId)) {
             return;
         }
         const { jobId, organisation, host, submittedAt } = this.manifest;
@@ -378,21 +355,21 @@
         while (this.unwrittenResults.length > 0 && !this.isStopped) {
             await sleep(this.hasAllResults() ? 0 : WRITE_DELAY_MS, this.stopping.signal);
             await this.waitForConfirmation();
-            this.unwrittenResults = this.unwrittenResults.filter(({ itemId }) => !this.publishedIds.has(itemId));
+            this.unwrittenResults = this.unwrittenResults.filter(({ itemId }) => !this.published.has(itemId));
             if (this.unwrittenResults.length === 0 || this.isStopped) {
                 break;
             }
             const ownResults = takeUpToBytes(this.unwrittenResults, MAX_CHUNK_BYTES);
             const { store } = this.deps;
             const { jobId } = this.manifest;
-            const index = this.chunkCount;
+            const index = this.published.chunkCount;
             this.sentIndex = index;
             const outcome = await store.writeChunk(jobId, index, ownResults, this.stopping.signal);
             this.sentIndex = undefined;
             if (outcome === undefined) {
                 break;
             }
-            this.recordWriter(outcome.kind === "written" && this.chunkCount <= index + 1);
+            this.recordWriter(outcome.kind === "written" && this.published.chunkCount <= index + 1);
             const results = outcome.kind === "written" ? ownResults : outcome.chunk.results;
             this.deps.logger.info({
                 event: "results-written",
@@ -401,10 +378,10 @@
                 outcome: outcome.kind,
                 items: results.map(({ itemId, state }) => `${itemId}:${state}`),
             });
-            if (index === this.chunkCount) {
-                this.publish(results);
+            if (index === this.published.chunkCount) {
+                this.published.addChunk(results);
             }
-            this.unwrittenResults = this.unwrittenResults.filter(({ itemId }) => !this.publishedIds.has(itemId));
+            this.unwrittenResults = this.unwrittenResults.filter(({ itemId }) => !this.published.has(itemId));
         }
         this.isWriting = false;
         await this.closeIfFinished();
@@ -422,7 +399,7 @@
     }
 
     private hasAllResults(): boolean {
-        return this.publishedResults.length + this.unwrittenResults.length >= this.manifest.items.length;
+        return this.published.count + this.unwrittenResults.length >= this.manifest.items.length;
     }
 
     private async closeIfFinished(): Promise<void> {
@@ -439,33 +416,3 @@
         }
     }
 }
-
-/**
- * @param itemCount - Number of items of the job.
- * @param results - All results so far.
- * @param after - Position to read from.
- * @param maxBytes - Limit of the page's output; the first result is included even if it is larger.
- * @returns A page of results.
- */
-export function newPage(
-    itemCount: number,
-    results: readonly ItemResult[],
-    after: number,
-    maxBytes: number,
-): ResultsPage {
-    const page = takeUpToBytes(results.slice(after), maxBytes);
-    return { total: itemCount, next: after + page.length, results: page };
-}
-
-function takeUpToBytes(results: readonly ItemResult[], maxBytes: number): ItemResult[] {
-    const taken: ItemResult[] = [];
-    let sizeBytes = 0;
-    for (const result of results) {
-        sizeBytes += result.output.length;
-        if (taken.length > 0 && sizeBytes > maxBytes) {
-            break;
-        }
-        taken.push(result);
-    }
-    return taken;
-}
--- /dev/null
+++ b/packages/gateway/src/publishedResults.ts
@@ -0,0 +1,122 @@
+import { sleep } from "@heatherline/common";
+import type { ItemResult, ResultsPage } from "./wireCodec";
+
+/** The results of a job that the store has, in the order in which they were written; those who wait for more are woken. */
+export class PublishedResults implements Iterable<ItemResult> {
+    private readonly results: ItemResult[] = [];
+    private readonly itemIds = new Set<string>();
+    private waiters: (() => void)[] = [];
+    private chunks = 0;
+
+    /**
+     * @param itemCount - Number of items of the job.
+     */
+    constructor(private readonly itemCount: number) {}
+
+    /** Number of results. */
+    get count(): number {
+        return this.results.length;
+    }
+
+    /** Number of chunks that these results were written in. */
+    get chunkCount(): number {
+        return this.chunks;
+    }
+
+    /** Whether there is a result of each item. */
+    get isComplete(): boolean {
+        return this.results.length >= this.itemCount;
+    }
+
+    [Symbol.iterator](): Iterator<ItemResult> {
+        return this.results[Symbol.iterator]();
+    }
+
+    /**
+     * @param itemId - An item.
+     * @returns Whether it has a result.
+     */
+    has(itemId: string): boolean {
+        return this.itemIds.has(itemId);
+    }
+
+    /**
+     * Publishes the results of the next chunk; an item that has a result keeps it.
+     *
+     * @param results - The chunk's results.
+     */
+    addChunk(results: readonly ItemResult[]): void {
+        this.chunks += 1;
+        for (const result of results) {
+            if (!this.itemIds.has(result.itemId)) {
+                this.itemIds.add(result.itemId);
+                this.results.push(result);
+            }
+        }
+        this.wakeWaiters();
+    }
+
+    /**
+     * @param after - Position to read from.
+     * @param maxBytes - Limit of the page's output; the first result is included even if it is larger.
+     * @returns A page of results.
+     */
+    read(after: number, maxBytes: number): ResultsPage {
+        return newPage(this.itemCount, this.results, after, maxBytes);
+    }
+
+    /**
+     * Waits until results are published or waiters are woken for another reason.
+     *
+     * @param waitMs - Longest wait.
+     */
+    async waitForMore(waitMs: number): Promise<void> {
+        const waiting = new AbortController();
+        const wake = () => waiting.abort();
+        this.waiters.push(wake);
+        await sleep(waitMs, waiting.signal);
+        this.waiters = this.waiters.filter(other => other !== wake);
+    }
+
+    /** Wakes all who wait for results. */
+    wakeWaiters(): void {
+        for (const wake of this.waiters.splice(0)) {
+            wake();
+        }
+    }
+}
+
+/**
+ * @param itemCount - Number of items of the job.
+ * @param results - All results so far.
+ * @param after - Position to read from.
+ * @param maxBytes - Limit of the page's output; the first result is included even if it is larger.
+ * @returns A page of results.
+ */
+export function newPage(
+    itemCount: number,
+    results: readonly ItemResult[],
+    after: number,
+    maxBytes: number,
+): ResultsPage {
+    const page = takeUpToBytes(results.slice(after), maxBytes);
+    return { total: itemCount, next: after + page.length, results: page };
+}
+
+/**
+ * @param results - Results.
+ * @param maxBytes - Limit of their output.
+ * @returns The first results, up to the limit; at least one, even if it is larger.
+ */
+export function takeUpToBytes(results: readonly ItemResult[], maxBytes: number): ItemResult[] {
+    const taken: ItemResult[] = [];
+    let sizeBytes = 0;
+    for (const result of results) {
+        sizeBytes += result.output.length;
+        if (taken.length > 0 && sizeBytes > maxBytes) {
+            break;
+        }
+        taken.push(result);
+    }
+    return taken;
+}
