Count the bytes of results and bodies, and split what is larger than an object

A job with an item's body of more than 0.75 million bytes (of at most 4.2) got 503 for good, and one whose headers don't fit an object, too.

Cause: chunks, pages and bodies were measured in UTF-16 characters instead of the bytes of the JSON text in UTF-8, nothing split a single large result or body, and JobStore.writeChunk repeated a write that the store had rejected for good. Now sizes are those of the JSON text (measured once a result); a result or a body that is too large for an object is written in pieces and joined when it is read (a result is listed only once all of its pieces are there; two writers' pieces don't mix); a rejected chunk is reported to the run, which writes smaller ones. A job whose items don't fit an object without their bodies gets 413 before anything is written.

Jobs of earlier releases are read as before. An instance of an earlier release doesn't list a result in pieces and reads only the last piece of a body in pieces; both could not be stored at all by it.

--- a/packages/gateway/src/batchApi.ts
+++ b/packages/gateway/src/batchApi.ts
@@ -12,9 +12,10 @@
 } from "@heatherline/fleet";
 import type { Admission, AdmittedRequest } from "./admission";
 import type { CallerResponse } from "./callerResponse";
+import { splitBodies, type StoredBodies } from "./jobBodies";
 import type { JobReader } from "./jobReader";
 import type { JobRunner } from "./jobRunner";
-import { type JobManifest, type JobStore, splitBodies } from "./jobStore";
+import { findSizeFault, type JobManifest, type JobStore } from "./jobStore";
 import type { GatewayMetrics } from "./metrics";
 import { newRefusal, type Refusal } from "./refusal";
 import type { BatchSubmission, CallerRequestHead, WireCodec } from "./wireCodec";
@@ -134,8 +135,11 @@
         }
         const untilMs = arrivedAtMs + (caller.timeLeftMs ?? DEFAULT_SUBMIT_TIMEOUT_MS) - SUBMIT_MARGIN_MS;
         const bodies = new Map(submission.value.items.map(({ itemId, bodyBase64 }) => [itemId, bodyBase64]));
-        const bodyParts = splitBodies(bodies).length;
-        const manifest = newManifest(caller.requestId, request, admitted, submission.value, bodyParts);
+        const manifest = newManifest(caller.requestId, request, admitted, submission.value, splitBodies(bodies));
+        const sizeFault = findSizeFault(manifest);
+        if (sizeFault !== undefined) {
+            return newRefusal("body-too-large", sizeFault);
+        }
         const refusal = await this.admitTokens(manifest, admitted);
         if (refusal !== undefined) {
             return refusal;
@@ -293,7 +297,7 @@
     { caller, path }: BatchApiRequest,
     { route, organisation }: AdmittedRequest,
     { items }: BatchSubmission,
-    bodyParts: number,
+    { parts, firstParts }: StoredBodies,
 ): JobManifest {
     return {
         jobId,
@@ -305,7 +309,8 @@
         itemTokens: items.map(({ tokens }) => tokens),
         state: "open",
         items: items.map(({ itemId, path, headers, tokens }) => ({ itemId, path, headers, tokens })),
-        bodyParts,
+        bodyParts: parts.length,
+        firstParts,
         isEndedByCaller: false,
     };
 }
--- a/packages/gateway/src/jobReader.ts
+++ b/packages/gateway/src/jobReader.ts
@@ -7,10 +7,11 @@
 import type { JobManifest, JobStore, ResultChunk } from "./jobStore";
 import { newPage } from "./publishedResults";
 import { newRefusal, type Refusal } from "./refusal";
+import { ChunkReader, getJsonBytes, getResultBytes } from "./resultChunks";
 import type { RunnerClaim } from "./runnerClaim";
 import type { ItemResult, ResultsPage } from "./wireCodec";
 
-/** Limit of the output in one page of results. */
+/** Limit of the results in one page as JSON in UTF-8; the rest of what a page may take is left for its framing. */
 const MAX_PAGE_BYTES = 900_000;
 const FIND_RUNNER_TIMEOUT_MS = 300;
 /** Added to the requested wait when another instance is asked for results. */
@@ -221,6 +222,7 @@
             return err(manifest.error);
         }
         const results: ItemResult[] = [];
+        const chunks = new ChunkReader();
         let startedAtMs = performance.now();
         for (let index = 0; results.length < manifest.value.items.length; index += 1) {
             startedAtMs = performance.now();
@@ -232,7 +234,7 @@
                 break;
             }
             const seenIds = new Set(results.map(({ itemId }) => itemId));
-            results.push(...chunk.value.results.filter(({ itemId }) => !seenIds.has(itemId)));
+            results.push(...chunks.read(chunk.value).filter(({ itemId }) => !seenIds.has(itemId)));
         }
         const page = newPage(manifest.value.items.length, results, after, MAX_PAGE_BYTES);
         if (page.results.length === 0 && performance.now() - startedAtMs > MAX_EMPTY_READ_MS) {
@@ -259,7 +261,8 @@
     }
 }
 
-/** Size of a chunk's output; at least 1, as the cache requires positive sizes. */
-function getSizeBytes({ results }: ResultChunk): number {
-    return results.reduce((sum, { output }) => sum + output.length, 1);
+/** Size of a chunk's results; at least 1, as the cache requires positive sizes. */
+function getSizeBytes({ results, piece }: ResultChunk): number {
+    const pieceBytes = piece === undefined ? 1 : getJsonBytes(piece.text);
+    return results.reduce((sum, result) => sum + getResultBytes(result), pieceBytes);
 }
--- a/packages/gateway/src/jobRun.ts
+++ b/packages/gateway/src/jobRun.ts
@@ -4,15 +4,16 @@
 import type PQueue from "p-queue";
 import { type ItemJob, ItemRun, type ItemRunDependencies, type ItemState } from "./itemRun";
 import type { JobItem, JobManifest, JobStore } from "./jobStore";
-import { PublishedResults, takeUpToBytes } from "./publishedResults";
+import { PublishedResults } from "./publishedResults";
+import { ChunkPlanner } from "./resultChunks";
 import type { RunnerClaim } from "./runnerClaim";
 import type { ItemResult, ResultsPage } from "./wireCodec";
 
 /** Results that arrive within this time are written to the store in one chunk. */
 const WRITE_DELAY_MS = 600;
-/** Limit of the output in one chunk of results; a single larger result still makes a chunk. */
-const MAX_CHUNK_BYTES = 500_000;
 const RETRY_DELAY_MS = 300;
+/** Delay after a chunk that the store doesn't accept although it is as small as can be. */
+const REJECTED_DELAY_MS = 1_000;
 /** How often a run that needs a confirmation before it writes checks whether there is one. */
 const CONFIRMATION_CHECK_MS = 50;
 /** Without a confirmation for this long, an adopted run writes nevertheless; one whose chunk was not the first stops. */
@@ -56,6 +57,7 @@
     private readonly published: PublishedResults;
     private readonly tokensByItem: Map<string, number>;
     private unwrittenResults: ItemResult[] = [];
+    private readonly planner = new ChunkPlanner();
     private isWriting = false;
     private hasLoaded = false;
     private bodies: Map<string, string> | undefined;
@@ -289,7 +291,7 @@
                 return true;
             }
             if (index === this.published.chunkCount) {
-                this.published.addChunk(chunk.value.results);
+                this.published.addChunk(chunk.value);
                 if (this.isStarted && index !== this.sentIndex) {
                     this.hasMetOtherWriter = true;
                     this.expectOtherWriter();
@@ -353,33 +355,44 @@
         }
         this.isWriting = true;
         while (this.unwrittenResults.length > 0 && !this.isStopped) {
-            await sleep(this.hasAllResults() ? 0 : WRITE_DELAY_MS, this.stopping.signal);
+            const isWritable = this.hasAllResults() || this.planner.isInsideResult;
+            await sleep(isWritable ? 0 : WRITE_DELAY_MS, this.stopping.signal);
             await this.waitForConfirmation();
             this.unwrittenResults = this.unwrittenResults.filter(({ itemId }) => !this.published.has(itemId));
             if (this.unwrittenResults.length === 0 || this.isStopped) {
                 break;
             }
-            const ownResults = takeUpToBytes(this.unwrittenResults, MAX_CHUNK_BYTES);
+            const content = this.planner.getNext(this.unwrittenResults);
             const { store } = this.deps;
             const { jobId } = this.manifest;
             const index = this.published.chunkCount;
             this.sentIndex = index;
-            const outcome = await store.writeChunk(jobId, index, ownResults, this.stopping.signal);
+            const outcome = await store.writeChunk(jobId, index, content, this.stopping.signal);
             this.sentIndex = undefined;
             if (outcome === undefined) {
                 break;
             }
+            if (outcome.kind === "rejected") {
+                this.deps.logger.warn({ event: "results-rejected", job: jobId, chunk: index, reason: outcome.reason });
+                await sleep(this.planner.isAtMinimum ? REJECTED_DELAY_MS : 0, this.stopping.signal);
+                this.planner.recordRejected();
+                continue;
+            }
             this.recordWriter(outcome.kind === "written" && this.published.chunkCount <= index + 1);
-            const results = outcome.kind === "written" ? ownResults : outcome.chunk.results;
+            if (outcome.kind === "written") {
+                this.planner.recordWritten(content);
+            }
+            const { results, piece } = outcome.kind === "written" ? content : outcome.chunk;
             this.deps.logger.info({
                 event: "results-written",
                 job: jobId,
                 chunk: index,
                 outcome: outcome.kind,
                 items: results.map(({ itemId, state }) => `${itemId}:${state}`),
+                piece: piece === undefined ? undefined : `${piece.itemId}:${piece.index + 1}/${piece.count}`,
             });
             if (index === this.published.chunkCount) {
-                this.published.addChunk(results);
+                this.published.addChunk({ results, piece });
             }
             this.unwrittenResults = this.unwrittenResults.filter(({ itemId }) => !this.published.has(itemId));
         }
--- a/packages/gateway/src/jobStore.ts
+++ b/packages/gateway/src/jobStore.ts
@@ -1,15 +1,19 @@
 import { type Logger, newId, sleep } from "@heatherline/common";
 import { decodeJobSummary, JOB_KIND, type JobSummary } from "@heatherline/fleet";
-import { type ObjectStore, type StoredObject, StoreError } from "@heatherline/store";
+import { MAX_VALUE_BYTES, type ObjectStore, type StoredObject, StoreError } from "@heatherline/store";
 import { LRUCache } from "lru-cache";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
-import type { ItemResult, SubmittedItem } from "./wireCodec";
+import { splitBodies } from "./jobBodies";
+import type { ChunkContent } from "./resultChunks";
+import type { SubmittedItem } from "./wireCodec";
 
 const BODY_KIND = "heatherline-job-bodies";
 const RESULT_KIND = "heatherline-job-results";
-/** Limit of base64 text in one object of bodies; the store accepts objects of a little over a million bytes. */
-const MAX_PART_BYTES = 700_000;
+/** Most objects of bodies beyond one for each item, since large bodies are split. */
+const MAX_EXTRA_PARTS = 1_000;
+/** Left of the size of an object for what the store adds to it, and for what changes when a job is closed. */
+const OBJECT_MARGIN_BYTES = 4_096;
 /** A create without a response is sent a second time after this delay; it is conditional, so it takes effect once. */
 const HEDGE_DELAY_MS = 350;
 const RETRY_DELAY_MS = 120;
@@ -30,20 +34,30 @@
     readonly items: readonly JobItem[];
     /** Number of objects that hold the bodies. */
     readonly bodyParts: number;
+    /**
+     * For each item, the index of the object with the beginning of its body; absent from jobs of earlier releases, which
+     * have each body in one object.
+     */
+    readonly firstParts?: readonly number[] | undefined;
     /** Whether the caller cancelled the job; results written before stay readable. */
     readonly isEndedByCaller: boolean;
 }
 
 /** A chunk of a job's results; never changes once written. */
-export interface ResultChunk {
-    readonly results: readonly ItemResult[];
+export interface ResultChunk extends ChunkContent {
     /** Distinguishes this writer's chunk from another writer's after a lost response. */
     readonly writeId: string;
 }
 
-/** How writing a chunk of results ended; `taken` means that another writer had written a chunk with this index. */
+/**
+ * How writing a chunk of results ended.
+ *
+ * - `taken`: another writer had written a chunk with this index.
+ * - `rejected`: the store doesn't accept the chunk, however often it is written.
+ */
 export type WriteChunkOutcome =
     | { readonly kind: "written"; }
+    | { readonly kind: "rejected"; readonly reason: string; }
     | { readonly kind: "taken"; readonly chunk: ResultChunk; };
 
 /** Whether a job was created or existed already. */
@@ -75,7 +89,7 @@
         bodies: ReadonlyMap<string, string>,
         untilMs: number,
     ): Promise<Result<CreateJobOutcome, StoreError>> {
-        for (const [index, part] of splitBodies(bodies).entries()) {
+        for (const [index, part] of splitBodies(bodies).parts.entries()) {
             const written = await this.createWithRetry(
                 `${BODY_KIND}/${manifest.jobId}.${index}`,
                 { bodies: part },
@@ -126,7 +140,7 @@
                 return err(part.error);
             }
             for (const [itemId, body] of Object.entries((part.value?.value.bodies ?? {}) as Record<string, string>)) {
-                bodies.set(itemId, body);
+                bodies.set(itemId, (bodies.get(itemId) ?? "") + body);
             }
         }
         return ok(bodies);
@@ -143,27 +157,30 @@
     }
 
     /**
-     * Writes a chunk of results; retries until it is certain which chunk the store has.
+     * Writes a chunk of results; retries until it is certain which chunk the store has, or that it rejects this one.
      *
      * @param jobId - The job.
      * @param index - Index of the chunk, from 0.
-     * @param results - The results.
+     * @param content - The chunk's content.
      * @param signal - Stops the retries.
-     * @returns Whether this chunk was written or another writer's exists; `undefined` if stopped before that is known.
+     * @returns Whether this chunk was written; `undefined` if stopped before that is known.
      */
     async writeChunk(
         jobId: string,
         index: number,
-        results: readonly ItemResult[],
+        content: ChunkContent,
         signal: AbortSignal,
     ): Promise<WriteChunkOutcome | undefined> {
         const path = `${RESULT_KIND}/${jobId}.${index}`;
-        const chunk: ResultChunk = { results, writeId: newId() };
+        const chunk: ResultChunk = { ...content, writeId: newId() };
         for (let failures = 1; !signal.aborted; failures += 1) {
             const written = await this.createHedged(path, { ...chunk }, HEDGE_DELAY_MS);
             if (written.isOk()) {
                 return { kind: "written" };
             }
+            if (written.error.kind === "rejected") {
+                return { kind: "rejected", reason: written.error.message };
+            }
             if (written.error.kind === "conflict") {
                 const existing = await this.readChunk(jobId, index);
                 if (existing.isOk() && existing.value !== undefined) {
@@ -316,6 +333,18 @@
     return manifests.get(object);
 }
 
+/**
+ * @param manifest - A job.
+ * @returns Why the store can't keep the job, or `undefined` if it can.
+ */
+export function findSizeFault(manifest: JobManifest): string | undefined {
+    const sizeBytes = Buffer.byteLength(JSON.stringify(manifest));
+    const maxBytes = MAX_VALUE_BYTES - OBJECT_MARGIN_BYTES;
+    return sizeBytes <= maxBytes
+        ? undefined
+        : `the items take ${sizeBytes} bytes without their bodies, at most ${maxBytes} can be stored`;
+}
+
 /** Objects are read again and again with the list of jobs, and never change. */
 const manifests = new WeakMap<StoredObject, JobManifest | undefined>();
 
@@ -329,6 +358,7 @@
         tokens: z.number().nonnegative(),
     })).min(1),
     bodyParts: z.number().int().nonnegative(),
+    firstParts: z.array(z.number().int().nonnegative()).optional(),
     isEndedByCaller: z.boolean(),
 });
 
@@ -339,33 +369,10 @@
         return undefined;
     }
     const { items, bodyParts } = parsed.data;
-    // No part is empty, except the only one of a job without bodies.
-    const isConsistent = items.length === summary.itemTokens.length && bodyParts <= Math.max(1, items.length);
+    const isConsistent = items.length === summary.itemTokens.length && bodyParts <= items.length + MAX_EXTRA_PARTS;
     return isConsistent ? { ...summary, ...parsed.data } : undefined;
 }
 
-/**
- * Splits the bodies of a job into objects that the store accepts.
- *
- * @param bodies - Bodies in base64, by item id.
- * @returns The bodies of each object, by item id.
- */
-export function splitBodies(bodies: ReadonlyMap<string, string>): Record<string, string>[] {
-    const parts: Record<string, string>[] = [];
-    let part: Record<string, string> = {};
-    let sizeBytes = 0;
-    for (const [itemId, body] of bodies) {
-        if (sizeBytes > 0 && sizeBytes + body.length > MAX_PART_BYTES) {
-            parts.push(part);
-            part = {};
-            sizeBytes = 0;
-        }
-        part[itemId] = body;
-        sizeBytes += body.length;
-    }
-    return [...parts, part];
-}
-
 function getRetryDelayMs(failures: number): number {
     return Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * 2 ** (failures - 1));
 }
--- a/packages/gateway/src/publishedResults.ts
+++ b/packages/gateway/src/publishedResults.ts
@@ -1,4 +1,5 @@
 import { sleep } from "@heatherline/common";
+import { type ChunkContent, ChunkReader, takeUpToBytes } from "./resultChunks";
 import type { ItemResult, ResultsPage } from "./wireCodec";
 
 /** The results of a job that the store has, in the order in which they were written; those who wait for more are woken. */
@@ -6,6 +7,7 @@
     private readonly results: ItemResult[] = [];
     private readonly itemIds = new Set<string>();
     private waiters: (() => void)[] = [];
+    private readonly reader = new ChunkReader();
     private chunks = 0;
 
     /**
@@ -43,11 +45,11 @@
     /**
      * Publishes the results of the next chunk; an item that has a result keeps it.
      *
-     * @param results - The chunk's results.
+     * @param content - The chunk's content.
      */
-    addChunk(results: readonly ItemResult[]): void {
+    addChunk(content: ChunkContent): void {
         this.chunks += 1;
-        for (const result of results) {
+        for (const result of this.reader.read(content)) {
             if (!this.itemIds.has(result.itemId)) {
                 this.itemIds.add(result.itemId);
                 this.results.push(result);
@@ -58,7 +60,7 @@
 
     /**
      * @param after - Position to read from.
-     * @param maxBytes - Limit of the page's output; the first result is included even if it is larger.
+     * @param maxBytes - Limit of the page's results as JSON; the first result is included even if it is larger.
      * @returns A page of results.
      */
     read(after: number, maxBytes: number): ResultsPage {
@@ -90,7 +92,7 @@
  * @param itemCount - Number of items of the job.
  * @param results - All results so far.
  * @param after - Position to read from.
- * @param maxBytes - Limit of the page's output; the first result is included even if it is larger.
+ * @param maxBytes - Limit of the page's results as JSON; the first result is included even if it is larger.
  * @returns A page of results.
  */
 export function newPage(
@@ -102,21 +104,3 @@
     const page = takeUpToBytes(results.slice(after), maxBytes);
     return { total: itemCount, next: after + page.length, results: page };
 }
-
-/**
- * @param results - Results.
- * @param maxBytes - Limit of their output.
- * @returns The first results, up to the limit; at least one, even if it is larger.
- */
-export function takeUpToBytes(results: readonly ItemResult[], maxBytes: number): ItemResult[] {
-    const taken: ItemResult[] = [];
-    let sizeBytes = 0;
-    for (const result of results) {
-        sizeBytes += result.output.length;
-        if (taken.length > 0 && sizeBytes > maxBytes) {
-            break;
-        }
-        taken.push(result);
-    }
-    return taken;
-}
--- a/packages/gateway/tests/emptyPages.test.ts
+++ b/packages/gateway/tests/emptyPages.test.ts
@@ -135,26 +135,26 @@
         const run = newRun(false, ownResults);
         await vi.advanceTimersByTimeAsync(1);
         expect(await read(run, 0)).toEqual([]);
-        await store.writeChunk(JOB, 0, [toResult("item-1")], SIGNAL);
+        await store.writeChunk(JOB, 0, { results: [toResult("item-1")] }, SIGNAL);
         await vi.advanceTimersByTimeAsync(SETTLE_MS);
         expect(await read(run, 0)).toContain("item-1");
     });
 
     it("also if another instance goes on writing after it took an index that this one had tried", async () => {
         const run = newRun(true, ["item-1"]);
-        await store.writeChunk(JOB, 0, [toResult("item-1")], SIGNAL);
+        await store.writeChunk(JOB, 0, { results: [toResult("item-1")] }, SIGNAL);
         await vi.advanceTimersByTimeAsync(WRITE_MS);
-        await store.writeChunk(JOB, 1, [toResult("item-2")], SIGNAL);
+        await store.writeChunk(JOB, 1, { results: [toResult("item-2")] }, SIGNAL);
         await vi.advanceTimersByTimeAsync(SETTLE_MS);
         expect(await read(run, 1)).toEqual(["item-2"]);
     });
 
     it("also if another instance goes on writing after this one has loaded a result of it", async () => {
         const run = newRun(true, []);
-        await store.writeChunk(JOB, 0, [toResult("item-1")], SIGNAL);
+        await store.writeChunk(JOB, 0, { results: [toResult("item-1")] }, SIGNAL);
         run.requireVerification();
         expect(await read(run, 0)).toEqual(["item-1"]);
-        await store.writeChunk(JOB, 1, [toResult("item-2")], SIGNAL);
+        await store.writeChunk(JOB, 1, { results: [toResult("item-2")] }, SIGNAL);
         await vi.advanceTimersByTimeAsync(SETTLE_MS);
         expect(await read(run, 1)).toEqual(["item-2"]);
     });
@@ -166,12 +166,12 @@
         });
         const run = newRun(true, ["item-1"]);
         await vi.advanceTimersByTimeAsync(WRITE_MS);
-        const pendingWrite = store.writeChunk(JOB, 1, [toResult("item-2")], SIGNAL);
+        const pendingWrite = store.writeChunk(JOB, 1, { results: [toResult("item-2")] }, SIGNAL);
         await vi.advanceTimersByTimeAsync(1);
         expect(await read(run, 1)).toEqual(["item-2"]);
         respond();
         await pendingWrite;
-        await store.writeChunk(JOB, 2, [toResult("item-3")], SIGNAL);
+        await store.writeChunk(JOB, 2, { results: [toResult("item-3")] }, SIGNAL);
         await vi.advanceTimersByTimeAsync(SETTLE_MS);
         expect(await read(run, 2)).toEqual(["item-3"]);
     });
@@ -180,7 +180,7 @@
         const run = newRun(true, []);
         run.requireVerification();
         expect(await read(run, 0)).toEqual([]);
-        await store.writeChunk(JOB, 0, [toResult("item-1")], SIGNAL);
+        await store.writeChunk(JOB, 0, { results: [toResult("item-1")] }, SIGNAL);
         await vi.advanceTimersByTimeAsync(SETTLE_MS);
         expect(await read(run, 0)).toEqual(["item-1"]);
     });
@@ -194,7 +194,7 @@
         isConfirmed = false;
         newRun(isCreatedHere, ["item-1"]);
         if (takenIds.length > 0) {
-            await store.writeChunk(JOB, 0, takenIds.map(toResult), SIGNAL);
+            await store.writeChunk(JOB, 0, { results: takenIds.map(toResult) }, SIGNAL);
         }
         const index = takenIds.length;
         await vi.advanceTimersByTimeAsync(2 * WRITE_MS);
--- /dev/null
+++ b/packages/gateway/tests/jobBodies.test.ts
@@ -0,0 +1,83 @@
+import { newLogger } from "@heatherline/common";
+import type { Route } from "@heatherline/fleet";
+import { MemoryStore } from "@heatherline/store";
+import { ok } from "neverthrow";
+import { describe, expect, it, vi } from "vitest";
+import type { AdmittedRequest } from "../src/admission";
+import { BatchApi, type BatchApiDependencies, type BatchApiRequest } from "../src/batchApi";
+import type { CallerResponse } from "../src/callerResponse";
+import { JobStore } from "../src/jobStore";
+import type { Refusal } from "../src/refusal";
+import type { SubmittedItem } from "../src/wireCodec";
+
+const JOB = "job";
+const ADMITTED = { route: { name: "jobs" } as Route, organisation: undefined } as AdmittedRequest;
+
+function newItems(bodies: readonly string[], headers: Record<string, string>): SubmittedItem[] {
+    return bodies.map((bodyBase64, index) => ({
+        itemId: `item-${index}`,
+        path: "/jobs/1",
+        headers,
+        bodyBase64,
+        tokens: 1,
+    }));
+}
+
+/** Submits a job; returns the status and the job store. */
+async function submit(items: readonly SubmittedItem[], objects = new MemoryStore()) {
+    const store = new JobStore(objects, newLogger("test", "fatal"));
+    const statuses: number[] = [];
+    const response = {
+        sendLocal: (status: number) => statuses.push(status),
+        sendRefusal: ({ status }: Refusal) => statuses.push(status),
+    } as unknown as CallerResponse;
+    const addJob = vi.fn();
+    const api = new BatchApi({
+        store,
+        wire: { parseSubmission: () => ok({ items }) },
+        runner: { add: addJob },
+        getCoordinator: () => ({ jobs: { isLoaded: true, admit: () => ({ kind: "admitted" }) } }),
+        metrics: { recordRequest: () => undefined },
+        logger: newLogger("test", "fatal"),
+    } as unknown as BatchApiDependencies);
+    const caller = { requestId: JOB, host: "api", timeLeftMs: 600 };
+    const request = { caller, path: "/jobs/1", body: Buffer.alloc(0), response, arrivedAtMs: performance.now() };
+    await api.submit(request as unknown as BatchApiRequest, ADMITTED);
+    return { statuses, store, addJob };
+}
+
+const toBase64 = (sizeBytes: number) => Buffer.alloc(sizeBytes, "heatherline").toString("base64");
+
+describe("a job within the limit of a submission", () => {
+    it.each([
+        { what: "many small bodies", bodies: Array.from({ length: 200 }, (_, index) => toBase64(15_000 + index)) },
+        { what: "no bodies", bodies: ["", "", ""] },
+        { what: "a body larger than an object", bodies: [toBase64(3_000_000)] },
+        { what: "a large body between small ones", bodies: [toBase64(10), toBase64(1_500_000), toBase64(20), ""] },
+        {
+            what: "large bodies one after the other",
+            bodies: [toBase64(900_000), toBase64(1_100_000), toBase64(530_000)],
+        },
+        { what: "bodies that aren't base64", bodies: ["\u0001".repeat(300_000), "é".repeat(600_000)] },
+    ])("is accepted and can be read back: $what", async ({ bodies }) => {
+        const items = newItems(bodies, { Model: "m" });
+        const { statuses, store, addJob } = await submit(items);
+        expect(statuses).toEqual([202]);
+        expect(addJob).toHaveBeenCalledTimes(1);
+        const manifest = (await store.read(JOB))._unsafeUnwrap()?.manifest;
+        expect(manifest?.items.map(({ itemId }) => itemId)).toEqual(items.map(({ itemId }) => itemId));
+        const read = (await store.readBodies(manifest as NonNullable<typeof manifest>))._unsafeUnwrap();
+        expect(read).toEqual(new Map(items.map(({ itemId, bodyBase64 }) => [itemId, bodyBase64])));
+    });
+});
+
+describe("a job that the store can't keep, as its headers are too large", () => {
+    it("is refused for good, not as if it could be sent again, and nothing of it is kept", async () => {
+        const objects = new MemoryStore();
+        const items = newItems(Array.from({ length: 200 }, () => ""), { Model: "m".repeat(10_000) });
+        const { statuses, addJob } = await submit(items, objects);
+        expect(statuses).toEqual([413]);
+        expect(addJob).not.toHaveBeenCalled();
+        expect((await objects.list("heatherline"))._unsafeUnwrap().objects).toEqual([]);
+    });
+});
--- a/packages/gateway/tests/jobReader.test.ts
+++ b/packages/gateway/tests/jobReader.test.ts
@@ -83,7 +83,7 @@
             expect(await read(instanceId)).toEqual([]);
         }
         const results = [{ itemId: "item-1", state: "completed" as const, output: "" }];
-        await store.writeChunk(JOB, 0, results, new AbortController().signal);
+        await store.writeChunk(JOB, 0, { results }, new AbortController().signal);
         for (const { instanceId } of MEMBERS) {
             expect(await read(instanceId)).toEqual(["item-1"]);
         }
@@ -91,7 +91,7 @@
 
     it("are read from the store by one instance on behalf of all", async () => {
         const results = [{ itemId: "item-1", state: "completed" as const, output: "" }];
-        await store.writeChunk(JOB, 0, results, new AbortController().signal);
+        await store.writeChunk(JOB, 0, { results }, new AbortController().signal);
         storeReads = 0;
         for (const { instanceId } of [...MEMBERS, ...MEMBERS]) {
             expect(await read(instanceId)).toEqual(["item-1"]);
@@ -105,7 +105,7 @@
         const other = MEMBERS.find(({ instanceId }) => instanceId !== designatedReaderId) as MemberEntry;
         readers.delete(designatedReaderId ?? "");
         const results = [{ itemId: "item-1", state: "completed" as const, output: "" }];
-        await store.writeChunk(JOB, 0, results, new AbortController().signal);
+        await store.writeChunk(JOB, 0, { results }, new AbortController().signal);
         expect(await read(other.instanceId)).toEqual(["item-1"]);
     });
 });
@@ -121,9 +121,9 @@
     ])("are read from the store $what", async ({ requiresVerification, expected }) => {
         const run = new JobRun(manifest, new Map(), { store } as unknown as JobRunDependencies, undefined);
         const { signal } = new AbortController();
-        await store.writeChunk(JOB, 0, [toResult("item-1")], signal);
+        await store.writeChunk(JOB, 0, { results: [toResult("item-1")] }, signal);
         await run.loadNewResults();
-        await store.writeChunk(JOB, 1, [toResult("item-2")], signal);
+        await store.writeChunk(JOB, 1, { results: [toResult("item-2")] }, signal);
         if (requiresVerification) {
             run.requireVerification();
         }
@@ -143,7 +143,12 @@
         } as unknown as JobRunnerDependencies);
         runner.add(manifest, new Map());
         const run = runner.getReadableRun(JOB) as JobRun;
-        await store.writeChunk(JOB, 0, [toResult("item-1"), toResult("item-2")], new AbortController().signal);
+        await store.writeChunk(
+            JOB,
+            0,
+            { results: [toResult("item-1"), toResult("item-2")] },
+            new AbortController().signal,
+        );
         const reader = newReader(MEMBERS[0] as MemberEntry, run);
         expect((await reader.read(READ))._unsafeUnwrap().page.results).toHaveLength(0);
         vi.spyOn(store, "read").mockResolvedValue(err(new StoreError("unavailable", "down")));
--- a/packages/gateway/tests/jobStore.test.ts
+++ b/packages/gateway/tests/jobStore.test.ts
@@ -31,7 +31,7 @@
         const jobs = new JobStore(store as unknown as ObjectStore, newLogger("test", "fatal"));
         let writtenAtMs: number | undefined;
         const startedAtMs = performance.now();
-        void jobs.writeChunk("job", 0, [], new AbortController().signal).then(() => {
+        void jobs.writeChunk("job", 0, { results: [] }, new AbortController().signal).then(() => {
             writtenAtMs = performance.now() - startedAtMs;
         });
         await vi.advanceTimersByTimeAsync(OUTAGE_MS + MAX_DELAY_MS);
