Batch: an item that leaves a hanging endpoint doesn't make it count as sound

An endpoint that hangs is paused after a silence, and is sent one request at a time until one succeeds. The run of an item that was preempted or stopped before its first event was released as 'done', like an answer: the pause and the caution ended, and as many requests as the endpoint has slots were sent to one that still hung. Requests that may run only once wait there until their deadline.

Such a run now ends as 'lost', which says nothing about the endpoint; one that has brought events still counts as an answer.

--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -396,7 +396,8 @@
 
 /**
  * Translates the end of a run for the release of its place. A run that received more than one event before it broke is
- * not reported as `broken`, since it is not suspected of having crashed the endpoint.
+ * not reported as `broken`, since it is not suspected of having crashed the endpoint. One that this side ended before the
+ * first event says nothing about the endpoint, which may hang.
  */
 function toRequestEnd(end: RunEnd, events: number): RequestEnd {
     switch (end) {
@@ -409,10 +410,11 @@
         case "failed":
         case "no-path":
             return "lost";
-        case "complete":
-        case "cannot-be-done":
         case "called-back":
         case "stopped":
+            return events > 0 ? "done" : "lost";
+        case "complete":
+        case "cannot-be-done":
             return "done";
     }
 }
