Tests: gateways of an older commit beside today's, replaced one after the other

The soak has the variant mixed-builds (--commit), in which gateways that ended start with one build or the other.

--- a/standins/operators/fleet.ts
+++ b/standins/operators/fleet.ts
@@ -54,6 +54,8 @@
     readonly settingsPath: string;
     /** Address from which it connects to engines. */
     readonly sourceAddress: string;
+    /** Path of the bundle that it runs, or runs after a restart. */
+    program: string;
 }
 
 /**
@@ -64,6 +66,8 @@
     readonly store = new ObjectApi();
     readonly engines: Engine[] = [];
     readonly gateways: GatewayProcess[] = [];
+    /** Path of the bundle that gateways run which are added from now on. */
+    program = GATEWAY_PROGRAM;
     private storePort = 0;
     private configVersion = 0;
     private cutCount = 0;
@@ -158,9 +162,10 @@
         );
         const lines: string[] = [];
         const sourceAddress = `127.0.1.${this.gateways.length + 1}`;
-        const child = startGatewayProcess(settingsPath, sourceAddress, lines);
+        const { program } = this;
+        const child = startGatewayProcess(program, settingsPath, sourceAddress, lines);
         const ports = { port, readyPort, controlPort, metricsPort };
-        const gateway = { name, ...ports, child, lines, settingsPath, sourceAddress };
+        const gateway = { name, ...ports, child, lines, settingsPath, sourceAddress, program };
         this.gateways.push(gateway);
         await this.waitReady(gateway);
         return gateway;
@@ -173,7 +178,8 @@
      * @throws Error if it isn't ready in time.
      */
     async restart(gateway: GatewayProcess): Promise<void> {
-        gateway.child = startGatewayProcess(gateway.settingsPath, gateway.sourceAddress, gateway.lines);
+        const { program, settingsPath, sourceAddress, lines } = gateway;
+        gateway.child = startGatewayProcess(program, settingsPath, sourceAddress, lines);
         const cut = this.cuts.get(gateway);
         if (cut !== undefined) {
             await this.applyCut(gateway, cut);
@@ -181,6 +187,20 @@
         await this.waitReady(gateway);
     }
 
+    /**
+     * Stops a gateway as planned (SIGTERM), starts it with another build once it has exited, and waits until it is ready.
+     *
+     * @param gateway - The gateway.
+     * @param program - Path of the other build's bundle.
+     * @throws Error if it isn't ready in time.
+     */
+    async replace(gateway: GatewayProcess, program: string): Promise<void> {
+        gateway.child.kill("SIGTERM");
+        await waitForExit(gateway);
+        gateway.program = program;
+        await this.restart(gateway);
+    }
+
     /**
      * Cuts a gateway's connections to engines; those to the store, to other gateways and to callers work. The cut is
      * in force when the promise resolves, and stays through a restart.
@@ -298,8 +318,19 @@
     };
 }
 
-function startGatewayProcess(settingsPath: string, sourceAddress: string, lines: string[]): ChildProcess {
-    const child = spawn(process.execPath, ["--require", CUT_FILE, GATEWAY_PROGRAM], {
+async function waitForExit({ child }: GatewayProcess): Promise<void> {
+    if (child.exitCode === null && child.signalCode === null) {
+        await new Promise(resolve => child.once("exit", resolve));
+    }
+}
+
+function startGatewayProcess(
+    program: string,
+    settingsPath: string,
+    sourceAddress: string,
+    lines: string[],
+): ChildProcess {
+    const child = spawn(process.execPath, ["--require", CUT_FILE, program], {
         env: { PATH: process.env.PATH, HEATHERLINE_CONFIG: settingsPath, SOURCE_ADDRESS: sourceAddress },
         stdio: ["ignore", "pipe", "pipe", "ipc"],
     });
--- a/standins/operators/runSoak.ts
+++ b/standins/operators/runSoak.ts
@@ -7,16 +7,20 @@
         runs: { type: "string", default: "1" },
         seconds: { type: "string", default: "20" },
         variant: { type: "string", default: "versions-and-limits" satisfies SoakVariant },
+        commit: { type: "string", default: "" },
     },
 });
 
-const { variant } = values;
+const { variant, commit } = values;
 if (!isSoakVariant(variant)) {
     throw new Error(`--variant must be one of ${SOAK_VARIANTS.join(", ")}, not ${variant}`);
 }
+if (variant === "mixed-builds" && commit === "") {
+    throw new Error("--variant mixed-builds needs a --commit");
+}
 let failed = 0;
 for (let index = 0; index < Number(values.runs); index += 1) {
-    const report = await new Soak(Number(values.seed) + index, Number(values.seconds) * 1_000, variant).run();
+    const report = await new Soak(Number(values.seed) + index, Number(values.seconds) * 1_000, variant, commit).run();
     const { seed, faults, counts, violations } = report;
     process.stdout.write(`${JSON.stringify({ seed, faults: faults.length, ...counts, violations })}\n`);
     if (violations.length > 0) {
--- a/standins/operators/soak.ts
+++ b/standins/operators/soak.ts
@@ -1,5 +1,6 @@
 import type { Engine } from "./engine";
 import { type GatewayProcess, OperatorsFleet } from "./fleet";
+import { MixedBuilds } from "./mixedBuilds";
 import { SoakLoad, type Violation } from "./soakLoad";
 
 const DATA_CENTRES = ["east", "west"];
@@ -14,12 +15,14 @@
 const MAX_FAULT_MS = 3_000;
 const SETTLE_TIMEOUT_MS = 20_000;
 
-export const SOAK_VARIANTS = ["plain", "versions-and-limits"] as const;
+export const SOAK_VARIANTS = ["plain", "versions-and-limits", "mixed-builds"] as const;
 
 /**
  * - `plain`: engines of one software version.
  * - `versions-and-limits`: engines of two versions side by side, which name limits now and then, and callers that take up
  *   streams that broke off.
+ * - `mixed-builds`: the same, and each gateway starts with the build of another commit; after it has ended, it starts with
+ *   that one or today's.
  */
 export type SoakVariant = typeof SOAK_VARIANTS[number];
 
@@ -46,24 +49,35 @@
     private readonly faultyGateways = new Set<GatewayProcess>();
     private readonly random: () => number;
     private readonly limitRandom: () => number;
+    private builds: MixedBuilds | undefined;
 
     /**
      * @param seed - Seed of the random numbers that select faults and load.
      * @param lengthMs - Duration of load and faults, in milliseconds.
      * @param variant - What is added to the plain engines and faults.
+     * @param commit - The other commit of `mixed-builds`.
      */
     constructor(
         private readonly seed: number,
         private readonly lengthMs: number,
         private readonly variant: SoakVariant = "plain",
+        private readonly commit = "",
     ) {
         this.random = newRandom(seed);
         this.limitRandom = newRandom(seed + 1);
     }
 
+    private get hasVersionsAndLimits(): boolean {
+        return this.variant !== "plain";
+    }
+
     /** @returns The injected faults, the counts of requests and the violations. */
     async run(): Promise<SoakReport> {
         const { fleet } = this;
+        if (this.variant === "mixed-builds") {
+            this.builds = await MixedBuilds.create(this.commit, newRandom(this.seed + 2));
+            fleet.program = this.builds.oldProgram;
+        }
         await fleet.start();
         try {
             fleet.writeConfig();
@@ -71,7 +85,7 @@
                 await fleet.addEngine({ service: "lm", dataCentre });
                 await fleet.addEngine({ service: "plain", dataCentre });
             }
-            for (const dataCentre of this.variant === "versions-and-limits" ? DATA_CENTRES : []) {
+            for (const dataCentre of this.hasVersionsAndLimits ? DATA_CENTRES : []) {
                 await fleet.addEngine({ service: "lm", dataCentre, version: "v2" });
             }
             for (let index = 0; index < DATA_CENTRES.length * GATEWAYS_PER_DATA_CENTRE; index += 1) {
@@ -82,13 +96,14 @@
         }
         finally {
             await fleet.stop();
+            this.builds?.remove();
         }
     }
 
     private async runWithFaults(): Promise<SoakReport> {
         const { fleet } = this;
         const getPorts = () => fleet.gateways.map(({ port }) => port);
-        const load = new SoakLoad(this.random, getPorts, fleet.engines, this.variant === "versions-and-limits");
+        const load = new SoakLoad(this.random, getPorts, fleet.engines, this.hasVersionsAndLimits);
         const endAtMs = Date.now() + this.lengthMs;
         const isOver = () => Date.now() >= endAtMs;
         const loops = [
@@ -97,7 +112,7 @@
             repeat(isOver, READ_INTERVAL_MS, () => load.readJob()),
             repeat(isOver, FAULT_INTERVAL_MS, async () => this.injectFault()),
         ];
-        if (this.variant === "versions-and-limits") {
+        if (this.hasVersionsAndLimits) {
             loops.push(repeat(isOver, LIMIT_INTERVAL_MS, async () => this.limitEngine()));
         }
         await Promise.all(loops);
@@ -147,6 +162,10 @@
                     }
                     gateway.child.once("exit", () => resolve());
                 });
+                const build = this.builds?.select(gateway);
+                if (build !== undefined) {
+                    this.faults.push(`${gateway.name} starts with the ${build} build`);
+                }
                 await this.fleet.restart(gateway).catch(() => undefined);
             }
             this.faultyGateways.delete(gateway);
