Bound the bodies of batch jobs in memory, and drop them with their jobs

Cause: the bodies of all accepted jobs stayed in memory as base64, also after their jobs had finished, and were not counted where finished runs are dropped. Now a gateway keeps bodies of waiting items up to a tenth of its heap's limit (32 MB at most), those of the first jobs first, and drops them when their job finishes or stops. Other bodies are read back from the store, where they are since before the 202, when the item's turn to ask for a place comes: each object once for all who wait, three at a time, and after a failed read none for half a second. The job says which object holds which body, so that one read brings it (jobs of earlier releases are searched). A gateway that takes over a job doesn't read all of its bodies first. GET of an item's body reads one object instead of all. Finished runs are dropped by their results' bytes, also when a job finishes.

--- a/packages/gateway/src/batchApi.ts
+++ b/packages/gateway/src/batchApi.ts
@@ -135,7 +135,8 @@
         }
         const untilMs = arrivedAtMs + (caller.timeLeftMs ?? DEFAULT_SUBMIT_TIMEOUT_MS) - SUBMIT_MARGIN_MS;
         const bodies = new Map(submission.value.items.map(({ itemId, bodyBase64 }) => [itemId, bodyBase64]));
-        const manifest = newManifest(caller.requestId, request, admitted, submission.value, splitBodies(bodies));
+        const storedBodies = splitBodies(bodies);
+        const manifest = newManifest(caller.requestId, request, admitted, submission.value, storedBodies);
         const sizeFault = findSizeFault(manifest);
         if (sizeFault !== undefined) {
             return newRefusal("body-too-large", sizeFault);
@@ -145,13 +146,13 @@
             return refusal;
         }
         const startedAt = newTimestamp();
-        const created = await this.deps.store.create(manifest, bodies, untilMs);
+        const created = await this.deps.store.create(manifest, storedBodies.parts, untilMs);
         if (created.isErr()) {
             const reason = created.error.kind === "unknown" ? "outcome-unknown" : "store-unavailable";
             return newRefusal(reason, created.error.toString());
         }
         if (created.value === "created") {
-            this.deps.runner.add(manifest, bodies, undefined, startedAt);
+            this.deps.runner.add(manifest, storedBodies.parts, undefined, startedAt);
         }
         // A job that existed already runs at another instance, or the coordinator notices that none runs it.
         return undefined;
@@ -245,23 +246,15 @@
         if (manifest.value.organisation !== organisation || !isKnown) {
             return newRefusal("not-found", "there is no such item");
         }
-        const cachedBody = this.deps.runner.getReadableRun(jobId)?.getBody(itemId);
-        const body = cachedBody ?? await this.readStoredBody(manifest.value, itemId);
-        if (typeof body !== "string") {
-            return body;
+        const body = await this.deps.runner.bodies.get(manifest.value, itemId, false);
+        if (body.isErr() || body.value === undefined) {
+            const reason = body.isErr() ? body.error.toString() : "the body is not in the store";
+            return newRefusal("store-unavailable", reason);
         }
-        request.response.sendLocal(200, Buffer.from(body, "base64"), "application/octet-stream");
+        request.response.sendLocal(200, Buffer.from(body.value, "base64"), "application/octet-stream");
         return undefined;
     }
 
-    private async readStoredBody(manifest: JobManifest, itemId: string): Promise<string | Refusal> {
-        const bodies = await this.deps.store.readBodies(manifest);
-        if (bodies.isErr()) {
-            return newRefusal("store-unavailable", bodies.error.toString());
-        }
-        return bodies.value.get(itemId) ?? newRefusal("store-unavailable", "the body is not in the store");
-    }
-
     private async cancel(request: BatchApiRequest, jobId: string, organisation: string): Promise<Refusal | undefined> {
         const manifest = await this.deps.reader.readManifest(jobId);
         if (manifest.isErr()) {
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -57,6 +57,7 @@
      * while that can't be told.
      */
     readonly findRoute: () => Route | "unknown" | undefined;
+    /** @returns The item's body, or `undefined` if it can't be read now. */
     readonly getBody: () => Promise<Buffer | undefined>;
     /** Whether new runs may start. */
     readonly mayRun: () => boolean;
@@ -207,30 +208,24 @@
             this.startAnew();
         }
         const service = this.origin?.service ?? pickService(route, Math.random());
-        const body = await this.deps.getBody();
-        if (service === undefined || body === undefined) {
+        if (service === undefined) {
             await sleep(NOT_RUNNABLE_DELAY_MS, this.signal);
             return "stopped";
         }
         const remainingMs = this.deps.durationEstimator.getRemainingMs(this.data.length);
         const timing = { dueInMs: this.getDueInMs(route), remainingMs };
-        const outcome = await this.deps.placementQueue.add(timing, () =>
-            this.deps.placement.requestPlace({
-                service,
-                workClass: "batch",
-                organisation: this.job.organisation,
-                priority: route.priority,
-                usefulForMs: PLACE_REQUEST_TIMEOUT_MS,
-                targetLatencyMs: PLACE_REQUEST_TIMEOUT_MS,
-                giveUpAfterMs: PLACE_REQUEST_TIMEOUT_MS,
-                remainingMs,
-                dueInMs: this.getDueInMs(route),
-                allowedRegions: route.allowedRegions,
-                fingerprint: `${this.job.jobId}/${this.item.itemId}`,
-                softwareVersion: this.origin?.softwareVersion,
-                rate: undefined,
-                signal: this.signal,
-            }));
+        // The body is read only now, so that few are in memory.
+        const request = await this.deps.placementQueue.add(timing, async () => {
+            const body = await this.deps.getBody();
+            return body === undefined
+                ? undefined
+                : { body, outcome: await this.requestPlace(route, service, remainingMs) };
+        });
+        if (request === undefined) {
+            await sleep(NOT_RUNNABLE_DELAY_MS, this.signal);
+            return "stopped";
+        }
+        const { body, outcome } = request;
         if (outcome.kind === "refused") {
             this.startAnewIfHopeless(outcome.reason);
             await sleep(NOT_RUNNABLE_DELAY_MS, this.signal);
@@ -267,6 +262,29 @@
         return end;
     }
 
+    private requestPlace(
+        route: Route,
+        service: string,
+        remainingMs: number,
+    ): ReturnType<PlacementClient["requestPlace"]> {
+        return this.deps.placement.requestPlace({
+            service,
+            workClass: "batch",
+            organisation: this.job.organisation,
+            priority: route.priority,
+            usefulForMs: PLACE_REQUEST_TIMEOUT_MS,
+            targetLatencyMs: PLACE_REQUEST_TIMEOUT_MS,
+            giveUpAfterMs: PLACE_REQUEST_TIMEOUT_MS,
+            remainingMs,
+            dueInMs: this.getDueInMs(route),
+            allowedRegions: route.allowedRegions,
+            fingerprint: `${this.job.jobId}/${this.item.itemId}`,
+            softwareVersion: this.origin?.softwareVersion,
+            rate: undefined,
+            signal: this.signal,
+        });
+    }
+
     /** What another version has begun can't be gone on with; an item is owed, so that it begins again. */
     private startAnew(): void {
         this.data = [];
--- a/packages/gateway/src/jobBodies.ts
+++ b/packages/gateway/src/jobBodies.ts
@@ -5,10 +5,13 @@
 /** Quotes are counted with each text; a colon and a comma are not. */
 const ENTRY_FRAMING_BYTES = 2;
 
+/** Bodies in base64 in one object, by item id. */
+export type BodyPart = Readonly<Record<string, string>>;
+
 /** The bodies of a job as the store has them. */
 export interface StoredBodies {
-    /** The bodies in base64 that each object holds, by item id. A body that is too large for one is split over several. */
-    readonly parts: readonly Readonly<Record<string, string>>[];
+    /** What each object holds. A body that is too large for one object is split over several. */
+    readonly parts: readonly BodyPart[];
     /** For each item, the index of the object with the beginning of its body. */
     readonly firstParts: readonly number[];
 }
--- a/packages/gateway/src/jobRun.ts
+++ b/packages/gateway/src/jobRun.ts
@@ -33,8 +33,9 @@
     readonly newItemRunDependencies: (
         manifest: JobManifest,
         item: JobItem,
-        getBody: () => Promise<Buffer | undefined>,
     ) => ItemRunDependencies;
+    /** Called when this instance has stopped running the job, or all items have results. */
+    readonly onEnded: () => void;
     /** Whether it is certain that no other instance has been assigned the job since the claim began. */
     readonly isSoleRunner: (claim: RunnerClaim) => boolean;
     readonly logger: Logger;
@@ -60,7 +61,6 @@
     private readonly planner = new ChunkPlanner();
     private isWriting = false;
     private hasLoaded = false;
-    private bodies: Map<string, string> | undefined;
     private readonly itemRuns = new Map<string, ItemRun>();
     private readonly handedOverStates: ReadonlyMap<string, ItemState>;
     /** How often another instance may have written results, and up to which of these times the store has been read. */
@@ -84,29 +84,28 @@
 
     /**
      * @param manifest - The job.
-     * @param bodies - Bodies of its items in base64; read from the store if absent.
+     * @param isNew - Whether no other instance has run the job, so that the store has no results of it.
      * @param deps - What running the job depends on.
      * @param handover - Progress that another instance has made with the job.
      * @param createdAt - A moment before the job was in the store, if this instance created it.
      */
     constructor(
         readonly manifest: JobManifest,
-        bodies: Map<string, string> | undefined,
+        isNew: boolean,
         private readonly deps: JobRunDependencies,
         private readonly handover: JobHandover | undefined,
         createdAt?: Timestamp,
     ) {
         this.published = new PublishedResults(manifest.items.length);
         this.claim = { createdAt, reportedSinceMs: performance.now() };
-        if (bodies === undefined) {
+        if (!isNew) {
             this.expectOtherWriter();
         }
         this.handedOverStates = new Map(handover?.items.map(state => [state.itemId, state]));
         this.unwrittenResults = [...handover?.finished ?? []];
         // Every running item adds a listener, so there is no fixed limit.
         setMaxListeners(0, this.stopping.signal);
-        this.bodies = bodies;
-        this.hasLoaded = bodies !== undefined;
+        this.hasLoaded = isNew;
         this.tokensByItem = new Map(manifest.items.map(({ itemId, tokens }) => [itemId, tokens]));
     }
 
@@ -120,6 +119,11 @@
         return this.published.count;
     }
 
+    /** Size of the published results in memory. */
+    get publishedBytes(): number {
+        return this.published.sizeBytes;
+    }
+
     /** Whether this instance has stopped running the job. */
     get isStopped(): boolean {
         return this.stopping.signal.aborted;
@@ -158,7 +162,7 @@
     /** Starts the job, after reading the results that an earlier runner wrote. */
     async start(): Promise<void> {
         while (!this.hasLoaded && !this.isStopped) {
-            this.hasLoaded = await this.load();
+            this.hasLoaded = await this.loadNewResults();
             if (!this.hasLoaded) {
                 await sleep(RETRY_DELAY_MS, this.stopping.signal);
             }
@@ -194,6 +198,7 @@
             this.deps.logger.info({ event: "job-stopped", job: jobId, reason, listed: this.published.count });
             this.stopping.abort();
             this.published.wakeWaiters();
+            this.deps.onEnded();
         }
     }
 
@@ -232,23 +237,6 @@
         }
     }
 
-    /**
-     * @param itemId - An item.
-     * @returns Its body in base64, if it is in memory.
-     */
-    getBody(itemId: string): string | undefined {
-        return this.bodies?.get(itemId);
-    }
-
-    private async load(): Promise<boolean> {
-        const bodies = await this.deps.store.readBodies(this.manifest);
-        if (bodies.isErr()) {
-            return false;
-        }
-        this.bodies = bodies.value;
-        return this.loadNewResults();
-    }
-
     /**
      * Publishes results that another instance may have written, unless the store was read just before.
      *
@@ -336,8 +324,7 @@
         }
         const { jobId, organisation, host, submittedAt } = this.manifest;
         const job: ItemJob = { jobId, organisation, host, submittedAt };
-        const getBody = async () => Buffer.from(this.bodies?.get(item.itemId) ?? "", "base64");
-        const itemRunDeps = this.deps.newItemRunDependencies(this.manifest, item, getBody);
+        const itemRunDeps = this.deps.newItemRunDependencies(this.manifest, item);
         const state = this.handedOverStates.get(item.itemId);
         const run = new ItemRun(job, item, itemRunDeps, this.stopping.signal, state);
         this.itemRuns.set(item.itemId, run);
@@ -422,6 +409,7 @@
             if (this.isClosed) {
                 const { jobId, items } = this.manifest;
                 this.deps.logger.info({ event: "job-finished", job: jobId, items: items.length });
+                this.deps.onEnded();
             }
             else {
                 await sleep(RETRY_DELAY_MS, this.stopping.signal);
--- a/packages/gateway/src/jobRunner.ts
+++ b/packages/gateway/src/jobRunner.ts
@@ -13,6 +13,8 @@
 import { ItemDurationEstimator } from "./itemDurationEstimator";
 import { ItemPlacementQueue } from "./itemPlacementQueue";
 import type { ItemRunDependencies } from "./itemRun";
+import type { BodyPart } from "./jobBodies";
+import { JobBodyCache } from "./jobBodyCache";
 import { findJobRoute } from "./jobRoute";
 import { type JobHandover, JobRun } from "./jobRun";
 import type { JobItem, JobManifest, JobStore } from "./jobStore";
@@ -54,23 +56,27 @@
     private readonly placementQueue = new ItemPlacementQueue();
     private readonly durationEstimator = new ItemDurationEstimator();
     private isStopping = false;
+    /** Bodies of the items of this instance's jobs; those of other jobs can be read, too. */
+    readonly bodies: JobBodyCache;
 
     /**
      * @param deps - What the runner depends on.
      */
-    constructor(private readonly deps: JobRunnerDependencies) {}
+    constructor(private readonly deps: JobRunnerDependencies) {
+        this.bodies = new JobBodyCache(deps.store);
+    }
 
     /**
      * Starts running a job, unless it is closed or already runs here.
      *
      * @param manifest - The job.
-     * @param bodies - Bodies of its items in base64; read from the store if absent.
+     * @param parts - Bodies of its items, if this instance created it; bodies are read from the store otherwise.
      * @param handover - Progress that another instance has made with the job.
      * @param createdAt - A moment before the job was in the store, if this instance created it.
      */
     add(
         manifest: JobManifest,
-        bodies: Map<string, string> | undefined,
+        parts: readonly BodyPart[] | undefined,
         handover?: JobHandover,
         createdAt?: Timestamp,
     ): void {
@@ -80,11 +86,15 @@
         }
         const run = new JobRun(
             manifest,
-            bodies,
+            parts !== undefined,
             {
                 store: this.deps.store,
                 queue: this.queue,
-                newItemRunDependencies: (job, item, getBody) => this.newItemRunDependencies(job, item, getBody),
+                newItemRunDependencies: (job, item) => this.newItemRunDependencies(job, item),
+                onEnded: () => {
+                    this.bodies.drop(manifest);
+                    this.evictOldRuns();
+                },
                 isSoleRunner: claim => this.deps.isSoleRunner(claim),
                 logger: this.deps.logger,
             },
@@ -92,6 +102,7 @@
             createdAt,
         );
         this.runs.set(manifest.jobId, run);
+        this.bodies.keep(manifest.jobId, parts ?? []);
         void run.start();
         this.evictOldRuns();
     }
@@ -235,7 +246,6 @@
     private newItemRunDependencies(
         manifest: JobManifest,
         item: JobItem,
-        getBody: () => Promise<Buffer | undefined>,
     ): ItemRunDependencies {
         const { deps } = this;
         return {
@@ -245,7 +255,10 @@
             durationEstimator: this.durationEstimator,
             placementQueue: this.placementQueue,
             findRoute: () => findJobRoute(deps.view, manifest, item),
-            getBody,
+            getBody: async () => {
+                const body = await this.bodies.get(manifest, item.itemId, true);
+                return body.isOk() && body.value !== undefined ? Buffer.from(body.value, "base64") : undefined;
+            },
             mayRun: () => !this.isStopping && deps.isJobStateFresh(),
             onRunEnded: ({ itemId }, end, detail) => {
                 deps.metrics.recordItemRun(end);
@@ -259,8 +272,7 @@
         const endedRuns = [...this.runs.values()].filter(run => run.isStopped || run.isFinished);
         let cachedBytes = 0;
         for (const run of endedRuns.reverse()) {
-            const page = run.read(0, Infinity);
-            cachedBytes += page.results.reduce((sum, { output }) => sum + output.length, 0);
+            cachedBytes += run.publishedBytes;
             if (run.isStopped || cachedBytes > MAX_CACHED_RESULT_BYTES) {
                 this.runs.delete(run.manifest.jobId);
             }
--- a/packages/gateway/src/jobStore.ts
+++ b/packages/gateway/src/jobStore.ts
@@ -4,7 +4,7 @@
 import { LRUCache } from "lru-cache";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
-import { splitBodies } from "./jobBodies";
+import type { BodyPart } from "./jobBodies";
 import type { ChunkContent } from "./resultChunks";
 import type { SubmittedItem } from "./wireCodec";
 
@@ -80,16 +80,16 @@
      * Creates a job; an existing one is left unchanged.
      *
      * @param manifest - The job.
-     * @param bodies - Bodies of its items in base64.
+     * @param parts - Bodies of its items, as the objects hold them.
      * @param untilMs - Monotonic time after which no retry starts.
      * @returns Whether this call created the job or it existed; an `unknown` error if a write may still take effect.
      */
     async create(
         manifest: JobManifest,
-        bodies: ReadonlyMap<string, string>,
+        parts: readonly BodyPart[],
         untilMs: number,
     ): Promise<Result<CreateJobOutcome, StoreError>> {
-        for (const [index, part] of splitBodies(bodies).parts.entries()) {
+        for (const [index, part] of parts.entries()) {
             const written = await this.createWithRetry(
                 `${BODY_KIND}/${manifest.jobId}.${index}`,
                 { bodies: part },
@@ -129,21 +129,13 @@
     }
 
     /**
-     * @param manifest - A job.
-     * @returns Bodies of its items in base64, by item id.
+     * @param jobId - A job.
+     * @param index - Index of an object of its bodies, from 0.
+     * @returns The bodies in it; none if there is no such object.
      */
-    async readBodies({ jobId, bodyParts }: JobManifest): Promise<Result<Map<string, string>, StoreError>> {
-        const bodies = new Map<string, string>();
-        for (let index = 0; index < bodyParts; index += 1) {
-            const part = await this.store.get(`${BODY_KIND}/${jobId}.${index}`);
-            if (part.isErr()) {
-                return err(part.error);
-            }
-            for (const [itemId, body] of Object.entries((part.value?.value.bodies ?? {}) as Record<string, string>)) {
-                bodies.set(itemId, (bodies.get(itemId) ?? "") + body);
-            }
-        }
-        return ok(bodies);
+    async readBodyPart(jobId: string, index: number): Promise<Result<BodyPart, StoreError>> {
+        const read = await this.store.get(`${BODY_KIND}/${jobId}.${index}`);
+        return read.map(object => (object?.value.bodies ?? {}) as BodyPart);
     }
 
     /**
--- a/packages/gateway/src/publishedResults.ts
+++ b/packages/gateway/src/publishedResults.ts
@@ -1,5 +1,5 @@
 import { sleep } from "@heatherline/common";
-import { type ChunkContent, ChunkReader, takeUpToBytes } from "./resultChunks";
+import { type ChunkContent, ChunkReader, getResultBytes, takeUpToBytes } from "./resultChunks";
 import type { ItemResult, ResultsPage } from "./wireCodec";
 
 /** The results of a job that the store has, in the order in which they were written; those who wait for more are woken. */
@@ -9,6 +9,7 @@
     private waiters: (() => void)[] = [];
     private readonly reader = new ChunkReader();
     private chunks = 0;
+    private bytes = 0;
 
     /**
      * @param itemCount - Number of items of the job.
@@ -25,6 +26,11 @@
         return this.chunks;
     }
 
+    /** Size of the results as JSON in UTF-8. */
+    get sizeBytes(): number {
+        return this.bytes;
+    }
+
     /** Whether there is a result of each item. */
     get isComplete(): boolean {
         return this.results.length >= this.itemCount;
@@ -53,6 +59,7 @@
             if (!this.itemIds.has(result.itemId)) {
                 this.itemIds.add(result.itemId);
                 this.results.push(result);
+                this.bytes += getResultBytes(result);
             }
         }
         this.wakeWaiters();
--- a/packages/gateway/tests/emptyPages.test.ts
+++ b/packages/gateway/tests/emptyPages.test.ts
@@ -76,10 +76,11 @@
             throw new Error("no item runs in this test");
         },
         isSoleRunner: () => isConfirmed,
+        onEnded: () => undefined,
         logger: newLogger("test", "fatal"),
     };
     const handover = { jobId: JOB, by: "", items: [], finished: finishedIds.map(toResult) };
-    const run = new JobRun(newManifest(ITEM_IDS), isCreatedHere ? new Map() : undefined, deps, handover);
+    const run = new JobRun(newManifest(ITEM_IDS), isCreatedHere, deps, handover);
     runs.push(run);
     void run.start();
     return run;
@@ -110,7 +111,7 @@
     isConfirmed = true;
     runs = [];
     store = new JobStore(new DelayingStore(), newLogger("test", "fatal"));
-    await store.create(newManifest(ITEM_IDS), new Map(), performance.now() + 1_000);
+    await store.create(newManifest(ITEM_IDS), [{}], performance.now() + 1_000);
 });
 
 afterEach(() => {
--- a/packages/gateway/tests/jobBodies.test.ts
+++ b/packages/gateway/tests/jobBodies.test.ts
@@ -6,6 +6,7 @@
 import type { AdmittedRequest } from "../src/admission";
 import { BatchApi, type BatchApiDependencies, type BatchApiRequest } from "../src/batchApi";
 import type { CallerResponse } from "../src/callerResponse";
+import { JobBodyCache } from "../src/jobBodyCache";
 import { JobStore } from "../src/jobStore";
 import type { Refusal } from "../src/refusal";
 import type { SubmittedItem } from "../src/wireCodec";
@@ -66,8 +67,11 @@
         expect(addJob).toHaveBeenCalledTimes(1);
         const manifest = (await store.read(JOB))._unsafeUnwrap()?.manifest;
         expect(manifest?.items.map(({ itemId }) => itemId)).toEqual(items.map(({ itemId }) => itemId));
-        const read = (await store.readBodies(manifest as NonNullable<typeof manifest>))._unsafeUnwrap();
-        expect(read).toEqual(new Map(items.map(({ itemId, bodyBase64 }) => [itemId, bodyBase64])));
+        const bodyCache = new JobBodyCache(store);
+        for (const { itemId, bodyBase64 } of items) {
+            const read = await bodyCache.get(manifest as NonNullable<typeof manifest>, itemId, true);
+            expect(read._unsafeUnwrap() === bodyBase64, itemId).toBe(true);
+        }
     });
 });
 
--- /dev/null
+++ b/packages/gateway/tests/jobMemory.test.ts
@@ -0,0 +1,184 @@
+import { newLogger, sleep } from "@heatherline/common";
+import { type Route, RouteTable, type RoutingConfig } from "@heatherline/fleet";
+import { StoreError } from "@heatherline/store";
+import { err, ok } from "neverthrow";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { describe, expect, it, vi } from "vitest";
+import { splitBodies } from "../src/jobBodies";
+import { JobBodyCache } from "../src/jobBodyCache";
+import { JobRunner, type JobRunnerDependencies } from "../src/jobRunner";
+import type { JobManifest, JobStore } from "../src/jobStore";
+
+const JOBS = 40;
+const ITEMS = 10;
+/** Of an item, in base64: 2 MB a job, 80 MB in all. */
+const BODY_BYTES = 200_000;
+const MAX_WAITING_HEAP_BYTES = 50_000_000;
+const MAX_FINISHED_HEAP_BYTES = 10_000_000;
+/** Concurrent reads of bodies. */
+const MAX_READS = 4;
+
+setFlagsFromString("--expose-gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+
+/** Heap in use, without what is no longer needed. */
+async function getHeapBytes(): Promise<number> {
+    await sleep(20);
+    collectGarbage();
+    return process.memoryUsage().heapUsed;
+}
+
+function newBody(job: number, item: number): string {
+    return Buffer.alloc(BODY_BYTES * 3 / 4, `${job}/${item};`).toString("base64");
+}
+
+function newManifest(job: number, { parts, firstParts } = newStoredBodies(job)): JobManifest {
+    return {
+        jobId: String(job),
+        organisation: "",
+        route: "jobs",
+        submittedAt: Date.now(),
+        itemTokens: Array.from({ length: ITEMS }, () => 1),
+        state: "open",
+        host: "api",
+        items: Array.from({ length: ITEMS }, (_, item) => ({
+            itemId: `item-${item}`,
+            path: "/jobs/1",
+            headers: {},
+            tokens: 1,
+        })),
+        bodyParts: parts.length,
+        firstParts,
+        isEndedByCaller: false,
+    };
+}
+
+function newStoredBodies(job: number) {
+    return splitBodies(new Map(Array.from({ length: ITEMS }, (_, item) => [`item-${item}`, newBody(job, item)])));
+}
+
+/** A store whose objects take no memory here; counts its reads. */
+class FakeStore {
+    reads = 0;
+    concurrentReads = 0;
+    mostConcurrentReads = 0;
+    isDown = false;
+
+    async readBodyPart(jobId: string, index: number) {
+        this.reads += 1;
+        this.concurrentReads += 1;
+        this.mostConcurrentReads = Math.max(this.mostConcurrentReads, this.concurrentReads);
+        await sleep(1);
+        this.concurrentReads -= 1;
+        return this.isDown
+            ? err(new StoreError("unavailable", "down"))
+            : ok(newStoredBodies(Number(jobId)).parts[index] ?? {});
+    }
+
+    async writeChunk() {
+        return { kind: "written" };
+    }
+
+    async close() {
+        return ok(true);
+    }
+}
+
+function newRunner(store: FakeStore): JobRunner {
+    const route = { name: "jobs", host: "api", pathPrefix: "/jobs/", kind: "batch", retentionMs: 60_000 };
+    const targets: Route["targets"] = [{ service: "digests", weight: 1 }];
+    const config = { version: 1, routes: [{ ...route, targets, maxAttempts: 3 }], services: [] };
+    return new JobRunner({
+        store: store as unknown as JobStore,
+        logger: newLogger("test", "fatal"),
+        placement: { requestPlace: () => new Promise(() => undefined) },
+        view: { routes: new RouteTable(config as unknown as RoutingConfig), getConfigAgeMs: () => 0 },
+        isJobStateFresh: () => true,
+    } as unknown as JobRunnerDependencies);
+}
+
+describe("the bodies of batch jobs", () => {
+    it.each([
+        { what: "jobs that wait", isFinished: false, maxBytes: MAX_WAITING_HEAP_BYTES },
+        { what: "jobs that have finished", isFinished: true, maxBytes: MAX_FINISHED_HEAP_BYTES },
+    ])("take a limited amount of memory, however many jobs there are: $what", async ({ isFinished, maxBytes }) => {
+        const runner = newRunner(new FakeStore());
+        const startBytes = await getHeapBytes();
+        for (let job = 0; job < JOBS; job += 1) {
+            const bodies = newStoredBodies(job);
+            const manifest = newManifest(job, bodies);
+            const finished = manifest.items.map(({ itemId }) => ({ itemId, state: "completed" as const, output: "" }));
+            runner.add(manifest, bodies.parts, {
+                jobId: manifest.jobId,
+                by: "",
+                items: [],
+                finished: isFinished ? finished : [],
+            });
+        }
+        const isReady = () => !isFinished || runner.getActiveJobIds().length === 0;
+        await vi.waitFor(() => expect(isReady()).toBe(true), { timeout: 10_000 });
+        expect(await getHeapBytes() - startBytes).toBeLessThan(maxBytes);
+        runner.getActiveJobIds().forEach(jobId => runner.cancel(jobId));
+    });
+});
+
+describe("a body that is not in memory", () => {
+    it("is read from the store, each object once, few at a time, and dropped with its job", async () => {
+        const store = new FakeStore();
+        const cache = new JobBodyCache(store, 4 * ITEMS * BODY_BYTES);
+        const manifests = [0, 1, 2].map(job => newManifest(job));
+        const reads = manifests.flatMap((manifest, job) =>
+            manifest.items.map(async ({ itemId }, item) => {
+                const body = await cache.get(manifest, itemId, true);
+                return body._unsafeUnwrap() === newBody(job, item);
+            })
+        );
+        expect(new Set(await Promise.all(reads))).toEqual(new Set([true]));
+        expect(store.reads).toBe(manifests.reduce((sum, { bodyParts }) => sum + bodyParts, 0));
+        expect(store.mostConcurrentReads).toBeLessThanOrEqual(MAX_READS);
+        manifests.forEach(manifest => cache.drop(manifest));
+        expect(cache.sizeBytes).toBe(0);
+    });
+
+    it("is not asked for again and again while the store is down, and is there once it is up", async () => {
+        const store = new FakeStore();
+        const cache = new JobBodyCache(store);
+        const manifest = newManifest(0);
+        store.isDown = true;
+        for (let attempt = 0; attempt < 20; attempt += 1) {
+            expect((await cache.get(manifest, "item-0", true)).isErr()).toBe(true);
+        }
+        expect(store.reads).toBeLessThan(5);
+        store.isDown = false;
+        await sleep(600);
+        expect((await cache.get(manifest, "item-0", true))._unsafeUnwrap()).toBe(newBody(0, 0));
+    });
+
+    it.each([{ firstParts: "named" }, { firstParts: "not named, as in earlier releases" }])(
+        "is found in its object: the objects are $firstParts",
+        async ({ firstParts }) => {
+            const manifest = newManifest(7);
+            const cache = new JobBodyCache(new FakeStore(), 1_000_000);
+            const read = { ...manifest, firstParts: firstParts === "named" ? manifest.firstParts : undefined };
+            expect(manifest.bodyParts).toBeGreaterThan(2);
+            for (let item = ITEMS - 1; item >= 0; item -= 1) {
+                expect((await cache.get(read, `item-${item}`, false))._unsafeUnwrap() === newBody(7, item)).toBe(true);
+            }
+            expect(cache.sizeBytes).toBe(0);
+        },
+    );
+});
+
+describe("the bodies of new jobs", () => {
+    it("are kept up to the limit, those of the first jobs first", () => {
+        const cache = new JobBodyCache(new FakeStore(), 3 * ITEMS * BODY_BYTES);
+        for (let job = 0; job < 10; job += 1) {
+            cache.keep(String(job), newStoredBodies(job).parts);
+            expect(cache.sizeBytes).toBeLessThanOrEqual(3 * ITEMS * BODY_BYTES);
+        }
+        expect(cache.sizeBytes).toBeGreaterThan(2 * ITEMS * BODY_BYTES);
+        cache.drop(newManifest(0));
+        expect(cache.sizeBytes).toBeLessThan(2 * ITEMS * BODY_BYTES);
+    });
+});
--- a/packages/gateway/tests/jobReader.test.ts
+++ b/packages/gateway/tests/jobReader.test.ts
@@ -72,7 +72,7 @@
 beforeEach(async () => {
     store = new JobStore(new CountingStore(), newLogger("test", "fatal"));
     readers = new Map(MEMBERS.map(member => [member.instanceId, newReader(member)]));
-    await store.create(MANIFEST, new Map([["item-1", ""]]), performance.now() + 1_000);
+    await store.create(MANIFEST, [{ "item-1": "" }], performance.now() + 1_000);
     storeReads = 0;
 });
 
@@ -119,7 +119,12 @@
         { what: "once this instance was out of contact", requiresVerification: true, expected: ["item-2"] },
         { what: "while it is certainly the only one", requiresVerification: false, expected: [] },
     ])("are read from the store $what", async ({ requiresVerification, expected }) => {
-        const run = new JobRun(manifest, new Map(), { store } as unknown as JobRunDependencies, undefined);
+        const run = new JobRun(
+            manifest,
+            true,
+            { store, onEnded: () => undefined } as unknown as JobRunDependencies,
+            undefined,
+        );
         const { signal } = new AbortController();
         await store.writeChunk(JOB, 0, { results: [toResult("item-1")] }, signal);
         await run.loadNewResults();
@@ -141,7 +146,7 @@
             view: { routes: undefined },
             isJobStateFresh: () => false,
         } as unknown as JobRunnerDependencies);
-        runner.add(manifest, new Map());
+        runner.add(manifest, [{}]);
         const run = runner.getReadableRun(JOB) as JobRun;
         await store.writeChunk(
             JOB,
@@ -159,7 +164,12 @@
     });
 
     it("have to be verified again if that was required while the store was read", async () => {
-        const run = new JobRun(manifest, new Map(), { store } as unknown as JobRunDependencies, undefined);
+        const run = new JobRun(
+            manifest,
+            true,
+            { store, onEnded: () => undefined } as unknown as JobRunDependencies,
+            undefined,
+        );
         const loading = run.loadNewResults();
         run.requireVerification();
         await loading;
--- a/packages/gateway/tests/jobRoute.test.ts
+++ b/packages/gateway/tests/jobRoute.test.ts
@@ -72,7 +72,7 @@
             return checks < MAX_CHECKS;
         },
     } as unknown as JobRunnerDependencies);
-    runner.add({ ...manifest, submittedAt: Date.now() }, new Map([["item", ""]]));
+    runner.add({ ...manifest, submittedAt: Date.now() }, [{ item: "" }]);
     const jobRun = runner.getReadableRun("job") as JobRun;
     await vi.advanceTimersByTimeAsync(PATIENCE_MS);
     jobRun.stop("the test is over");
--- a/packages/gateway/tests/largeResults.test.ts
+++ b/packages/gateway/tests/largeResults.test.ts
@@ -51,10 +51,11 @@
             throw new Error("no item runs in this test");
         },
         isSoleRunner: () => true,
+        onEnded: () => undefined,
         logger: newLogger("test", "fatal"),
     };
-    await store.create(manifest, new Map(), performance.now() + 1_000);
-    const run = new JobRun(manifest, new Map(), deps, { jobId: JOB, by: "", items: [], finished });
+    await store.create(manifest, [{}], performance.now() + 1_000);
+    const run = new JobRun(manifest, true, deps, { jobId: JOB, by: "", items: [], finished });
     void run.start();
     return run;
 }
