A request isn't given up at an endpoint that answers others and is no longer listed

An endpoint that leaves may have its registration removed and serve on. A slow idempotent request there was given up after 0.6 s although the endpoint had answered others meanwhile: it got 502 when there was no place elsewhere, and ran a second time when there was one.

An endpoint counts as silent for a request if its latest response is older than the request, and with each change of the list the responses of endpoints that were no longer on it were forgotten. Now those of the last 4,096 endpoints are kept; requests in progress need them, and a time that has passed can't mislead a later one.

--- a/packages/gateway/src/endpointAccess.ts
+++ b/packages/gateway/src/endpointAccess.ts
@@ -109,11 +109,6 @@
         );
     }
 
-    /** Drops the state of endpoints that are no longer registered. */
-    onEndpointsChanged(): void {
-        this.direct.retainOnly(new Set(this.deps.view.getEndpoints().map(({ endpointId }) => endpointId)));
-    }
-
     /** Ends background work. */
     stop(): void {
         this.links.stop();
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -1,5 +1,6 @@
 import { ResponseEndObserver } from "@heatherline/common";
 import type { EndpointEntry } from "@heatherline/fleet";
+import { LRUCache } from "lru-cache";
 import { err, ok, type Result } from "neverthrow";
 import http from "node:http";
 import net from "node:net";
@@ -17,6 +18,8 @@
 const MIN_FINAL_STATUS = 200;
 const STATUS_MISDIRECTED = 421;
 const MIN_ERROR_STATUS = 400;
+/** Endpoints whose latest response is remembered. */
+const MAX_REMEMBERED_ENDPOINTS = 4_096;
 
 /** One request to one endpoint. */
 export interface EndpointRequest {
@@ -117,7 +120,8 @@
 /** Sends requests to endpoints over connections of this instance. */
 export class EndpointClient implements EndpointSender {
     private readonly agent = new EndpointAgent();
-    private readonly lastResponseAtMs = new Map<string, number>();
+    /** Kept of endpoints that are no longer registered, too, since they go on with their requests. */
+    private readonly lastResponseAtMs = new LRUCache<string, number>({ max: MAX_REMEMBERED_ENDPOINTS });
 
     /**
      * @param wire - Parses the headers of responses.
@@ -129,19 +133,6 @@
         return this.lastResponseAtMs.get(endpointId) ?? -Infinity;
     }
 
-    /**
-     * Drops the state of endpoints that no longer exist.
-     *
-     * @param listedIds - Ids of the endpoints that exist.
-     */
-    retainOnly(listedIds: ReadonlySet<string>): void {
-        for (const endpointId of this.lastResponseAtMs.keys()) {
-            if (!listedIds.has(endpointId)) {
-                this.lastResponseAtMs.delete(endpointId);
-            }
-        }
-    }
-
     send(endpointRequest: EndpointRequest): Promise<Result<EndpointResponse, SendFailure>> {
         const { signal } = endpointRequest;
         if (signal.aborted) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -295,7 +295,6 @@
             }
             if (part === "endpoints") {
                 endpointChangeLogger.logChanges(view);
-                this.endpoints.onEndpointsChanged();
             }
             if (part === "members" && !this.isStopping) {
                 this.updateDeputy();
