Batch: items that take endpoints long aren't given up again and again

The run of an item is given up when nothing has arrived for 2.5 s. Where endpoints took longer than that for its first event, each run was given up and the next one began anew, at the cost of a prefill each time, and the item, though accepted, was never finished as long as that lasted.

The time now doubles with each run in a row that was given up before it produced anything, up to 10 s.

--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -40,8 +40,12 @@
 const VERSION_BUSY_PATIENCE_MS = 8_000;
 /** Deadline that an endpoint is given for one run. */
 const MAX_RUN_MS = 60_000;
-/** Without any data for this long, the endpoint is considered unavailable and the run is aborted. */
+/**
+ * Without any data for this long, the endpoint is considered unavailable and the run is aborted. The time doubles with
+ * each run in a row that was aborted before it produced anything, since endpoints may take long for the item.
+ */
 const SILENCE_TIMEOUT_MS = 2_500;
+const MAX_SILENCE_DOUBLINGS = 2;
 const STATUS_UNPROCESSABLE = 422;
 const STATUS_INTERNAL_ERROR = 500;
 
@@ -122,6 +126,8 @@
     private failures: number;
     /** Consecutive runs that broke before they produced anything. */
     private emptyRuns = 0;
+    /** Runs that were aborted since nothing arrived, since the last one that produced something. */
+    private silentRuns = 0;
     /** Whether a run was refused. A faulty endpoint may send the refusal again, with the same id, on its connection. */
     private wasRejected = false;
     /** How the response of the latest run ended, for the log. */
@@ -243,6 +249,7 @@
         await releasePlace(place, placeEnd, this.deps.endpoints);
         const isEmpty = end === "no-path" || (end === "broken" && eventCount === 0);
         this.emptyRuns = isEmpty ? this.emptyRuns + 1 : 0;
+        this.silentRuns = eventCount > 0 ? 0 : this.silentRuns + Number(end === "silent");
         this.deps.durationEstimator.recordRun(eventCount, performance.now() - startedAtMs);
         if (end === "complete") {
             this.deps.durationEstimator.recordFinished(this.data.length);
@@ -278,6 +285,10 @@
         }
     }
 
+    private getSilenceTimeoutMs(): number {
+        return SILENCE_TIMEOUT_MS * 2 ** Math.min(MAX_SILENCE_DOUBLINGS, this.silentRuns);
+    }
+
     private getDueInMs(route: Route): number {
         return this.job.submittedAt + route.completionTargetMs - Date.now();
     }
@@ -290,7 +301,7 @@
         const onStopped = () => abortController.abort("stopped");
         place.preemptSignal.addEventListener("abort", onPreempted, { once: true });
         this.signal.addEventListener("abort", onStopped, { once: true });
-        const silenceTimer = setTimeout(() => abortController.abort("silent"), SILENCE_TIMEOUT_MS);
+        const silenceTimer = setTimeout(() => abortController.abort("silent"), this.getSilenceTimeoutMs());
         const headers = wire.toEndpointHeaders(
             wire.toItemHeaders(this.job.host, this.item.itemId, this.item.headers),
             {
