Account for each audit entry once when the buffer overflows during a write

Found by reading, in a search for loops whose steps need not make progress. AuditLog kept a segment's entries in the buffer while it wrote them. If the buffer overflowed meanwhile (a slow store), the overflow dropped these entries, counted as lost; after the write as many newer entries were taken out in their place and never written, and the buffer's size was reduced by the size of the wrong ones. Once it said that an empty buffer is full, `while (bufferedBytes > MAX_BUFFERED_BYTES)` shifted nothing out of an empty array for ever, and the process would hang. That takes entries of very different sizes; it was not seen.

Now a segment's entries are taken out of the buffer before they are written and put back if that fails, so that the size is that of the buffer's entries, and the loop ends with an empty buffer at the latest.

Test first, red before: reports.test.ts, "expected 6395 to be 6000" (entries written and lost, of 6,000 recorded). After: 7 of 7.

--- a/packages/reports/src/auditLog.ts
+++ b/packages/reports/src/auditLog.ts
@@ -82,8 +82,16 @@
         this.bufferedLines.push(line);
         this.bufferedBytes += line.length;
         this.counts.noted += 1;
+        this.dropExcess();
+    }
+
+    private dropExcess(): void {
         while (this.bufferedBytes > MAX_BUFFERED_BYTES) {
-            this.bufferedBytes -= this.bufferedLines.shift()?.length ?? 0;
+            const oldest = this.bufferedLines.shift();
+            if (oldest === undefined) {
+                return;
+            }
+            this.bufferedBytes -= oldest.length;
             this.counts.lost += 1;
             this.lostSinceWrite += 1;
         }
@@ -99,23 +107,27 @@
 
     private async writeBufferedLines(): Promise<void> {
         while (this.bufferedLines.length > 0) {
-            const segmentLines = this.getNextSegmentLines();
+            const segmentLines = this.takeNextSegmentLines();
             if (!await this.writeSegment(segmentLines)) {
+                this.bufferedLines.unshift(...segmentLines);
+                this.bufferedBytes += getTotalLength(segmentLines);
+                this.dropExcess();
                 return;
             }
-            this.bufferedLines.splice(0, segmentLines.length);
-            this.bufferedBytes -= segmentLines.reduce((total, line) => total + line.length, 0);
             this.counts.written += segmentLines.length;
         }
     }
 
-    private getNextSegmentLines(): string[] {
+    /** Takes the oldest entries out of the buffer, where new ones may displace others while these are written. */
+    private takeNextSegmentLines(): string[] {
         let sizeBytes = 0;
         const end = this.bufferedLines.findIndex(line => {
             sizeBytes += line.length;
             return sizeBytes > MAX_SEGMENT_BYTES;
         });
-        return this.bufferedLines.slice(0, end > 0 ? end : this.bufferedLines.length);
+        const segmentLines = this.bufferedLines.splice(0, end > 0 ? end : this.bufferedLines.length);
+        this.bufferedBytes -= getTotalLength(segmentLines);
+        return segmentLines;
     }
 
     private async writeSegment(segmentLines: readonly string[]): Promise<boolean> {
@@ -161,3 +173,7 @@
         return true;
     }
 }
+
+function getTotalLength(lines: readonly string[]): number {
+    return lines.reduce((total, line) => total + line.length, 0);
+}
--- a/packages/reports/src/reports.test.ts
+++ b/packages/reports/src/reports.test.ts
@@ -46,6 +46,32 @@
         expect(audit.counts).toEqual({ noted: 300, written: 300, lost: 0 });
     });
 
+    // Dropped the entries that had just been written, and then as many newer ones; the sizes that it kept were wrong from
+    // then on, and once they said that an empty buffer is full, the process hung.
+    it("accounts for each entry once when its buffer overflows during a write", async () => {
+        const store = new FailingStore();
+        const audit = new AuditLog(store, "one", newLogger("test", "fatal"));
+        const numbers: number[] = [];
+        const add = (sizeBytes: number) => {
+            numbers.push(numbers.length);
+            audit.addEntry({ at: "", number: numbers.length - 1, text: "x".repeat(sizeBytes) });
+        };
+        for (let round = 0; round < 3; round += 1) {
+            Array.from({ length: 1_000 }, () => add(80));
+            const flushed = audit.flush();
+            Array.from({ length: 2_000 }, () => add(10_000));
+            await flushed;
+            await audit.flush();
+            expect(audit.counts.written + audit.counts.lost).toBe(numbers.length);
+        }
+        const written = (await readAllLines(store))
+            .map(line => JSON.parse(line) as { number?: number; })
+            .flatMap(({ number }) => number ?? []);
+        expect(new Set(written).size).toBe(written.length);
+        expect(written.length).toBe(audit.counts.written);
+        expect(numbers.slice(-1_000).every(number => written.includes(number))).toBe(true);
+    });
+
     it("records how many entries were dropped when an outage outlasts its buffer", async () => {
         const store = new FailingStore();
         store.isDown = true;
