Check the configuration again when the place elsewhere is held

A request that waited for a place elsewhere beside a silent endpoint was sent there although the configuration had meanwhile dropped its route, its key or the service (before this was checked after the wait); and one that the configuration did not let move for a moment, such as while it was too old for keys, never asked for a place again, however long its endpoint hung.

Cause: searchPlace asked mayMove before the wait only, and ended for good when the answer was no.

Now it is asked again with the place, which is given back if the answer is no, and the search goes on.

Evidence: silenceWatch.test.ts, two cases red before (it moved; it never moved), green after.

--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -275,7 +275,7 @@
             isEndpointSilent: () => this.deps.endpoints.getLastResponseAtMs(endpointId) < startedAtMs,
             isRepeatable: this.retryPolicy.mayRetryOnSilence(),
             isExclusive: isStream,
-            mayMove: () => this.mayMove(),
+            mayMove: next => this.mayMove(next),
             checkEndpoint: () => this.checkSilentEndpoint(place),
             requestPlace: async signal => {
                 if (this.request.response.hasStarted) {
@@ -292,10 +292,10 @@
     }
 
     /** Whether the request may go on at another endpoint, by the configuration in force as well. */
-    private mayMove(): boolean {
+    private mayMove(next: HeldPlace | undefined): boolean {
         const mayBeRepeated = this.retryPolicy.mayRetryOnSilence() && this.relay.isResumable
             && !this.abortController.signal.aborted;
-        return mayBeRepeated && this.places.mayRequest();
+        return mayBeRepeated && (next === undefined ? this.places.mayRequest() : this.places.mayRunAt(next.endpoint));
     }
 
     private async checkSilentEndpoint(place: HeldPlace): Promise<Fault> {
--- a/packages/gateway/src/silenceWatch.ts
+++ b/packages/gateway/src/silenceWatch.ts
@@ -27,8 +27,11 @@
     readonly isRepeatable: boolean;
     /** Whether the request must not run at two endpoints side by side. */
     readonly isExclusive: boolean;
-    /** @returns Whether the request may be sent to another endpoint now. */
-    readonly mayMove: () => boolean;
+    /**
+     * @param place - The place to move to; `undefined` before there is one.
+     * @returns Whether the request may be sent to another endpoint now.
+     */
+    readonly mayMove: (place: HeldPlace | undefined) => boolean;
     /** Finds out whether the endpoint can be reached, after it has sent nothing of the response in time. */
     readonly checkEndpoint: () => Promise<Fault>;
     /**
@@ -109,15 +112,15 @@
     }
 
     private async searchPlace(signal: AbortSignal): Promise<void> {
-        while (!signal.aborted && this.attempt.mayMove()) {
-            const place = await this.attempt.requestPlace(signal);
-            if (place !== undefined && signal.aborted) {
-                place.release("lost");
-            }
-            else if (place !== undefined) {
-                this.attempt.move(place);
+        const { attempt } = this;
+        while (!signal.aborted) {
+            const place = attempt.mayMove(undefined) ? await attempt.requestPlace(signal) : undefined;
+            // The configuration may have changed while the place was awaited.
+            if (place !== undefined && !signal.aborted && attempt.mayMove(place)) {
+                attempt.move(place);
                 return;
             }
+            place?.release("lost");
             await sleep(PLACE_RETRY_MS, signal);
         }
     }
--- a/packages/gateway/tests/silenceWatch.test.ts
+++ b/packages/gateway/tests/silenceWatch.test.ts
@@ -182,4 +182,36 @@
         await vi.advanceTimersByTimeAsync(1_000);
         expect({ hasMoved, released }).toEqual({ hasMoved: false, released: 1 });
     });
+
+    // The request went to an endpoint to which the configuration no longer let it go, or stayed at one that hung.
+    it.each([
+        { what: "no longer lets it go on elsewhere", allowedMs: [0, 800], movedWithinMs: undefined, releases: 1 },
+        { what: "lets it go on elsewhere again", allowedMs: [1_500, Infinity], movedWithinMs: [1_500, 2_300] },
+    ])("moves only while the configuration allows it: $what", async ({ allowedMs, movedWithinMs, releases = 0 }) => {
+        const startedAtMs = performance.now();
+        const now = () => performance.now() - startedAtMs;
+        let movedAtMs: number | undefined;
+        const silenceWatch = new SilenceWatch({
+            hasResponded: () => false,
+            getQuietMs: () => 0,
+            isEndpointSilent: () => true,
+            isRepeatable: true,
+            isExclusive: false,
+            mayMove: () => now() >= (allowedMs[0] ?? 0) && now() < (allowedMs[1] ?? 0),
+            checkEndpoint: () => Promise.resolve("none"),
+            requestPlace: () => new Promise(resolve => setTimeout(() => resolve(newPlace()), 500)),
+            move: () => {
+                movedAtMs = now();
+                silenceWatch.stop();
+            },
+        });
+        await vi.advanceTimersByTimeAsync(5_000);
+        silenceWatch.stop();
+        expect({ hasMoved: movedAtMs !== undefined, released }).toEqual({
+            hasMoved: movedWithinMs !== undefined,
+            released: releases,
+        });
+        expect(movedAtMs ?? 0).toBeGreaterThanOrEqual(movedWithinMs?.[0] ?? 0);
+        expect(movedAtMs ?? 0).toBeLessThanOrEqual(movedWithinMs?.[1] ?? 0);
+    });
 });
