Bound the memory of callers' bodies that are read or handled at the same time

Nothing bounded it: each submission of up to 4.2 MB was read whole and held, several times over, until the store had it (up to 3.5 s while the store is slow), so that some twenty at once are more than the heap of the deploy file. A body for which there is no room is read without being kept and answered 503 with Retry-After (nothing of it runs).

Red before: manyBodies.test.ts "take a limited amount of memory": 20 of 20 bodies of 4 MB held at once (no 503); green after.

--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -3,6 +3,7 @@
 import http from "node:http";
 import type { Admission } from "./admission";
 import type { BatchApi, BatchApiRequest } from "./batchApi";
+import { BodyMemory, type BodyShare } from "./bodyMemory";
 import { readCallerBody } from "./callerBody";
 import { CallerResponse } from "./callerResponse";
 import type { OnlineHandler, OnlineRequest } from "./onlineHandler";
@@ -42,6 +43,8 @@
     readonly isStopping: () => boolean;
     readonly startupGate: StartupGate;
     readonly logger: Logger;
+    /** Bounds the bodies in memory; derived from the heap's limit if absent. */
+    readonly bodyMemory?: BodyMemory;
 }
 
 /** HTTP server for callers: reads requests, admits them and dispatches them to the online handler or the batch API. */
@@ -49,11 +52,13 @@
     private readonly server: http.Server;
     private readonly idleConnections: IdleConnections;
     private readonly openRequests = new Set<OpenRequest>();
+    private readonly bodyMemory: BodyMemory;
 
     /**
      * @param deps - What the server depends on.
      */
     constructor(private readonly deps: IngressDependencies) {
+        this.bodyMemory = deps.bodyMemory ?? new BodyMemory();
         this.server = http.createServer(
             { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS },
             (request, response) => {
@@ -124,6 +129,20 @@
     }
 
     private async handle(request: http.IncomingMessage, serverResponse: http.ServerResponse): Promise<void> {
+        const share = this.bodyMemory.newShare();
+        try {
+            await this.handleRequest(request, serverResponse, share);
+        }
+        finally {
+            share.setBytes(0);
+        }
+    }
+
+    private async handleRequest(
+        request: http.IncomingMessage,
+        serverResponse: http.ServerResponse,
+        share: BodyShare,
+    ): Promise<void> {
         const callerGone = new AbortController();
         serverResponse.once("close", () => {
             if (!serverResponse.writableFinished) {
@@ -149,7 +168,7 @@
             this.refuse(caller.requestId, response, newRefusal("headers-too-large", `${headerBytes} bytes`));
             return;
         }
-        const body = await readCallerBody(request, () => this.getMaxBodyBytes());
+        const body = await readCallerBody(request, () => this.getMaxBodyBytes(), share);
         if (body === "gone") {
             // No response can be sent.
             return;
@@ -160,6 +179,11 @@
             this.refuse(caller.requestId, response, newRefusal("body-too-large", detail));
             return;
         }
+        if (body === "no-room") {
+            const detail = "the bodies of other requests take the memory";
+            this.refuse(caller.requestId, response, newRefusal("overloaded", detail));
+            return;
+        }
         const url = request.url ?? "/";
         const queryAt = url.indexOf("?");
         const path = queryAt < 0 ? url : url.slice(0, queryAt);
--- a/packages/gateway/tests/ingressHarness.ts
+++ b/packages/gateway/tests/ingressHarness.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "@heatherline/common";
 import net from "node:net";
+import type { BodyMemory } from "../src/bodyMemory";
 import type { CallerResponse } from "../src/callerResponse";
 import { Ingress, type IngressDependencies } from "../src/ingress";
 
@@ -26,8 +27,12 @@
 
     /**
      * @param answer - Answers a request.
+     * @param bodyMemory - Bounds the bodies in memory.
      */
-    constructor(answer: (path: string, response: CallerResponse, body: Buffer) => void | Promise<void>) {
+    constructor(
+        answer: (path: string, response: CallerResponse, body: Buffer) => void | Promise<void>,
+        bodyMemory?: BodyMemory,
+    ) {
         const online = {
             handle: async (request: { path: string; response: CallerResponse; body: Buffer; }) => {
                 await answer(request.path, request.response, request.body);
@@ -52,6 +57,7 @@
             isStopping: () => this.isStopping,
             startupGate: { wait: () => Promise.resolve() },
             logger,
+            bodyMemory,
         } as unknown as IngressDependencies);
     }
 
