Let items of one service wait without keeping those of others from running

Now place requests are limited for each service, and items for each route. With one batch service nothing changes.

Red before: itemPlacementQueue.test.ts "despite many of another one that has no endpoints" (no request was sent for the other service), jobRoute.test.ts "hundreds of items of another route" (its service was never asked for); green after.

--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -215,7 +215,7 @@
         const remainingMs = this.deps.durationEstimator.getRemainingMs(this.data.length);
         const timing = { dueInMs: this.getDueInMs(route), remainingMs };
         // The body is read only now, so that few are in memory.
-        const request = await this.deps.placementQueue.add(timing, async () => {
+        const request = await this.deps.placementQueue.add(service, timing, async () => {
             const body = await this.deps.getBody();
             return body === undefined
                 ? undefined
--- a/packages/gateway/src/jobRunner.ts
+++ b/packages/gateway/src/jobRunner.ts
@@ -22,7 +22,7 @@
 import type { RunnerClaim } from "./runnerClaim";
 import type { WireCodec } from "./wireCodec";
 
-/** Items of an instance that run or wait for a place; a waiting one costs little memory beyond its job's bodies. */
+/** Items of an instance and a route that run or wait for a place; a waiting one costs little memory. */
 const MAX_CONCURRENT_ITEMS = 256;
 /** Memory for results of finished jobs, kept to save reads of the store. */
 const MAX_CACHED_RESULT_BYTES = 16_000_000;
@@ -52,7 +52,8 @@
 export class JobRunner {
     private readonly runs = new Map<string, JobRun>();
     private readonly adoptingIds = new Set<string>();
-    private readonly queue = new PQueue({ concurrency: MAX_CONCURRENT_ITEMS });
+    /** The items of each route, so that those of one that can't run don't keep others from running. */
+    private readonly queuesByRoute = new Map<string, PQueue>();
     private readonly placementQueue = new ItemPlacementQueue();
     private readonly durationEstimator = new ItemDurationEstimator();
     private isStopping = false;
@@ -89,7 +90,7 @@
             parts !== undefined,
             {
                 store: this.deps.store,
-                queue: this.queue,
+                queue: this.getQueue(manifest.route),
                 newItemRunDependencies: (job, item) => this.newItemRunDependencies(job, item),
                 onEnded: () => {
                     this.bodies.drop(manifest);
@@ -239,6 +240,12 @@
         return { open: activeRuns.length, oldestAgeMs: Date.now() - oldestSubmittedAt };
     }
 
+    private getQueue(route: string): PQueue {
+        const queue = this.queuesByRoute.get(route) ?? new PQueue({ concurrency: MAX_CONCURRENT_ITEMS });
+        this.queuesByRoute.set(route, queue);
+        return queue;
+    }
+
     private getActiveRuns(): JobRun[] {
         return [...this.runs.values()].filter(run => !run.isStopped && !run.isFinished);
     }
--- a/packages/gateway/tests/itemPlacementQueue.test.ts
+++ b/packages/gateway/tests/itemPlacementQueue.test.ts
@@ -9,8 +9,14 @@
 afterEach(() => vi.useRealTimers());
 
 /** Adds an item to the queue; its name is added to `sent` when its place request is sent. */
-function addItem(queue: ItemPlacementQueue, sent: string[], name: string, timing: ItemTiming): void {
-    void queue.add(timing, async () => {
+function addItem(
+    queue: ItemPlacementQueue,
+    sent: string[],
+    name: string,
+    timing: ItemTiming,
+    service = "digests",
+): void {
+    void queue.add(service, timing, async () => {
         sent.push(name);
         await new Promise(resolve => setTimeout(resolve, PLACE_REQUEST_MS));
     });
@@ -30,6 +36,20 @@
         expect(sent.filter(name => name.startsWith("new"))).toHaveLength(8);
     });
 
+    it("are sent at once for items of a service, despite many of another one that has no endpoints", async () => {
+        const queue = new ItemPlacementQueue();
+        const sent: string[] = [];
+        for (let item = 0; item < 40; item += 1) {
+            addItem(queue, sent, `stuck-${item}`, { dueInMs: 18_000, remainingMs: REMAINING_MS }, "lost");
+            addItem(queue, sent, `stuck-late-${item}`, { dueInMs: 0, remainingMs: REMAINING_MS }, "lost");
+        }
+        addItem(queue, sent, "on-time", { dueInMs: 20_000, remainingMs: REMAINING_MS });
+        addItem(queue, sent, "late", { dueInMs: 1_000, remainingMs: REMAINING_MS });
+        await vi.advanceTimersByTimeAsync(1);
+        expect(sent.filter(name => !name.startsWith("stuck"))).toEqual(["on-time", "late"]);
+        expect(sent).toHaveLength(2 + 8 + 2);
+    });
+
     it("are sent for started items before unstarted ones that are due at the same time", async () => {
         const queue = new ItemPlacementQueue();
         const sent: string[] = [];
--- a/packages/gateway/tests/jobRoute.test.ts
+++ b/packages/gateway/tests/jobRoute.test.ts
@@ -39,12 +39,14 @@
 let requestedServices: string[];
 let configAgeMs: number;
 let checks: number;
+let maxChecks: number;
 
 beforeEach(() => {
     vi.useFakeTimers();
     requestedServices = [];
     configAgeMs = 0;
     checks = 0;
+    maxChecks = MAX_CHECKS;
 });
 afterEach(() => vi.useRealTimers());
 
@@ -56,12 +58,25 @@
 
 /** Runs a job whose place requests are all refused. */
 async function run(manifest: JobManifest, routes: RouteTable | undefined): Promise<JobRun> {
-    const runner = new JobRunner({
+    const runner = newRunner(routes);
+    runner.add({ ...manifest, submittedAt: Date.now() }, [{ item: "" }]);
+    const jobRun = runner.getReadableRun("job") as JobRun;
+    await vi.advanceTimersByTimeAsync(PATIENCE_MS);
+    jobRun.stop("the test is over");
+    return jobRun;
+}
+
+/** @returns A runner whose place requests for the service `lost` are never answered, and all others refused. */
+function newRunner(routes: RouteTable | undefined): JobRunner {
+    return new JobRunner({
         store: new JobStore(new MemoryStore(), newLogger("test", "fatal")),
         logger: newLogger("test", "fatal"),
         placement: {
             requestPlace: async ({ service }: PlaceRequest) => {
                 requestedServices.push(service);
+                if (service === "lost") {
+                    await new Promise(() => undefined);
+                }
                 return { kind: "refused", reason: "overloaded" };
             },
         },
@@ -69,14 +84,9 @@
         // Otherwise the test wouldn't end where items are checked again without a pause.
         isJobStateFresh: () => {
             checks += 1;
-            return checks < MAX_CHECKS;
+            return checks < maxChecks;
         },
     } as unknown as JobRunnerDependencies);
-    runner.add({ ...manifest, submittedAt: Date.now() }, [{ item: "" }]);
-    const jobRun = runner.getReadableRun("job") as JobRun;
-    await vi.advanceTimersByTimeAsync(PATIENCE_MS);
-    jobRun.stop("the test is over");
-    return jobRun;
 }
 
 describe("an item of a batch job", () => {
@@ -144,6 +154,34 @@
         },
     );
 
+    it("runs although hundreds of items of another route, whose service has no endpoints, came before", async () => {
+        const other: Partial<Route> = {
+            ...JOBS,
+            name: "stuck",
+            pathPrefix: "/stuck/",
+            targets: [{ service: "lost", weight: 1 }],
+        };
+        const runner = newRunner(newRoutes([JOBS, other]));
+        maxChecks = Infinity;
+        const ids = Array.from({ length: 200 }, (_, index) => `item-${index}`);
+        for (const jobId of ["stuck-1", "stuck-2"]) {
+            const items = ids.map(itemId => ({ itemId, path: "/stuck/1", headers: {}, tokens: 1 }));
+            const manifest = {
+                ...MANIFEST,
+                jobId,
+                route: "stuck",
+                path: "/stuck/1",
+                items,
+                itemTokens: ids.map(() => 1),
+            };
+            runner.add({ ...manifest, submittedAt: Date.now() }, [Object.fromEntries(ids.map(id => [id, ""]))]);
+        }
+        runner.add({ ...MANIFEST, submittedAt: Date.now() }, [{ item: "" }]);
+        await vi.advanceTimersByTimeAsync(PATIENCE_MS);
+        runner.getActiveJobIds().forEach(jobId => runner.cancel(jobId));
+        expect(new Set(requestedServices)).toEqual(new Set(["digests", "lost"]));
+    });
+
     // Fails if items are checked again without a pause, which would hang the process.
     it("waits while all services of its job's route have the weight 0", async () => {
         const jobRun = await run(MANIFEST, newRoutes([{ ...JOBS, targets: [{ service: "digests", weight: 0 }] }]));
