An endpoint that answers others isn't paused because one stream there has stalled

What callers saw: with one stalled stream in six at two endpoints of a service, others were refused as overloaded, and stalled streams that might have gone on were cut since the endpoint that was left had been paused.

A request that goes on and has got nothing pauses its endpoint only if the endpoint has answered no other since. The same request, given up and released as silent, paused it whatever it had answered: the reporting instance can't know what others got. The pool now looks at that in both cases: a release as silent pauses no endpoint that has answered another request within 600 ms, and since the place was granted. An endpoint that hangs answers none, so it is left as soon as before; what it answered before it hung counts for 600 ms at most.

failingEndpoints.test.ts: red before in the case with an answer 500 ms before the release ("expected undefined to be 'placed'"); 15 of 15 with it, also that it is still paused without a recent answer.

--- a/packages/fleet/src/endpointPool.ts
+++ b/packages/fleet/src/endpointPool.ts
@@ -11,6 +11,8 @@
 const REMOTE_COST = 1;
 /** Added to the load of an endpoint that fails all requests; one that fails some is used when better ones are full. */
 const FAILURE_COST = 4;
+/** An endpoint that has answered a request this recently isn't silent, although another request has got nothing. */
+const RECENT_RESPONSE_MS = 600;
 
 /** A place in use. */
 export interface Place {
@@ -174,6 +176,9 @@
             return undefined;
         }
         state.batchCount -= place.workClass === "batch" ? 1 : 0;
+        if (end === "silent" && hasAnsweredOthers(state, place)) {
+            return undefined;
+        }
         if (end === "done" || end === "failed" || end === "rejected") {
             state.lastResponseAtMs = performance.now();
         }
@@ -361,6 +366,11 @@
     return state.limiter;
 }
 
+/** Whether an endpoint has answered others while a request there has got nothing. */
+function hasAnsweredOthers({ lastResponseAtMs }: EndpointState, { grantedAtMs }: Place): boolean {
+    return lastResponseAtMs > Math.max(grantedAtMs, performance.now() - RECENT_RESPONSE_MS);
+}
+
 function newState(entry: EndpointEntry): EndpointState {
     return {
         entry,
--- a/packages/fleet/tests/failingEndpoints.test.ts
+++ b/packages/fleet/tests/failingEndpoints.test.ts
@@ -73,6 +73,31 @@
     );
 });
 
+// Fails if callers are refused because one request takes an endpoint long that answers the others.
+describe("an endpoint of two at which a request has been given up as silent", () => {
+    const cases = [
+        { title: "that has answered another one meanwhile", answeredAfterMs: 300, isPaused: false },
+        { title: "that has answered another one long before", answeredAfterMs: 100, isPaused: true },
+        { title: "that has answered none", answeredAfterMs: undefined, isPaused: true },
+    ];
+    it.each(cases)("$title: is paused: $isPaused", async ({ answeredAfterMs = Infinity, isPaused }) => {
+        const dispatcher = newDispatcher(["e1", "e2"]);
+        const places = await Promise.all([1, 2].map(() => dispatcher.place(newTestRequest({ excluded: ["e2"] }))));
+        const [silentId = "", otherId = ""] = places.map(place => place.kind === "placed" ? place.placeId : "");
+        const silentAfterMs = 800;
+        if (answeredAfterMs < silentAfterMs) {
+            vi.advanceTimersByTime(answeredAfterMs);
+            dispatcher.release(otherId, "done");
+        }
+        vi.advanceTimersByTime(silentAfterMs - Math.min(silentAfterMs, answeredAfterMs));
+        dispatcher.release(silentId, "silent");
+        let outcome: PlaceOutcome | undefined;
+        void dispatcher.place(newTestRequest({ excluded: ["e2"] })).then(decided => outcome = decided);
+        await vi.advanceTimersByTimeAsync(10);
+        expect(outcome?.kind).toBe(isPaused ? undefined : "placed");
+    });
+});
+
 // Fails if a request that has lost time at one unreachable endpoint is sent to the next one.
 describe("a request for which an endpoint could not be reached", () => {
     const cases = [
