Begin no streams at a version that joins before all instances know of it

Callers saw streams that hold events of two software versions (ORDER): begun at a version that had just joined, taken up at an instance that was out of contact, and gone on with there at the old version.

Cause: without a record of a stream, an instance concludes that the only version which it knows has begun it. It did so up to 3 s after a message whose state was up to 2 s old, and by the age of the configuration, not of the list of endpoints. Others began streams at the new version at once.

Why it works: an instance relies on its list for 2.5 s of the list's own age, and a version that joins others begins no resumable streams for 3 s after whoever grants places has first listed it. So when a stream begins there, no list without that version is relied on any more, however long the cut or the suspension. A version that comes and goes between two lists has begun none. Joined versions are stored with the versions, so that a kill of all costs no delay; a service of which nothing is stored has none either. A failed write of versions no longer makes the writer try streams in the same round.

In streamOriginStore.test.ts the granter of the set-up marks its list as current, as the feed does.

--- a/packages/fleet/src/aloneGranter.ts
+++ b/packages/fleet/src/aloneGranter.ts
@@ -39,6 +39,7 @@
             getCapacity: entry => this.getCapacity(entry),
             getColdRatePerS: entry => this.getColdRatePerS(entry),
             getLimitPerS: entry => this.getLimitPerS(entry),
+            getStreamDelayMs: entry => view.softwareVersions.getStreamDelayMs(entry),
             getRegion,
             preempt: ({ placeId }) => preempt(placeId),
         });
--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -79,6 +79,7 @@
             getCapacity: entry => this.allowances.getCapacity(entry),
             getColdRatePerS: entry => this.allowances.getColdRatePerS(entry),
             getLimitPerS: entry => this.allowances.getLimitPerS(entry),
+            getStreamDelayMs: entry => deps.view.softwareVersions.getStreamDelayMs(entry),
             getRegion: deps.getRegion,
             preempt: place => this.preempt(place),
         });
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -36,8 +36,8 @@
  * stream, in milliseconds.
  */
 const MAX_LATE_WAIT_MS = 800;
-/** Requests that only the rate of endpoints delays are dispatched again no sooner than this, in milliseconds. */
-const MIN_RATE_DISPATCH_MS = 25;
+/** Requests that only time keeps from being sent are dispatched again no sooner than this, in milliseconds. */
+const MIN_SEND_DISPATCH_MS = 25;
 
 /** What the dispatcher needs from the rest of the instance. */
 export interface DispatcherDependencies extends EndpointPoolDependencies {
@@ -74,8 +74,8 @@
     private readonly places = new Map<string, Place>();
     private readonly services = new Map<string, ServiceState>();
     private readonly batchPlaces = new BatchPlaces();
-    /** No event tells when the rate of an endpoint admits the next request. */
-    private readonly rateTimer = new EarliestTimer(() => this.dispatchAll());
+    /** No event tells when an endpoint's rate, or the age of its version, admits the next request. */
+    private readonly sendTimer = new EarliestTimer(() => this.dispatchAll());
 
     /**
      * @param deps - What the dispatcher needs from the rest of the instance.
@@ -220,7 +220,7 @@
                 settle(waiter, { kind: "refused", reason: "unavailable", retryAfterMs: 0, detail });
             }
         }
-        this.rateTimer.cancel();
+        this.sendTimer.cancel();
     }
 
     /**
@@ -358,9 +358,9 @@
         else {
             this.dispatchBatch(service, queue);
         }
-        const rateWaitMs = queue.onlineCount + queue.batchCount > 0 ? this.pool.getRateWaitMs(service) : 0;
-        if (rateWaitMs > 0) {
-            this.rateTimer.schedule(Math.max(MIN_RATE_DISPATCH_MS, rateWaitMs));
+        const sendWaitMs = queue.onlineCount + queue.batchCount > 0 ? this.pool.getSendWaitOfFirstMs(service) : 0;
+        if (sendWaitMs > 0) {
+            this.sendTimer.schedule(Math.max(MIN_SEND_DISPATCH_MS, sendWaitMs));
         }
     }
 
--- a/packages/fleet/src/endpointPool.ts
+++ b/packages/fleet/src/endpointPool.ts
@@ -81,6 +81,11 @@
      * @returns Requests per second that it may be sent of the limit that it has named; `undefined` without one.
      */
     getLimitPerS(entry: EndpointEntry): number | undefined;
+    /**
+     * @param entry - An endpoint.
+     * @returns Milliseconds until streams that may be resumed may begin there; 0 if they may.
+     */
+    getStreamDelayMs(entry: EndpointEntry): number;
     /**
      * @param dataCentre - A data centre.
      * @returns Its region.
@@ -289,11 +294,12 @@
 
     /**
      * @param service - A service.
-     * @returns Milliseconds until the first of the service's endpoints may be sent requests that only a rate keeps from
-     * being used now: the one of cold endpoints, or its own limit; 0 if there is no such endpoint.
+     * @returns Milliseconds until the first of the service's endpoints may be sent requests that only time keeps from
+     * being sent now: the rate of cold endpoints, its own limit, or the delay of streams; 0 if there is no such endpoint.
      */
-    getRateWaitMs(service: string): number {
-        const waitsMs = (this.byService.get(service) ?? []).map(state => this.getSendWaitMs(state))
+    getSendWaitOfFirstMs(service: string): number {
+        const waitsMs = (this.byService.get(service) ?? [])
+            .flatMap(state => [this.getSendWaitMs(state), this.deps.getStreamDelayMs(state.entry)])
             .filter(waitMs => waitMs > 0);
         return waitsMs.length === 0 ? 0 : Math.min(...waitsMs);
     }
@@ -311,7 +317,8 @@
         const isRegionAllowed = request.allowedRegions.length === 0
             || request.allowedRegions.includes(this.deps.getRegion(entry.dataCentre));
         const isVersionAllowed = request.softwareVersion === undefined
-            || request.softwareVersion === getSoftwareVersion(entry);
+            ? request.streamId === undefined || this.deps.getStreamDelayMs(entry) === 0
+            : request.softwareVersion === getSoftwareVersion(entry);
         return isRegionAllowed && isVersionAllowed && !request.excluded.includes(entry.endpointId);
     }
 
--- a/packages/fleet/src/fleetView.ts
+++ b/packages/fleet/src/fleetView.ts
@@ -27,6 +27,8 @@
     readonly memberChanges?: ListChanges<MemberEntry>;
     /** Age of the configuration at the sender, in milliseconds. */
     readonly configAgeMs: number;
+    /** Age of the list of endpoints at the sender, in milliseconds; absent from instances of earlier releases. */
+    readonly endpointsAgeMs?: number;
 }
 
 /** Revisions of the parts that an instance has; 0 for a part that it doesn't have. */
@@ -47,8 +49,6 @@
 /** Parts whose changes other instances need at once; those of registered instances can wait for the next message. */
 const URGENT_PARTS = ["config", "endpoints", "evacuated"] as const satisfies readonly ViewPart[];
 
-/** State that was current this recently counts as current, in milliseconds. */
-const MAX_CURRENT_AGE_MS = 2_000;
 /** Larger ages are sent as this one, since JSON has no infinity; in milliseconds. */
 const MAX_AGE_MS = 3_600_000;
 
@@ -153,9 +153,13 @@
      */
     markConfigCurrent(ageMs: number): void {
         this.configAge.markCurrent(ageMs);
-        if (ageMs < MAX_CURRENT_AGE_MS) {
-            this.softwareVersions.markCurrent();
-        }
+    }
+
+    /**
+     * @param ageMs - How long ago the known list of endpoints was current.
+     */
+    markEndpointsCurrent(ageMs: number): void {
+        this.softwareVersions.markCurrent(ageMs);
     }
 
     /**
@@ -243,6 +247,7 @@
         const config = this.routeTable?.config;
         return {
             configAgeMs: Math.min(MAX_AGE_MS, this.getConfigAgeMs()),
+            endpointsAgeMs: Math.min(MAX_AGE_MS, this.softwareVersions.listAgeMs),
             ...config !== undefined && revisions.config > known.config
                 ? { config: { revision: revisions.config, value: config } }
                 : {},
@@ -306,6 +311,9 @@
         if (this.routeTable !== undefined) {
             this.markConfigCurrent(update.configAgeMs + transitMs);
         }
+        if (this.revisions.endpoints >= (update.endpointChanges?.revision ?? 0)) {
+            this.markEndpointsCurrent((update.endpointsAgeMs ?? update.configAgeMs) + transitMs);
+        }
     }
 
     /** Changes of a list that this instance doesn't have at their first revision are ignored; the whole list follows. */
--- a/packages/fleet/src/softwareVersions.ts
+++ b/packages/fleet/src/softwareVersions.ts
@@ -1,29 +1,48 @@
-import { getElapsedMs, newTimestamp, type Timestamp } from "./ageTracker";
+import { getElapsedMs, type Timestamp } from "./ageTracker";
 import type { EndpointEntry } from "./types";
 
 /** Time in which callers that lost a stream's connection take the stream up, in milliseconds. */
 const TAKE_UP_MS = 15_000;
 /** Until a configuration says how long streams may last, in milliseconds. */
 const DEFAULT_STREAM_MS = 5_000;
-/** A version that appeared while this instance heard nothing for longer than this may have begun streams unnoticed. */
-const MAX_GAP_MS = 3_000;
+/**
+ * A list of endpoints that is older than this may lack a version that has begun streams, in milliseconds. A version may
+ * have come and gone unnoticed between two lists that lie further apart.
+ */
+const MAX_LIST_AGE_MS = 2_500;
+/**
+ * A version that joins others begins no streams for this long, so that no instance relies any more on a list without it;
+ * in milliseconds.
+ */
+const JOIN_DELAY_MS = MAX_LIST_AGE_MS + 500;
 
 /** Versions of the software that may have begun a stream of a service which can still be taken up. */
 export interface ServiceVersions {
     readonly service: string;
     readonly softwareVersions: readonly string[];
+    /** Those at which streams may begin. */
+    readonly joinedVersions: readonly string[];
+}
+
+/** When a version was listed, on the monotonic clock. */
+interface Listing {
+    /** Since when it has been listed; negative infinity if it joined no others. */
+    readonly sinceMs: number;
+    /** Infinite while it is listed. */
+    untilMs: number;
 }
 
 /**
  * Which software versions have served lately, so that where a stream began is certain, without a record of the stream,
- * if only one version can have begun it.
+ * if only one version can have begun it. That holds at instances that are out of contact, too, since a version begins
+ * streams only when no instance relies any more on a list of endpoints that lacks it.
  */
 export class SoftwareVersions {
-    /** By service and version: when it was last listed; infinite while it is. */
-    private readonly lastListedAtMs = new Map<string, Map<string, number>>();
+    /** By service and version. */
+    private readonly listings = new Map<string, Map<string, Listing>>();
     /** The versions are known without a gap since then. */
     private knownSinceMs = Infinity;
-    /** On two clocks, since this process may have been suspended. */
+    /** When the list of endpoints was last current, on two clocks, since this process may have been suspended. */
     private lastCurrentAt: Timestamp | undefined;
     private streamMs = DEFAULT_STREAM_MS;
 
@@ -44,43 +63,63 @@
      */
     setEndpoints(entries: readonly EndpointEntry[]): void {
         const nowMs = performance.now();
-        for (const versions of this.lastListedAtMs.values()) {
-            for (const [version, atMs] of versions) {
-                if (atMs > nowMs - this.retentionMs) {
-                    versions.set(version, Math.min(atMs, nowMs));
-                }
-                else {
-                    versions.delete(version);
+        for (const listings of this.listings.values()) {
+            for (const [version, listing] of listings) {
+                listing.untilMs = Math.min(listing.untilMs, nowMs);
+                if (listing.untilMs <= nowMs - this.retentionMs) {
+                    listings.delete(version);
                 }
             }
         }
+        const listedVersions = new Map<string, Set<string>>();
         for (const entry of entries) {
-            this.setListedAt(entry.service, getSoftwareVersion(entry), Infinity);
+            const versions = listedVersions.get(entry.service) ?? new Set();
+            listedVersions.set(entry.service, versions.add(getSoftwareVersion(entry)));
         }
-        if (this.knownSinceMs === Infinity) {
-            this.knownSinceMs = nowMs;
-            this.lastCurrentAt = newTimestamp();
+        for (const [service, versions] of listedVersions) {
+            versions.forEach(version => this.setListed(service, version, nowMs, versions.size > 1));
         }
     }
 
-    /** Records that the list of endpoints is current now. */
-    markCurrent(): void {
+    /**
+     * Records that the list of endpoints was current some time ago.
+     *
+     * @param ageMs - How long ago, in milliseconds.
+     */
+    markCurrent(ageMs = 0): void {
+        if (ageMs > MAX_LIST_AGE_MS || ageMs >= this.listAgeMs) {
+            return;
+        }
         if (!this.isCurrent) {
             this.knownSinceMs = performance.now();
         }
-        this.lastCurrentAt = newTimestamp();
+        this.lastCurrentAt = { monotonicMs: performance.now() - ageMs, wallMs: Date.now() - ageMs };
+    }
+
+    /** Time since the list of endpoints was last known to be current, in milliseconds. */
+    get listAgeMs(): number {
+        return this.lastCurrentAt === undefined ? Infinity : getElapsedMs(this.lastCurrentAt);
     }
 
     /**
-     * Adopts what an earlier coordinator has stored, with which the versions are known without a gap.
+     * Adopts what an earlier coordinator has stored, with which the versions are known without a gap. Of a service without
+     * stored versions no instance knows others than those that are listed.
      *
      * @param stored - Versions that had begun streams, or may have, when they were stored.
      */
     adopt(stored: readonly ServiceVersions[]): void {
         const nowMs = performance.now();
-        for (const { service, softwareVersions } of stored) {
+        const storedServices = new Set(stored.map(({ service }) => service));
+        for (const [service, listings] of this.listings) {
+            if (!storedServices.has(service)) {
+                listings.forEach((listing, version) => listings.set(version, { ...listing, sinceMs: -Infinity }));
+            }
+        }
+        for (const { service, softwareVersions, joinedVersions } of stored) {
             for (const version of softwareVersions) {
-                this.setListedAt(service, version, nowMs);
+                const listing = this.getListing(service, version) ?? { sinceMs: nowMs, untilMs: nowMs };
+                const sinceMs = joinedVersions.includes(version) ? -Infinity : listing.sinceMs;
+                this.setListing(service, version, { sinceMs, untilMs: Math.max(listing.untilMs, nowMs) });
             }
         }
         this.knownSinceMs = -Infinity;
@@ -92,16 +131,26 @@
      */
     getPossible(service: string): string[] {
         const sinceMs = performance.now() - this.retentionMs;
-        return [...this.lastListedAtMs.get(service) ?? []].filter(([, atMs]) => atMs > sinceMs)
+        return [...this.listings.get(service) ?? []].filter(([, { untilMs }]) => untilMs > sinceMs)
             .map(([version]) => version).sort();
     }
 
     /** @returns The possible versions of all services. */
     getAll(): ServiceVersions[] {
-        return [...this.lastListedAtMs.keys()].map(service => ({
-            service,
-            softwareVersions: this.getPossible(service),
-        }));
+        return [...this.listings.keys()].map(service => {
+            const softwareVersions = this.getPossible(service);
+            const joinedVersions = softwareVersions.filter(version => this.getJoinDelayMs(service, version) === 0);
+            return { service, softwareVersions, joinedVersions };
+        });
+    }
+
+    /**
+     * @param entry - An endpoint.
+     * @returns Milliseconds until streams may begin there: an instance that doesn't know its version yet would let them
+     * go on at another one.
+     */
+    getStreamDelayMs(entry: EndpointEntry): number {
+        return this.getJoinDelayMs(entry.service, getSoftwareVersion(entry));
     }
 
     /**
@@ -116,13 +165,35 @@
     }
 
     private get isCurrent(): boolean {
-        return this.lastCurrentAt !== undefined && getElapsedMs(this.lastCurrentAt) <= MAX_GAP_MS;
+        return this.listAgeMs <= MAX_LIST_AGE_MS;
+    }
+
+    private getJoinDelayMs(service: string, version: string): number {
+        const { sinceMs, untilMs } = this.getListing(service, version) ?? { sinceMs: -Infinity, untilMs: Infinity };
+        const listedUntilMs = Math.min(untilMs, performance.now());
+        return Math.max(0, sinceMs + JOIN_DELAY_MS - listedUntilMs);
+    }
+
+    /** A version that all instances have had the time to learn of needs no further delay when it returns. */
+    private setListed(service: string, version: string, nowMs: number, hasOthers: boolean): void {
+        const listing = this.getListing(service, version);
+        const isStillListed = listing !== undefined && listing.untilMs >= nowMs;
+        if (listing !== undefined && (isStillListed || this.getJoinDelayMs(service, version) === 0)) {
+            listing.untilMs = Infinity;
+            return;
+        }
+        const joinsOthers = hasOthers || this.getPossible(service).some(other => other !== version);
+        this.setListing(service, version, { sinceMs: joinsOthers ? nowMs : -Infinity, untilMs: Infinity });
+    }
+
+    private getListing(service: string, version: string): Listing | undefined {
+        return this.listings.get(service)?.get(version);
     }
 
-    private setListedAt(service: string, version: string, atMs: number): void {
-        const versions = this.lastListedAtMs.get(service) ?? new Map<string, number>();
-        versions.set(version, Math.max(atMs, versions.get(version) ?? -Infinity));
-        this.lastListedAtMs.set(service, versions);
+    private setListing(service: string, version: string, listing: Listing): void {
+        const listings = this.listings.get(service) ?? new Map<string, Listing>();
+        listings.set(version, listing);
+        this.listings.set(service, listings);
     }
 }
 
--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -235,7 +235,7 @@
         this.view.markConfigCurrent(ageMs);
     }
 
-    private applyEndpoints({ objects, revision, outageMs }: KindReading): void {
+    private applyEndpoints({ objects, revision, ageMs, outageMs }: KindReading): void {
         if (outageMs > 0) {
             this.view.recordStoreRecovery(outageMs);
         }
@@ -247,6 +247,7 @@
             }
         }
         this.view.applyEndpoints({ revision, value: entries });
+        this.view.markEndpointsCurrent(ageMs);
     }
 }
 
--- a/packages/fleet/tests/decisions.test.ts
+++ b/packages/fleet/tests/decisions.test.ts
@@ -348,6 +348,7 @@
             getCapacity: ({ slots }) => slots,
             getColdRatePerS: () => 0,
             getLimitPerS: () => undefined,
+            getStreamDelayMs: () => 0,
             getRegion: () => "",
         });
         pool.setEntries([newEntry("near"), newEntry("far", { dataCentre: "west" })]);
@@ -507,6 +508,7 @@
             getCapacity: ({ slots }) => slots,
             getColdRatePerS: () => 0,
             getLimitPerS: () => undefined,
+            getStreamDelayMs: () => 0,
             getRegion: () => "",
             preempt: () => undefined,
         });
--- a/packages/fleet/tests/endpointLimits.test.ts
+++ b/packages/fleet/tests/endpointLimits.test.ts
@@ -118,6 +118,7 @@
         getCapacity: ({ slots }) => slots,
         getColdRatePerS: () => 0,
         getLimitPerS: ({ endpointId }) => limits[endpointId],
+        getStreamDelayMs: () => 0,
         getRegion: () => "",
         preempt: ({ placeId }) => preempted.push(placeId),
     });
--- a/packages/fleet/tests/failingEndpoints.test.ts
+++ b/packages/fleet/tests/failingEndpoints.test.ts
@@ -16,6 +16,7 @@
         getCapacity: ({ slots }) => slots,
         getColdRatePerS: () => 0,
         getLimitPerS: () => undefined,
+        getStreamDelayMs: () => 0,
         getRegion: () => "region",
         preempt: () => undefined,
     });
--- a/packages/fleet/tests/resumption.test.ts
+++ b/packages/fleet/tests/resumption.test.ts
@@ -47,18 +47,18 @@
         { what: "just after the start", prepare: () => undefined, sole: undefined },
         {
             what: "after the start, with what is stored",
-            prepare: versions => versions.adopt([{ service: "lm", softwareVersions: ["v1"] }]),
+            prepare: versions => versions.adopt([{ service: "lm", softwareVersions: ["v1"], joinedVersions: [] }]),
             sole: "v1",
         },
         {
             what: "after the start, where another version is stored",
-            prepare: versions => versions.adopt([{ service: "lm", softwareVersions: ["v0"] }]),
+            prepare: versions => versions.adopt([{ service: "lm", softwareVersions: ["v0"], joinedVersions: [] }]),
             sole: undefined,
         },
         {
             what: "once the stored version is out of date",
             prepare: versions => {
-                versions.adopt([{ service: "lm", softwareVersions: ["v0"] }]);
+                versions.adopt([{ service: "lm", softwareVersions: ["v0"], joinedVersions: [] }]);
                 passCurrent(versions, RETENTION_MS + 1_000);
             },
             sole: "v1",
@@ -216,6 +216,23 @@
         coordinator.stop();
     });
 
+    it("may begin at a version that has just joined only where it can't be resumed", async () => {
+        const view = new FleetView(1_200);
+        const coordinator = startTestCoordinator({ view, endpoints: newEndpoints("v1") });
+        view.applyEndpoints({ revision: 2, value: newEndpoints("v1", "v2") });
+        coordinator.onViewChanged();
+        const begin = async (changes: Partial<PlaceRequest>) =>
+            getEndpoint(await decide(coordinator, newTestRequest(changes), 1));
+        expect(await begin({ streamId: "a" })).toBe("e0");
+        expect(await begin({})).toBe("e1");
+        expect(await begin({ streamId: "b" })).toBe("e0");
+        expect(await begin({ streamId: "c" })).toBe("overloaded");
+        const waiting = coordinator.place(newTestRequest({ streamId: "d", usefulForMs: 5_000, giveUpAfterMs: 5_000 }));
+        await vi.advanceTimersByTimeAsync(4_000);
+        expect(getEndpoint(await waiting)).toBe("e1");
+        coordinator.stop();
+    });
+
     it("waits for a place of its version, before requests that began later elsewhere in the queue", async () => {
         const coordinator = startCoordinator("v1", "v2");
         const held = await Promise.all(Array.from({ length: 4 }, () => coordinator.place(newTestRequest({}))));
--- a/packages/gateway/src/streamOriginStore.ts
+++ b/packages/gateway/src/streamOriginStore.ts
@@ -121,26 +121,32 @@
     }
 
     private async write(): Promise<void> {
-        if (this.isWriting || performance.now() < this.retryAtMs) {
+        if (this.isWriting || this.isRetryDelayed) {
             return;
         }
         this.isWriting = true;
         try {
             await this.writeVersions();
-            await this.writeStreams();
+            if (!this.isRetryDelayed) {
+                await this.writeStreams();
+            }
         }
         finally {
             this.isWriting = false;
         }
     }
 
+    private get isRetryDelayed(): boolean {
+        return performance.now() < this.retryAtMs;
+    }
+
     private async writeVersions(): Promise<void> {
-        for (const { service, softwareVersions } of this.view.softwareVersions.getAll()) {
-            const text = softwareVersions.join("\0");
-            const path = `${STREAM_KIND}/versions.${service}`;
-            if (this.writtenVersions.get(service) !== text && await this.put(path, { service, softwareVersions })) {
-                this.writtenVersions.set(service, text);
-                this.logger.info({ event: "versions-stored", service, softwareVersions });
+        for (const versions of this.view.softwareVersions.getAll()) {
+            const text = JSON.stringify(versions);
+            const path = `${STREAM_KIND}/versions.${versions.service}`;
+            if (this.writtenVersions.get(versions.service) !== text && await this.put(path, { ...versions })) {
+                this.writtenVersions.set(versions.service, text);
+                this.logger.info({ event: "versions-stored", ...versions });
             }
         }
     }
@@ -236,14 +242,20 @@
     return withJitter(Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** failures));
 }
 
-function decodeVersions({ value: { service, softwareVersions } }: StoredObject): ServiceVersions[] {
-    const isComplete = typeof service === "string" && Array.isArray(softwareVersions) &&
-        softwareVersions.every(version => typeof version === "string");
-    return isComplete ? [{ service, softwareVersions }] : [];
+/** Earlier releases store no joined versions. */
+function decodeVersions(
+    { value: { service, softwareVersions, joinedVersions = [] } }: StoredObject,
+): ServiceVersions[] {
+    return typeof service === "string" && isStringArray(softwareVersions) && isStringArray(joinedVersions)
+        ? [{ service, softwareVersions, joinedVersions }]
+        : [];
 }
 
 function isStreamOriginReport(value: unknown): value is StreamOriginReport {
     const { service, softwareVersion, requestIds } = (value ?? {}) as Partial<StreamOriginReport>;
-    return typeof service === "string" && typeof softwareVersion === "string" && Array.isArray(requestIds) &&
-        requestIds.every(id => typeof id === "string");
+    return typeof service === "string" && typeof softwareVersion === "string" && isStringArray(requestIds);
+}
+
+function isStringArray(value: unknown): value is string[] {
+    return Array.isArray(value) && value.every(element => typeof element === "string");
 }
--- a/packages/gateway/tests/streamOriginStore.test.ts
+++ b/packages/gateway/tests/streamOriginStore.test.ts
@@ -63,6 +63,7 @@
 function startGranter(store: ObjectStore, versions: readonly string[], name = "fleet"): Granter {
     const view = new FleetView(1_200);
     view.applyEndpoints({ revision: 1, value: newEndpoints(versions) });
+    view.markEndpointsCurrent(0);
     const streams = new StreamOrigins(() => view.softwareVersions.retentionMs);
     const originStore = new StreamOriginStore(store, view, name, logger);
     originStore.start({
--- a/standins/load/staticShares.ts
+++ b/standins/load/staticShares.ts
@@ -85,6 +85,7 @@
         return new Dispatcher({
             getCapacity,
             getLimitPerS: () => undefined,
+            getStreamDelayMs: () => 0,
             getColdRatePerS: entry => this.deps.conditions.coldRatePerS * getCapacity(entry) / SLOTS_PER_ENDPOINT,
             getRegion: () => "",
             preempt: ({ placeId }) => this.deps.preempt(placeId),
--- a/standins/operators/fleet.ts
+++ b/standins/operators/fleet.ts
@@ -37,7 +37,7 @@
 
 interface Cut {
     readonly mode: StrandMode | "none";
-    /** Ports of the engines that can't be reached. */
+    /** Ports that can't be reached. */
     readonly ports: readonly number[];
 }
 
@@ -195,6 +195,31 @@
         await this.applyCut(gateway, cut);
     }
 
+    /**
+     * Cuts the connections between a gateway and all others, in both directions. Takes the place of other cuts, and ends
+     * with {@link rejoin}.
+     *
+     * @param gateway - The gateway.
+     * @param isStoreCut - Whether the gateway doesn't reach the store either.
+     */
+    async isolate(gateway: GatewayProcess, isStoreCut: boolean): Promise<void> {
+        const others = this.gateways.filter(other => other !== gateway);
+        const ports = [...others.map(({ controlPort }) => controlPort), ...isStoreCut ? [this.storePort] : []];
+        const setCut = (cutOff: GatewayProcess, cut: Cut) => {
+            this.cuts.set(cutOff, cut);
+            return this.applyCut(cutOff, cut);
+        };
+        await Promise.all([
+            setCut(gateway, { mode: "hang", ports }),
+            ...others.map(other => setCut(other, { mode: "hang", ports: [gateway.controlPort] })),
+        ]);
+    }
+
+    /** Ends the cuts of all gateways. */
+    async rejoin(): Promise<void> {
+        await Promise.all(this.gateways.map(gateway => this.heal(gateway)));
+    }
+
     /**
      * Ends a gateway's cut: what it held goes on.
      *
