Refuse requests that come late in a planned stop and may not end in time

Callers got a part of a stream and no end (LOST): of requests that were complete later than 2.9 s after SIGTERM, on a connection that had just been accepted or with a body or head that arrived slowly, all that ran past the grace period were cut.

Cause: a stopping instance took whatever it read until it ended, however long it might take.

Why it works: from 2.9 s on, a request is taken only if its deadline or its route's timeout passes before open requests are given up. Those that come before may not end in time either, but are few, and most end. The times of the stop are in StopSchedule now.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,6 +32,7 @@
 import { RetirementAcknowledger } from "./retirementAcknowledger";
 import { isSoleRunner, type RunnerClaim } from "./runnerClaim";
 import { StartupGate } from "./startupGate";
+import { StopSchedule } from "./stopSchedule";
 import { StreamOriginStore } from "./streamOriginStore";
 import { Sweeper } from "./sweeper";
 import { SyncMessages } from "./syncMessages";
@@ -45,10 +46,6 @@
 const FIRST_STATE_WAIT_MS = 1_500;
 const SWEEP_INTERVAL_MS = 3_000;
 const STATUS_INTERVAL_MS = 10_000;
-/** Time after the request to stop during which the load balancer may still send new connections. */
-const BALANCER_DRAIN_MS = 2_600;
-/** Margin between the end of the graceful stop and the kill of the process. */
-const KILL_MARGIN_MS = 700;
 const DRAIN_POLL_MS = 50;
 
 /** One gateway instance: admits callers' requests and forwards them to endpoints. */
@@ -78,7 +75,7 @@
         isCoordinatorKnown: () => this.role.isCoordinatorKnown,
         canRunInFallbackMode: () => this.isReady && this.view.members.length > 0,
     });
-    private isStopping = false;
+    private readonly stopSchedule = new StopSchedule(() => this.settings.graceMs);
     private timers: NodeJS.Timeout[] = [];
 
     /**
@@ -96,7 +93,7 @@
         const view = new FleetView(settings.endpointRenewalMs);
         this.view = view;
         this.self = { instanceId, incarnation: newId(), host, rpcPort: peers.port, dataCentre, processorShare };
-        this.registration = new MemberRegistration(store, this.self, () => this.isStopping, logger);
+        this.registration = new MemberRegistration(store, this.self, () => this.stopSchedule.isStopping, logger);
         this.admission = new Admission(view, settings.revokeMs);
         this.rpc = new RpcPeerTransport(() => undefined, "", [METHODS.sync, METHODS.deputySync]);
         this.retirement = new RetirementAcknowledger(schema, deps.putStatus, logger);
@@ -186,7 +183,7 @@
             rpc: this.rpc,
             wire,
             getMetrics: () => this.metrics,
-            isStopping: () => this.isStopping,
+            isStopping: () => this.stopSchedule.isStopping,
             logger,
         });
         const endpoints = this.endpoints.sender;
@@ -220,7 +217,7 @@
             runner,
             placement,
             getCoordinator,
-            isStopping: () => this.isStopping,
+            isStopping: () => this.stopSchedule.isStopping,
         });
         const getMembers = () => view.members;
         const reader = new JobReader({
@@ -252,7 +249,7 @@
                 metrics,
                 logger,
             }),
-            isStopping: () => this.isStopping,
+            stopSchedule: this.stopSchedule,
             startupGate: this.startupGate,
             logger,
         });
@@ -284,7 +281,7 @@
             isStateIncomplete: () => this.isStateIncomplete,
             isFollowingDeputy: () => this.deputy.link.coordinator !== undefined,
             onCoordinator: onAnnouncement,
-            isStopping: () => this.isStopping,
+            isStopping: () => this.stopSchedule.isStopping,
         });
         const endpointChangeLogger = new EndpointChangeLogger(logger);
         view.onChange(part => {
@@ -297,7 +294,7 @@
                 endpointChangeLogger.logChanges(view);
                 this.endpoints.onEndpointsChanged();
             }
-            if (part === "members" && !this.isStopping) {
+            if (part === "members" && !this.stopSchedule.isStopping) {
                 this.updateDeputy();
             }
             this.placement.onViewChanged();
@@ -351,19 +348,17 @@
      * open requests, at most until shortly before the process is killed.
      */
     async stop(): Promise<void> {
-        if (this.isStopping) {
+        if (this.stopSchedule.isStopping) {
             return;
         }
-        const startedAtMs = performance.now();
-        this.isStopping = true;
+        this.stopSchedule.start();
         this.logger.info({ event: "stopping", openRequests: this.ingress.openRequestCount });
         await this.role.lease.stop();
         void this.runner.handOver(this.getHandoverCandidates());
-        const endAtMs = startedAtMs + this.settings.graceMs - KILL_MARGIN_MS;
-        await sleep(Math.min(BALANCER_DRAIN_MS, endAtMs - performance.now()));
+        await sleep(this.stopSchedule.acceptingLeftMs);
         // A request that arrives late on a kept-alive connection would be cut off, so idle connections are closed.
         await this.ingress.stopAccepting();
-        while (this.ingress.openConnectionCount + this.endpoints.openRelayCount > 0 && performance.now() < endAtMs) {
+        while (this.ingress.openConnectionCount + this.endpoints.openRelayCount > 0 && this.stopSchedule.leftMs > 0) {
             await sleep(DRAIN_POLL_MS);
         }
         const cut = this.ingress.openRequestCount;
@@ -399,7 +394,7 @@
 
     /** Whether the load balancer should send callers to this instance. */
     private get isReady(): boolean {
-        return !this.isStopping && this.admission.isConfigFresh && this.view.getEndpoints().length > 0;
+        return !this.stopSchedule.isStopping && this.admission.isConfigFresh && this.view.getEndpoints().length > 0;
     }
 
     private onRoleChange(): void {
@@ -419,7 +414,7 @@
      * Periodic checks, also made when the coordinator or the deputy has changed.
      */
     private runChecks(): void {
-        if (this.isStopping) {
+        if (this.stopSchedule.isStopping) {
             return;
         }
         this.updateDeputy();
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -8,6 +8,7 @@
 import type { OnlineHandler, OnlineRequest } from "./onlineHandler";
 import { newRefusal, type Refusal } from "./refusal";
 import type { StartupGate } from "./startupGate";
+import type { StopSchedule } from "./stopSchedule";
 import type { WireCodec } from "./wireCodec";
 
 /** Limit of request bodies until the configuration is known. */
@@ -39,7 +40,7 @@
     readonly wire: WireCodec;
     readonly online: OnlineHandler;
     readonly batch: BatchApi;
-    readonly isStopping: () => boolean;
+    readonly stopSchedule: StopSchedule;
     readonly startupGate: StartupGate;
     readonly logger: Logger;
 }
@@ -65,7 +66,7 @@
         this.idleConnections = new IdleConnections(
             this.server,
             DEFAULT_IDLE_TIMEOUT_MS + IDLE_TIMEOUT_MARGIN_MS,
-            deps.isStopping,
+            () => deps.stopSchedule.isStopping,
         );
         deps.view.onChange(part => {
             const limits = deps.view.routes?.config.limits;
@@ -138,7 +139,7 @@
             serverResponse,
             this.deps.wire,
             caller.requestId,
-            () => isClosing || this.deps.isStopping(),
+            () => isClosing || this.deps.stopSchedule.isStopping,
         );
         const openRequest = { response, giveUp: new AbortController() };
         this.openRequests.add(openRequest);
@@ -183,7 +184,7 @@
         request: http.IncomingMessage,
         signals: Pick<OnlineRequest, "callerGone" | "giveUp">,
     ): Promise<void> {
-        const { caller, path, body, response, arrivedAtMs } = callerRequest;
+        const { caller, path, response } = callerRequest;
         await this.deps.startupGate.wait();
         const batchTarget = this.deps.wire.parseBatchPath(path);
         if (batchTarget !== undefined) {
@@ -203,10 +204,19 @@
             await this.deps.batch.submit(callerRequest, admitted.value);
             return;
         }
-        const onlineRequest = { caller, incoming: request, path, body, response, arrivedAtMs, ...signals };
+        const onlineRequest = { ...callerRequest, incoming: request, ...signals };
+        if (this.mayOutlastProcess(onlineRequest, admitted.value.route.timeoutMs)) {
+            this.refuse(caller.requestId, response, newRefusal("stopping", "it may not end in time"));
+            return;
+        }
         await this.deps.online.handle(onlineRequest, admitted.value);
     }
 
+    private mayOutlastProcess({ caller, arrivedAtMs }: OnlineRequest, timeoutMs: number): boolean {
+        const durationMs = Math.min(timeoutMs, caller.timeLeftMs ?? Infinity);
+        return arrivedAtMs + durationMs - performance.now() > this.deps.stopSchedule.maxDurationMs;
+    }
+
     private refuse(requestId: string | undefined, response: CallerResponse, refusal: Refusal): void {
         const { status, reason, detail } = refusal;
         this.deps.logger.info({ event: "request", requestId, outcome: "refused", status, reason, detail });
--- a/packages/gateway/tests/ingressHarness.ts
+++ b/packages/gateway/tests/ingressHarness.ts
@@ -20,6 +20,7 @@
         idleTimeoutMs: 15_000,
     };
     isStopping = false;
+    maxDurationMs = Infinity;
     port = 0;
     readonly ingress: Ingress;
     private readonly listeners: ((part: string) => void)[] = [];
@@ -49,7 +50,7 @@
             },
             online,
             batch: {},
-            isStopping: () => this.isStopping,
+            stopSchedule: this,
             startupGate: { wait: () => Promise.resolve() },
             logger,
         } as unknown as IngressDependencies);
