Answer or ignore requests that follow another one on a connection during a planned stop

Callers that had sent a second request on a connection before the response to the first had ended got no answer to it (LOST), although it ran, also one that may not be repeated.

Cause: while an instance stops, each response announced the end of its connection, so that Node.js closed the connection after it and dropped the responses behind it, and requests that came after the announcement were processed all the same.

After: those that come before the head of the first response are answered whole; those after it don't run.

Why it works: only a response behind which no request waits announces the end; what comes after that announcement isn't processed, as HTTP asks. Connections whose last response didn't announce it are closed by IdleConnections as soon as they are idle.

--- a/packages/common/src/idleConnections.ts
+++ b/packages/common/src/idleConnections.ts
@@ -63,6 +63,14 @@
         return this.connections.size;
     }
 
+    /**
+     * @param socket - A connection.
+     * @returns Number of its requests whose responses are not finished.
+     */
+    countOpenRequests(socket: Socket): number {
+        return this.connections.get(socket)?.openRequests ?? 0;
+    }
+
     /**
      * Changes the limit.
      *
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -1,6 +1,7 @@
 import { IdleConnections, type Logger, sleep } from "@heatherline/common";
 import type { FleetView } from "@heatherline/fleet";
 import http from "node:http";
+import type { Socket } from "node:net";
 import type { Admission } from "./admission";
 import type { BatchApi, BatchApiRequest } from "./batchApi";
 import { readCallerBody } from "./callerBody";
@@ -50,6 +51,8 @@
     private readonly server: http.Server;
     private readonly idleConnections: IdleConnections;
     private readonly openRequests = new Set<OpenRequest>();
+    /** Connections of which a response has announced that it is the last. */
+    private readonly closingSockets = new WeakSet<Socket>();
 
     /**
      * @param deps - What the server depends on.
@@ -125,6 +128,12 @@
     }
 
     private async handle(request: http.IncomingMessage, serverResponse: http.ServerResponse): Promise<void> {
+        const { socket } = request;
+        if (this.closingSockets.has(socket)) {
+            // The caller knows from the response before that this request is not processed.
+            request.resume();
+            return;
+        }
         const callerGone = new AbortController();
         serverResponse.once("close", () => {
             if (!serverResponse.writableFinished) {
@@ -134,12 +143,12 @@
         serverResponse.on("error", () => callerGone.abort());
         const arrivedAtMs = performance.now();
         const caller = this.deps.wire.parseRequestHead(request.headers);
-        let isClosing = false;
+        let isUnread = false;
         const response = new CallerResponse(
             serverResponse,
             this.deps.wire,
             caller.requestId,
-            () => isClosing || this.deps.stopSchedule.isStopping,
+            () => this.checkClosing(socket, isUnread),
         );
         const openRequest = { response, giveUp: new AbortController() };
         this.openRequests.add(openRequest);
@@ -156,7 +165,7 @@
             return;
         }
         if (body === "too-large" || body === "unread") {
-            isClosing = body === "unread";
+            isUnread = body === "unread";
             const detail = `more than ${this.getMaxBodyBytes()} bytes`;
             this.refuse(caller.requestId, response, newRefusal("body-too-large", detail));
             return;
@@ -212,6 +221,16 @@
         await this.deps.online.handle(onlineRequest, admitted.value);
     }
 
+    /** @returns Whether the connection is to be closed after the response that begins now. */
+    private checkClosing(socket: Socket, isUnread: boolean): boolean {
+        const isLast = this.deps.stopSchedule.isStopping && this.idleConnections.countOpenRequests(socket) <= 1;
+        const isClosing = isUnread || isLast;
+        if (isClosing) {
+            this.closingSockets.add(socket);
+        }
+        return isClosing;
+    }
+
     private mayOutlastProcess({ caller, arrivedAtMs }: OnlineRequest, timeoutMs: number): boolean {
         const durationMs = Math.min(timeoutMs, caller.timeLeftMs ?? Infinity);
         return arrivedAtMs + durationMs - performance.now() > this.deps.stopSchedule.maxDurationMs;
