--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -1,6 +1,7 @@
 import { IdleConnections, type Logger, sleep } from "@heatherline/common";
 import type { FleetView } from "@heatherline/fleet";
 import http from "node:http";
+import type { Socket } from "node:net";
 import type { Admission } from "./admission";
 import type { BatchApi, BatchApiRequest } from "./batchApi";
 import { BodyMemory, type BodyShare } from "./bodyMemory";
@@ -11,6 +12,7 @@
 import type { OnlineHandler, OnlineRequest } from "./onlineHandler";
 import { newRefusal, type Refusal } from "./refusal";
 import type { StartupGate } from "./startupGate";
+import type { StopSchedule } from "./stopSchedule";
 import type { WireCodec } from "./wireCodec";
 
 /** Limit of request bodies until the configuration is known. */
@@ -42,7 +44,7 @@
     readonly wire: WireCodec;
     readonly online: OnlineHandler;
     readonly batch: BatchApi;
-    readonly isStopping: () => boolean;
+    readonly stopSchedule: StopSchedule;
     readonly startupGate: StartupGate;
     readonly metrics: GatewayMetrics;
     readonly logger: Logger;
@@ -57,6 +59,8 @@
     private readonly openRequests = new Set<OpenRequest>();
     private configChangedAtMs = performance.now();
     private readonly bodyMemory: BodyMemory;
+    /** Connections of which a response has announced that it is the last. */
+    private readonly closingSockets = new WeakSet<Socket>();
 
     /**
      * @param deps - What the server depends on.
@@ -74,7 +78,7 @@
         this.idleConnections = new IdleConnections(
             this.server,
             DEFAULT_IDLE_TIMEOUT_MS + IDLE_TIMEOUT_MARGIN_MS,
-            deps.isStopping,
+            () => deps.stopSchedule.isStopping,
         );
         deps.view.onChange(part => {
             const limits = deps.view.routes?.config.limits;
@@ -134,6 +138,11 @@
     }
 
     private async handle(request: http.IncomingMessage, serverResponse: http.ServerResponse): Promise<void> {
+        if (this.closingSockets.has(request.socket)) {
+            // The caller knows from the response before that this request is not processed.
+            request.resume();
+            return;
+        }
         const share = this.bodyMemory.newShare();
         try {
             await this.handleRequest(request, serverResponse, share);
@@ -148,6 +157,7 @@
         serverResponse: http.ServerResponse,
         share: BodyShare,
     ): Promise<void> {
+        const { socket } = request;
         const callerGone = new AbortController();
         serverResponse.once("close", () => {
             if (!serverResponse.writableFinished) {
@@ -157,12 +167,12 @@
         serverResponse.on("error", () => callerGone.abort());
         const arrivedAtMs = performance.now();
         const caller = this.deps.wire.parseRequestHead(request.headers);
-        let isClosing = false;
+        let isUnread = false;
         const response = new CallerResponse(
             serverResponse,
             this.deps.wire,
             caller.requestId,
-            () => isClosing || this.deps.isStopping(),
+            () => this.checkClosing(socket, isUnread),
         );
         const openRequest = { response, giveUp: new AbortController() };
         this.openRequests.add(openRequest);
@@ -179,7 +189,7 @@
             return;
         }
         if (body === "too-large" || body === "unread") {
-            isClosing = body === "unread";
+            isUnread = body === "unread";
             const detail = `more than ${this.getMaxBodyBytes()} bytes`;
             this.refuse(caller.requestId, response, newRefusal("body-too-large", detail));
             return;
@@ -213,7 +223,7 @@
         request: http.IncomingMessage,
         signals: Pick<OnlineRequest, "callerGone" | "giveUp">,
     ): Promise<void> {
-        const { caller, path, body, response, arrivedAtMs } = callerRequest;
+        const { caller, path, response } = callerRequest;
         await this.deps.startupGate.wait();
         const batchTarget = this.deps.wire.parseBatchPath(path);
         if (batchTarget !== undefined) {
@@ -233,7 +243,11 @@
             await this.deps.batch.submit(callerRequest, admitted.value);
             return;
         }
-        const onlineRequest = { caller, incoming: request, path, body, response, arrivedAtMs, ...signals };
+        const onlineRequest = { ...callerRequest, incoming: request, ...signals };
+        if (this.mayOutlastProcess(onlineRequest, admitted.value.route.timeoutMs)) {
+            this.refuse(caller.requestId, response, newRefusal("stopping", "it may not end in time"));
+            return;
+        }
         await this.deps.online.handle(onlineRequest, admitted.value);
     }
 
@@ -257,11 +271,26 @@
                 hasStarted: response.hasStarted,
                 durationMs: Math.round(performance.now() - arrivedAtMs),
                 sinceConfigMs: Math.round(performance.now() - this.configChangedAtMs),
-                isStopping: this.deps.isStopping(),
+                isStopping: this.deps.stopSchedule.isStopping,
             });
         });
     }
 
+    /** @returns Whether the connection is to be closed after the response that begins now. */
+    private checkClosing(socket: Socket, isUnread: boolean): boolean {
+        const isLast = this.deps.stopSchedule.isStopping && this.idleConnections.countOpenRequests(socket) <= 1;
+        const isClosing = isUnread || isLast;
+        if (isClosing) {
+            this.closingSockets.add(socket);
+        }
+        return isClosing;
+    }
+
+    private mayOutlastProcess({ caller, arrivedAtMs }: OnlineRequest, timeoutMs: number): boolean {
+        const durationMs = Math.min(timeoutMs, caller.timeLeftMs ?? Infinity);
+        return arrivedAtMs + durationMs - performance.now() > this.deps.stopSchedule.maxDurationMs;
+    }
+
     private refuse(requestId: string | undefined, response: CallerResponse, refusal: Refusal): void {
         const { status, reason, detail } = refusal;
         this.deps.logger.info({ event: "request", requestId, outcome: "refused", status, reason, detail });
--- a/packages/gateway/tests/ingressHarness.ts
+++ b/packages/gateway/tests/ingressHarness.ts
@@ -21,6 +21,7 @@
         idleTimeoutMs: 15_000,
     };
     isStopping = false;
+    maxDurationMs = Infinity;
     port = 0;
     /** Lines of the log. */
     readonly logged: Record<string, unknown>[] = [];
@@ -59,7 +60,7 @@
             },
             online,
             batch: {},
-            isStopping: () => this.isStopping,
+            stopSchedule: this,
             startupGate: { wait: () => Promise.resolve() },
             metrics: { recordCut: () => undefined },
             logger,
--- a/packages/gateway/tests/preemptedItems.test.ts
+++ b/packages/gateway/tests/preemptedItems.test.ts
@@ -89,6 +89,7 @@
             getCapacity: ({ slots }) => slots,
             getColdRatePerS: () => 0,
             getLimitPerS: () => undefined,
+            getStreamDelayMs: () => 0,
             getRegion: () => "region",
             preempt: () => undefined,
         });
