Refuse a job whose id another organisation's job has

A repeat by the same organisation gets 202 as before, at the cost of at most one read.

Red before: jobBodies.test.ts "is refused if the earlier one belongs to another organisation" (202 instead of 409); green after.

--- a/packages/gateway/src/batchApi.ts
+++ b/packages/gateway/src/batchApi.ts
@@ -153,6 +153,14 @@
         }
         if (created.value === "created") {
             this.deps.runner.add(manifest, storedBodies.parts, undefined, startedAt);
+            return undefined;
+        }
+        const existing = await this.deps.reader.readManifest(manifest.jobId);
+        if (existing.isErr()) {
+            return newRefusal("store-unavailable", existing.error.detail);
+        }
+        if (existing.value.organisation !== manifest.organisation) {
+            return newRefusal("job-id-taken", "the job belongs to another organisation");
         }
         // A job that existed already runs at another instance, or the coordinator notices that none runs it.
         return undefined;
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -18,6 +18,7 @@
     | "store-unavailable"
     | "job-too-large"
     | "outcome-unknown"
+    | "job-id-taken"
     | "not-found";
 
 /** An error response that the gateway generates itself. */
@@ -53,6 +54,7 @@
     "store-unavailable": 503,
     "job-too-large": 429,
     "outcome-unknown": 504,
+    "job-id-taken": 409,
     "not-found": 404,
 };
 
--- a/packages/gateway/tests/jobBodies.test.ts
+++ b/packages/gateway/tests/jobBodies.test.ts
@@ -25,7 +25,7 @@
 }
 
 /** Submits a job; returns the status and the job store. */
-async function submit(items: readonly SubmittedItem[], objects = new MemoryStore()) {
+async function submit(items: readonly SubmittedItem[], objects = new MemoryStore(), admitted = ADMITTED) {
     const store = new JobStore(objects, newLogger("test", "fatal"));
     const statuses: number[] = [];
     const response = {
@@ -35,6 +35,9 @@
     const addJob = vi.fn();
     const api = new BatchApi({
         store,
+        reader: {
+            readManifest: async (jobId: string) => (await store.read(jobId)).map(job => job?.manifest),
+        },
         wire: { parseSubmission: () => ok({ items }) },
         runner: { add: addJob },
         getCoordinator: () => ({ jobs: { isLoaded: true, admit: () => ({ kind: "admitted" }) } }),
@@ -43,7 +46,7 @@
     } as unknown as BatchApiDependencies);
     const caller = { requestId: JOB, host: "api", timeLeftMs: 600 };
     const request = { caller, path: "/jobs/1", body: Buffer.alloc(0), response, arrivedAtMs: performance.now() };
-    await api.submit(request as unknown as BatchApiRequest, ADMITTED);
+    await api.submit(request as unknown as BatchApiRequest, admitted);
     return { statuses, store, addJob };
 }
 
@@ -75,6 +78,22 @@
     });
 });
 
+describe("a job with the id of an earlier one", () => {
+    it.each([
+        { what: "is the same job, sent again by its organisation", organisation: "alpha", status: 202 },
+        { what: "is refused if the earlier one belongs to another organisation", organisation: "beta", status: 409 },
+    ])("$what", async ({ organisation, status }) => {
+        const objects = new MemoryStore();
+        const toAdmitted = (name: string) => ({ ...ADMITTED, organisation: { name } }) as AdmittedRequest;
+        const first = await submit(newItems([""], {}), objects, toAdmitted("alpha"));
+        expect(first.statuses).toEqual([202]);
+        const second = await submit(newItems([""], {}), objects, toAdmitted(organisation));
+        expect(second.statuses).toEqual([status]);
+        expect(second.addJob).not.toHaveBeenCalled();
+        expect((await second.store.read(JOB))._unsafeUnwrap()?.manifest.organisation).toBe("alpha");
+    });
+});
+
 describe("a job that the store can't keep, as its headers are too large", () => {
     it("is refused for good, not as if it could be sent again, and nothing of it is kept", async () => {
         const objects = new MemoryStore();
