--- a/packages/fleet/tests/manyWaiters.test.ts
+++ b/packages/fleet/tests/manyWaiters.test.ts
@@ -21,6 +21,7 @@
             getCapacity: ({ slots }) => slots,
             getColdRatePerS: () => 0,
             getLimitPerS: () => undefined,
+            getStreamDelayMs: () => 0,
             getRegion: () => "r",
             preempt: () => undefined,
         });
