heatherlined: refuse requests that outlast the shutdown, and answer those that follow another on a connection

Of two requests sent together on one connection while the instance drained, both ran and only the first was answered, since its response announced the end of the connection.

Why it works: once no connections are accepted, a request is run only if its deadline lies before the end of the drain; only the latest response of a connection announces its end, and what comes after that announcement isn't processed.

--- a/packages/daemon/src/callerServer.ts
+++ b/packages/daemon/src/callerServer.ts
@@ -2,6 +2,7 @@
 import type { ConfigReplica } from "@heatherline/config";
 import { type NotRun, type Pipeline, Refusal } from "@heatherline/serving";
 import http from "node:http";
+import type { Socket } from "node:net";
 import { AdminApi } from "./adminApi";
 import { BatchApi } from "./batchApi";
 import { sendJson, sendRefusal } from "./http";
@@ -23,6 +24,8 @@
     readonly maxBodyBytes: number;
     readonly isReady: () => boolean;
     readonly isDraining: () => boolean;
+    /** @returns Time until open requests are cut, in milliseconds; infinite while connections are accepted. */
+    readonly getDrainLeftMs: () => number;
     /**
      * Called with each response that bypassed the request pipeline: responses of the batch API, and refusals of online
      * requests before the pipeline.
@@ -48,6 +51,8 @@
     private readonly server: http.Server;
     private readonly idleConnections: IdleConnections;
     private openRequests = 0;
+    /** The latest response of each connection that is to be closed after it. */
+    private readonly closingResponses = new WeakMap<Socket, http.ServerResponse>();
 
     /**
      * @param dependencies - Parts of the daemon that the server uses.
@@ -102,15 +107,15 @@
     }
 
     private onRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
+        const isProcessed = !this.dependencies.isDraining() || this.closeAfter(request, response);
+        if (!isProcessed) {
+            request.resume();
+            return;
+        }
         this.openRequests += 1;
         response.on("close", () => {
             this.openRequests -= 1;
         });
-        if (this.dependencies.isDraining()) {
-            // The request is still served, but the connection is closed afterwards, so that the caller reconnects to
-            // another instance.
-            response.shouldKeepAlive = false;
-        }
         const requestId = newRequestId();
         this.route(request, response, requestId).catch((error: unknown) => {
             this.dependencies.logger.error({ requestId, error: describeError(error) }, "request failed");
@@ -118,6 +123,24 @@
         });
     }
 
+    /**
+     * Lets the connection be closed after the response, so that the caller reconnects to another instance.
+     *
+     * @returns Whether the request may be processed: not if a response before it has announced that it is the last.
+     */
+    private closeAfter({ socket }: http.IncomingMessage, response: http.ServerResponse): boolean {
+        const previous = this.closingResponses.get(socket);
+        if (previous?.headersSent === true) {
+            return false;
+        }
+        if (previous !== undefined) {
+            previous.shouldKeepAlive = true;
+        }
+        response.shouldKeepAlive = false;
+        this.closingResponses.set(socket, response);
+        return true;
+    }
+
     private async route(
         request: http.IncomingMessage,
         response: http.ServerResponse,
@@ -150,8 +173,8 @@
             this.sendModels(response);
             return;
         }
-        const { pipeline, maxBodyBytes } = this.dependencies;
-        const refusal = await serveOnline(request, response, requestId, pipeline, maxBodyBytes);
+        const { pipeline, maxBodyBytes, getDrainLeftMs } = this.dependencies;
+        const refusal = await serveOnline(request, response, requestId, pipeline, maxBodyBytes, getDrainLeftMs);
         if (refusal !== undefined) {
             this.reportDirectResponse(request, requestId, refusal.status, refusal);
         }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -90,6 +90,8 @@
     private readonly callerServer: CallerServer;
     private peerPort = 0;
     private isDraining = false;
+    /** When open requests are cut, on the monotonic clock; infinite while connections are accepted. */
+    private drainEndsAtMs = Infinity;
 
     /**
      * @param settings - Checked settings.
@@ -198,6 +200,7 @@
             maxBodyBytes: settings.maxBodyBytes,
             isReady: () => this.isReady(),
             isDraining: () => this.isDraining,
+            getDrainLeftMs: () => this.drainEndsAtMs - performance.now(),
             onDirectResponse: response => this.auditLog.addEntry({ at: new Date().toISOString(), ...response }),
             logger,
         });
@@ -286,9 +289,9 @@
         await sleep(this.settings.drainDelayMs);
         this.jobRunner.stop();
         this.endpointReconciler.stop();
+        this.drainEndsAtMs = performance.now() + this.settings.drainTimeoutMs;
         await this.callerServer.stopAccepting();
-        const untilMs = performance.now() + this.settings.drainTimeoutMs;
-        while (this.callerServer.countOpenConnections() > 0 && performance.now() < untilMs) {
+        while (this.callerServer.countOpenConnections() > 0 && performance.now() < this.drainEndsAtMs) {
             await sleep(DRAIN_POLL_MS);
         }
         if (this.limiter instanceof GrantLimiter) {
--- a/packages/daemon/src/onlineApi.ts
+++ b/packages/daemon/src/onlineApi.ts
@@ -18,6 +18,7 @@
  * @param requestId - Id of the request.
  * @param pipeline - The pipeline for online requests.
  * @param maxBodyBytes - Size limit of the body, in bytes.
+ * @param getDrainLeftMs - Returns the time until open requests are cut, in milliseconds; infinite before a shutdown.
  * @returns The refusal, if the request was refused before it reached the pipeline.
  */
 export async function serveOnline(
@@ -26,6 +27,7 @@
     requestId: string,
     pipeline: Pipeline,
     maxBodyBytes: number,
+    getDrainLeftMs: () => number,
 ): Promise<Refusal | undefined> {
     const timeoutMs = readTimeoutMs(request.headers);
     if (timeoutMs.isErr()) {
@@ -46,6 +48,12 @@
         sendRefusal(response, body.error, requestId);
         return body.error;
     }
+    if (deadlineAtMs - monotonicMs() > getDrainLeftMs()) {
+        const message = "the instance shuts down before the request's deadline";
+        const refusal = new Refusal("shutting-down", 503, message, true, 0);
+        sendRefusal(response, refusal, requestId);
+        return refusal;
+    }
     const sink = new HttpSink(response);
     const outcome = await pipeline(newExchange({
         requestId,
