--- a/packages/serving/tests/brokenOffResponses.test.ts
+++ b/packages/serving/tests/brokenOffResponses.test.ts
@@ -119,6 +119,20 @@
     });
 });
 
+describe("an endpoint's response that ends inside its head is not delivered, wherever it ends", () => {
+    it.each(["close", "reset", "reset-with-data"] as const)("%s", async ending => {
+        const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 123\r\n\r\n";
+        const outcomes = await Promise.all(Array.from({ length: head.length }, async (_, length) => {
+            const port = await startServer(head.slice(0, length), ending);
+            const ownServer = server;
+            const { kind, hasEnded } = await dispatch(port, ending);
+            ownServer.close();
+            return { length, isDelivered: kind === "delivered" || hasEnded };
+        }));
+        expect(outcomes.filter(({ isDelivered }) => isDelivered)).toEqual([]);
+    });
+});
+
 /** The caller's side reads the last bytes and the reset at once, which Node.js reports as an orderly close. */
 describe("an endpoint's response that was reset together with its last bytes is not delivered", () => {
     it.each([
