Let a stream that has begun wait for a place as long as its caller does

What callers saw: at full load, streams whose connection broke were cut although their own endpoint had a free place and callers wait two seconds for the next event. The same holds for whatever ends an attempt within a stream: a relay that breaks, an endpoint that leaves.

Cause: one refusal of a place ended the stream, and endpoints of earlier attempts were excluded for good.

Now a place is requested again until 1.6 s after the last event, from the second time on at any endpoint. Whether the request may be repeated, how often, and whether the configuration admits it is decided as before.

--- a/packages/gateway/src/exchangePlaces.ts
+++ b/packages/gateway/src/exchangePlaces.ts
@@ -1,4 +1,4 @@
-import { sha256Hex } from "@heatherline/common";
+import { sha256Hex, sleep } from "@heatherline/common";
 import {
     type EndpointEntry,
     getServices,
@@ -16,6 +16,8 @@
 
 /** With less time left, no place is requested. */
 export const MIN_TIME_LEFT_MS = 5;
+/** Delay between two requests for a place. */
+const PLACE_RETRY_MS = 200;
 
 /** What {@link ExchangePlaces} depends on. */
 export interface ExchangePlacesDependencies {
@@ -44,7 +46,7 @@
 export class ExchangePlaces {
     private readonly online: OnlineRequest;
     private readonly fingerprint: string;
-    private readonly excluded: string[] = [];
+    private excluded: string[] = [];
     private wasUnreachable = false;
     private isRateCharged = false;
     /** Where the stream began, of which the caller has received a part. */
@@ -154,13 +156,32 @@
         this.next = undefined;
     }
 
+    /**
+     * Requests a place again and again, if the configuration in force still admits the request. Where there is none elsewhere,
+     * the endpoints of earlier attempts are used again.
+     *
+     * @param signal - Withdraws the request for a place.
+     * @param mayWait - Whether the request may still wait for a place after there was none.
+     * @returns The place, or why there is none.
+     */
+    async requestRepeatedly(signal: AbortSignal, mayWait: () => boolean): Promise<HeldPlace | Refusal> {
+        for (;;) {
+            const place = await this.requestAdmitted(signal);
+            if ("endpoint" in place || signal.aborted || !mayWait()) {
+                return place;
+            }
+            this.excluded = [];
+            await sleep(PLACE_RETRY_MS, signal);
+        }
+    }
+
     /**
      * Requests a place, if the configuration in force still admits the request.
      *
      * @param signal - Withdraws the request for a place.
      * @returns The place, or why there is none.
      */
-    async requestAdmitted(signal: AbortSignal): Promise<HeldPlace | Refusal> {
+    private async requestAdmitted(signal: AbortSignal): Promise<HeldPlace | Refusal> {
         const refusal = this.recheckAdmission();
         if (refusal !== undefined) {
             return refusal;
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -28,6 +28,9 @@
 /** A request that crashes the endpoint does so as soon as the endpoint begins to respond. */
 const MAX_EVENTS_BEFORE_CRASH = 1;
 
+/** Callers leave a stream two seconds after its last event, and the endpoint takes a part of that to go on. */
+const MAX_PLACE_WAIT_MS = 1_600;
+
 /** Why a request is given up. */
 type AbortReason = "caller-gone" | "timeout" | "stopping";
 
@@ -138,7 +141,8 @@
     /** @returns The refusal to send, or `undefined` if an endpoint's response was delivered. */
     private async runAttempts(): Promise<Refusal | undefined> {
         for (;;) {
-            const place = this.places.takeNext() ?? await this.places.requestAdmitted(this.abortController.signal);
+            const place = this.places.takeNext()
+                ?? await this.places.requestRepeatedly(this.abortController.signal, () => this.mayWaitForPlace());
             if (!("endpoint" in place)) {
                 return place;
             }
@@ -184,6 +188,11 @@
         }
     }
 
+    /** Without a place, a stream that has begun is cut; its caller waits for the next event a while. */
+    private mayWaitForPlace(): boolean {
+        return this.request.response.hasStarted && this.relay.quietMs < MAX_PLACE_WAIT_MS;
+    }
+
     /** Whether a part of the prompt may be to blame for how the attempt ended. */
     private mayHaveCrashedEndpoint(outcome: Extract<AttemptOutcome, { kind: "ended"; }>): boolean {
         return outcome.end === "broken" &&
