Leave an endpoint that hangs after it has responded to others

What callers saw: requests that were at an endpoint when it hung for good got 504 at their deadline, if the endpoint had responded to any other request since they arrived; streams that had not begun as well.

Cause: such an endpoint counted as not silent for the rest of the request.

Each part of a response counts, not only its begin, so that an endpoint that works on streams isn't taken for silent. Of what is relayed, only the begin counts, as before.

--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -94,9 +94,9 @@
     findFault(endpoint: EndpointEntry): Promise<Fault>;
     /**
      * @param endpointId - An endpoint.
-     * @returns Monotonic time at which the endpoint's latest response began to arrive; -Infinity if there was none.
+     * @returns Monotonic time at which the endpoint last sent something, in response to any request; -Infinity if never.
      */
-    getLastResponseAtMs(endpointId: string): number;
+    getLastDataAtMs(endpointId: string): number;
 }
 
 /** Receives what endpoints say of themselves in their responses. */
@@ -117,7 +117,7 @@
 /** Sends requests to endpoints over connections of this instance. */
 export class EndpointClient implements EndpointSender {
     private readonly agent = new EndpointAgent();
-    private readonly lastResponseAtMs = new Map<string, number>();
+    private readonly lastDataAtMs = new Map<string, number>();
 
     /**
      * @param wire - Parses the headers of responses.
@@ -125,8 +125,8 @@
      */
     constructor(private readonly wire: WireCodec, private readonly listener?: EndpointStatementListener) {}
 
-    getLastResponseAtMs(endpointId: string): number {
-        return this.lastResponseAtMs.get(endpointId) ?? -Infinity;
+    getLastDataAtMs(endpointId: string): number {
+        return this.lastDataAtMs.get(endpointId) ?? -Infinity;
     }
 
     /**
@@ -135,9 +135,9 @@
      * @param listedIds - Ids of the endpoints that exist.
      */
     retainOnly(listedIds: ReadonlySet<string>): void {
-        for (const endpointId of this.lastResponseAtMs.keys()) {
+        for (const endpointId of this.lastDataAtMs.keys()) {
             if (!listedIds.has(endpointId)) {
-                this.lastResponseAtMs.delete(endpointId);
+                this.lastDataAtMs.delete(endpointId);
             }
         }
     }
@@ -172,7 +172,10 @@
                 clearTimeout(connectTimer);
                 clearTimeout(slowConnectTimer);
             };
+            const onData = () => this.lastDataAtMs.set(endpointRequest.endpoint.endpointId, performance.now());
             request.on("socket", socket => {
+                socket.on("data", onData);
+                request.once("close", () => socket.removeListener("data", onData));
                 if (socket.connecting) {
                     socket.once("connect", onConnected);
                 }
@@ -251,7 +254,7 @@
         { sentAtMs, isConnectionReused }: Sending,
     ): Result<EndpointResponse, SendFailure> {
         const { status, incoming } = response;
-        this.lastResponseAtMs.set(endpoint.endpointId, performance.now());
+        this.lastDataAtMs.set(endpoint.endpointId, performance.now());
         const head = this.wire.parseResponseHead(incoming.headers);
         if (head.requestId !== undefined && head.requestId !== requestId) {
             incoming.destroy();
--- a/packages/gateway/src/linkedEndpointClient.ts
+++ b/packages/gateway/src/linkedEndpointClient.ts
@@ -47,8 +47,8 @@
      */
     constructor(private readonly deps: LinkedEndpointClientDependencies) {}
 
-    getLastResponseAtMs(endpointId: string): number {
-        return this.deps.direct.getLastResponseAtMs(endpointId);
+    getLastDataAtMs(endpointId: string): number {
+        return this.deps.direct.getLastDataAtMs(endpointId);
     }
 
     async send(request: EndpointRequest): Promise<Result<EndpointResponse, SendFailure>> {
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -281,7 +281,10 @@
         return new SilenceWatch({
             hasResponded: () => this.firstResponseAtMs !== undefined,
             getQuietMs: () => isStream ? this.relay.quietMs : 0,
-            isEndpointSilent: () => this.deps.endpoints.getLastResponseAtMs(endpointId) < startedAtMs,
+            isEndpointSilent: () => {
+                const sinceMs = Math.max(startedAtMs, performance.now() - FIRST_RESPONSE_TIMEOUT_MS);
+                return this.deps.endpoints.getLastDataAtMs(endpointId) < sinceMs;
+            },
             isRepeatable: this.retryPolicy.mayRetryOnSilence(),
             isExclusive: isStream,
             mayMove: next => this.mayMove(next),
--- a/packages/gateway/src/silenceWatch.ts
+++ b/packages/gateway/src/silenceWatch.ts
@@ -21,7 +21,7 @@
     readonly hasResponded: () => boolean;
     /** @returns Time since the last event of a stream, in milliseconds; 0 for other responses that have begun. */
     readonly getQuietMs: () => number;
-    /** @returns Whether the endpoint has responded to no other request since the attempt began either. */
+    /** @returns Whether the endpoint has lately sent nothing in response to other requests either. */
     readonly isEndpointSilent: () => boolean;
     /** Whether the request may run more than once, and once more. */
     readonly isRepeatable: boolean;
