--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -97,9 +97,9 @@
     findFault(endpoint: EndpointEntry): Promise<Fault>;
     /**
      * @param endpointId - An endpoint.
-     * @returns Monotonic time at which the endpoint's latest response began to arrive; -Infinity if there was none.
+     * @returns Monotonic time at which the endpoint last sent something, in response to any request; -Infinity if never.
      */
-    getLastResponseAtMs(endpointId: string): number;
+    getLastDataAtMs(endpointId: string): number;
 }
 
 /** Receives what endpoints say of themselves in their responses. */
@@ -121,7 +121,7 @@
 export class EndpointClient implements EndpointSender {
     private readonly agent = new EndpointAgent();
     /** Kept of endpoints that are no longer registered, too, since they go on with their requests. */
-    private readonly lastResponseAtMs = new LRUCache<string, number>({ max: MAX_REMEMBERED_ENDPOINTS });
+    private readonly lastDataAtMs = new LRUCache<string, number>({ max: MAX_REMEMBERED_ENDPOINTS });
 
     /**
      * @param wire - Parses the headers of responses.
@@ -129,8 +129,8 @@
      */
     constructor(private readonly wire: WireCodec, private readonly listener?: EndpointStatementListener) {}
 
-    getLastResponseAtMs(endpointId: string): number {
-        return this.lastResponseAtMs.get(endpointId) ?? -Infinity;
+    getLastDataAtMs(endpointId: string): number {
+        return this.lastDataAtMs.get(endpointId) ?? -Infinity;
     }
 
     send(endpointRequest: EndpointRequest): Promise<Result<EndpointResponse, SendFailure>> {
@@ -163,7 +163,10 @@
                 clearTimeout(connectTimer);
                 clearTimeout(slowConnectTimer);
             };
+            const onData = () => this.lastDataAtMs.set(endpointRequest.endpoint.endpointId, performance.now());
             request.on("socket", socket => {
+                socket.on("data", onData);
+                request.once("close", () => socket.removeListener("data", onData));
                 if (socket.connecting) {
                     socket.once("connect", onConnected);
                 }
@@ -242,7 +245,7 @@
         { sentAtMs, isConnectionReused }: Sending,
     ): Result<EndpointResponse, SendFailure> {
         const { status, incoming } = response;
-        this.lastResponseAtMs.set(endpoint.endpointId, performance.now());
+        this.lastDataAtMs.set(endpoint.endpointId, performance.now());
         const head = this.wire.parseResponseHead(incoming.headers);
         if (head.requestId !== undefined && head.requestId !== requestId) {
             incoming.destroy();
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -14,7 +14,7 @@
 import { newRefusal, type Refusal } from "./refusal";
 import { StreamRelay } from "./responseRelay";
 import { isRetryable, RetryPolicy } from "./retryPolicy";
-import { FIRST_RESPONSE_TIMEOUT_MS, SilenceWatch } from "./silenceWatch";
+import { FIRST_RESPONSE_TIMEOUT_MS, HANG_TIMEOUT_MS, SilenceWatch } from "./silenceWatch";
 import type { CallerRequestHead, WireCodec } from "./wireCodec";
 
 /** Subtracted from the caller's timeout, so that the response arrives before the caller gives up. */
@@ -281,7 +281,10 @@
         return new SilenceWatch({
             hasResponded: () => this.firstResponseAtMs !== undefined,
             getQuietMs: () => isStream ? this.relay.quietMs : 0,
-            isEndpointSilent: () => this.deps.endpoints.getLastResponseAtMs(endpointId) < startedAtMs,
+            isEndpointSilent: () => {
+                const sinceMs = Math.max(startedAtMs, performance.now() - HANG_TIMEOUT_MS);
+                return this.deps.endpoints.getLastDataAtMs(endpointId) < sinceMs;
+            },
             isRepeatable: this.retryPolicy.mayRetryOnSilence(),
             isExclusive: isStream,
             mayMove: next => this.mayMove(next),
--- a/packages/gateway/src/silenceWatch.ts
+++ b/packages/gateway/src/silenceWatch.ts
@@ -6,6 +6,8 @@
 export const FIRST_RESPONSE_TIMEOUT_MS = 600;
 /** A stream without an event for this long is checked; a slow endpoint sends events every few hundred milliseconds. */
 const STALL_TIMEOUT_MS = 800;
+/** An endpoint that has sent nothing for this long, in response to any request, hangs, though it answered others before. */
+export const HANG_TIMEOUT_MS = 2_000;
 /**
  * Sound endpoints may be silent for a second or so. One that works on meanwhile must not do so for long beside the endpoint
  * to which its stream moves, and callers leave after two seconds without an event.
@@ -21,7 +23,7 @@
     readonly hasResponded: () => boolean;
     /** @returns Time since the last event of a stream, in milliseconds; 0 for other responses that have begun. */
     readonly getQuietMs: () => number;
-    /** @returns Whether the endpoint has responded to no other request since the attempt began either. */
+    /** @returns Whether the endpoint has lately sent nothing in response to other requests either. */
     readonly isEndpointSilent: () => boolean;
     /** Whether the request may run more than once, and once more. */
     readonly isRepeatable: boolean;
