--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -6,6 +6,8 @@
 export type EngineFault =
     /** Runs the request and closes the connection without a response. */
     | "CRASH"
+    /** Runs the request and closes the connection inside the head of its response, after as many bytes as `head=N` says. */
+    | "CUTHEAD"
     /** Closes the connection in the middle of an event. */
     | "BREAK"
     /** Sends a stream with neither a length nor chunks, so that it ends with its connection; combines with `BREAK`. */
@@ -220,6 +222,13 @@
             ...this.isLeaving ? { "Server-Leaving": "1" } : {},
             ...this.namedLimit === undefined ? {} : { "Server-Limit": this.namedLimit },
         };
+        if (faultText.includes("CUTHEAD")) {
+            const lines = Object.entries({ ...headers, "Content-Length": "12345" });
+            const head = `HTTP/1.1 200 OK\r\n${lines.map(([name, value]) => `${name}: ${value}\r\n`).join("")}\r\n`;
+            const length = Number(/head=(-?\d+)/.exec(entry.body)?.[1] ?? 0);
+            response.socket?.end(head.slice(0, length));
+            return;
+        }
         const failure = Object.entries(FAILURE_STATUSES).find(([word]) => faultText.includes(word));
         if (failure !== undefined) {
             response.writeHead(failure[1], headers).end("failed");
