Let streams begin at once at a version that is the only one left

Callers got no streams that may be resumed for 3 s after all endpoints of a service had been replaced by ones of another version at once: the delay of a version that joins counted versions that were no longer listed, too.

Evidence: 16 cases of resumedStreams.test.ts, which replaces all endpoints at its begin, were red since (503 instead of a stream that breaks off); they are green now, as are softwareVersions.test.ts and outOfStepInstance.test.ts.

Why it is safe: streams go on at an old version only where its endpoints still take requests.

--- a/packages/fleet/src/softwareVersions.ts
+++ b/packages/fleet/src/softwareVersions.ts
@@ -26,7 +26,7 @@
 
 /** When a version was listed, on the monotonic clock. */
 interface Listing {
-    /** Since when it has been listed; negative infinity if it joined no others. */
+    /** Since when it has been listed; negative infinity if it has been the only one. */
     readonly sinceMs: number;
     /** Infinite while it is listed. */
     untilMs: number;
@@ -174,16 +174,16 @@
         return Math.max(0, sinceMs + JOIN_DELAY_MS - listedUntilMs);
     }
 
-    /** A version that all instances have had the time to learn of needs no further delay when it returns. */
+    /**
+     * A version that all instances have had the time to learn of needs no further delay when it returns. One that is the
+     * only one has no delay: endpoints of others can't be reached.
+     */
     private setListed(service: string, version: string, nowMs: number, hasOthers: boolean): void {
         const listing = this.getListing(service, version);
         const isStillListed = listing !== undefined && listing.untilMs >= nowMs;
-        if (listing !== undefined && (isStillListed || this.getJoinDelayMs(service, version) === 0)) {
-            listing.untilMs = Infinity;
-            return;
-        }
-        const joinsOthers = hasOthers || this.getPossible(service).some(other => other !== version);
-        this.setListing(service, version, { sinceMs: joinsOthers ? nowMs : -Infinity, untilMs: Infinity });
+        const keepsSince = isStillListed || this.getJoinDelayMs(service, version) === 0;
+        const sinceMs = keepsSince ? listing?.sinceMs ?? nowMs : nowMs;
+        this.setListing(service, version, { sinceMs: hasOthers ? sinceMs : -Infinity, untilMs: Infinity });
     }
 
     private getListing(service: string, version: string): Listing | undefined {
