Soak: five more variants, and checks of cut streams, overlapping runs and processes

What the soak could not show: texts of several bytes a character, large bodies, routes that come and go beside batch jobs, engines that crash under one part of prompts, silences beside planned stops; and a cut stream only counted as failed.

New variants (soakVariants.ts, a table): long-texts, large-jobs, moving-routes, crashing-parts, silences. Streams that are cut outside of planned stops break no rule and are counted (`cut`).

What only new variants have draws from random numbers of its own; the common faults and the load draw as before. The modules are split: variants, client, load, jobs, routes, faults, fault log, checks, watch. A violation's requests are shown with the gateways' log lines. The stand-in's store refuses objects of over 1,048,576 bytes with 413. A crash of an engine resets responses without a length or chunks, since a closed connection is their regular end. readAndCheckJob reads a job once more after the common time limit, so that one job without results isn't reported for all others, and skips a page that was cut.

--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -60,6 +60,8 @@
 const FAILURE_STATUSES = { FAIL: 500, NEVER: 422, BUSY: 503, LIMITED: 429, LATE: 408 } as const;
 const DEFAULT_EVENT_COUNT = 6;
 const DEFAULT_EVENT_GAP_MS = 10;
+/** A character of three bytes, which texts consist of. */
+export const FILLER = "\u8a9e";
 const DRIBBLE_GAP_MS = 100;
 /** Time for which an engine that has crashed accepts no connections. */
 const RESTART_MS = 600;
@@ -72,7 +74,8 @@
 /**
  * Stand-in for an inference engine, which is an endpoint of the operators' platform. A request's body may contain
  * fault words ({@link EngineFault}), which apply to the first run of its id only, or to each run with the word
- * `ALWAYS`, and `events=N`, the number of events to stream.
+ * `ALWAYS`, and `events=N`, the number of events to stream, and `fill=N`, the number of characters of three bytes that
+ * each event has beside its numbers.
  */
 export class Engine {
     readonly seen: SeenRequest[] = [];
@@ -84,6 +87,10 @@
     /** Part of prompts that crashes it as soon as it begins to respond to a request with it. */
     crashingPromptPart: string | undefined;
     crashes = 0;
+    /** Crashes under a part of prompts. */
+    readonly partCrashes: { readonly part: string; readonly atMs: number; }[] = [];
+    /** Called at each of them. */
+    onPartCrash = (): void => undefined;
     /** Whether it says in its responses that it leaves. */
     isLeaving = false;
     /** Value of the header that names the limit of requests, if it names one. */
@@ -93,6 +100,7 @@
     /** When its process started, in milliseconds since the epoch. */
     startedAt = Date.now();
     private silentUntilMs = 0;
+    private readonly unframedResponses = new Set<http.ServerResponse>();
     private restartTimer: NodeJS.Timeout | undefined;
     private readonly server = http.createServer((request, response) => void this.handle(request, response));
 
@@ -178,7 +186,10 @@
         });
         const parts = String(request.headers["prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0]);
         if (this.crashingPromptPart !== undefined && parts.includes(this.crashingPromptPart)) {
+            const part = this.crashingPromptPart;
             await sleep(CRASH_DELAY_MS);
+            this.partCrashes.push({ part, atMs: Date.now() });
+            this.onPartCrash();
             this.crash();
             return;
         }
@@ -188,6 +199,8 @@
     /** Closes all connections, and accepts new ones only after a restart. */
     private crash(): void {
         this.crashes += 1;
+        // Responses without a length or chunks would look complete if their connections were closed.
+        this.unframedResponses.forEach(response => response.socket?.resetAndDestroy());
         this.server.close();
         this.server.closeAllConnections();
         clearTimeout(this.restartTimer);
@@ -233,12 +246,17 @@
         }
         // Without chunks, Node.js marks the end of the response by closing the connection.
         response.useChunkedEncodingByDefault = !faultText.includes("UNFRAMED");
+        if (!response.useChunkedEncodingByDefault) {
+            this.unframedResponses.add(response);
+            response.once("close", () => this.unframedResponses.delete(response));
+        }
         response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
         await this.stream(entry, response, faultText);
     }
 
     private async stream(entry: SeenRequest, response: http.ServerResponse, faultText: string): Promise<void> {
         const eventCount = Number(/events=(\d+)/.exec(entry.body)?.[1] ?? DEFAULT_EVENT_COUNT);
+        const filling = FILLER.repeat(Number(/fill=(\d+)/.exec(entry.body)?.[1] ?? 0));
         const firstEventId = Number(entry.headers["last-event-id"] ?? -1) + 1;
         for (let eventId = firstEventId; eventId < eventCount; eventId += 1) {
             await this.waitWhileSilent();
@@ -256,7 +274,7 @@
                 await dribble(response);
                 return;
             }
-            response.write(`id: ${eventId}\ndata: event ${eventId} of ${entry.requestId}\n\n`);
+            response.write(`id: ${eventId}\ndata: event ${eventId} of ${entry.requestId}${filling}\n\n`);
             entry.events += 1;
             await sleep(this.options.eventGapMs ?? DEFAULT_EVENT_GAP_MS);
         }
--- a/standins/operators/fleet.ts
+++ b/standins/operators/fleet.ts
@@ -64,6 +64,10 @@
     readonly store = new ObjectApi();
     readonly engines: Engine[] = [];
     readonly gateways: GatewayProcess[] = [];
+    /** Top-level fields that replace those of {@link newConfig} in each configuration that is written. */
+    configChanges: Record<string, unknown> = {};
+    /** Options of Node.js for gateways that start from now on. */
+    nodeOptions: readonly string[] = [];
     private storePort = 0;
     private configVersion = 0;
     private cutCount = 0;
@@ -123,7 +127,8 @@
      */
     writeConfig(changes: Record<string, unknown> = {}): void {
         this.configVersion += 3;
-        this.store.write("config", "main", { ...newConfig(), version: this.configVersion, ...changes });
+        const config = { ...newConfig(), version: this.configVersion, ...this.configChanges, ...changes };
+        this.store.write("config", "main", config);
     }
 
     /**
@@ -158,7 +163,7 @@
         );
         const lines: string[] = [];
         const sourceAddress = `127.0.1.${this.gateways.length + 1}`;
-        const child = startGatewayProcess(settingsPath, sourceAddress, lines);
+        const child = startGatewayProcess(settingsPath, sourceAddress, lines, this.nodeOptions);
         const ports = { port, readyPort, controlPort, metricsPort };
         const gateway = { name, ...ports, child, lines, settingsPath, sourceAddress };
         this.gateways.push(gateway);
@@ -173,7 +178,12 @@
      * @throws Error if it isn't ready in time.
      */
     async restart(gateway: GatewayProcess): Promise<void> {
-        gateway.child = startGatewayProcess(gateway.settingsPath, gateway.sourceAddress, gateway.lines);
+        gateway.child = startGatewayProcess(
+            gateway.settingsPath,
+            gateway.sourceAddress,
+            gateway.lines,
+            this.nodeOptions,
+        );
         const cut = this.cuts.get(gateway);
         if (cut !== undefined) {
             await this.applyCut(gateway, cut);
@@ -298,8 +308,13 @@
     };
 }
 
-function startGatewayProcess(settingsPath: string, sourceAddress: string, lines: string[]): ChildProcess {
-    const child = spawn(process.execPath, ["--require", CUT_FILE, GATEWAY_PROGRAM], {
+function startGatewayProcess(
+    settingsPath: string,
+    sourceAddress: string,
+    lines: string[],
+    nodeOptions: readonly string[],
+): ChildProcess {
+    const child = spawn(process.execPath, [...nodeOptions, "--require", CUT_FILE, GATEWAY_PROGRAM], {
         env: { PATH: process.env.PATH, HEATHERLINE_CONFIG: settingsPath, SOURCE_ADDRESS: sourceAddress },
         stdio: ["ignore", "pipe", "pipe", "ipc"],
     });
--- a/standins/operators/objectApi.ts
+++ b/standins/operators/objectApi.ts
@@ -33,6 +33,8 @@
 
 const PAGE_SIZE = 500;
 const MAX_WAIT_MS = 30_000;
+/** Largest content of an object, as the platform's settings have it. */
+const MAX_VALUE_BYTES = 1_048_576;
 
 const NO_FAULTS: Readonly<ObjectApiFaults> = {
     isDown: false,
@@ -174,6 +176,10 @@
             await this.get(url, kind, name, response);
             return;
         }
+        if (body.length > MAX_VALUE_BYTES && Buffer.byteLength(getSpecText(body)) > MAX_VALUE_BYTES) {
+            sendJson(response, 413, { error: "the object is too large" });
+            return;
+        }
         const [status, responseBody] = this.applyWrite(method, url, kind, name, subresource, body);
         if (Math.random() < this.faults.lostPart) {
             // The write took effect; the connection stays open without a response.
@@ -323,3 +329,7 @@
         status: undefined,
     };
 }
+
+function getSpecText(body: Buffer): string {
+    return JSON.stringify((JSON.parse(body.toString("utf8")) as Partial<StoredObject>).spec ?? "");
+}
--- a/standins/operators/runSoak.ts
+++ b/standins/operators/runSoak.ts
@@ -1,5 +1,6 @@
 import { parseArgs } from "node:util";
-import { isSoakVariant, Soak, SOAK_VARIANTS, type SoakVariant } from "./soak";
+import { Soak } from "./soak";
+import { isSoakVariant, SOAK_VARIANTS, type SoakVariant } from "./soakVariants";
 
 const { values } = parseArgs({
     options: {
@@ -17,11 +18,11 @@
 let failed = 0;
 for (let index = 0; index < Number(values.runs); index += 1) {
     const report = await new Soak(Number(values.seed) + index, Number(values.seconds) * 1_000, variant).run();
-    const { seed, faults, counts, violations } = report;
+    const { seed, faults, counts, violations, logLines } = report;
     process.stdout.write(`${JSON.stringify({ seed, faults: faults.length, ...counts, violations })}\n`);
     if (violations.length > 0) {
         failed += 1;
-        process.stdout.write(`${faults.map(fault => `  ${fault}\n`).join("")}`);
+        process.stdout.write([...faults, ...logLines].map(line => `  ${line}\n`).join(""));
     }
 }
 process.exitCode = failed === 0 ? 0 : 1;
--- a/standins/operators/soak.ts
+++ b/standins/operators/soak.ts
@@ -1,39 +1,45 @@
-import type { Engine } from "./engine";
-import { type GatewayProcess, OperatorsFleet } from "./fleet";
-import { SoakLoad, type Violation } from "./soakLoad";
+import { FaultLog } from "./faultLog";
+import { newConfig, OperatorsFleet } from "./fleet";
+import { SoakChecks, type Violation } from "./soakChecks";
+import { SoakClient } from "./soakClient";
+import { FaultInjector } from "./soakFaults";
+import { SoakJobs } from "./soakJobs";
+import { SoakLoad } from "./soakLoad";
+import { newRandom, type Random } from "./soakRandom";
+import { MovingRoutes } from "./soakRoutes";
+import { getLoadTraits, getTraits, type LoadTraits, type SoakTraits, type SoakVariant } from "./soakVariants";
+import { SoakWatch } from "./soakWatch";
 
 const DATA_CENTRES = ["east", "west"];
 const GATEWAYS_PER_DATA_CENTRE = 2;
-const CONCURRENT_CALLERS = 6;
 const JOB_INTERVAL_MS = 1_500;
 const READ_INTERVAL_MS = 120;
 const FAULT_INTERVAL_MS = 1_800;
 const LIMIT_INTERVAL_MS = 2_300;
-/** Requests per second that engines name as their limits. */
-const LIMITS_PER_S = ["0", "0.5", "3", "much"];
-const MAX_FAULT_MS = 3_000;
+const SILENCE_INTERVAL_MS = 2_100;
+const WATCH_INTERVAL_MS = 400;
+const ROUTES_INTERVAL_MS = 300;
+const EXTRA_CALL_INTERVAL_MS = 60;
+const PART_CALL_INTERVAL_MS = 150;
+/** How long one part of prompts crashes engines, and the pause until the next one does. */
+const PART_LENGTH_MS = 10_000;
+const PART_PAUSE_MS = 2_000;
 const SETTLE_TIMEOUT_MS = 20_000;
 
-export const SOAK_VARIANTS = ["plain", "versions-and-limits"] as const;
-
-/**
- * - `plain`: engines of one software version.
- * - `versions-and-limits`: engines of two versions side by side, which name limits now and then, and callers that take up
- *   streams that broke off.
- */
-export type SoakVariant = typeof SOAK_VARIANTS[number];
-
-/** @returns Whether a text names a variant. */
-export function isSoakVariant(text: string): text is SoakVariant {
-    return SOAK_VARIANTS.some(variant => variant === text);
-}
-
 /** Result of a soak. */
 export interface SoakReport {
     readonly seed: number;
     readonly faults: readonly string[];
-    readonly counts: SoakLoad["counts"];
+    readonly counts: SoakLoad["counts"] & SoakJobs["counts"] & SoakChecks["counts"];
     readonly violations: readonly Violation[];
+    /** What the gateways have logged about the requests, jobs and items that the violations name. */
+    readonly logLines: readonly string[];
+}
+
+/** Runs one piece of load or faults again and again until the soak is over. */
+interface SoakLoop {
+    readonly pauseMs: number;
+    readonly run: () => Promise<void>;
 }
 
 /**
@@ -41,11 +47,13 @@
  */
 export class Soak {
     private readonly fleet = new OperatorsFleet();
-    private readonly faults: string[] = [];
-    private readonly recoveries: Promise<void>[] = [];
-    private readonly faultyGateways = new Set<GatewayProcess>();
-    private readonly random: () => number;
-    private readonly limitRandom: () => number;
+    private readonly faults = new FaultLog();
+    private readonly traits: SoakTraits;
+    private readonly loadTraits: LoadTraits;
+    private readonly random: Random;
+    /** Random numbers for what only some variants have, which leave those of the others as they are. */
+    private readonly extraRandom: Random;
+    private readonly crashingParts: string[] = [];
 
     /**
      * @param seed - Seed of the random numbers that select faults and load.
@@ -55,10 +63,12 @@
     constructor(
         private readonly seed: number,
         private readonly lengthMs: number,
-        private readonly variant: SoakVariant = "plain",
+        variant: SoakVariant = "plain",
     ) {
         this.random = newRandom(seed);
-        this.limitRandom = newRandom(seed + 1);
+        this.extraRandom = newRandom(seed + 1);
+        this.traits = getTraits(variant);
+        this.loadTraits = getLoadTraits(this.traits);
     }
 
     /** @returns The injected faults, the counts of requests and the violations. */
@@ -66,18 +76,7 @@
         const { fleet } = this;
         await fleet.start();
         try {
-            fleet.writeConfig();
-            for (const dataCentre of DATA_CENTRES) {
-                await fleet.addEngine({ service: "lm", dataCentre });
-                await fleet.addEngine({ service: "plain", dataCentre });
-            }
-            for (const dataCentre of this.variant === "versions-and-limits" ? DATA_CENTRES : []) {
-                await fleet.addEngine({ service: "lm", dataCentre, version: "v2" });
-            }
-            for (let index = 0; index < DATA_CENTRES.length * GATEWAYS_PER_DATA_CENTRE; index += 1) {
-                const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length] ?? "";
-                await fleet.addGateway(`${dataCentre}-${index}`, dataCentre);
-            }
+            await this.startFleet();
             return await this.runWithFaults();
         }
         finally {
@@ -85,130 +84,118 @@
         }
     }
 
+    private async startFleet(): Promise<void> {
+        const { fleet, traits: { hasVersions, heapMb }, loadTraits: { eventGapMs, maxBodyBytes } } = this;
+        const { limits } = newConfig() as { limits: Record<string, unknown>; };
+        fleet.configChanges = { limits: { ...limits, maxBodyBytes } };
+        fleet.nodeOptions = heapMb === undefined ? [] : [`--max-old-space-size=${heapMb}`, "--max-semi-space-size=4"];
+        fleet.writeConfig();
+        for (const dataCentre of DATA_CENTRES) {
+            await fleet.addEngine({ service: "lm", dataCentre, eventGapMs });
+            await fleet.addEngine({ service: "plain", dataCentre, eventGapMs });
+        }
+        for (const dataCentre of hasVersions === true ? DATA_CENTRES : []) {
+            await fleet.addEngine({ service: "lm", dataCentre, version: "v2", eventGapMs });
+        }
+        for (let index = 0; index < DATA_CENTRES.length * GATEWAYS_PER_DATA_CENTRE; index += 1) {
+            const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length] ?? "";
+            await fleet.addGateway(`${dataCentre}-${index}`, dataCentre);
+        }
+    }
+
     private async runWithFaults(): Promise<SoakReport> {
-        const { fleet } = this;
-        const getPorts = () => fleet.gateways.map(({ port }) => port);
-        const load = new SoakLoad(this.random, getPorts, fleet.engines, this.variant === "versions-and-limits");
+        const { fleet, faults, random, extraRandom, traits, loadTraits } = this;
+        const checks = new SoakChecks(fleet.engines, faults);
+        const client = new SoakClient(random, () => fleet.gateways);
+        const takesStreamsUp = traits.takesStreamsUp === true;
+        const load = new SoakLoad(random, client, checks, loadTraits, takesStreamsUp, extraRandom);
+        const jobs = new SoakJobs(random, client, checks, loadTraits);
+        const injector = new FaultInjector(fleet, faults, random, extraRandom);
         const endAtMs = Date.now() + this.lengthMs;
-        const isOver = () => Date.now() >= endAtMs;
         const loops = [
-            ...Array.from({ length: CONCURRENT_CALLERS }, () => repeat(isOver, 5, () => load.callOnce())),
-            repeat(isOver, JOB_INTERVAL_MS, () => load.submitJob()),
-            repeat(isOver, READ_INTERVAL_MS, () => load.readJob()),
-            repeat(isOver, FAULT_INTERVAL_MS, async () => this.injectFault()),
+            ...Array.from({ length: loadTraits.callers }, () => ({ pauseMs: 5, run: () => load.callOnce() })),
+            { pauseMs: JOB_INTERVAL_MS, run: () => jobs.submitJob() },
+            { pauseMs: READ_INTERVAL_MS, run: () => jobs.readJob() },
+            ...this.newFaultLoops(injector, checks),
+            ...this.newExtraLoops(load, jobs, checks),
         ];
-        if (this.variant === "versions-and-limits") {
-            loops.push(repeat(isOver, LIMIT_INTERVAL_MS, async () => this.limitEngine()));
-        }
-        await Promise.all(loops);
-        await Promise.all(this.recoveries);
+        await Promise.all(loops.map(loop => repeat(() => Date.now() >= endAtMs, loop)));
+        await injector.waitForRecovery();
         fleet.store.clearFaults();
         await Promise.all(fleet.gateways.map(gateway => fleet.waitReady(gateway)));
-        await load.checkJobs(SETTLE_TIMEOUT_MS);
-        return { seed: this.seed, faults: this.faults, counts: load.counts, violations: load.violations };
+        await jobs.checkJobs(SETTLE_TIMEOUT_MS);
+        const getGateway = (address: string) =>
+            fleet.gateways.find(({ sourceAddress }) => sourceAddress === address)?.name ?? "";
+        this.crashingParts.forEach(part => checks.checkCrashingPart(part, getGateway));
+        const counts = { ...load.counts, ...jobs.counts, ...checks.counts };
+        const { violations } = checks;
+        return {
+            seed: this.seed,
+            faults: faults.descriptions,
+            counts,
+            violations,
+            logLines: this.getLogLines(violations),
+        };
     }
 
-    private injectFault(): void {
-        const lengthMs = this.random() * MAX_FAULT_MS;
-        const injectors = [
-            () => this.signalGateway("SIGKILL", lengthMs),
-            () => this.signalGateway("SIGTERM", lengthMs),
-            () => this.signalGateway("SIGSTOP", lengthMs),
-            () => this.injectStoreFaults({ isDown: true }, lengthMs),
-            () => this.injectStoreFaults({ delayMs: 250 }, lengthMs),
-            () => this.injectStoreFaults({ lostPart: 0.4 }, lengthMs),
-            () => this.injectStoreFaults({ refusedKinds: ["heatherline-job"] }, lengthMs),
-            () => this.injectStoreFaults({ forgottenKinds: ["servers", "config"] }, lengthMs),
-            () => this.fleet.store.compact(),
-            () => this.makeEngineUnresponsive(lengthMs),
-            () => this.fleet.writeConfig(),
-        ];
-        const index = Math.floor(this.random() * injectors.length);
-        injectors[index]?.();
+    private getLogLines(violations: readonly Violation[]): string[] {
+        const ids = [...new Set(violations.flatMap(violation => violation.match(/\b[sm][0-9a-z]{6}\b/g) ?? []))];
+        return this.fleet.gateways
+            .flatMap(({ name, lines }) => lines.map(line => `${name} ${line}`))
+            .filter(line => ids.some(id => line.includes(id)));
     }
 
-    private signalGateway(signal: "SIGKILL" | "SIGTERM" | "SIGSTOP", lengthMs: number): void {
-        const candidates = this.fleet.gateways.filter(gateway => !this.faultyGateways.has(gateway));
-        const gateway = candidates[Math.floor(this.random() * candidates.length)];
-        if (gateway === undefined) {
-            return;
+    private newFaultLoops(injector: FaultInjector, checks: SoakChecks): SoakLoop[] {
+        const { namesLimits, hasNoCommonFaults, hasSilences, hasCrashingParts } = this.traits;
+        const watch = new SoakWatch(this.fleet, this.faults, injector.faultyGateways, checks);
+        const loops: SoakLoop[] = [{ pauseMs: WATCH_INTERVAL_MS, run: () => watch.checkGateways() }];
+        if (hasNoCommonFaults !== true) {
+            loops.push({ pauseMs: FAULT_INTERVAL_MS, run: async () => injector.injectCommonFault() });
         }
-        this.recordFault(`${signal} ${gateway.name}`, lengthMs);
-        this.faultyGateways.add(gateway);
-        gateway.child.kill(signal);
-        this.scheduleRecovery(lengthMs, async () => {
-            if (signal === "SIGSTOP") {
-                gateway.child.kill("SIGCONT");
-            }
-            else {
-                await new Promise<void>(resolve => {
-                    if (gateway.child.exitCode !== null || gateway.child.signalCode !== null) {
-                        resolve();
-                    }
-                    gateway.child.once("exit", () => resolve());
-                });
-                await this.fleet.restart(gateway).catch(() => undefined);
-            }
-            this.faultyGateways.delete(gateway);
-        });
-    }
-
-    private injectStoreFaults(faults: Partial<OperatorsFleet["store"]["faults"]>, lengthMs: number): void {
-        this.recordFault(`store ${JSON.stringify(faults)}`, lengthMs);
-        Object.assign(this.fleet.store.faults, faults);
-        this.scheduleRecovery(lengthMs, async () => {
-            Object.assign(this.fleet.store.faults, {
-                isDown: false,
-                delayMs: 0,
-                lostPart: 0,
-                refusedKinds: [],
-                forgottenKinds: [],
+        if (namesLimits === true) {
+            loops.push({ pauseMs: LIMIT_INTERVAL_MS, run: async () => injector.limitEngine() });
+        }
+        if (hasSilences === true) {
+            loops.push({ pauseMs: SILENCE_INTERVAL_MS, run: async () => injector.silenceOrStop() });
+        }
+        if (hasCrashingParts === true) {
+            loops.push({
+                pauseMs: PART_PAUSE_MS,
+                run: async () => {
+                    const part = `bad${this.crashingParts.length}`;
+                    this.crashingParts.push(part);
+                    await injector.crashOnPart(part, PART_LENGTH_MS);
+                },
             });
-        });
-    }
-
-    private makeEngineUnresponsive(lengthMs: number): void {
-        const engine = this.fleet.engines[Math.floor(this.random() * this.fleet.engines.length)] as Engine;
-        this.recordFault(`unresponsive ${engine.id}`, lengthMs);
-        engine.isUnresponsive = true;
-        this.scheduleRecovery(lengthMs, async () => {
-            engine.isUnresponsive = false;
-        });
-    }
-
-    /** Draws from random numbers of its own, which leaves those of the other faults as they are. */
-    private limitEngine(): void {
-        const engine = this.fleet.engines[Math.floor(this.limitRandom() * this.fleet.engines.length)] as Engine;
-        const limit = LIMITS_PER_S[Math.floor(this.limitRandom() * LIMITS_PER_S.length)] ?? "0";
-        const lengthMs = this.limitRandom() * MAX_FAULT_MS;
-        this.recordFault(`limit ${limit} of ${engine.id}`, lengthMs);
-        engine.namedLimit = limit;
-        this.scheduleRecovery(lengthMs, async () => {
-            engine.namedLimit = undefined;
-        });
-    }
-
-    private recordFault(description: string, lengthMs: number): void {
-        this.faults.push(`${description} for ${Math.round(lengthMs)} ms`);
+        }
+        return loops;
     }
 
-    private scheduleRecovery(delayMs: number, recover: () => Promise<void>): void {
-        this.recoveries.push(new Promise<void>(resolve => setTimeout(resolve, delayMs)).then(recover));
+    private newExtraLoops(load: SoakLoad, jobs: SoakJobs, checks: SoakChecks): SoakLoop[] {
+        const { fleet, faults, extraRandom, traits, loadTraits } = this;
+        const loops: SoakLoop[] = [];
+        if (loadTraits.burstEveryS > 0) {
+            loops.push({ pauseMs: loadTraits.burstEveryS * 1_000, run: () => jobs.submitBurst() });
+        }
+        if (traits.movesRoutes === true) {
+            const client = new SoakClient(extraRandom, () => fleet.gateways, "m");
+            const routes = new MovingRoutes(fleet, client, checks, faults, extraRandom);
+            loops.push({ pauseMs: ROUTES_INTERVAL_MS, run: () => routes.move() });
+            loops.push({ pauseMs: EXTRA_CALL_INTERVAL_MS, run: () => routes.callOnce() });
+        }
+        if (traits.hasCrashingParts === true) {
+            loops.push({
+                pauseMs: PART_CALL_INTERVAL_MS,
+                run: () => load.callWithPart(this.crashingParts.at(-1) ?? "bad0"),
+            });
+        }
+        return loops;
     }
 }
 
-async function repeat(isOver: () => boolean, pauseMs: number, run: () => Promise<void>): Promise<void> {
+async function repeat(isOver: () => boolean, { pauseMs, run }: SoakLoop): Promise<void> {
     while (!isOver()) {
         await run();
         await new Promise(resolve => setTimeout(resolve, pauseMs));
     }
 }
-
-/** A linear congruential generator; its quality doesn't matter as long as a seed repeats the same sequence. */
-function newRandom(seed: number): () => number {
-    let state = seed >>> 0;
-    return () => {
-        state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-        return state / 2 ** 32;
-    };
-}
--- /dev/null
+++ b/standins/operators/soakFaults.ts
@@ -0,0 +1,184 @@
+import type { FaultKind, FaultLog, FaultTarget } from "./faultLog";
+import type { GatewayProcess, OperatorsFleet } from "./fleet";
+import { pick, type Random } from "./soakRandom";
+
+const MAX_FAULT_MS = 3_000;
+/** Requests per second that engines name as their limits. */
+const LIMITS_PER_S = ["0", "0.5", "3", "much"];
+/** Shortest and longest silence of an engine that the platform doesn't count as a fault, in milliseconds. */
+const MIN_SILENCE_MS = 700;
+const MAX_SILENCE_MS = 1_300;
+/** How long an engine that has crashed is away, and a little more, in milliseconds. */
+const CRASH_MS = 700;
+
+/** Injects faults into gateways, the store and engines; faults may overlap. */
+export class FaultInjector {
+    /** Gateways that are stopped, killed or frozen, or that start again. */
+    readonly faultyGateways = new Set<GatewayProcess>();
+    private readonly recoveries: Promise<void>[] = [];
+
+    /**
+     * @param fleet - Where the faults are injected.
+     * @param log - Records the faults.
+     * @param random - Random numbers of the common faults.
+     * @param extraRandom - Random numbers of the faults that only some variants have, which leave those of the others
+     *     as they are.
+     */
+    constructor(
+        private readonly fleet: OperatorsFleet,
+        private readonly log: FaultLog,
+        private readonly random: Random,
+        private readonly extraRandom: Random,
+    ) {}
+
+    /** Resolves when all faults have ended that do so by themselves. */
+    async waitForRecovery(): Promise<void> {
+        await Promise.all(this.recoveries);
+    }
+
+    /** Injects one of the faults that most variants have. */
+    injectCommonFault(): void {
+        const lengthMs = this.random() * MAX_FAULT_MS;
+        const injectors = [
+            () => this.signalAnyGateway("SIGKILL", lengthMs),
+            () => this.signalAnyGateway("SIGTERM", lengthMs),
+            () => this.signalAnyGateway("SIGSTOP", lengthMs),
+            () => this.injectStoreFaults({ isDown: true }, lengthMs),
+            () => this.injectStoreFaults({ delayMs: 250 }, lengthMs),
+            () => this.injectStoreFaults({ lostPart: 0.4 }, lengthMs),
+            () => this.injectStoreFaults({ refusedKinds: ["heatherline-job"] }, lengthMs),
+            () => this.injectStoreFaults({ forgottenKinds: ["servers", "config"] }, lengthMs),
+            () => this.fleet.store.compact(),
+            () => this.makeEngineUnresponsive(lengthMs),
+            () => this.fleet.writeConfig(),
+        ];
+        const index = Math.floor(this.random() * injectors.length);
+        injectors[index]?.();
+    }
+
+    /** Lets one engine name a limit. */
+    limitEngine(): void {
+        const engine = pick(this.extraRandom, this.fleet.engines);
+        const limit = pick(this.extraRandom, LIMITS_PER_S);
+        const lengthMs = this.extraRandom() * MAX_FAULT_MS;
+        engine.namedLimit = limit;
+        this.begin("sound", `engine ${engine.id}`, `limit ${limit} of ${engine.id}`, lengthMs, async () => {
+            engine.namedLimit = undefined;
+        });
+    }
+
+    /** Silences one engine, all of a service or all, and stops a gateway as planned, either or both. */
+    silenceOrStop(): void {
+        const { engines } = this.fleet;
+        const lengthMs = MIN_SILENCE_MS + this.extraRandom() * (MAX_SILENCE_MS - MIN_SILENCE_MS);
+        const one = pick(this.extraRandom, engines);
+        const [silent, stops] = pick(
+            this.extraRandom,
+            [
+                [[one], false],
+                [[one], true],
+                [engines.filter(({ options }) => options.service === "lm"), true],
+                [engines, true],
+            ] as const,
+        );
+        if (stops && this.faultyGateways.size === 0) {
+            this.signal(pick(this.extraRandom, this.fleet.gateways), "SIGTERM", lengthMs);
+        }
+        for (const engine of silent) {
+            engine.silence(lengthMs);
+            this.begin("sound", `engine ${engine.id}`, `silence of ${engine.id}`, lengthMs, async () => undefined);
+        }
+    }
+
+    /**
+     * Lets a part of prompts crash all engines of the model service for some time.
+     *
+     * @param part - The part.
+     * @param lengthMs - How long, in milliseconds.
+     */
+    async crashOnPart(part: string, lengthMs: number): Promise<void> {
+        this.log.descriptions.push(`part ${part} crashes engines for ${lengthMs} ms`);
+        for (const engine of this.fleet.engines.filter(({ options }) => options.service === "lm")) {
+            engine.crashingPromptPart = part;
+            engine.onPartCrash = () => {
+                this.begin(
+                    "unplanned",
+                    `engine ${engine.id}`,
+                    `crash of ${engine.id}`,
+                    CRASH_MS,
+                    async () => undefined,
+                );
+            };
+        }
+        await new Promise(resolve => setTimeout(resolve, lengthMs));
+        for (const engine of this.fleet.engines) {
+            engine.crashingPromptPart = undefined;
+        }
+    }
+
+    private signalAnyGateway(signal: "SIGKILL" | "SIGTERM" | "SIGSTOP", lengthMs: number): void {
+        const candidates = this.fleet.gateways.filter(gateway => !this.faultyGateways.has(gateway));
+        const gateway = candidates[Math.floor(this.random() * candidates.length)];
+        if (gateway !== undefined) {
+            this.signal(gateway, signal, lengthMs);
+        }
+    }
+
+    private signal(gateway: GatewayProcess, signal: "SIGKILL" | "SIGTERM" | "SIGSTOP", lengthMs: number): void {
+        const kind = signal === "SIGTERM" ? "planned" : "unplanned";
+        this.faultyGateways.add(gateway);
+        gateway.child.kill(signal);
+        this.begin(kind, `gateway ${gateway.name}`, `${signal} ${gateway.name}`, lengthMs, async () => {
+            if (signal === "SIGSTOP") {
+                gateway.child.kill("SIGCONT");
+            }
+            else {
+                await new Promise<void>(resolve => {
+                    if (gateway.child.exitCode !== null || gateway.child.signalCode !== null) {
+                        resolve();
+                    }
+                    gateway.child.once("exit", () => resolve());
+                });
+                await this.fleet.restart(gateway).catch(() => undefined);
+            }
+            this.faultyGateways.delete(gateway);
+        });
+    }
+
+    private injectStoreFaults(faults: Partial<OperatorsFleet["store"]["faults"]>, lengthMs: number): void {
+        Object.assign(this.fleet.store.faults, faults);
+        this.begin("unplanned", "store", `store ${JSON.stringify(faults)}`, lengthMs, async () => {
+            Object.assign(this.fleet.store.faults, {
+                isDown: false,
+                delayMs: 0,
+                lostPart: 0,
+                refusedKinds: [],
+                forgottenKinds: [],
+            });
+        });
+    }
+
+    private makeEngineUnresponsive(lengthMs: number): void {
+        const engine = pick(this.random, this.fleet.engines);
+        engine.isUnresponsive = true;
+        this.begin("unplanned", `engine ${engine.id}`, `unresponsive ${engine.id}`, lengthMs, async () => {
+            engine.isUnresponsive = false;
+        });
+    }
+
+    /** Records a fault that has begun, and ends it after some time. */
+    private begin(
+        kind: FaultKind,
+        target: FaultTarget,
+        description: string,
+        lengthMs: number,
+        recover: () => Promise<void>,
+    ): void {
+        const fault = this.log.begin(kind, target, description, lengthMs);
+        this.recoveries.push(
+            new Promise<void>(resolve => setTimeout(resolve, lengthMs)).then(recover).then(() => {
+                fault.endedAtMs = Date.now();
+            }),
+        );
+    }
+}
--- /dev/null
+++ b/standins/operators/soakVariants.ts
@@ -0,0 +1,112 @@
+/** What a variant of the soak adds to plain engines, load and faults. */
+export interface SoakTraits {
+    /** Whether there are engines of a second software version. */
+    readonly hasVersions?: boolean;
+    /** Whether engines name limits now and then. */
+    readonly namesLimits?: boolean;
+    /** Whether callers take up streams that broke off. */
+    readonly takesStreamsUp?: boolean;
+    /** Whether gateways, the store and engines have no faults but those that the other traits add. */
+    readonly hasNoCommonFaults?: boolean;
+    /** Whether engines fall silent for about a second, one or all of them, also while gateways stop as planned. */
+    readonly hasSilences?: boolean;
+    /** Whether engines crash under one part of prompts. */
+    readonly hasCrashingParts?: boolean;
+    /** Whether configurations add, remove, move and nest routes. */
+    readonly movesRoutes?: boolean;
+    /** Limit of a gateway's heap in megabytes, if it is not that of Node.js. */
+    readonly heapMb?: number;
+    readonly load?: Partial<LoadTraits>;
+}
+
+/** Sizes and numbers of requests and jobs. */
+export interface LoadTraits {
+    /** Concurrent callers of online requests. */
+    readonly callers: number;
+    /** Whether all online requests are streams that engines serve without a fault. */
+    readonly hasOnlySoundStreams: boolean;
+    /** Pause of an engine after each event, in milliseconds. */
+    readonly eventGapMs: number;
+    /** Characters of three bytes in each event of online requests and of items. */
+    readonly eventFillers: number;
+    readonly itemEventFillers: number;
+    readonly itemsPerJob: number;
+    /** Largest size of the bodies of online requests, which are text of three bytes a character. */
+    readonly bodyBytes: number;
+    /** Size of the bodies of items, which are such text, too. */
+    readonly itemBodyBytes: number;
+    /** Largest body that the configuration allows. */
+    readonly maxBodyBytes: number;
+    /** Every how many seconds several jobs come at once; never if 0. */
+    readonly burstEveryS: number;
+}
+
+const COMMON_LOAD: LoadTraits = {
+    callers: 6,
+    hasOnlySoundStreams: false,
+    eventGapMs: 10,
+    eventFillers: 0,
+    itemEventFillers: 0,
+    itemsPerJob: 4,
+    bodyBytes: 0,
+    itemBodyBytes: 0,
+    maxBodyBytes: 100_000,
+    burstEveryS: 0,
+};
+
+/**
+ * - `plain`: engines of one software version.
+ * - `versions-and-limits`: engines of two versions side by side, which name limits now and then, and callers that take up
+ *   streams that broke off.
+ * - `long-texts`: texts of three bytes a character, and bodies and outputs up to a hundred kilobytes.
+ * - `large-jobs`: bursts of jobs with bodies that are as large as the operators' configurations allow, on gateways with
+ *   the heap that the deploy file gives them.
+ * - `moving-routes`: routes that come, go and move, also below the prefix of the route of batch jobs.
+ * - `crashing-parts`: one part of prompts after the other crashes each engine that begins to respond to it.
+ * - `silences`: engines that fall silent for a second or so beside gateways that stop as planned; nothing unplanned.
+ */
+const TRAITS = {
+    plain: {},
+    "versions-and-limits": { hasVersions: true, namesLimits: true, takesStreamsUp: true },
+    "long-texts": {
+        load: { eventFillers: 200, itemEventFillers: 2_500, itemsPerJob: 24, bodyBytes: 90_000, itemBodyBytes: 2_000 },
+    },
+    "large-jobs": {
+        heapMb: 120,
+        load: { itemsPerJob: 10, itemBodyBytes: 300_000, maxBodyBytes: 4_194_304, burstEveryS: 6 },
+    },
+    "moving-routes": { movesRoutes: true },
+    "crashing-parts": { hasCrashingParts: true },
+    silences: {
+        hasNoCommonFaults: true,
+        hasSilences: true,
+        load: { callers: 16, hasOnlySoundStreams: true, eventGapMs: 80 },
+    },
+} as const satisfies Record<string, SoakTraits>;
+
+/** Name of a variant. */
+export type SoakVariant = keyof typeof TRAITS;
+
+/** All variants. */
+export const SOAK_VARIANTS = Object.keys(TRAITS) as readonly SoakVariant[];
+
+/** @returns Whether a text names a variant. */
+export function isSoakVariant(text: string): text is SoakVariant {
+    return SOAK_VARIANTS.some(variant => variant === text);
+}
+
+/**
+ * @param variant - A variant.
+ * @returns What it adds.
+ */
+export function getTraits(variant: SoakVariant): SoakTraits {
+    return TRAITS[variant];
+}
+
+/**
+ * @param traits - What a variant adds.
+ * @returns Its sizes and numbers.
+ */
+export function getLoadTraits({ load }: SoakTraits): LoadTraits {
+    return { ...COMMON_LOAD, ...load };
+}
