--- a/standins/operators/fleet.ts
+++ b/standins/operators/fleet.ts
@@ -68,6 +68,10 @@
     readonly gateways: GatewayProcess[] = [];
     /** Path of the bundle that gateways run which are added from now on. */
     program = GATEWAY_PROGRAM;
+    /** Top-level fields that replace those of {@link newConfig} in each configuration that is written. */
+    configChanges: Record<string, unknown> = {};
+    /** Options of Node.js for gateways that start from now on. */
+    nodeOptions: readonly string[] = [];
     private storePort = 0;
     private configVersion = 0;
     private cutCount = 0;
@@ -127,7 +131,8 @@
      */
     writeConfig(changes: Record<string, unknown> = {}): void {
         this.configVersion += 3;
-        this.store.write("config", "main", { ...newConfig(), version: this.configVersion, ...changes });
+        const config = { ...newConfig(), version: this.configVersion, ...this.configChanges, ...changes };
+        this.store.write("config", "main", config);
     }
 
     /**
@@ -162,8 +167,8 @@
         );
         const lines: string[] = [];
         const sourceAddress = `127.0.1.${this.gateways.length + 1}`;
-        const { program } = this;
-        const child = startGatewayProcess(program, settingsPath, sourceAddress, lines);
+        const { program, nodeOptions } = this;
+        const child = startGatewayProcess(program, settingsPath, sourceAddress, lines, nodeOptions);
         const ports = { port, readyPort, controlPort, metricsPort };
         const gateway = { name, ...ports, child, lines, settingsPath, sourceAddress, program };
         this.gateways.push(gateway);
@@ -179,7 +184,7 @@
      */
     async restart(gateway: GatewayProcess): Promise<void> {
         const { program, settingsPath, sourceAddress, lines } = gateway;
-        gateway.child = startGatewayProcess(program, settingsPath, sourceAddress, lines);
+        gateway.child = startGatewayProcess(program, settingsPath, sourceAddress, lines, this.nodeOptions);
         const cut = this.cuts.get(gateway);
         if (cut !== undefined) {
             await this.applyCut(gateway, cut);
@@ -354,8 +359,9 @@
     settingsPath: string,
     sourceAddress: string,
     lines: string[],
+    nodeOptions: readonly string[],
 ): ChildProcess {
-    const child = spawn(process.execPath, ["--require", CUT_FILE, program], {
+    const child = spawn(process.execPath, [...nodeOptions, "--require", CUT_FILE, program], {
         env: { PATH: process.env.PATH, HEATHERLINE_CONFIG: settingsPath, SOURCE_ADDRESS: sourceAddress },
         stdio: ["ignore", "pipe", "pipe", "ipc"],
     });
