Let streams begin at a version that has just joined once no other endpoint takes requests

Callers would have got no streams that may be resumed for up to 3 s in a release that replaces all endpoints quickly: those of the earlier version are still listed while they leave, so that the delay of the version that joins went on, though nothing else could be used. Now it ends when no endpoint of a version that has joined before takes requests.

Red before: joiningVersions.test.ts "when all endpoints of the others leave"; green after.

--- a/packages/fleet/src/softwareVersions.ts
+++ b/packages/fleet/src/softwareVersions.ts
@@ -45,6 +45,8 @@
     /** When the list of endpoints was last current, on two clocks, since this process may have been suspended. */
     private lastCurrentAt: Timestamp | undefined;
     private streamMs = DEFAULT_STREAM_MS;
+    /** Versions of the endpoints that may be sent requests, by service. */
+    private readyVersions = new Map<string, Set<string>>();
 
     /** How long the origin of a stream matters after the stream began, in milliseconds. */
     get retentionMs(): number {
@@ -71,12 +73,8 @@
                 }
             }
         }
-        const listedVersions = new Map<string, Set<string>>();
-        for (const entry of entries) {
-            const versions = listedVersions.get(entry.service) ?? new Set();
-            listedVersions.set(entry.service, versions.add(getSoftwareVersion(entry)));
-        }
-        for (const [service, versions] of listedVersions) {
+        this.readyVersions = groupByService(entries.filter(({ state }) => state === "ready"));
+        for (const [service, versions] of groupByService(entries)) {
             versions.forEach(version => this.setListed(service, version, nowMs, versions.size > 1));
         }
     }
@@ -147,10 +145,11 @@
     /**
      * @param entry - An endpoint.
      * @returns Milliseconds until streams may begin there: an instance that doesn't know its version yet would let them
-     * go on at another one.
+     * go on at another one. While only versions that have just joined take requests, there is nothing to wait for.
      */
     getStreamDelayMs(entry: EndpointEntry): number {
-        return this.getJoinDelayMs(entry.service, getSoftwareVersion(entry));
+        const delayMs = this.getJoinDelayMs(entry.service, getSoftwareVersion(entry));
+        return delayMs > 0 && this.hasJoinedReady(entry.service) ? delayMs : 0;
     }
 
     /**
@@ -168,6 +167,11 @@
         return this.listAgeMs <= MAX_LIST_AGE_MS;
     }
 
+    private hasJoinedReady(service: string): boolean {
+        const versions = [...this.readyVersions.get(service) ?? []];
+        return versions.some(version => this.getJoinDelayMs(service, version) === 0);
+    }
+
     private getJoinDelayMs(service: string, version: string): number {
         const { sinceMs, untilMs } = this.getListing(service, version) ?? { sinceMs: -Infinity, untilMs: Infinity };
         const listedUntilMs = Math.min(untilMs, performance.now());
@@ -204,3 +208,12 @@
 export function getSoftwareVersion({ softwareVersion = "" }: EndpointEntry): string {
     return softwareVersion;
 }
+
+function groupByService(entries: readonly EndpointEntry[]): Map<string, Set<string>> {
+    const versionsByService = new Map<string, Set<string>>();
+    for (const entry of entries) {
+        const versions = versionsByService.get(entry.service) ?? new Set();
+        versionsByService.set(entry.service, versions.add(getSoftwareVersion(entry)));
+    }
+    return versionsByService;
+}
--- a/packages/fleet/tests/joiningVersions.test.ts
+++ b/packages/fleet/tests/joiningVersions.test.ts
@@ -134,4 +134,18 @@
             expect(performance.now() - startedAtMs).toBeLessThan(5_000);
         },
     );
+
+    // Streams were refused for up to three seconds when a new version had taken the place of all others.
+    it.each([
+        { what: "are gone", others: [] },
+        { what: "leave", others: [{ ...v1, state: "draining" as const }] },
+    ])("isn't delayed any more when all endpoints of the others $what", ({ others }) => {
+        const versions = new SoftwareVersions();
+        versions.setEndpoints([v1]);
+        vi.advanceTimersByTime(LONG_MS);
+        versions.setEndpoints([v1, v2]);
+        expect(versions.getStreamDelayMs(v2)).toBeGreaterThan(0);
+        versions.setEndpoints([...others, v2]);
+        expect(versions.getStreamDelayMs(v2)).toBe(0);
+    });
 });
