Look for a place beside a silent endpoint at the version of the attempt only

While a stream that had not begun waited for a place elsewhere, the place could be of another software version, and whoever grants places records the latest one as where the stream began. If the first event came from the silent endpoint in these milliseconds, a caller that took the stream up later went to the wrong version (ORDER). The place is now at an endpoint of the attempt's service and version. Red without it: exchangePlaces.test.ts (version undefined instead of v1).

--- a/packages/gateway/src/exchangePlaces.ts
+++ b/packages/gateway/src/exchangePlaces.ts
@@ -38,6 +38,16 @@
     readonly retryPolicy: RetryPolicy;
 }
 
+/** What a place must be like. */
+interface PlaceConstraints {
+    /** An endpoint that is not to be used, beside those of earlier attempts. */
+    readonly excludedId?: string;
+    /** The service and version that it must be of; where the stream began, if left out. */
+    readonly origin?: StreamOrigin | undefined;
+    /** Longest time for which the request waits for a place. */
+    readonly maxQueuedMs?: number;
+}
+
 /** Who granted a place, and how long the request was expected to wait for it. */
 export interface PlaceGrant {
     readonly givenBy: string;
@@ -189,7 +199,7 @@
         if (refusal !== undefined) {
             return refusal;
         }
-        const place = await this.request(signal, [], maxQueuedMs);
+        const place = await this.request(signal, { maxQueuedMs });
         if (!("endpoint" in place)) {
             return place;
         }
@@ -201,22 +211,26 @@
     }
 
     /**
-     * Requests a place.
+     * Requests a place at another endpoint while an attempt goes on. The response may begin meanwhile, so that the place is at
+     * an endpoint like that of the attempt.
      *
+     * @param current - The place of the attempt.
      * @param signal - Withdraws the request.
-     * @param alsoExcluded - Endpoints that are not to be used, beside those of earlier attempts.
-     * @param maxQueuedMs - Longest time for which it waits for a place.
      * @returns The place, or why there is none.
      */
-    async request(
+    requestBeside({ endpoint }: HeldPlace, signal: AbortSignal): Promise<HeldPlace | Refusal> {
+        const isStream = this.admitted.route.kind === "streaming";
+        const origin = { service: endpoint.service, softwareVersion: getSoftwareVersion(endpoint) };
+        return this.request(signal, { excludedId: endpoint.endpointId, origin: isStream ? origin : undefined });
+    }
+
+    private async request(
         signal: AbortSignal,
-        alsoExcluded: readonly string[] = [],
-        maxQueuedMs = Infinity,
+        { excludedId, origin = this.origin, maxQueuedMs = Infinity }: PlaceConstraints = {},
     ): Promise<HeldPlace | Refusal> {
         const { retryPolicy, deadlineAtMs } = this.options;
         const { caller, arrivedAtMs } = this.online;
         const { route, organisation, allowedRegions, priority } = this.admitted;
-        const { origin } = this;
         const services = getServices(route);
         const service = origin === undefined ? pickService(route, Math.random()) : origin.service;
         const nowMs = performance.now();
@@ -249,7 +263,7 @@
                 ? { requestId: caller.resumedRequestId ?? "", services }
                 : undefined,
             rate: mustTakeToken ? { ratePerS: organisation.ratePerS, burst: organisation.burst } : undefined,
-            excluded: [...this.excluded, ...alsoExcluded],
+            excluded: excludedId === undefined ? this.excluded : [...this.excluded, excludedId],
             wasUnreachable: this.wasUnreachable,
             signal,
         });
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/onlineHandler.ts
@@ -116,6 +116,9 @@
         const onGiveUp = () => this.abort("stopping");
         callerGone.addEventListener("abort", onGone, { once: true });
         giveUp.addEventListener("abort", onGiveUp, { once: true });
+        if (callerGone.aborted) {
+            onGone();
+        }
         const timer = setTimeout(
             () => this.abort("timeout"),
             Math.max(0, this.deadlineAtMs - performance.now()),
@@ -249,11 +252,12 @@
         const outcome = await this.deliver(response);
         this.silenceWatch.stop();
         const { signal } = this.abortController;
-        const isSilent = attemptController.signal.reason === "silent";
+        // The response may have ended just before the attempt was aborted.
+        const isSilent = attemptController.signal.reason === "silent" && outcome.kind === "ended";
         this.abortedFor = isSilent ? "silence" : signal.aborted ? signal.reason as AbortReason : undefined;
         this.abortController.signal.removeEventListener("abort", onAbort);
         const firstResponseMs = this.firstResponseAtMs === undefined ? undefined : this.firstResponseAtMs - startedAtMs;
-        const end = attemptController.signal.reason === "silent" ? "silent" : this.toRequestEnd(outcome, startedAtMs);
+        const end = isSilent ? "silent" : this.toRequestEnd(outcome, startedAtMs);
         // What ended while the endpoint was silent is released as failed, although the endpoint has not answered.
         const wasSilent = end === "silent" ||
             (end === "failed" && outcome.kind === "ended" && outcome.end !== "failed");
@@ -290,10 +294,7 @@
             mayMove: next => this.mayMove(next),
             checkEndpoint: () => this.checkSilentEndpoint(place),
             requestPlace: async signal => {
-                if (this.request.response.hasStarted) {
-                    this.places.pinOrigin(place);
-                }
-                const next = await this.places.request(signal, [endpointId]);
+                const next = await this.places.requestBeside(place, signal);
                 return "endpoint" in next ? next : undefined;
             },
             move: next => {
@@ -307,7 +308,9 @@
     private mayMove(next: HeldPlace | undefined): boolean {
         const mayBeRepeated = this.retryPolicy.mayRetryOnSilence() && this.relay.isResumable
             && !this.abortController.signal.aborted;
-        return mayBeRepeated && (next === undefined ? this.places.mayRequest() : this.places.mayRunAt(next.endpoint));
+        // The check brings what the configuration grants up to date.
+        return mayBeRepeated && this.places.mayRequest() && isRetryable(this.places.admitted.route)
+            && (next === undefined || this.places.mayRunAt(next.endpoint));
     }
 
     private async checkSilentEndpoint(place: HeldPlace): Promise<Fault> {
