--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callers/callerResponse.ts
@@ -1,6 +1,6 @@
 import type http from "node:http";
+import type { WireCodec } from "../wireCodec";
 import type { Refusal } from "./refusal";
-import type { WireCodec } from "./wireCodec";
 
 /** The HTTP response to one caller; at most one response is written, and what comes after its end is ignored. */
 export class CallerResponse {
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/callers/ingress.ts
@@ -2,18 +2,18 @@
 import type { FleetView } from "@heatherline/fleet";
 import http from "node:http";
 import type { Socket } from "node:net";
+import type { BatchApi, BatchApiRequest } from "../jobs/batchApi";
+import type { GatewayMetrics } from "../metrics";
+import type { OnlineHandler, OnlineRequest } from "../online/onlineHandler";
+import type { WireCodec } from "../wireCodec";
 import type { Admission } from "./admission";
-import type { BatchApi, BatchApiRequest } from "./batchApi";
 import { BodyMemory, type BodyShare } from "./bodyMemory";
 import { readCallerBody } from "./callerBody";
 import { CallerResponse } from "./callerResponse";
 import { findCutBy } from "./cutObserver";
-import type { GatewayMetrics } from "./metrics";
-import type { OnlineHandler, OnlineRequest } from "./onlineHandler";
 import { newRefusal, type Refusal } from "./refusal";
 import type { StartupGate } from "./startupGate";
 import type { StopSchedule } from "./stopSchedule";
-import type { WireCodec } from "./wireCodec";
 
 /** Limit of request bodies until the configuration is known. */
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
--- a/packages/gateway/src/endpointAccess.ts
+++ b/packages/gateway/src/endpoints/endpointAccess.ts
@@ -9,15 +9,15 @@
     METHODS,
     type RpcCaller,
 } from "@heatherline/fleet";
+import type { GatewayMetrics } from "../metrics";
+import type { WireCodec } from "../wireCodec";
 import { EndpointClient, type EndpointSender } from "./endpointClient";
 import { EndpointLinks } from "./endpointLinks";
 import { LinkedEndpointClient, type ReachCheck } from "./linkedEndpointClient";
-import type { GatewayMetrics } from "./metrics";
 import { RelayClient } from "./relayClient";
 import { RelayPeers } from "./relayPeers";
 import { RELAY_PATH, type RelayRequestHead } from "./relayProtocol";
 import { RelayServer } from "./relayServer";
-import type { WireCodec } from "./wireCodec";
 
 /** The other instance tries to connect, and then to connect to other endpoints. */
 const CHECK_TIMEOUT_MS = 700;
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpoints/endpointClient.ts
@@ -4,9 +4,9 @@
 import { err, ok, type Result } from "neverthrow";
 import http from "node:http";
 import net from "node:net";
+import type { EndpointResponseHead, WireCodec } from "../wireCodec";
 import { EndpointAgent } from "./endpointAgent";
 import type { Fault } from "./endpointLinks";
-import type { EndpointResponseHead, WireCodec } from "./wireCodec";
 
 /** Endpoints in the same region accept a connection within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 250;
--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/endpoints/relayServer.ts
@@ -1,8 +1,8 @@
 import type { Logger } from "@heatherline/common";
 import type { EndpointEntry } from "@heatherline/fleet";
 import type http from "node:http";
+import { waitUntilDrained } from "../callers/callerResponse";
 import { readChunks } from "./bodyReader";
-import { waitUntilDrained } from "./callerResponse";
 import type { EndpointClient, EndpointResponse } from "./endpointClient";
 import type { EndpointLinks } from "./endpointLinks";
 import { LoopDelayMonitor } from "./loopDelayMonitor";
--- a/packages/gateway/src/peerMethods.ts
+++ b/packages/gateway/src/fleet/peerMethods.ts
@@ -17,8 +17,8 @@
     type Versioned,
 } from "@heatherline/fleet";
 import type { ObjectStore } from "@heatherline/store";
-import type { JobReader, ReadJobRequest } from "./jobReader";
-import type { JobHandover, JobRunner } from "./jobRunner";
+import type { JobReader, ReadJobRequest } from "../jobs/jobReader";
+import type { JobHandover, JobRunner } from "../jobs/jobRunner";
 import { handleStoreCall, type StoreCall, type StoreCallReply } from "./relayedStore";
 
 /** What the methods that other instances call depend on. */
--- a/packages/gateway/src/sweeper.ts
+++ b/packages/gateway/src/fleet/sweeper.ts
@@ -1,7 +1,7 @@
 import type { Logger } from "@heatherline/common";
 import { type Coordinator, MEMBER_KIND, type MemberEntry } from "@heatherline/fleet";
 import type { ObjectStore, StoredObject } from "@heatherline/store";
-import { type JobStore, toManifest } from "./jobStore";
+import { type JobStore, toManifest } from "../jobs/jobStore";
 
 /** The registration of an instance that is silent for this long is removed; if it comes back, it registers again. */
 const MEMBER_EXPIRY_MS = 15_000;
--- a/packages/gateway/src/syncMessages.ts
+++ b/packages/gateway/src/fleet/syncMessages.ts
@@ -9,7 +9,7 @@
     SyncRequest,
     TakeoverPromise,
 } from "@heatherline/fleet";
-import type { JobRunner } from "./jobRunner";
+import type { JobRunner } from "../jobs/jobRunner";
 
 /** A sync reply with updates. */
 export type SyncNews = Extract<SyncReply, { kind: "news"; }>;
--- a/packages/gateway/src/batchApi.ts
+++ b/packages/gateway/src/jobs/batchApi.ts
@@ -10,15 +10,15 @@
     newTimestamp,
     type RpcCaller,
 } from "@heatherline/fleet";
-import type { Admission, AdmittedRequest } from "./admission";
-import type { CallerResponse } from "./callerResponse";
+import type { Admission, AdmittedRequest } from "../callers/admission";
+import type { CallerResponse } from "../callers/callerResponse";
+import { newRefusal, type Refusal } from "../callers/refusal";
+import type { GatewayMetrics } from "../metrics";
+import type { BatchSubmission, CallerRequestHead, WireCodec } from "../wireCodec";
 import { splitBodies, type StoredBodies } from "./jobBodies";
 import type { JobReader } from "./jobReader";
 import type { JobRunner } from "./jobRunner";
 import { findSizeFault, type JobManifest, type JobStore } from "./jobStore";
-import type { GatewayMetrics } from "./metrics";
-import { newRefusal, type Refusal } from "./refusal";
-import type { BatchSubmission, CallerRequestHead, WireCodec } from "./wireCodec";
 
 /** Subtracted from the caller's timeout for a submission, so that the response arrives in time. */
 const SUBMIT_MARGIN_MS = 250;
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/jobs/itemRun.ts
@@ -10,15 +10,15 @@
     type Route,
     type StreamOrigin,
 } from "@heatherline/fleet";
-import { discardBody, readChunks } from "./bodyReader";
-import { type EndpointResponse, type EndpointSender, isNotSent } from "./endpointClient";
-import { EventStreamParser, getEventData, hasContent } from "./eventStreamParser";
+import { discardBody, readChunks } from "../endpoints/bodyReader";
+import { type EndpointResponse, type EndpointSender, isNotSent } from "../endpoints/endpointClient";
+import { EventStreamParser, getEventData, hasContent } from "../online/eventStreamParser";
+import { releasePlace } from "../online/placeRelease";
+import { StreamContinuation } from "../online/streamContinuation";
+import type { ItemResult, WireCodec } from "../wireCodec";
 import type { ItemDurationEstimator } from "./itemDurationEstimator";
 import type { ItemPlacementQueue } from "./itemPlacementQueue";
 import type { JobItem } from "./jobStore";
-import { releasePlace } from "./placeRelease";
-import { StreamContinuation } from "./streamContinuation";
-import type { ItemResult, WireCodec } from "./wireCodec";
 
 /** Timeout of a place request; the item then requests a place again, with its queue position recomputed. */
 const PLACE_REQUEST_TIMEOUT_MS = 4_000;
--- a/packages/gateway/src/jobReader.ts
+++ b/packages/gateway/src/jobs/jobReader.ts
@@ -2,14 +2,14 @@
 import { type Coordinator, type CoordinatorLink, type MemberEntry, METHODS, type RpcCaller } from "@heatherline/fleet";
 import { LRUCache } from "lru-cache";
 import { err, ok, type Result } from "neverthrow";
+import { newRefusal, type Refusal } from "../callers/refusal";
+import type { ItemResult, ResultsPage } from "../wireCodec";
 import type { JobRun } from "./jobRun";
 import type { JobRunner } from "./jobRunner";
 import type { JobManifest, JobStore, ResultChunk } from "./jobStore";
 import { newPage } from "./publishedResults";
-import { newRefusal, type Refusal } from "./refusal";
 import { ChunkReader, getJsonBytes, getResultBytes } from "./resultChunks";
 import type { RunnerClaim } from "./runnerClaim";
-import type { ItemResult, ResultsPage } from "./wireCodec";
 
 /** Limit of the results in one page as JSON in UTF-8; the rest of what a page may take is left for its framing. */
 const MAX_PAGE_BYTES = 900_000;
--- a/packages/gateway/src/jobRun.ts
+++ b/packages/gateway/src/jobs/jobRun.ts
@@ -2,12 +2,12 @@
 import type { JobProgress, Timestamp } from "@heatherline/fleet";
 import { setMaxListeners } from "node:events";
 import type PQueue from "p-queue";
+import type { ItemResult, ResultsPage } from "../wireCodec";
 import { type ItemJob, ItemRun, type ItemRunDependencies, type ItemState } from "./itemRun";
 import type { JobItem, JobManifest, JobStore } from "./jobStore";
 import { PublishedResults } from "./publishedResults";
 import { ChunkPlanner } from "./resultChunks";
 import type { RunnerClaim } from "./runnerClaim";
-import type { ItemResult, ResultsPage } from "./wireCodec";
 
 /** Results that arrive within this time are written to the store in one chunk. */
 const WRITE_DELAY_MS = 600;
--- a/packages/gateway/src/jobRunner.ts
+++ b/packages/gateway/src/jobs/jobRunner.ts
@@ -9,7 +9,9 @@
     type Timestamp,
 } from "@heatherline/fleet";
 import PQueue from "p-queue";
-import type { EndpointSender } from "./endpointClient";
+import type { EndpointSender } from "../endpoints/endpointClient";
+import type { GatewayMetrics } from "../metrics";
+import type { WireCodec } from "../wireCodec";
 import { ItemDurationEstimator } from "./itemDurationEstimator";
 import { ItemPlacementQueue } from "./itemPlacementQueue";
 import type { ItemRunDependencies } from "./itemRun";
@@ -18,9 +20,7 @@
 import { findJobRoute } from "./jobRoute";
 import { type JobHandover, JobRun } from "./jobRun";
 import type { JobItem, JobManifest, JobStore } from "./jobStore";
-import type { GatewayMetrics } from "./metrics";
 import type { RunnerClaim } from "./runnerClaim";
-import type { WireCodec } from "./wireCodec";
 
 /** Items of an instance and a route that run or wait for a place; a waiting one costs little memory. */
 const MAX_CONCURRENT_ITEMS = 256;
--- a/packages/gateway/src/jobStore.ts
+++ b/packages/gateway/src/jobs/jobStore.ts
@@ -4,9 +4,9 @@
 import { LRUCache } from "lru-cache";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
+import type { SubmittedItem } from "../wireCodec";
 import type { BodyPart } from "./jobBodies";
 import type { ChunkContent } from "./resultChunks";
-import type { SubmittedItem } from "./wireCodec";
 
 const BODY_KIND = "heatherline-job-bodies";
 const RESULT_KIND = "heatherline-job-results";
--- a/packages/gateway/src/publishedResults.ts
+++ b/packages/gateway/src/jobs/publishedResults.ts
@@ -1,6 +1,6 @@
 import { sleep } from "@heatherline/common";
+import type { ItemResult, ResultsPage } from "../wireCodec";
 import { type ChunkContent, ChunkReader, getResultBytes, takeUpToBytes } from "./resultChunks";
-import type { ItemResult, ResultsPage } from "./wireCodec";
 
 /** The results of a job that the store has, in the order in which they were written; those who wait for more are woken. */
 export class PublishedResults implements Iterable<ItemResult> {
--- a/packages/gateway/src/resultChunks.ts
+++ b/packages/gateway/src/jobs/resultChunks.ts
@@ -1,5 +1,5 @@
 import { newId } from "@heatherline/common";
-import type { ItemResult } from "./wireCodec";
+import type { ItemResult } from "../wireCodec";
 
 /** Limit of the results in one chunk, as JSON in UTF-8; a larger result is split over several chunks. */
 const MAX_CHUNK_BYTES = 500_000;
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,6 +1,6 @@
 import { getDroppedLineCount } from "@heatherline/common";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import type { CutBy } from "./cutObserver";
+import type { CutBy } from "./callers/cutObserver";
 
 const DURATION_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 300, 500, 1_000, 2_000, 5_000, 15_000];
 /** Negative errors: the wait was shorter than forecast. */
--- a/packages/gateway/src/exchangePlaces.ts
+++ b/packages/gateway/src/online/exchangePlaces.ts
@@ -8,10 +8,10 @@
     type PlacementClient,
     type StreamOrigin,
 } from "@heatherline/fleet";
-import type { Admission, AdmittedRequest } from "./admission";
-import type { GatewayMetrics } from "./metrics";
+import type { Admission, AdmittedRequest } from "../callers/admission";
+import { newRefusal, type Refusal } from "../callers/refusal";
+import type { GatewayMetrics } from "../metrics";
 import type { OnlineRequest } from "./onlineHandler";
-import { newRefusal, type Refusal } from "./refusal";
 import type { AttemptEnd, RetryPolicy } from "./retryPolicy";
 
 /** With less time left, no place is requested. */
--- a/packages/gateway/src/onlineHandler.ts
+++ b/packages/gateway/src/online/onlineHandler.ts
@@ -2,20 +2,20 @@
 import type { HeldPlace, PlacementClient, RequestEnd } from "@heatherline/fleet";
 import type { Result } from "neverthrow";
 import type http from "node:http";
-import type { Admission, AdmittedRequest } from "./admission";
+import type { Admission, AdmittedRequest } from "../callers/admission";
+import type { CallerResponse } from "../callers/callerResponse";
+import { newRefusal, type Refusal } from "../callers/refusal";
+import { discardBody, readFullBody } from "../endpoints/bodyReader";
+import { type EndpointResponse, type EndpointSender, isNotSent, type SendFailure } from "../endpoints/endpointClient";
+import type { Fault } from "../endpoints/endpointLinks";
+import type { GatewayMetrics } from "../metrics";
+import type { CallerRequestHead, WireCodec } from "../wireCodec";
 import type { AttemptOutcome, FailureResponse } from "./attemptOutcome";
-import { discardBody, readFullBody } from "./bodyReader";
-import type { CallerResponse } from "./callerResponse";
-import { type EndpointResponse, type EndpointSender, isNotSent, type SendFailure } from "./endpointClient";
-import type { Fault } from "./endpointLinks";
 import { ExchangePlaces, MIN_TIME_LEFT_MS } from "./exchangePlaces";
-import type { GatewayMetrics } from "./metrics";
 import { releasePlace } from "./placeRelease";
-import { newRefusal, type Refusal } from "./refusal";
 import { StreamRelay } from "./responseRelay";
 import { isRetryable, RetryPolicy } from "./retryPolicy";
 import { FIRST_RESPONSE_TIMEOUT_MS, HANG_TIMEOUT_MS, SilenceWatch } from "./silenceWatch";
-import type { CallerRequestHead, WireCodec } from "./wireCodec";
 
 /** Subtracted from the caller's timeout, so that the response arrives before the caller gives up. */
 const DEADLINE_MARGIN_MS = 30;
--- a/packages/gateway/src/placeRelease.ts
+++ b/packages/gateway/src/online/placeRelease.ts
@@ -1,5 +1,5 @@
 import type { HeldPlace, RequestEnd } from "@heatherline/fleet";
-import type { EndpointSender } from "./endpointClient";
+import type { EndpointSender } from "../endpoints/endpointClient";
 
 /** How a request that held a place ended. */
 export interface PlaceEnd {
--- a/packages/gateway/src/responseRelay.ts
+++ b/packages/gateway/src/online/responseRelay.ts
@@ -1,7 +1,7 @@
 import type { ResponseEnd } from "@heatherline/common";
-import { readChunks } from "./bodyReader";
-import type { CallerResponse } from "./callerResponse";
-import type { EndpointResponse } from "./endpointClient";
+import type { CallerResponse } from "../callers/callerResponse";
+import { readChunks } from "../endpoints/bodyReader";
+import type { EndpointResponse } from "../endpoints/endpointClient";
 import { EventStreamParser, hasContent } from "./eventStreamParser";
 import { StreamContinuation } from "./streamContinuation";
 
--- a/packages/gateway/src/retryPolicy.ts
+++ b/packages/gateway/src/online/retryPolicy.ts
@@ -1,5 +1,5 @@
 import type { Route } from "@heatherline/fleet";
-import { newRefusal, type Refusal } from "./refusal";
+import { newRefusal, type Refusal } from "../callers/refusal";
 
 /** Limit of attempts that did not run the request; they don't count towards the route's `maxAttempts`. */
 const MAX_REJECTED_ATTEMPTS = 4;
--- a/packages/gateway/src/silenceWatch.ts
+++ b/packages/gateway/src/online/silenceWatch.ts
@@ -1,6 +1,6 @@
 import { sleep } from "@heatherline/common";
 import type { HeldPlace } from "@heatherline/fleet";
-import type { Fault } from "./endpointLinks";
+import type { Fault } from "../endpoints/endpointLinks";
 
 /** An endpoint with a free slot begins to respond within some tens of milliseconds; without a response it is checked. */
 export const FIRST_RESPONSE_TIMEOUT_MS = 600;
--- a/packages/gateway/src/streamContinuation.ts
+++ b/packages/gateway/src/online/streamContinuation.ts
@@ -1,4 +1,4 @@
-import type { EndpointResponse } from "./endpointClient";
+import type { EndpointResponse } from "../endpoints/endpointClient";
 import { hasContent, type StreamEvent } from "./eventStreamParser";
 
 const EVENT_STREAM_TYPE = "text/event-stream";
--- a/packages/gateway/tests/blockedPromptStore.test.ts
+++ b/packages/gateway/tests/blockedPromptStore.test.ts
@@ -4,7 +4,7 @@
 import { MemoryStore, type ObjectStore, StoreError } from "@heatherline/store";
 import { err } from "neverthrow";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { BlockedPromptStore } from "../src/blockedPromptStore";
+import { BlockedPromptStore } from "../src/fleet/blockedPromptStore";
 
 const logger = { info: () => undefined } as unknown as Logger;
 const PROMPT: BlockedPrompt = { blockId: "b", parts: ["all", "bad"], trials: 0, laterCrashes: 0, blockedAt: 1 };
--- a/packages/gateway/tests/brokenOffResponses.test.ts
+++ b/packages/gateway/tests/brokenOffResponses.test.ts
@@ -2,12 +2,12 @@
 import net from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
-import { readFullBody } from "../src/bodyReader";
-import { EndpointClient, type EndpointRequest, type EndpointResponse } from "../src/endpointClient";
-import { ItemDurationEstimator } from "../src/itemDurationEstimator";
-import { ItemPlacementQueue } from "../src/itemPlacementQueue";
-import { ItemRun } from "../src/itemRun";
-import { StreamRelay } from "../src/responseRelay";
+import { readFullBody } from "../src/endpoints/bodyReader";
+import { EndpointClient, type EndpointRequest, type EndpointResponse } from "../src/endpoints/endpointClient";
+import { ItemDurationEstimator } from "../src/jobs/itemDurationEstimator";
+import { ItemPlacementQueue } from "../src/jobs/itemPlacementQueue";
+import { ItemRun } from "../src/jobs/itemRun";
+import { StreamRelay } from "../src/online/responseRelay";
 import type { WireCodec } from "../src/wireCodec";
 
 /** How the endpoint ends its response, or that this side gives it up. */
--- a/packages/gateway/tests/cutHeads.test.ts
+++ b/packages/gateway/tests/cutHeads.test.ts
@@ -5,8 +5,8 @@
 import { setImmediate } from "node:timers/promises";
 import { afterEach, describe, expect, it } from "vitest";
 import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
-import { EndpointClient, type EndpointRequest } from "../src/endpointClient";
-import { RelayClient } from "../src/relayClient";
+import { EndpointClient, type EndpointRequest } from "../src/endpoints/endpointClient";
+import { RelayClient } from "../src/endpoints/relayClient";
 import type { WireCodec } from "../src/wireCodec";
 
 /** Time limit of a call that gets no response. */
--- a/packages/gateway/tests/emptyPages.test.ts
+++ b/packages/gateway/tests/emptyPages.test.ts
@@ -3,10 +3,10 @@
 import { MemoryStore } from "@heatherline/store";
 import type PQueue from "p-queue";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { JobReader } from "../src/jobReader";
-import { JobRun } from "../src/jobRun";
-import type { JobRunner } from "../src/jobRunner";
-import { type JobManifest, JobStore } from "../src/jobStore";
+import { JobReader } from "../src/jobs/jobReader";
+import { JobRun } from "../src/jobs/jobRun";
+import type { JobRunner } from "../src/jobs/jobRunner";
+import { type JobManifest, JobStore } from "../src/jobs/jobStore";
 
 const JOB = "job-1";
 const SELF = { instanceId: "east-1", host: "127.0.0.1", rpcPort: 1 } as unknown as MemberEntry;
--- a/packages/gateway/tests/endlessResponses.test.ts
+++ b/packages/gateway/tests/endlessResponses.test.ts
@@ -3,10 +3,10 @@
 import { runInNewContext } from "node:vm";
 import { afterEach, describe, expect, it } from "vitest";
 import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
-import { discardBody, readFullBody } from "../src/bodyReader";
-import { EndpointClient, type EndpointRequest } from "../src/endpointClient";
-import { EventStreamParser } from "../src/eventStreamParser";
-import { StreamRelay } from "../src/responseRelay";
+import { discardBody, readFullBody } from "../src/endpoints/bodyReader";
+import { EndpointClient, type EndpointRequest } from "../src/endpoints/endpointClient";
+import { EventStreamParser } from "../src/online/eventStreamParser";
+import { StreamRelay } from "../src/online/responseRelay";
 import type { WireCodec } from "../src/wireCodec";
 
 /** Longest time until a connection that sends bytes without end is closed. */
--- a/packages/gateway/tests/endpointAgent.test.ts
+++ b/packages/gateway/tests/endpointAgent.test.ts
@@ -1,7 +1,7 @@
 import http from "node:http";
 import net from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { EndpointAgent } from "../src/endpointAgent";
+import { EndpointAgent } from "../src/endpoints/endpointAgent";
 
 const STRAY_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nRequest-Id: other\r\n\r\nother";
 /** Delay of the stray response after the proper one, and of the second request after the first response. */
--- a/packages/gateway/tests/endpointLinks.test.ts
+++ b/packages/gateway/tests/endpointLinks.test.ts
@@ -2,7 +2,7 @@
 import type { EndpointEntry } from "@heatherline/fleet";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
-import { EndpointLinks } from "../src/endpointLinks";
+import { EndpointLinks } from "../src/endpoints/endpointLinks";
 
 const ENDPOINTS = ["e1", "e2", "e3", "e4", "e5"].map(endpointId => newTestEndpoint({ endpointId }));
 const [FIRST = newTestEndpoint(), SECOND = newTestEndpoint()] = ENDPOINTS;
--- a/packages/gateway/tests/exchangePlaces.test.ts
+++ b/packages/gateway/tests/exchangePlaces.test.ts
@@ -2,9 +2,9 @@
 import { ok } from "neverthrow";
 import { describe, expect, it } from "vitest";
 import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
-import { ExchangePlaces, type ExchangePlacesDependencies } from "../src/exchangePlaces";
-import type { OnlineRequest } from "../src/onlineHandler";
-import { RetryPolicy } from "../src/retryPolicy";
+import { ExchangePlaces, type ExchangePlacesDependencies } from "../src/online/exchangePlaces";
+import type { OnlineRequest } from "../src/online/onlineHandler";
+import { RetryPolicy } from "../src/online/retryPolicy";
 
 const SIGNAL = new AbortController().signal;
 
--- a/packages/gateway/tests/feedScopePolicy.test.ts
+++ b/packages/gateway/tests/feedScopePolicy.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { type FeedScopeInputs, FeedScopePolicy } from "../src/feedScopePolicy";
+import { type FeedScopeInputs, FeedScopePolicy } from "../src/fleet/feedScopePolicy";
 
 const FOLLOWER: FeedScopeInputs = {
     isCoordinator: false,
--- a/packages/gateway/tests/ingressCuts.test.ts
+++ b/packages/gateway/tests/ingressCuts.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, describe, expect, it } from "vitest";
-import type { CallerResponse } from "../src/callerResponse";
+import type { CallerResponse } from "../src/callers/callerResponse";
 import { IngressHarness, pause } from "./ingressHarness";
 
 const WAIT_MS = 200;
--- a/packages/gateway/tests/ingressHarness.ts
+++ b/packages/gateway/tests/ingressHarness.ts
@@ -1,8 +1,8 @@
 import type { Logger } from "@heatherline/common";
 import net from "node:net";
-import type { BodyMemory } from "../src/bodyMemory";
-import type { CallerResponse } from "../src/callerResponse";
-import { Ingress, type IngressDependencies } from "../src/ingress";
+import type { BodyMemory } from "../src/callers/bodyMemory";
+import type { CallerResponse } from "../src/callers/callerResponse";
+import { Ingress, type IngressDependencies } from "../src/callers/ingress";
 
 /** Limits that a test changes while connections are open. */
 export interface TestLimits {
--- a/packages/gateway/tests/ingressShutdown.test.ts
+++ b/packages/gateway/tests/ingressShutdown.test.ts
@@ -1,6 +1,6 @@
 import { Worker } from "node:worker_threads";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import type { CallerResponse } from "../src/callerResponse";
+import type { CallerResponse } from "../src/callers/callerResponse";
 import { IngressHarness, pause } from "./ingressHarness";
 
 /** Larger than the buffers of both sockets. */
--- a/packages/gateway/tests/itemPlacementQueue.test.ts
+++ b/packages/gateway/tests/itemPlacementQueue.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { ItemPlacementQueue, type ItemTiming } from "../src/itemPlacementQueue";
+import { ItemPlacementQueue, type ItemTiming } from "../src/jobs/itemPlacementQueue";
 
 const REMAINING_MS = 5_000;
 /** How long each place request waits while all places are taken. */
--- a/packages/gateway/tests/jobBodies.test.ts
+++ b/packages/gateway/tests/jobBodies.test.ts
@@ -3,12 +3,12 @@
 import { MemoryStore } from "@heatherline/store";
 import { ok } from "neverthrow";
 import { describe, expect, it, vi } from "vitest";
-import type { AdmittedRequest } from "../src/admission";
-import { BatchApi, type BatchApiDependencies, type BatchApiRequest } from "../src/batchApi";
-import type { CallerResponse } from "../src/callerResponse";
-import { JobBodyCache } from "../src/jobBodyCache";
-import { JobStore } from "../src/jobStore";
-import type { Refusal } from "../src/refusal";
+import type { AdmittedRequest } from "../src/callers/admission";
+import type { CallerResponse } from "../src/callers/callerResponse";
+import type { Refusal } from "../src/callers/refusal";
+import { BatchApi, type BatchApiDependencies, type BatchApiRequest } from "../src/jobs/batchApi";
+import { JobBodyCache } from "../src/jobs/jobBodyCache";
+import { JobStore } from "../src/jobs/jobStore";
 import type { SubmittedItem } from "../src/wireCodec";
 
 const JOB = "job";
--- a/packages/gateway/tests/jobMemory.test.ts
+++ b/packages/gateway/tests/jobMemory.test.ts
@@ -5,10 +5,10 @@
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import { describe, expect, it, vi } from "vitest";
-import { splitBodies } from "../src/jobBodies";
-import { JobBodyCache } from "../src/jobBodyCache";
-import { JobRunner, type JobRunnerDependencies } from "../src/jobRunner";
-import type { JobManifest, JobStore } from "../src/jobStore";
+import { splitBodies } from "../src/jobs/jobBodies";
+import { JobBodyCache } from "../src/jobs/jobBodyCache";
+import { JobRunner, type JobRunnerDependencies } from "../src/jobs/jobRunner";
+import type { JobManifest, JobStore } from "../src/jobs/jobStore";
 
 const JOBS = 40;
 const ITEMS = 10;
--- a/packages/gateway/tests/jobReader.test.ts
+++ b/packages/gateway/tests/jobReader.test.ts
@@ -4,10 +4,10 @@
 import { MemoryStore, StoreError } from "@heatherline/store";
 import { err, ok } from "neverthrow";
 import { beforeEach, describe, expect, it, vi } from "vitest";
-import { JobReader, type ReadJobRequest } from "../src/jobReader";
-import { JobRun, type JobRunDependencies } from "../src/jobRun";
-import { JobRunner, type JobRunnerDependencies } from "../src/jobRunner";
-import { type JobManifest, JobStore } from "../src/jobStore";
+import { JobReader, type ReadJobRequest } from "../src/jobs/jobReader";
+import { JobRun, type JobRunDependencies } from "../src/jobs/jobRun";
+import { JobRunner, type JobRunnerDependencies } from "../src/jobs/jobRunner";
+import { type JobManifest, JobStore } from "../src/jobs/jobStore";
 
 const JOB = "job-1";
 const READ: ReadJobRequest = { jobId: JOB, after: 0, waitMs: 0 };
--- a/packages/gateway/tests/jobRoute.test.ts
+++ b/packages/gateway/tests/jobRoute.test.ts
@@ -2,9 +2,9 @@
 import { type PlaceRequest, type Route, RouteTable, type RoutingConfig } from "@heatherline/fleet";
 import { MemoryStore } from "@heatherline/store";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import type { JobRun } from "../src/jobRun";
-import { JobRunner, type JobRunnerDependencies } from "../src/jobRunner";
-import { type JobManifest, JobStore } from "../src/jobStore";
+import type { JobRun } from "../src/jobs/jobRun";
+import { JobRunner, type JobRunnerDependencies } from "../src/jobs/jobRunner";
+import { type JobManifest, JobStore } from "../src/jobs/jobStore";
 
 const HOST = "api";
 const RETENTION_MS = 90_000;
--- a/packages/gateway/tests/jobStore.test.ts
+++ b/packages/gateway/tests/jobStore.test.ts
@@ -2,7 +2,7 @@
 import { MemoryStore, type ObjectStore, type StoredValue, StoreError } from "@heatherline/store";
 import { err } from "neverthrow";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { type JobManifest, JobStore } from "../src/jobStore";
+import { type JobManifest, JobStore } from "../src/jobs/jobStore";
 
 const OUTAGE_MS = 5_000;
 /** The store should have a result this soon after it is reachable again. */
--- a/packages/gateway/tests/largeResults.test.ts
+++ b/packages/gateway/tests/largeResults.test.ts
@@ -4,10 +4,10 @@
 import { err } from "neverthrow";
 import type PQueue from "p-queue";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { JobReader } from "../src/jobReader";
-import { JobRun } from "../src/jobRun";
-import type { JobRunner } from "../src/jobRunner";
-import { type JobManifest, JobStore } from "../src/jobStore";
+import { JobReader } from "../src/jobs/jobReader";
+import { JobRun } from "../src/jobs/jobRun";
+import type { JobRunner } from "../src/jobs/jobRunner";
+import { type JobManifest, JobStore } from "../src/jobs/jobStore";
 import type { ItemResult } from "../src/wireCodec";
 
 const JOB = "job";
--- a/packages/gateway/tests/linkFaults.test.ts
+++ b/packages/gateway/tests/linkFaults.test.ts
@@ -1,11 +1,11 @@
 import { err, ok } from "neverthrow";
 import { beforeEach, describe, expect, it } from "vitest";
 import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
-import type { EndpointClient, EndpointRequest, EndpointResponse, SendFailure } from "../src/endpointClient";
-import type { EndpointLinks, Fault } from "../src/endpointLinks";
-import { LinkedEndpointClient, type ReachCheck } from "../src/linkedEndpointClient";
-import type { RelayClient } from "../src/relayClient";
-import type { RelayPeers } from "../src/relayPeers";
+import type { EndpointClient, EndpointRequest, EndpointResponse, SendFailure } from "../src/endpoints/endpointClient";
+import type { EndpointLinks, Fault } from "../src/endpoints/endpointLinks";
+import { LinkedEndpointClient, type ReachCheck } from "../src/endpoints/linkedEndpointClient";
+import type { RelayClient } from "../src/endpoints/relayClient";
+import type { RelayPeers } from "../src/endpoints/relayPeers";
 
 const ENDPOINT = newTestEndpoint();
 const PEER = { instanceId: "p", incarnation: "1", host: "h", rpcPort: 1, dataCentre: "east", processorShare: 1 };
--- a/packages/gateway/tests/oddStatuses.test.ts
+++ b/packages/gateway/tests/oddStatuses.test.ts
@@ -1,7 +1,7 @@
 import net from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
-import { EndpointClient, type EndpointRequest } from "../src/endpointClient";
+import { EndpointClient, type EndpointRequest } from "../src/endpoints/endpointClient";
 import type { WireCodec } from "../src/wireCodec";
 import { IngressHarness, pause } from "./ingressHarness";
 
--- a/packages/gateway/tests/placeRelease.test.ts
+++ b/packages/gateway/tests/placeRelease.test.ts
@@ -1,9 +1,9 @@
 import type { HeldPlace, RequestEnd } from "@heatherline/fleet";
 import { describe, expect, it } from "vitest";
 import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
-import type { EndpointSender } from "../src/endpointClient";
-import type { Fault } from "../src/endpointLinks";
-import { releasePlace } from "../src/placeRelease";
+import type { EndpointSender } from "../src/endpoints/endpointClient";
+import type { Fault } from "../src/endpoints/endpointLinks";
+import { releasePlace } from "../src/online/placeRelease";
 
 // Fails if an instance that has lost its own link has endpoints paused for all instances.
 describe("what an instance reports of an endpoint when a place is released", () => {
--- a/packages/gateway/tests/preemptedItems.test.ts
+++ b/packages/gateway/tests/preemptedItems.test.ts
@@ -4,10 +4,10 @@
 import { closeServer, listenOnLoopback } from "../../../standins/operators/httpServer";
 import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
 import { newTestRequest } from "../../fleet/tests/testRequest";
-import { EndpointClient } from "../src/endpointClient";
-import { ItemDurationEstimator } from "../src/itemDurationEstimator";
-import { ItemPlacementQueue } from "../src/itemPlacementQueue";
-import { ItemRun } from "../src/itemRun";
+import { EndpointClient } from "../src/endpoints/endpointClient";
+import { ItemDurationEstimator } from "../src/jobs/itemDurationEstimator";
+import { ItemPlacementQueue } from "../src/jobs/itemPlacementQueue";
+import { ItemRun } from "../src/jobs/itemRun";
 import type { WireCodec } from "../src/wireCodec";
 
 const RUN_MS = 80;
--- a/packages/gateway/tests/relayPeers.test.ts
+++ b/packages/gateway/tests/relayPeers.test.ts
@@ -1,6 +1,6 @@
 import type { MemberEntry } from "@heatherline/fleet";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { RelayPeers } from "../src/relayPeers";
+import { RelayPeers } from "../src/endpoints/relayPeers";
 
 const SELF = newMember("a1", "a");
 const MEMBERS = [SELF, newMember("a2", "a"), newMember("a3", "a"), newMember("b1", "b"), newMember("c1", "c")];
--- a/packages/gateway/tests/runnerClaim.test.ts
+++ b/packages/gateway/tests/runnerClaim.test.ts
@@ -1,6 +1,6 @@
 import { getMaxReplyAgeMs, newTimestamp } from "@heatherline/fleet";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { isSoleRunner } from "../src/runnerClaim";
+import { isSoleRunner } from "../src/jobs/runnerClaim";
 
 const MAX_AGE_MS = getMaxReplyAgeMs(1);
 const START_MS = 10_000;
--- a/packages/gateway/tests/silenceWatch.test.ts
+++ b/packages/gateway/tests/silenceWatch.test.ts
@@ -1,7 +1,7 @@
 import type { HeldPlace } from "@heatherline/fleet";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import type { Fault } from "../src/endpointLinks";
-import { SilenceWatch } from "../src/silenceWatch";
+import type { Fault } from "../src/endpoints/endpointLinks";
+import { SilenceWatch } from "../src/online/silenceWatch";
 
 /** Callers leave a stream after this time without an event. */
 const CALLER_PATIENCE_MS = 2_000;
--- a/packages/gateway/tests/streamOriginStore.test.ts
+++ b/packages/gateway/tests/streamOriginStore.test.ts
@@ -3,7 +3,7 @@
 import { MemoryStore, type ObjectStore, StoreError } from "@heatherline/store";
 import { err } from "neverthrow";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { StreamOriginStore } from "../src/streamOriginStore";
+import { StreamOriginStore } from "../src/fleet/streamOriginStore";
 
 const logger = { info: () => undefined } as unknown as Logger;
 const V1 = { service: "lm", softwareVersion: "v1" };
--- a/packages/gateway/tests/unsendableRequests.test.ts
+++ b/packages/gateway/tests/unsendableRequests.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from "vitest";
 import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
-import { EndpointClient } from "../src/endpointClient";
+import { EndpointClient } from "../src/endpoints/endpointClient";
 import type { WireCodec } from "../src/wireCodec";
 
 // A thrown error ended the process when the request was one of a batch item. What can't be sent to any endpoint must not
--- a/tools/mechanisms.mjs
+++ b/tools/mechanisms.mjs
@@ -242,7 +242,7 @@
     },
     {
         name: "results-verified-after-a-time-out-of-contact",
-        file: "packages/gateway/src/jobReader.ts",
+        file: "packages/gateway/src/jobs/jobReader.ts",
         find: "!run.isVerified || ",
         replace: "",
         test: "packages/gateway/tests/jobReader.test.ts",
@@ -270,7 +270,7 @@
     },
     {
         name: "streams-of-before-the-second-version",
-        file: "packages/gateway/src/streamOriginStore.ts",
+        file: "packages/gateway/src/fleet/streamOriginStore.ts",
         find: "...reports.filter(({ service }) => isNew(service)),",
         replace: "",
         test: "packages/gateway/tests/streamOriginStore.test.ts",
