--- a/packages/gateway/src/jobs/itemPlacementQueue.ts
+++ b/packages/gateway/src/jobs/itemPlacementQueue.ts
@@ -22,10 +22,10 @@
 
 /**
  * Limits the concurrent place requests for batch items of one instance, separately for each service: requests for a service
- * without endpoints wait long, and don't keep items of other services from requesting places. Items that can be on time request places in the
- * order in which places are assigned, so that started items finish before new ones start. Items that will be late anyway
- * have a queue of their own; otherwise a backlog of them after an outage would keep later jobs, which could still be on
- * time, from requesting places at all.
+ * without endpoints wait long, and don't keep items of other services from requesting places. Items that can be on time
+ * request places in the order in which places are assigned, so that started items finish before new ones start. Items that
+ * will be late anyway have a queue of their own; otherwise a backlog of them after an outage would keep later jobs, which
+ * could still be on time, from requesting places at all.
  */
 export class ItemPlacementQueue {
     private readonly queuesByService = new Map<string, ServiceQueues>();
--- a/packages/gateway/src/online/exchangePlaces.ts
+++ b/packages/gateway/src/online/exchangePlaces.ts
@@ -18,7 +18,7 @@
 export const MIN_TIME_LEFT_MS = 5;
 /** Delay between two requests for a place. */
 const PLACE_RETRY_MS = 200;
-/** A stream that has begun waits this long for a place elsewhere, then for one at any endpoint, as earlier ones may be back. */
+/** A stream that has begun waits this long for a place elsewhere, then for one at any endpoint. */
 const MAX_QUEUED_MS = 400;
 
 /** What {@link ExchangePlaces} depends on. */
@@ -169,8 +169,8 @@
     }
 
     /**
-     * Requests a place again and again, if the configuration in force still admits the request. Where there is none elsewhere,
-     * the endpoints of earlier attempts are used again.
+     * Requests a place again and again, if the configuration in force still admits the request. Where there is none
+     * elsewhere, the endpoints of earlier attempts are used again.
      *
      * @param signal - Withdraws the request for a place.
      * @param mayWait - Whether the request may still wait for a place after there was none.
@@ -211,8 +211,8 @@
     }
 
     /**
-     * Requests a place at another endpoint while an attempt goes on. The response may begin meanwhile, so that the place is at
-     * an endpoint like that of the attempt.
+     * Requests a place at another endpoint while an attempt goes on. The response may begin meanwhile, so that the place is
+     * at an endpoint like that of the attempt.
      *
      * @param current - The place of the attempt.
      * @param signal - Withdraws the request.
