Bound objects of streams by their bytes, and don't write a rejected one again

What callers would see (LOST, take-ups refused): while several versions serve, the streams that had begun are kept in the store for a kill of all instances. An object held up to 10,000 ids, however long; one larger than the store takes was put back and sent again four times a second, without end, and no stream that came later was stored either.

Now objects are bounded by the bytes of their JSON text. A rejected one is written in smaller ones, and a single stream that the store rejects is left out; versions that are rejected aren't written again until they change. The limit that shrinks (ObjectSizeLimit) is shared with the chunks of results, and what is pending is a class of its own.

--- a/packages/gateway/src/fleet/streamOriginStore.ts
+++ b/packages/gateway/src/fleet/streamOriginStore.ts
@@ -1,6 +1,8 @@
 import { type Logger, sleep, withJitter } from "@heatherline/common";
 import { type FleetView, type ServiceVersions, STREAM_KIND, type StreamOriginReport } from "@heatherline/fleet";
 import type { ObjectStore, StoredObject, StoredValue } from "@heatherline/store";
+import { ObjectSizeLimit } from "../objectSize";
+import { countStreams, PendingStreams } from "./pendingStreams";
 
 const WRITE_INTERVAL_MS = 250;
 /** Delay after a call that failed; doubles with each further one, since the store may be down. */
@@ -9,8 +11,18 @@
 /** Objects that are overwritten in turn; more only where streams last long. */
 const MIN_RING_SIZE = 128;
 const MAX_RING_SIZE = 1_024;
-/** Streams in one object, which keeps it far below the largest size that the store takes. */
-const MAX_STREAMS_PER_OBJECT = 10_000;
+/** Limit of the streams in one object, which keeps it far below the largest size that the store takes. */
+const MAX_OBJECT_BYTES = 500_000;
+/** A single stream is not written if the store rejects it, so the limit may shrink until objects hold one. */
+const MIN_OBJECT_BYTES = 1;
+
+/**
+ * How a write ended.
+ *
+ * - `rejected`: the store doesn't accept the object, however often it is written.
+ * - `failed`: the store could not be reached, or another granter has written the object; it is to be written again.
+ */
+type WriteOutcome = "written" | "rejected" | "failed";
 
 /** Who grants places for streams, and knows where they run. */
 export interface StreamGranter {
@@ -30,7 +42,8 @@
     private readonly writtenVersions = new Map<string, string>();
     /** Services of which several versions may have begun streams. */
     private mixedServices: ReadonlySet<string> = new Set();
-    private pendingStreams: StreamOriginReport[] = [];
+    private readonly pendingStreams = new PendingStreams();
+    private readonly sizeLimit = new ObjectSizeLimit(MAX_OBJECT_BYTES, MIN_OBJECT_BYTES);
     private granter: StreamGranter | undefined;
     private timer: NodeJS.Timeout | undefined;
     private isLoaded = false;
@@ -69,14 +82,14 @@
     stop(): void {
         clearInterval(this.timer);
         this.granter = undefined;
-        this.pendingStreams = [];
+        this.pendingStreams.replace([]);
     }
 
     /**
      * @param report - Streams, and where they run.
      */
     add(report: StreamOriginReport): void {
-        this.pendingStreams.push(report);
+        this.pendingStreams.add(report);
     }
 
     private async loadAndWrite(granter: StreamGranter): Promise<void> {
@@ -109,7 +122,7 @@
         this.logger.info({
             event: "streams-read",
             objects: objects.length,
-            streams: streams.reduce((count, { requestIds }) => count + requestIds.length, 0),
+            streams: countStreams(streams),
         });
         return true;
     }
@@ -144,23 +157,41 @@
         for (const versions of this.view.softwareVersions.getAll()) {
             const text = JSON.stringify(versions);
             const path = `${STREAM_KIND}/versions.${versions.service}`;
-            if (this.writtenVersions.get(versions.service) !== text && await this.put(path, { ...versions })) {
+            if (this.writtenVersions.get(versions.service) === text) {
+                continue;
+            }
+            const outcome = await this.put(path, { ...versions });
+            if (outcome !== "failed") {
                 this.writtenVersions.set(versions.service, text);
-                this.logger.info({ event: "versions-stored", ...versions });
+                this.logger.info({ event: "versions-stored", outcome, ...versions });
             }
         }
     }
 
     private async writeStreams(): Promise<void> {
         this.takeUpMixedServices();
-        const streams = this.takePending();
+        const streams = this.pendingStreams.take(this.sizeLimit.maxBytes);
         if (streams.length === 0) {
             return;
         }
-        if (!await this.put(this.getPath(), { writtenAt: Date.now(), streams })) {
-            this.pendingStreams.unshift(...streams);
+        const outcome = await this.put(this.getPath(), { writtenAt: Date.now(), streams });
+        if (outcome === "failed") {
+            this.pendingStreams.putBack(streams);
             this.dropOutdated();
         }
+        if (outcome === "rejected") {
+            this.handleRejection(streams);
+        }
+    }
+
+    /** Streams that the store doesn't accept in one object are written in smaller ones; a single one can't be written. */
+    private handleRejection(streams: readonly StreamOriginReport[]): void {
+        const count = countStreams(streams);
+        this.logger.warn({ event: "streams-rejected", count, limitBytes: this.sizeLimit.maxBytes });
+        if (count > 1) {
+            this.pendingStreams.putBack(streams);
+            this.sizeLimit.recordRejected();
+        }
     }
 
     /** The streams that run when a second version appears were begun before it, and are written, too. */
@@ -171,43 +202,16 @@
         );
         const isNew = (service: string) => mixed.has(service) && !this.mixedServices.has(service);
         const reports = [...mixed].some(isNew) ? this.granter?.getStreams() ?? [] : [];
-        this.pendingStreams = [
-            ...this.pendingStreams.filter(({ service }) => mixed.has(service) && !isNew(service)),
-            ...reports.filter(({ service }) => isNew(service)),
-        ];
+        this.pendingStreams.keepServices(service => mixed.has(service) && !isNew(service));
+        reports.filter(({ service }) => isNew(service)).forEach(report => this.pendingStreams.add(report));
         this.mixedServices = mixed;
     }
 
-    /** Takes as many pending streams as one object holds, those of one version together. */
-    private takePending(): StreamOriginReport[] {
-        const taken = new Map<string, StreamOriginReport & { requestIds: string[]; }>();
-        let count = 0;
-        while (count < MAX_STREAMS_PER_OBJECT) {
-            const report = this.pendingStreams.shift();
-            if (report === undefined) {
-                break;
-            }
-            const { service, softwareVersion, requestIds } = report;
-            const room = MAX_STREAMS_PER_OBJECT - count;
-            const key = `${service}\0${softwareVersion}`;
-            const group = taken.get(key) ?? { service, softwareVersion, requestIds: [] };
-            group.requestIds.push(...requestIds.slice(0, room));
-            taken.set(key, group);
-            count += Math.min(room, requestIds.length);
-            if (requestIds.length > room) {
-                this.pendingStreams.unshift({ service, softwareVersion, requestIds: requestIds.slice(room) });
-            }
-        }
-        return [...taken.values()];
-    }
-
     /** While the store can't be written, no more is kept than the granter itself remembers. */
     private dropOutdated(): void {
         const known = this.granter?.getStreams() ?? [];
-        const count = known.reduce((sum, { requestIds }) => sum + requestIds.length, 0);
-        const pending = this.pendingStreams.reduce((sum, { requestIds }) => sum + requestIds.length, 0);
-        if (pending > count) {
-            this.pendingStreams = [...known];
+        if (this.pendingStreams.count > countStreams(known)) {
+            this.pendingStreams.replace(known);
         }
     }
 
@@ -217,12 +221,17 @@
         return `${STREAM_KIND}/begun.${this.name}.${Math.floor(Date.now() / WRITE_INTERVAL_MS) % size}`;
     }
 
-    private async put(path: string, value: StoredValue): Promise<boolean> {
+    private async put(path: string, value: StoredValue): Promise<WriteOutcome> {
         const written = await this.store.put(path, value, this.versionByPath.get(path) ?? 0);
         if (written.isOk()) {
             this.versionByPath.set(path, written.value);
             this.failures = 0;
-            return true;
+            return "written";
+        }
+        this.logger.info({ event: "streams-not-stored", path, cause: written.error.toString() });
+        if (written.error.kind === "rejected") {
+            this.failures = 0;
+            return "rejected";
         }
         this.retryAtMs = performance.now() + getRetryDelayMs(this.failures);
         this.failures += 1;
@@ -233,8 +242,7 @@
                 this.versionByPath.set(path, current.value?.version ?? 0);
             }
         }
-        this.logger.info({ event: "streams-not-stored", path, cause: written.error.toString() });
-        return false;
+        return "failed";
     }
 }
 
--- a/packages/gateway/src/jobs/jobBodies.ts
+++ b/packages/gateway/src/jobs/jobBodies.ts
@@ -1,4 +1,5 @@
-import { getJsonBytes, splitText } from "./resultChunks";
+import { getJsonBytes } from "../objectSize";
+import { splitText } from "./resultChunks";
 
 /** Limit of the bodies in one object, as JSON in UTF-8. */
 const MAX_PART_BYTES = 700_000;
--- a/packages/gateway/src/jobs/jobReader.ts
+++ b/packages/gateway/src/jobs/jobReader.ts
@@ -3,12 +3,13 @@
 import { LRUCache } from "lru-cache";
 import { err, ok, type Result } from "neverthrow";
 import { newRefusal, type Refusal } from "../callers/refusal";
+import { getJsonBytes } from "../objectSize";
 import type { ItemResult, ResultsPage } from "../wireCodec";
 import type { JobRun } from "./jobRun";
 import type { JobRunner } from "./jobRunner";
 import type { JobManifest, JobStore, ResultChunk } from "./jobStore";
 import { newPage } from "./publishedResults";
-import { ChunkReader, getJsonBytes, getResultBytes } from "./resultChunks";
+import { ChunkReader, getResultBytes } from "./resultChunks";
 import type { RunnerClaim } from "./runnerClaim";
 
 /** Limit of the results in one page as JSON in UTF-8; the rest of what a page may take is left for its framing. */
--- a/packages/gateway/src/jobs/resultChunks.ts
+++ b/packages/gateway/src/jobs/resultChunks.ts
@@ -1,10 +1,9 @@
 import { newId } from "@heatherline/common";
+import { getJsonBytes, ObjectSizeLimit } from "../objectSize";
 import type { ItemResult } from "../wireCodec";
 
 /** Limit of the results in one chunk, as JSON in UTF-8; a larger result is split over several chunks. */
 const MAX_CHUNK_BYTES = 500_000;
-/** Chunks that the store doesn't accept become smaller, down to this limit. */
-const MIN_CHUNK_BYTES = 65_536;
 
 /** A part of the output of one result that is too large for one chunk. */
 export interface ResultPiece {
@@ -26,14 +25,6 @@
 
 const resultSizes = new WeakMap<ItemResult, number>();
 
-/**
- * @param text - A text.
- * @returns Size of the text as JSON in UTF-8.
- */
-export function getJsonBytes(text: string): number {
-    return Buffer.byteLength(JSON.stringify(text));
-}
-
 /**
  * @param result - A result; results never change.
  * @returns Its size as JSON in UTF-8, in the store and, but for some bytes, in a page.
@@ -85,7 +76,7 @@
 
 /** Decides what the chunks hold in which the results of a job are written, one after the other. */
 export class ChunkPlanner {
-    private maxBytes = MAX_CHUNK_BYTES;
+    private readonly sizeLimit = new ObjectSizeLimit(MAX_CHUNK_BYTES);
     private split: { readonly result: ItemResult; readonly pieces: readonly ResultPiece[]; next: number; } | undefined;
 
     /** Whether some but not all pieces of a result have been written. */
@@ -95,7 +86,7 @@
 
     /** Whether chunks can't become smaller. */
     get isAtMinimum(): boolean {
-        return this.maxBytes <= MIN_CHUNK_BYTES;
+        return this.sizeLimit.isAtMinimum;
     }
 
     /**
@@ -103,14 +94,15 @@
      * @returns The content of the next chunk.
      */
     getNext(results: readonly ItemResult[]): ChunkContent {
+        const { maxBytes } = this.sizeLimit;
         const begun = results.find(result => result === this.split?.result);
-        const large = begun ?? results.find(result => getResultBytes(result) > this.maxBytes);
-        const small = results.filter(result => getResultBytes(result) <= this.maxBytes);
+        const large = begun ?? results.find(result => getResultBytes(result) > maxBytes);
+        const small = results.filter(result => getResultBytes(result) <= maxBytes);
         if (large === undefined || (begun === undefined && small.length > 0)) {
-            return { results: takeUpToBytes(small, this.maxBytes) };
+            return { results: takeUpToBytes(small, maxBytes) };
         }
         if (begun === undefined) {
-            this.split = { result: large, pieces: newPieces(large, this.maxBytes), next: 0 };
+            this.split = { result: large, pieces: newPieces(large, maxBytes), next: 0 };
         }
         return { results: [], piece: this.split?.pieces[this.split.next] };
     }
@@ -132,7 +124,7 @@
 
     /** Records that the store doesn't accept a chunk, however often it is written; the next ones are smaller. */
     recordRejected(): void {
-        this.maxBytes = Math.max(MIN_CHUNK_BYTES, Math.floor(this.maxBytes / 2));
+        this.sizeLimit.recordRejected();
         this.split = undefined;
     }
 }
--- /dev/null
+++ b/packages/gateway/src/objectSize.ts
@@ -0,0 +1,29 @@
+/** Objects that the store doesn't accept become smaller, down to this limit. */
+const MIN_OBJECT_BYTES = 65_536;
+
+/**
+ * @param text - A text.
+ * @returns Size of the text as JSON in UTF-8.
+ */
+export function getJsonBytes(text: string): number {
+    return Buffer.byteLength(JSON.stringify(text));
+}
+
+/** Limit of the size of objects, which shrinks when the store rejects one. */
+export class ObjectSizeLimit {
+    /**
+     * @param maxBytes - The limit at first, as JSON in UTF-8.
+     * @param minBytes - The limit doesn't get smaller than this.
+     */
+    constructor(public maxBytes: number, private readonly minBytes = MIN_OBJECT_BYTES) {}
+
+    /** Whether objects can't become smaller. */
+    get isAtMinimum(): boolean {
+        return this.maxBytes <= this.minBytes;
+    }
+
+    /** Records that the store doesn't accept an object, however often it is written; the next ones are smaller. */
+    recordRejected(): void {
+        this.maxBytes = Math.max(this.minBytes, Math.floor(this.maxBytes / 2));
+    }
+}
--- a/packages/gateway/tests/streamOriginStore.test.ts
+++ b/packages/gateway/tests/streamOriginStore.test.ts
@@ -5,7 +5,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { StreamOriginStore } from "../src/fleet/streamOriginStore";
 
-const logger = { info: () => undefined } as unknown as Logger;
+const logger = { info: () => undefined, warn: () => undefined } as unknown as Logger;
 const V1 = { service: "lm", softwareVersion: "v1" };
 const V2 = { service: "lm", softwareVersion: "v2" };
 const SETTLE_MS = 1_000;
@@ -18,10 +18,12 @@
     vi.useRealTimers();
 });
 
-/** A store that can be down, or lose the responses of writes that it makes; counts its writes. */
+/** A store that can be down, lose the responses of writes that it makes, or take smaller objects; counts its writes. */
 class UnreliableStore extends MemoryStore {
     isDown = false;
     losesResponses = false;
+    maxBytes = Infinity;
+    rejections = 0;
     writes = 0;
     lists = 0;
 
@@ -35,7 +37,9 @@
         if (this.isDown) {
             return err(new StoreError("unavailable", "down"));
         }
-        const written = await super.put(...args);
+        const isTooLarge = Buffer.byteLength(JSON.stringify(args[1])) > this.maxBytes;
+        const written = isTooLarge ? err(new StoreError("rejected", "too large")) : await super.put(...args);
+        this.rejections += written.isErr() && written.error.kind === "rejected" ? 1 : 0;
         return this.losesResponses ? err(new StoreError("unknown", "the response was lost")) : written;
     }
 }
@@ -247,3 +251,51 @@
         granter.originStore.stop();
     });
 });
+
+// Guards against streams that can't be taken up after a kill of all instances, since an object with the ids of many
+// streams was larger than the store takes, and was sent again without end.
+describe("streams whose ids are long", () => {
+    it.each([
+        {
+            what: "that take more than one object",
+            count: 4_000,
+            idLength: 500,
+            maxBytes: Infinity,
+            rejections: 0,
+            kept: 4_000,
+        },
+        { what: "of several bytes a character", count: 2_000, idLength: 300, letter: "録", rejections: 0, kept: 2_000 },
+        {
+            what: "at a store that takes smaller objects",
+            count: 4_000,
+            idLength: 100,
+            maxBytes: 100_000,
+            rejections: 3,
+            kept: 4_000,
+        },
+        {
+            what: "at a store that takes none that large",
+            count: 1,
+            idLength: 3_000,
+            maxBytes: 1_000,
+            rejections: 1,
+            kept: 0,
+        },
+    ])("$what are stored as far as they can be", async testCase => {
+        const { count, idLength, letter = "i", maxBytes = Infinity, rejections, kept } = testCase;
+        const store = new UnreliableStore();
+        store.maxBytes = maxBytes;
+        const granter = startGranter(store, ["v1", "v2"]);
+        await vi.advanceTimersByTimeAsync(SETTLE_MS);
+        for (let index = 0; index < count; index += 1) {
+            begin(granter, `${index}`.padEnd(idLength, letter), V2);
+        }
+        await vi.advanceTimersByTimeAsync(20 * SETTLE_MS);
+        begin(granter, "later", V1);
+        await vi.advanceTimersByTimeAsync(2 * SETTLE_MS);
+        expect(store.rejections).toBeLessThanOrEqual(rejections);
+        const next = await restart(granter, store, ["v1", "v2"]);
+        expect(countStreams(next.streams.getReports())).toBe(kept + 1);
+        next.originStore.stop();
+    });
+});
