Don't write a block of a prompt again that the store has rejected

What operators would see: a block whose parts are larger than an object was written 60 times in three minutes, each time after a read, though the store had said that it never accepts it; meanwhile nothing told them why.

Cause: `rejected` was handled like a failure. Now a rejected block is not written again until it changes; the coordinator holds it in memory as before, and the log line names the cause.

--- a/packages/gateway/src/fleet/blockedPromptStore.ts
+++ b/packages/gateway/src/fleet/blockedPromptStore.ts
@@ -26,7 +26,8 @@
     constructor(private readonly store: ObjectStore, private readonly logger: Logger) {}
 
     /**
-     * Writes a block in the background, again and again until the store accepts it or a later change replaces it.
+     * Writes a block in the background, again and again until the store accepts it, rejects it for good, or a later change
+     * replaces it.
      *
      * @param prompt - The block.
      * @param isEnded - Whether it has ended and is to be removed.
@@ -43,9 +44,9 @@
         let failures = 0;
         let change = this.pendingChanges.get(blockId);
         while (change !== undefined) {
-            const isWritten = await this.write(change);
-            failures = isWritten ? 0 : failures + 1;
-            if (this.pendingChanges.get(blockId) === change && (isWritten || failures === MAX_ATTEMPTS)) {
+            const outcome = await this.write(change);
+            failures = outcome === "failed" ? failures + 1 : 0;
+            if (this.pendingChanges.get(blockId) === change && (failures === 0 || failures === MAX_ATTEMPTS)) {
                 this.pendingChanges.delete(blockId);
             }
             if (failures > 0) {
@@ -56,7 +57,7 @@
         this.writing.delete(blockId);
     }
 
-    private async write({ prompt, isEnded }: PendingChange): Promise<boolean> {
+    private async write({ prompt, isEnded }: PendingChange): Promise<"written" | "rejected" | "failed"> {
         const { blockId, ...value } = prompt;
         const path = `${BLOCKED_PROMPT_KIND}/${blockId}`;
         const written = isEnded ? await this.remove(path) : await this.replace(path, value);
@@ -67,7 +68,10 @@
             isSaved: written.isOk(),
             cause: written.isErr() ? written.error.toString() : "",
         });
-        return written.isOk();
+        if (written.isOk()) {
+            return "written";
+        }
+        return written.error.kind === "rejected" ? "rejected" : "failed";
     }
 
     private async remove(path: string): Promise<Result<void, StoreError>> {
--- a/packages/gateway/tests/blockedPromptStore.test.ts
+++ b/packages/gateway/tests/blockedPromptStore.test.ts
@@ -6,7 +6,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { BlockedPromptStore } from "../src/fleet/blockedPromptStore";
 
-const logger = { info: () => undefined } as unknown as Logger;
+const logger = { info: () => undefined, warn: () => undefined } as unknown as Logger;
 const PROMPT: BlockedPrompt = { blockId: "b", parts: ["all", "bad"], trials: 0, laterCrashes: 0, blockedAt: 1 };
 const PATH = `${BLOCKED_PROMPT_KIND}/b`;
 /** Longer than all delays between the attempts that a case needs. */
@@ -64,3 +64,33 @@
         expect((await store.get(PATH))._unsafeUnwrap()).toBeUndefined();
     });
 });
+
+/** A store that doesn't accept blocks of many parts; counts the writes. */
+class RejectingStore extends MemoryStore {
+    writes = 0;
+
+    override async put(...args: Parameters<ObjectStore["put"]>): ReturnType<ObjectStore["put"]> {
+        this.writes += 1;
+        const isTooLarge = (args[1].parts as string[]).length > 1;
+        return isTooLarge ? err(new StoreError("rejected", "too large")) : super.put(...args);
+    }
+}
+
+// Guards against a store that is called again and again for minutes with a block that it has rejected for good.
+describe("a block that the store rejects", () => {
+    it.each([
+        { what: "isn't written again", laterParts: undefined, writes: 1, stored: undefined },
+        { what: "is written once it has changed", laterParts: ["bad"], writes: 2, stored: ["bad"] },
+    ])("$what", async ({ laterParts, writes, stored }) => {
+        const store = new RejectingStore();
+        const blocks = new BlockedPromptStore(store, logger);
+        blocks.save(PROMPT, false);
+        await vi.advanceTimersByTimeAsync(SETTLE_MS);
+        if (laterParts !== undefined) {
+            blocks.save({ ...PROMPT, parts: laterParts }, false);
+            await vi.advanceTimersByTimeAsync(SETTLE_MS);
+        }
+        expect(store.writes).toBe(writes);
+        expect((await store.get(PATH))._unsafeUnwrap()?.value.parts).toEqual(stored);
+    });
+});
