Accept jobs whose items have long headers or paths

What callers saw (DENIED): a job of 200 items with 8 KB of headers each, 2 MB in all and within the limit of a submission, got 413 for good; clients don't send it again.

Each instance also reads and keeps the objects of all jobs, up to a megabyte each.

Now a job whose object would be larger than 128 KiB has paths, headers and bodies of its items together in the objects of bodies, which are split already; its own object holds ids and tokens. An instance of an earlier release reads results of such a job and finds no bodies in it, so that it doesn't run items without their headers; the job waits until another instance runs it. Smaller jobs are stored as before. ItemRun asks for the content of an item (path, headers, body) where it asked for the body.

One test asked for the fault: "a job that the store can't keep, as its headers are too large" expected 413 for 200 items with 10 KB of headers. It is replaced by the same checks for ids that don't fit, which can't be stored elsewhere; the old case is now among those that must be accepted.

--- a/packages/gateway/src/jobs/batchApi.ts
+++ b/packages/gateway/src/jobs/batchApi.ts
@@ -14,11 +14,11 @@
 import type { CallerResponse } from "../callers/callerResponse";
 import { newRefusal, type Refusal } from "../callers/refusal";
 import type { GatewayMetrics } from "../metrics";
-import type { BatchSubmission, CallerRequestHead, WireCodec } from "../wireCodec";
-import { splitBodies, type StoredBodies } from "./jobBodies";
+import type { CallerRequestHead, WireCodec } from "../wireCodec";
 import type { JobReader } from "./jobReader";
 import type { JobRunner } from "./jobRunner";
-import { findSizeFault, type JobManifest, type JobStore } from "./jobStore";
+import type { JobManifest, JobStore } from "./jobStore";
+import { newJob } from "./newJob";
 
 /** Subtracted from the caller's timeout for a submission, so that the response arrives in time. */
 const SUBMIT_MARGIN_MS = 250;
@@ -134,25 +134,32 @@
             return newRefusal("bad-request", submission.isErr() ? submission.error : "the request has no id");
         }
         const untilMs = arrivedAtMs + (caller.timeLeftMs ?? DEFAULT_SUBMIT_TIMEOUT_MS) - SUBMIT_MARGIN_MS;
-        const bodies = new Map(submission.value.items.map(({ itemId, bodyBase64 }) => [itemId, bodyBase64]));
-        const storedBodies = splitBodies(bodies);
-        const manifest = newManifest(caller.requestId, request, admitted, submission.value, storedBodies);
-        const sizeFault = findSizeFault(manifest);
-        if (sizeFault !== undefined) {
-            return newRefusal("body-too-large", sizeFault);
+        const job = newJob(
+            {
+                jobId: caller.requestId,
+                organisation: admitted.organisation?.name ?? "",
+                route: admitted.route.name,
+                host: caller.host,
+                path: request.path,
+            },
+            submission.value.items,
+        );
+        if (job.isErr()) {
+            return newRefusal("body-too-large", job.error);
         }
+        const { manifest, parts } = job.value;
         const refusal = await this.admitTokens(manifest, admitted);
         if (refusal !== undefined) {
             return refusal;
         }
         const startedAt = newTimestamp();
-        const created = await this.deps.store.create(manifest, storedBodies.parts, untilMs);
+        const created = await this.deps.store.create(manifest, parts, untilMs);
         if (created.isErr()) {
             const reason = created.error.kind === "unknown" ? "outcome-unknown" : "store-unavailable";
             return newRefusal(reason, created.error.toString());
         }
         if (created.value === "created") {
-            this.deps.runner.add(manifest, storedBodies.parts, undefined, startedAt);
+            this.deps.runner.add(manifest, parts, undefined, startedAt);
             return undefined;
         }
         const existing = await this.deps.reader.readManifest(manifest.jobId);
@@ -250,16 +257,17 @@
         if (manifest.isErr()) {
             return manifest.error;
         }
-        const isKnown = manifest.value.items.some(item => item.itemId === itemId);
-        if (manifest.value.organisation !== organisation || !isKnown) {
+        const item = manifest.value.items.find(other => other.itemId === itemId);
+        if (manifest.value.organisation !== organisation || item === undefined) {
             return newRefusal("not-found", "there is no such item");
         }
-        const body = await this.deps.runner.bodies.get(manifest.value, itemId, false);
-        if (body.isErr() || body.value === undefined) {
-            const reason = body.isErr() ? body.error.toString() : "the body is not in the store";
+        const content = await this.deps.runner.bodies.getContent(manifest.value, item, false);
+        if (content.isErr() || content.value === undefined) {
+            const reason = content.isErr() ? content.error.toString() : "the body is not in the store";
             return newRefusal("store-unavailable", reason);
         }
-        request.response.sendLocal(200, Buffer.from(body.value, "base64"), "application/octet-stream");
+        const body = Buffer.from(content.value.bodyBase64, "base64");
+        request.response.sendLocal(200, body, "application/octet-stream");
         return undefined;
     }
 
@@ -293,29 +301,6 @@
     }
 }
 
-function newManifest(
-    jobId: string,
-    { caller, path }: BatchApiRequest,
-    { route, organisation }: AdmittedRequest,
-    { items }: BatchSubmission,
-    { parts, firstParts }: StoredBodies,
-): JobManifest {
-    return {
-        jobId,
-        organisation: organisation?.name ?? "",
-        route: route.name,
-        host: caller.host,
-        path,
-        submittedAt: Date.now(),
-        itemTokens: items.map(({ tokens }) => tokens),
-        state: "open",
-        items: items.map(({ itemId, path, headers, tokens }) => ({ itemId, path, headers, tokens })),
-        bodyParts: parts.length,
-        firstParts,
-        isEndedByCaller: false,
-    };
-}
-
 function sumOpenTokens(jobs: readonly JobManifest[], { jobId, organisation, route }: AdmitJobRequest): number {
     return jobs
         .filter(job => job.state === "open" && job.jobId !== jobId)
--- a/packages/gateway/src/jobs/itemRun.ts
+++ b/packages/gateway/src/jobs/itemRun.ts
@@ -18,6 +18,7 @@
 import type { ItemResult, WireCodec } from "../wireCodec";
 import type { ItemDurationEstimator } from "./itemDurationEstimator";
 import type { ItemPlacementQueue } from "./itemPlacementQueue";
+import type { ItemContent } from "./jobBodies";
 import type { JobItem } from "./jobStore";
 
 /** Timeout of a place request; the item then requests a place again, with its queue position recomputed. */
@@ -61,8 +62,8 @@
      * while that can't be told.
      */
     readonly findRoute: () => Route | "unknown" | undefined;
-    /** @returns The item's body, or `undefined` if it can't be read now. */
-    readonly getBody: () => Promise<Buffer | undefined>;
+    /** @returns What an endpoint is sent for the item, or `undefined` if it can't be read now. */
+    readonly getContent: () => Promise<ItemContent | undefined>;
     /** Whether new runs may start. */
     readonly mayRun: () => boolean;
     /** Called after each run with how it ended and details for the log. */
@@ -220,18 +221,18 @@
         }
         const remainingMs = this.deps.durationEstimator.getRemainingMs(this.data.length);
         const timing = { dueInMs: this.getDueInMs(route), remainingMs };
-        // The body is read only now, so that few are in memory.
+        // The content is read only now, so that few are in memory.
         const request = await this.deps.placementQueue.add(service, timing, async () => {
-            const body = await this.deps.getBody();
-            return body === undefined
+            const content = await this.deps.getContent();
+            return content === undefined
                 ? undefined
-                : { body, outcome: await this.requestPlace(route, service, remainingMs) };
+                : { content, outcome: await this.requestPlace(route, service, remainingMs) };
         });
         if (request === undefined) {
             await sleep(NOT_RUNNABLE_DELAY_MS, this.signal);
             return "stopped";
         }
-        const { body, outcome } = request;
+        const { content, outcome } = request;
         if (outcome.kind === "refused") {
             this.startAnewIfHopeless(outcome.reason);
             await sleep(NOT_RUNNABLE_DELAY_MS, this.signal);
@@ -245,7 +246,7 @@
         }
         const previousEventCount = this.data.length;
         const startedAtMs = performance.now();
-        const end = await this.runAtPlace(place, body);
+        const end = await this.runAtPlace(place, content);
         this.wasRejected ||= end === "rejected";
         const eventCount = this.data.length - previousEventCount;
         const placeEnd = { end: toRequestEnd(end, eventCount), wasSilent: end === "silent" };
@@ -319,8 +320,9 @@
         return this.job.submittedAt + route.completionTargetMs - Date.now();
     }
 
-    private async runAtPlace(place: HeldPlace, body: Buffer): Promise<RunEnd> {
+    private async runAtPlace(place: HeldPlace, content: ItemContent): Promise<RunEnd> {
         const { wire, endpoints } = this.deps;
+        const body = Buffer.from(content.bodyBase64, "base64");
         this.lastResponseEnd = undefined;
         const abortController = new AbortController();
         const onPreempted = () => abortController.abort("called-back");
@@ -329,7 +331,7 @@
         this.signal.addEventListener("abort", onStopped, { once: true });
         const silenceTimer = setTimeout(() => abortController.abort("silent"), this.getSilenceTimeoutMs());
         const headers = wire.toEndpointHeaders(
-            wire.toItemHeaders(this.job.host, this.item.itemId, this.item.headers),
+            wire.toItemHeaders(this.job.host, this.item.itemId, content.headers),
             {
                 endpointId: place.endpoint.endpointId,
                 organisation: this.job.organisation,
@@ -343,7 +345,7 @@
                 requestId: this.item.itemId,
                 endpoint: place.endpoint,
                 method: "POST",
-                path: this.item.path,
+                path: content.path,
                 headers,
                 renewHeaders: () => this.deps.mayRun() ? headers : undefined,
                 body,
--- a/packages/gateway/src/jobs/jobBodies.ts
+++ b/packages/gateway/src/jobs/jobBodies.ts
@@ -1,3 +1,4 @@
+import { z } from "zod";
 import { getJsonBytes } from "../objectSize";
 import { splitText } from "./resultChunks";
 
@@ -6,9 +7,16 @@
 /** Quotes are counted with each text; a colon and a comma are not. */
 const ENTRY_FRAMING_BYTES = 2;
 
-/** Bodies in base64 in one object, by item id. */
+/** Bodies in base64 in one object, by item id; or contents as JSON, where they are stored as a whole. */
 export type BodyPart = Readonly<Record<string, string>>;
 
+/** What an endpoint is sent for an item. */
+export interface ItemContent {
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly bodyBase64: string;
+}
+
 /** The bodies of a job as the store has them. */
 export interface StoredBodies {
     /** What each object holds. A body that is too large for one object is split over several. */
@@ -17,10 +25,37 @@
     readonly firstParts: readonly number[];
 }
 
+const contentSchema = z.object({
+    path: z.string(),
+    headers: z.record(z.string(), z.string()),
+    bodyBase64: z.string(),
+});
+
+/**
+ * @param content - The content of an item.
+ * @returns The content as text.
+ */
+export function encodeContent({ path, headers, bodyBase64 }: ItemContent): string {
+    return JSON.stringify({ path, headers, bodyBase64 });
+}
+
+/**
+ * @param text - The content of an item as text.
+ * @returns The content, or `undefined` if the text is not valid.
+ */
+export function decodeContent(text: string): ItemContent | undefined {
+    try {
+        return contentSchema.safeParse(JSON.parse(text)).data;
+    }
+    catch {
+        return undefined;
+    }
+}
+
 /**
- * Splits the bodies of a job into objects that the store accepts.
+ * Splits the bodies of a job, or the contents of its items, into objects that the store accepts.
  *
- * @param bodies - Bodies in base64, by item id.
+ * @param bodies - Bodies in base64 or contents, by item id.
  * @returns The objects; at least one.
  */
 export function splitBodies(bodies: ReadonlyMap<string, string>): StoredBodies {
--- a/packages/gateway/src/jobs/jobBodyCache.ts
+++ b/packages/gateway/src/jobs/jobBodyCache.ts
@@ -3,8 +3,8 @@
 import { err, ok, type Result } from "neverthrow";
 import { getHeapStatistics } from "node:v8";
 import PQueue from "p-queue";
-import type { BodyPart } from "./jobBodies";
-import type { JobManifest, JobStore } from "./jobStore";
+import { type BodyPart, decodeContent, type ItemContent } from "./jobBodies";
+import type { JobItem, JobManifest, JobStore } from "./jobStore";
 
 /** Fraction of the heap that may hold bodies of waiting items; others are read back from the store. */
 const MAX_HEAP_FRACTION = 0.1;
@@ -66,11 +66,30 @@
 
     /**
      * @param manifest - A job.
-     * @param itemId - One of its items.
+     * @param item - One of its items.
      * @param isKept - Whether what is read from the store is kept for other items.
-     * @returns The item's body in base64, `undefined` if the store has none, or why the store can't be read.
+     * @returns The item's content, `undefined` if the store has none, or why the store can't be read.
      */
-    async get(manifest: JobManifest, itemId: string, isKept: boolean): Promise<Result<string | undefined, StoreError>> {
+    async getContent(
+        manifest: JobManifest,
+        item: JobItem,
+        isKept: boolean,
+    ): Promise<Result<ItemContent | undefined, StoreError>> {
+        const read = await this.getText(manifest, item.itemId, isKept);
+        return read.map(text => {
+            if (text === undefined || manifest.areContentsInParts === true) {
+                return text === undefined ? undefined : decodeContent(text);
+            }
+            return { path: item.path, headers: item.headers, bodyBase64: text };
+        });
+    }
+
+    /** Reads what the objects of bodies hold of an item. */
+    private async getText(
+        manifest: JobManifest,
+        itemId: string,
+        isKept: boolean,
+    ): Promise<Result<string | undefined, StoreError>> {
         const { first, last } = findParts(manifest, itemId);
         let body: string | undefined;
         for (let index = first; index <= last; index += 1) {
--- a/packages/gateway/src/jobs/jobRunner.ts
+++ b/packages/gateway/src/jobs/jobRunner.ts
@@ -262,10 +262,7 @@
             durationEstimator: this.durationEstimator,
             placementQueue: this.placementQueue,
             findRoute: () => findJobRoute(deps.view, manifest, item),
-            getBody: async () => {
-                const body = await this.bodies.get(manifest, item.itemId, true);
-                return body.isOk() && body.value !== undefined ? Buffer.from(body.value, "base64") : undefined;
-            },
+            getContent: async () => (await this.bodies.getContent(manifest, item, true)).unwrapOr(undefined),
             mayRun: () => !this.isStopping && deps.isJobStateFresh(),
             onRunEnded: ({ itemId }, end, detail) => {
                 deps.metrics.recordItemRun(end);
--- a/packages/gateway/src/jobs/jobStore.ts
+++ b/packages/gateway/src/jobs/jobStore.ts
@@ -39,6 +39,11 @@
      * have each body in one object.
      */
     readonly firstParts?: readonly number[] | undefined;
+    /**
+     * Whether the objects of bodies hold the paths and headers of the items, too, which are empty here then; absent where
+     * they are short, and from jobs of earlier releases.
+     */
+    readonly areContentsInParts?: boolean | undefined;
     /** Whether the caller cancelled the job; results written before stay readable. */
     readonly isEndedByCaller: boolean;
 }
@@ -92,7 +97,7 @@
         for (const [index, part] of parts.entries()) {
             const written = await this.createWithRetry(
                 `${BODY_KIND}/${manifest.jobId}.${index}`,
-                { bodies: part },
+                manifest.areContentsInParts === true ? { contents: part } : { bodies: part },
                 untilMs,
             );
             if (written.isErr()) {
@@ -131,11 +136,11 @@
     /**
      * @param jobId - A job.
      * @param index - Index of an object of its bodies, from 0.
-     * @returns The bodies in it; none if there is no such object.
+     * @returns The bodies or contents in it; none if there is no such object.
      */
     async readBodyPart(jobId: string, index: number): Promise<Result<BodyPart, StoreError>> {
         const read = await this.store.get(`${BODY_KIND}/${jobId}.${index}`);
-        return read.map(object => (object?.value.bodies ?? {}) as BodyPart);
+        return read.map(object => (object?.value.bodies ?? object?.value.contents ?? {}) as BodyPart);
     }
 
     /**
@@ -351,6 +356,7 @@
     })).min(1),
     bodyParts: z.number().int().nonnegative(),
     firstParts: z.array(z.number().int().nonnegative()).optional(),
+    areContentsInParts: z.boolean().optional(),
     isEndedByCaller: z.boolean(),
 });
 
--- a/packages/gateway/tests/brokenOffResponses.test.ts
+++ b/packages/gateway/tests/brokenOffResponses.test.ts
@@ -283,7 +283,7 @@
                 durationEstimator: new ItemDurationEstimator(),
                 placementQueue: new ItemPlacementQueue(),
                 findRoute: () => route as unknown as Route,
-                getBody: () => Promise.resolve(Buffer.from("body")),
+                getContent: () => Promise.resolve({ path: "/", headers: {}, bodyBase64: "Ym9keQ==" }),
                 mayRun: () => true,
                 onRunEnded: () => undefined,
             },
--- a/packages/gateway/tests/jobBodies.test.ts
+++ b/packages/gateway/tests/jobBodies.test.ts
@@ -1,5 +1,5 @@
 import { newLogger } from "@heatherline/common";
-import type { Route } from "@heatherline/fleet";
+import { JOB_KIND, type Route } from "@heatherline/fleet";
 import { MemoryStore } from "@heatherline/store";
 import { ok } from "neverthrow";
 import { describe, expect, it, vi } from "vitest";
@@ -8,7 +8,7 @@
 import type { Refusal } from "../src/callers/refusal";
 import { BatchApi, type BatchApiDependencies, type BatchApiRequest } from "../src/jobs/batchApi";
 import { JobBodyCache } from "../src/jobs/jobBodyCache";
-import { JobStore } from "../src/jobs/jobStore";
+import { type JobItem, type JobManifest, JobStore } from "../src/jobs/jobStore";
 import type { SubmittedItem } from "../src/wireCodec";
 
 const JOB = "job";
@@ -72,8 +72,9 @@
         expect(manifest?.items.map(({ itemId }) => itemId)).toEqual(items.map(({ itemId }) => itemId));
         const bodyCache = new JobBodyCache(store);
         for (const { itemId, bodyBase64 } of items) {
-            const read = await bodyCache.get(manifest as NonNullable<typeof manifest>, itemId, true);
-            expect(read._unsafeUnwrap() === bodyBase64, itemId).toBe(true);
+            const item = manifest?.items.find(other => other.itemId === itemId) as JobItem;
+            const read = await bodyCache.getContent(manifest as NonNullable<typeof manifest>, item, true);
+            expect(read._unsafeUnwrap()?.bodyBase64 === bodyBase64, itemId).toBe(true);
         }
     });
 });
@@ -94,10 +95,52 @@
     });
 });
 
-describe("a job that the store can't keep, as its headers are too large", () => {
+// Guards against a job within the limit of a submission that is refused for good, since what its items hold besides their
+// bodies doesn't fit into one object.
+describe("a job whose items have long headers or paths", () => {
+    it.each([
+        { what: "8 KB of headers each", headerLength: 8_000, pathLength: 10, character: "m" },
+        { what: "headers of several bytes a character", headerLength: 3_000, pathLength: 10, character: "é" },
+        { what: "headers that are escaped", headerLength: 4_000, pathLength: 10, character: '"' },
+        { what: "long paths", headerLength: 0, pathLength: 7_000, character: "p" },
+        { what: "headers larger than an object", headerLength: 1_500_000, pathLength: 10, character: "m", count: 2 },
+    ])("is accepted, and its items can be run by any instance: $what", async testCase => {
+        const { headerLength, pathLength, character, count = 200 } = testCase;
+        const objects = new MemoryStore();
+        const items = newItems(Array.from({ length: count }, (_, index) => toBase64(100 + index)), {
+            Model: character.repeat(headerLength),
+        }).map((item, index) => ({ ...item, path: `/jobs/${index}/${character.repeat(pathLength)}` }));
+        const { statuses, store, addJob } = await submit(items, objects);
+        expect(statuses).toEqual([202]);
+        expect(addJob).toHaveBeenCalledTimes(1);
+        const manifest = (await store.read(JOB))._unsafeUnwrap()?.manifest as JobManifest;
+        const contents = new JobBodyCache(store);
+        for (const [index, item] of items.entries()) {
+            const content = (await contents.getContent(manifest, manifest.items[index] as JobItem, true))
+                ._unsafeUnwrap();
+            const { path, headers, bodyBase64 } = item;
+            expect(JSON.stringify(content) === JSON.stringify({ path, headers, bodyBase64 }), item.itemId).toBe(true);
+        }
+        const sizes = (await objects.list("heatherline"))._unsafeUnwrap().objects
+            .filter(({ path }) => path.startsWith(`${JOB_KIND}/`))
+            .map(({ value }) => JSON.stringify(value).length);
+        expect(Math.max(...sizes), "size of what all instances read of the job").toBeLessThan(100_000);
+    });
+
+    it("isn't run by an instance of an earlier release, which knows only bodies", async () => {
+        const objects = new MemoryStore();
+        await submit(newItems(Array.from({ length: 200 }, () => "x"), { Model: "m".repeat(8_000) }), objects);
+        const parts = (await objects.list("heatherline-job-bodies"))._unsafeUnwrap().objects;
+        expect(parts.length).toBeGreaterThan(0);
+        expect(parts.filter(({ value }) => value.bodies !== undefined)).toEqual([]);
+    });
+});
+
+describe("a job that the store can't keep, as the ids of its items are too large", () => {
     it("is refused for good, not as if it could be sent again, and nothing of it is kept", async () => {
         const objects = new MemoryStore();
-        const items = newItems(Array.from({ length: 200 }, () => ""), { Model: "m".repeat(10_000) });
+        const items = newItems(Array.from({ length: 200 }, () => ""), { Model: "m" })
+            .map((item, index) => ({ ...item, itemId: `${index}`.padEnd(10_000, "i") }));
         const { statuses, addJob } = await submit(items, objects);
         expect(statuses).toEqual([413]);
         expect(addJob).not.toHaveBeenCalled();
--- a/packages/gateway/tests/jobMemory.test.ts
+++ b/packages/gateway/tests/jobMemory.test.ts
@@ -8,7 +8,7 @@
 import { splitBodies } from "../src/jobs/jobBodies";
 import { JobBodyCache } from "../src/jobs/jobBodyCache";
 import { JobRunner, type JobRunnerDependencies } from "../src/jobs/jobRunner";
-import type { JobManifest, JobStore } from "../src/jobs/jobStore";
+import type { JobItem, JobManifest, JobStore } from "../src/jobs/jobStore";
 
 const JOBS = 40;
 const ITEMS = 10;
@@ -129,9 +129,9 @@
         const cache = new JobBodyCache(store, 4 * ITEMS * BODY_BYTES);
         const manifests = [0, 1, 2].map(job => newManifest(job));
         const reads = manifests.flatMap((manifest, job) =>
-            manifest.items.map(async ({ itemId }, item) => {
-                const body = await cache.get(manifest, itemId, true);
-                return body._unsafeUnwrap() === newBody(job, item);
+            manifest.items.map(async (item, index) => {
+                const body = (await cache.getContent(manifest, item, true)).map(content => content?.bodyBase64);
+                return body._unsafeUnwrap() === newBody(job, index);
             })
         );
         expect(new Set(await Promise.all(reads))).toEqual(new Set([true]));
@@ -147,12 +147,13 @@
         const manifest = newManifest(0);
         store.isDown = true;
         for (let attempt = 0; attempt < 20; attempt += 1) {
-            expect((await cache.get(manifest, "item-0", true)).isErr()).toBe(true);
+            expect((await cache.getContent(manifest, manifest.items[0] as JobItem, true)).isErr()).toBe(true);
         }
         expect(store.reads).toBeLessThan(5);
         store.isDown = false;
         await sleep(600);
-        expect((await cache.get(manifest, "item-0", true))._unsafeUnwrap()).toBe(newBody(0, 0));
+        expect((await cache.getContent(manifest, manifest.items[0] as JobItem, true))._unsafeUnwrap()?.bodyBase64)
+            .toBe(newBody(0, 0));
     });
 
     it.each([{ firstParts: "named" }, { firstParts: "not named, as in earlier releases" }])(
@@ -163,7 +164,8 @@
             const read = { ...manifest, firstParts: firstParts === "named" ? manifest.firstParts : undefined };
             expect(manifest.bodyParts).toBeGreaterThan(2);
             for (let item = ITEMS - 1; item >= 0; item -= 1) {
-                expect((await cache.get(read, `item-${item}`, false))._unsafeUnwrap() === newBody(7, item)).toBe(true);
+                const content = await cache.getContent(read, read.items[item] as JobItem, false);
+                expect(content._unsafeUnwrap()?.bodyBase64 === newBody(7, item)).toBe(true);
             }
             expect(cache.sizeBytes).toBe(0);
         },
--- a/packages/gateway/tests/preemptedItems.test.ts
+++ b/packages/gateway/tests/preemptedItems.test.ts
@@ -57,7 +57,7 @@
             durationEstimator: new ItemDurationEstimator(),
             placementQueue: new ItemPlacementQueue(),
             findRoute: () => route as unknown as Route,
-            getBody: () => Promise.resolve(Buffer.from("body")),
+            getContent: () => Promise.resolve({ path: "/", headers: {}, bodyBase64: "Ym9keQ==" }),
             mayRun: () => true,
             onRunEnded: () => undefined,
         },
