Finish an item whose answers have no event

What callers would see (LOST): an item that endpoints answer soundly, but without a single event, never ended: each whole answer counted as broken off, and the item ran again, up to every 1.6 s, for good; its endpoints were blamed for it. Found by reading.

Cause: the number of events stood for whether an answer is whole. It is there for answers that end with their connection, which may have been cut off before the first event, and for faulty endpoints.

Now three whole answers (with a length or chunks) without an event complete the item with an empty output. One alone doesn't, as a faulty endpoint may send it; an answer that ends with its connection never does.

Test first: brokenOffResponses.test.ts, "is completed with no output once several agree" red before (timeout of 8 s), green after; the two cases beside it (one faulty answer; answers that may be cut) are green on both. resumedStreams.test.ts: 42 of 42.

--- a/packages/gateway/src/jobs/itemRun.ts
+++ b/packages/gateway/src/jobs/itemRun.ts
@@ -47,6 +47,8 @@
  */
 const SILENCE_TIMEOUT_MS = 2_500;
 const MAX_SILENCE_DOUBLINGS = 2;
+/** Whole answers without an event that show that an item has no output; a faulty endpoint may send one. */
+const MIN_EMPTY_ANSWERS = 3;
 const STATUS_UNPROCESSABLE = 422;
 const STATUS_INTERNAL_ERROR = 500;
 
@@ -131,6 +133,8 @@
     private failures: number;
     /** Consecutive runs that broke before they produced anything. */
     private emptyRuns = 0;
+    /** Whole answers without an event, if no answer had one. */
+    private emptyAnswers = 0;
     /** Runs that were aborted since nothing arrived, since the last one that produced something. */
     private silentRuns = 0;
     /** Whether a run was refused. A faulty endpoint may send the refusal again, with the same id, on its connection. */
@@ -419,7 +423,15 @@
             this.lastResponseEnd = endObserver.responseEnd;
         }
         const isWhole = endObserver.isComplete && !parser.isInsideEvent;
-        return isWhole && this.data.length > 0 && continuation.findEndFault(response) === undefined;
+        return isWhole && continuation.findEndFault(response) === undefined
+            && (this.data.length > 0 || this.hasNoOutput(endObserver.responseEnd));
+    }
+
+    /** Whether a whole answer without an event shows that the item has no output. */
+    private hasNoOutput({ framing }: ResponseEnd): boolean {
+        // An answer that ends with its connection may have been cut off.
+        this.emptyAnswers += framing === "connection" ? 0 : 1;
+        return this.emptyAnswers >= MIN_EMPTY_ANSWERS;
     }
 }
 
--- a/packages/gateway/tests/brokenOffResponses.test.ts
+++ b/packages/gateway/tests/brokenOffResponses.test.ts
@@ -1,6 +1,6 @@
 import type { HeldPlace, PlacementClient, Route } from "@heatherline/fleet";
 import net from "node:net";
-import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { afterEach, describe, expect, it } from "vitest";
 import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
 import { readFullBody } from "../src/endpoints/bodyReader";
 import { EndpointClient, type EndpointRequest, type EndpointResponse } from "../src/endpoints/endpointClient";
@@ -249,49 +249,45 @@
     });
 });
 
-describe("a batch item whose stream was broken off continues after its last event", () => {
-    const route = { kind: "batch", targets: [{ service: "lm", weight: 1 }], retentionMs: 60_000, maxAttempts: 3 };
-    let preemptController: AbortController;
+const ITEM_ROUTE = { kind: "batch", targets: [{ service: "lm", weight: 1 }], retentionMs: 60_000, maxAttempts: 3 };
+let preemptController: AbortController;
 
-    beforeEach(() => {
+function newItemRun(onRun: () => void): ItemRun {
+    const place = {
+        placeId: "p",
+        endpoint: newTestEndpoint({ port: server.port }),
+        givenBy: "coordinator",
+        expectedWaitMs: 0,
+        reportSilence: () => undefined,
+        reportCrash: () => undefined,
+        release: () => undefined,
+    };
+    const requestPlace = () => {
         preemptController = new AbortController();
-    });
-
-    function newItemRun(onRun: () => void): ItemRun {
-        const place = {
-            placeId: "p",
-            endpoint: newTestEndpoint({ port: server.port }),
-            givenBy: "coordinator",
-            expectedWaitMs: 0,
-            reportSilence: () => undefined,
-            reportCrash: () => undefined,
-            release: () => undefined,
-        };
-        const requestPlace = () => {
-            preemptController = new AbortController();
-            onRun();
-            const heldPlace: HeldPlace = { ...place, givenBy: "coordinator", preemptSignal: preemptController.signal };
-            return Promise.resolve({ kind: "placed", place: heldPlace });
-        };
-        return new ItemRun(
-            { jobId: "j", organisation: "o", host: "h", submittedAt: Date.now() },
-            { itemId: "i", path: "/", headers: {}, tokens: 1 } as never,
-            {
-                placement: { requestPlace } as unknown as PlacementClient,
-                endpoints: new EndpointClient(wire),
-                wire,
-                durationEstimator: new ItemDurationEstimator(),
-                placementQueue: new ItemPlacementQueue(),
-                findRoute: () => route as unknown as Route,
-                getContent: () => Promise.resolve({ path: "/", headers: {}, bodyBase64: "Ym9keQ==" }),
-                mayRun: () => true,
-                onRunEnded: () => undefined,
-            },
-            new AbortController().signal,
-            undefined,
-        );
-    }
+        onRun();
+        const heldPlace: HeldPlace = { ...place, givenBy: "coordinator", preemptSignal: preemptController.signal };
+        return Promise.resolve({ kind: "placed", place: heldPlace });
+    };
+    return new ItemRun(
+        { jobId: "j", organisation: "o", host: "h", submittedAt: Date.now() },
+        { itemId: "i", path: "/", headers: {}, tokens: 1 } as never,
+        {
+            placement: { requestPlace } as unknown as PlacementClient,
+            endpoints: new EndpointClient(wire),
+            wire,
+            durationEstimator: new ItemDurationEstimator(),
+            placementQueue: new ItemPlacementQueue(),
+            findRoute: () => ITEM_ROUTE as unknown as Route,
+            getContent: () => Promise.resolve({ path: "/", headers: {}, bodyBase64: "Ym9keQ==" }),
+            mayRun: () => true,
+            onRunEnded: () => undefined,
+        },
+        new AbortController().signal,
+        undefined,
+    );
+}
 
+describe("a batch item whose stream was broken off continues after its last event", () => {
     it.each(
         [
             { what: "closed inside an event", body: EVENTS + HALF_EVENT, ending: "close" },
@@ -315,3 +311,21 @@
         expect(server.requests[1]).toContain("Last-Event-Id: 1");
     });
 });
+
+// Guards against an accepted item that never ends, since endpoints answer it soundly without a single event.
+describe("a batch item whose answers have no event", () => {
+    const chunked = `${newHead("chunked")}0\r\n\r\n`;
+    const withLength = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    const cut = newHead("connection");
+    const whole = `${newHead("connection")}id: 0\ndata: a\n\n`;
+    it.each([
+        { what: "is completed with no output once several agree", texts: [chunked, withLength, chunked], output: "" },
+        { what: "has the output of a later answer if one was faulty", texts: [chunked, chunked, whole], output: "a" },
+        { what: "goes on if they may have been cut off", texts: [cut, cut, cut, chunked, whole], output: "a" },
+    ])("$what", async ({ texts, output }) => {
+        server = new ScriptedServer(texts.map(text => ({ text, ending: "close" })));
+        await server.start();
+        expect(await newItemRun(() => undefined).run()).toEqual({ itemId: "i", state: "completed", output });
+        expect(server.requests.length).toBe(texts.length);
+    }, 8_000);
+});
