Start no items while results that wait for the store take much memory

What callers would see (LOST): while the store is down, items go on to run and their results wait in memory, with no limit but that of the accepted jobs; a process that runs out of memory for it ends, and with it all that it holds: streams, requests, results.

Cause: the number of items in work (256 a route) stood for what their results take. Now no run of an item starts while the waiting results of an instance take more than 16 MB or a tenth of its heap; runs in work end, and their items wait as they do while the knowledge of jobs is old. Online requests are not affected.

Test first: jobMemory.test.ts, "keep further items from running ..." red before (8 place requests beside 30 MB of waiting results), green after; with 30 kB of results items run as before.

--- a/packages/gateway/src/jobs/jobRun.ts
+++ b/packages/gateway/src/jobs/jobRun.ts
@@ -8,6 +8,7 @@
 import { PublishedResults } from "./publishedResults";
 import { ChunkPlanner } from "./resultChunks";
 import type { RunnerClaim } from "./runnerClaim";
+import { UnwrittenResults } from "./unwrittenResults";
 
 /** Results that arrive within this time are written to the store in one chunk. */
 const WRITE_DELAY_MS = 600;
@@ -57,7 +58,7 @@
     private readonly stopping = new AbortController();
     private readonly published: PublishedResults;
     private readonly tokensByItem: Map<string, number>;
-    private unwrittenResults: ItemResult[] = [];
+    private readonly unwritten: UnwrittenResults;
     private readonly planner = new ChunkPlanner();
     private isWriting = false;
     private hasLoaded = false;
@@ -102,7 +103,7 @@
             this.expectOtherWriter();
         }
         this.handedOverStates = new Map(handover?.items.map(state => [state.itemId, state]));
-        this.unwrittenResults = [...handover?.finished ?? []];
+        this.unwritten = new UnwrittenResults(handover?.finished ?? []);
         // Every running item adds a listener, so there is no fixed limit.
         setMaxListeners(0, this.stopping.signal);
         this.hasLoaded = isNew;
@@ -124,6 +125,11 @@
         return this.published.sizeBytes;
     }
 
+    /** Size of the results that wait to be written. */
+    get unwrittenBytes(): number {
+        return this.unwritten.sizeBytes;
+    }
+
     /** Whether this instance has stopped running the job. */
     get isStopped(): boolean {
         return this.stopping.signal.aborted;
@@ -153,7 +159,7 @@
     /** @returns The job's progress, including results that are not written yet. */
     getProgress(): JobProgress {
         let finishedTokens = 0;
-        for (const { itemId } of [...this.published, ...this.unwrittenResults]) {
+        for (const { itemId } of [...this.published, ...this.unwritten]) {
             finishedTokens += this.tokensByItem.get(itemId) ?? 0;
         }
         return { jobId: this.manifest.jobId, finishedTokens, handedOverBy: this.handover?.by ?? "" };
@@ -176,8 +182,8 @@
             items: this.manifest.items.length,
             listed: this.published.count,
         });
-        this.unwrittenResults = this.unwrittenResults.filter(({ itemId }) => !this.published.has(itemId));
-        const unwrittenIds = new Set(this.unwrittenResults.map(({ itemId }) => itemId));
+        this.unwritten.dropWritten(itemId => this.published.has(itemId));
+        const unwrittenIds = new Set(this.unwritten.all.map(({ itemId }) => itemId));
         void this.writeResults();
         for (const item of this.manifest.items) {
             if (!this.published.has(item.itemId) && !unwrittenIds.has(item.itemId)) {
@@ -212,7 +218,7 @@
             jobId,
             by,
             items: [...this.itemRuns.values()].map(run => run.getState()),
-            finished: this.unwrittenResults,
+            finished: this.unwritten.all,
         };
     }
 
@@ -331,7 +337,7 @@
         const result = await run.run();
         if (result !== undefined) {
             this.itemRuns.delete(item.itemId);
-            this.unwrittenResults.push(result);
+            this.unwritten.add(result);
             void this.writeResults();
         }
     }
@@ -341,15 +347,15 @@
             return;
         }
         this.isWriting = true;
-        while (this.unwrittenResults.length > 0 && !this.isStopped) {
+        while (this.unwritten.count > 0 && !this.isStopped) {
             const isWritable = this.hasAllResults() || this.planner.isInsideResult;
             await sleep(isWritable ? 0 : WRITE_DELAY_MS, this.stopping.signal);
             await this.waitForConfirmation();
-            this.unwrittenResults = this.unwrittenResults.filter(({ itemId }) => !this.published.has(itemId));
-            if (this.unwrittenResults.length === 0 || this.isStopped) {
+            this.unwritten.dropWritten(itemId => this.published.has(itemId));
+            if (this.unwritten.count === 0 || this.isStopped) {
                 break;
             }
-            const content = this.planner.getNext(this.unwrittenResults);
+            const content = this.planner.getNext(this.unwritten.all);
             const { store } = this.deps;
             const { jobId } = this.manifest;
             const index = this.published.chunkCount;
@@ -381,7 +387,7 @@
             if (index === this.published.chunkCount) {
                 this.published.addChunk({ results, piece });
             }
-            this.unwrittenResults = this.unwrittenResults.filter(({ itemId }) => !this.published.has(itemId));
+            this.unwritten.dropWritten(itemId => this.published.has(itemId));
         }
         this.isWriting = false;
         await this.closeIfFinished();
@@ -399,7 +405,7 @@
     }
 
     private hasAllResults(): boolean {
-        return this.published.count + this.unwrittenResults.length >= this.manifest.items.length;
+        return this.published.count + this.unwritten.count >= this.manifest.items.length;
     }
 
     private async closeIfFinished(): Promise<void> {
--- a/packages/gateway/src/jobs/jobRunner.ts
+++ b/packages/gateway/src/jobs/jobRunner.ts
@@ -8,6 +8,7 @@
     type RpcCaller,
     type Timestamp,
 } from "@heatherline/fleet";
+import { getHeapStatistics } from "node:v8";
 import PQueue from "p-queue";
 import type { EndpointSender } from "../endpoints/endpointClient";
 import type { GatewayMetrics } from "../metrics";
@@ -26,6 +27,10 @@
 const MAX_CONCURRENT_ITEMS = 256;
 /** Memory for results of finished jobs, kept to save reads of the store. */
 const MAX_CACHED_RESULT_BYTES = 16_000_000;
+/** No item starts while the results that wait to be written take more, as while the store is down for long. */
+const MAX_UNWRITTEN_BYTES = 16_000_000;
+/** Fraction of the heap that these results may take. */
+const MAX_UNWRITTEN_HEAP_FRACTION = 0.1;
 const HANDOVER_TIMEOUT_MS = 500;
 const MAX_HANDOVER_ATTEMPTS = 4;
 
@@ -56,6 +61,10 @@
     private readonly queuesByRoute = new Map<string, PQueue>();
     private readonly placementQueue = new ItemPlacementQueue();
     private readonly durationEstimator = new ItemDurationEstimator();
+    private readonly maxUnwrittenBytes = Math.min(
+        MAX_UNWRITTEN_BYTES,
+        getHeapStatistics().heap_size_limit * MAX_UNWRITTEN_HEAP_FRACTION,
+    );
     private isStopping = false;
     /** Bodies of the items of this instance's jobs; those of other jobs can be read, too. */
     readonly bodies: JobBodyCache;
@@ -263,7 +272,7 @@
             placementQueue: this.placementQueue,
             findRoute: () => findJobRoute(deps.view, manifest, item),
             getContent: async () => (await this.bodies.getContent(manifest, item, true)).unwrapOr(undefined),
-            mayRun: () => !this.isStopping && deps.isJobStateFresh(),
+            mayRun: () => !this.isStopping && deps.isJobStateFresh() && this.hasRoomForResults(),
             onRunEnded: ({ itemId }, end, detail) => {
                 deps.metrics.recordItemRun(end);
                 deps.logger.info({ event: "item-run", job: manifest.jobId, item: itemId, end, ...detail });
@@ -271,6 +280,14 @@
         };
     }
 
+    private hasRoomForResults(): boolean {
+        let unwrittenBytes = 0;
+        for (const { isStopped, unwrittenBytes: jobBytes } of this.runs.values()) {
+            unwrittenBytes += isStopped ? 0 : jobBytes;
+        }
+        return unwrittenBytes <= this.maxUnwrittenBytes;
+    }
+
     /** Drops stopped jobs and the oldest finished ones; their results are in the store, so memory only saves reads. */
     private evictOldRuns(): void {
         const endedRuns = [...this.runs.values()].filter(run => run.isStopped || run.isFinished);
--- a/packages/gateway/tests/jobMemory.test.ts
+++ b/packages/gateway/tests/jobMemory.test.ts
@@ -77,6 +77,7 @@
     }
 
     async writeChunk() {
+        await vi.waitUntil(() => !this.isDown, { timeout: 10_000 });
         return { kind: "written" };
     }
 
@@ -85,14 +86,14 @@
     }
 }
 
-function newRunner(store: FakeStore): JobRunner {
+function newRunner(store: FakeStore, requestPlace = () => new Promise(() => undefined)): JobRunner {
     const route = { name: "jobs", host: "api", pathPrefix: "/jobs/", kind: "batch", retentionMs: 60_000 };
     const targets: Route["targets"] = [{ service: "digests", weight: 1 }];
     const config = { version: 1, routes: [{ ...route, targets, maxAttempts: 3 }], services: [] };
     return new JobRunner({
         store: store as unknown as JobStore,
         logger: newLogger("test", "fatal"),
-        placement: { requestPlace: () => new Promise(() => undefined) },
+        placement: { requestPlace },
         view: { routes: new RouteTable(config as unknown as RoutingConfig), getConfigAgeMs: () => 0 },
         isJobStateFresh: () => true,
     } as unknown as JobRunnerDependencies);
@@ -184,3 +185,29 @@
         expect(cache.sizeBytes).toBeLessThan(2 * ITEMS * BODY_BYTES);
     });
 });
+
+// Guards against a process that runs out of memory while the store is down, since results wait without a limit.
+describe("results that wait while the store is down", () => {
+    it.each([
+        { what: "keep further items from running while they take much memory", outputBytes: 3_000_000, requests: 0 },
+        { what: "keep no items from running while they take little", outputBytes: 3_000, requests: 8 },
+    ])("$what, until they are written", async ({ outputBytes, requests }) => {
+        const store = new FakeStore();
+        store.isDown = true;
+        const requestPlace = vi.fn(() => new Promise(() => undefined));
+        const runner = newRunner(store, requestPlace);
+        const [waiting, next] = [0, 1].map(job => newManifest(job)) as [JobManifest, JobManifest];
+        const finished = waiting.items.map(({ itemId }) => ({
+            itemId,
+            state: "completed" as const,
+            output: `${itemId}: `.padEnd(outputBytes, "output "),
+        }));
+        runner.add(waiting, [], { jobId: waiting.jobId, by: "", items: [], finished });
+        runner.add(next, newStoredBodies(1).parts);
+        await sleep(1_000);
+        expect(requestPlace).toHaveBeenCalledTimes(requests);
+        store.isDown = false;
+        await vi.waitFor(() => expect(requestPlace.mock.calls.length).toBe(8), { timeout: 5_000 });
+        runner.getActiveJobIds().forEach(jobId => runner.cancel(jobId));
+    });
+});
