Bound by bytes what is kept of jobs in memory

What callers would see (LOST): a process that runs out of memory ends with all that it holds. An instance kept up to 1,000 jobs that it had created and 500 whose results it had read, whatever their size, and evicted finished jobs by the size of their results alone: a job of 200 items with long headers took up to a megabyte each.

Cause: a number of jobs stood for what they take. Now all three are bounded by bytes (8, 8 and 16 MB, the last one together with results). A job that is dropped sooner costs a read of the store when it is closed or read.

--- a/packages/gateway/src/jobs/jobReader.ts
+++ b/packages/gateway/src/jobs/jobReader.ts
@@ -7,7 +7,7 @@
 import type { ItemResult, ResultsPage } from "../wireCodec";
 import type { JobRun } from "./jobRun";
 import type { JobRunner } from "./jobRunner";
-import type { JobManifest, JobStore, ResultChunk } from "./jobStore";
+import { getManifestBytes, type JobManifest, type JobStore, type ResultChunk } from "./jobStore";
 import { newPage } from "./publishedResults";
 import { ChunkReader, getResultBytes } from "./resultChunks";
 import type { RunnerClaim } from "./runnerClaim";
@@ -28,7 +28,9 @@
  * soon after they were read at one.
  */
 const MAX_EMPTY_READ_MS = 800;
-const MAX_CACHED_JOBS = 500;
+/** Jobs whose runner is remembered. */
+const MAX_KNOWN_RUNNERS = 500;
+const MAX_CACHED_JOB_BYTES = 8_000_000;
 const MAX_CACHED_CHUNK_BYTES = 8_000_000;
 
 /** Asks another instance for results of a job. */
@@ -62,9 +64,12 @@
 /** Reads results of jobs: from the instance that runs the job if there is one, otherwise from the store. */
 export class JobReader {
     private readonly runners = new LRUCache<string, { readonly member: MemberEntry; readonly foundAtMs: number; }>({
-        max: MAX_CACHED_JOBS,
+        max: MAX_KNOWN_RUNNERS,
+    });
+    private readonly manifests = new LRUCache<string, JobManifest>({
+        maxSize: MAX_CACHED_JOB_BYTES,
+        sizeCalculation: manifest => getManifestBytes(manifest),
     });
-    private readonly manifests = new LRUCache<string, JobManifest>({ max: MAX_CACHED_JOBS });
     private readonly chunks = new LRUCache<string, ResultChunk>({
         maxSize: MAX_CACHED_CHUNK_BYTES,
         sizeCalculation: getSizeBytes,
--- a/packages/gateway/src/jobs/jobRunner.ts
+++ b/packages/gateway/src/jobs/jobRunner.ts
@@ -20,13 +20,13 @@
 import { JobBodyCache } from "./jobBodyCache";
 import { findJobRoute } from "./jobRoute";
 import { type JobHandover, JobRun } from "./jobRun";
-import type { JobItem, JobManifest, JobStore } from "./jobStore";
+import { getManifestBytes, type JobItem, type JobManifest, type JobStore } from "./jobStore";
 import type { RunnerClaim } from "./runnerClaim";
 
 /** Items of an instance and a route that run or wait for a place; a waiting one costs little memory. */
 const MAX_CONCURRENT_ITEMS = 256;
-/** Memory for results of finished jobs, kept to save reads of the store. */
-const MAX_CACHED_RESULT_BYTES = 16_000_000;
+/** Memory for finished jobs with their results, kept to save reads of the store. */
+const MAX_CACHED_JOB_BYTES = 16_000_000;
 /** No item starts while the results that wait to be written take more, as while the store is down for long. */
 const MAX_UNWRITTEN_BYTES = 16_000_000;
 /** Fraction of the heap that these results may take. */
@@ -293,8 +293,8 @@
         const endedRuns = [...this.runs.values()].filter(run => run.isStopped || run.isFinished);
         let cachedBytes = 0;
         for (const run of endedRuns.reverse()) {
-            cachedBytes += run.publishedBytes;
-            if (run.isStopped || cachedBytes > MAX_CACHED_RESULT_BYTES) {
+            cachedBytes += run.publishedBytes + getManifestBytes(run.manifest);
+            if (run.isStopped || cachedBytes > MAX_CACHED_JOB_BYTES) {
                 this.runs.delete(run.manifest.jobId);
             }
         }
--- a/packages/gateway/src/jobs/jobStore.ts
+++ b/packages/gateway/src/jobs/jobStore.ts
@@ -20,8 +20,8 @@
 /** Each failure doubles the delay before the next try, up to this one. */
 const MAX_RETRY_DELAY_MS = 1_000;
 const MAX_CLOSE_ATTEMPTS = 6;
-/** Jobs created by this instance whose object version is remembered. */
-const MAX_CREATED_JOBS = 1_000;
+/** Memory for jobs created by this instance whose object version is remembered. */
+const MAX_CREATED_JOB_BYTES = 8_000_000;
 
 /** A batch item without its body. */
 export type JobItem = Omit<SubmittedItem, "bodyBase64">;
@@ -72,7 +72,8 @@
 export class JobStore {
     /** Jobs that this instance created and has not closed, with their versions, so that closing needs no read. */
     private readonly createdJobs = new LRUCache<string, { readonly manifest: JobManifest; readonly version: number; }>({
-        max: MAX_CREATED_JOBS,
+        maxSize: MAX_CREATED_JOB_BYTES,
+        sizeCalculation: ({ manifest }) => getManifestBytes(manifest),
     });
 
     /**
@@ -330,12 +331,24 @@
     return manifests.get(object);
 }
 
+const manifestSizes = new WeakMap<JobManifest, number>();
+
+/**
+ * @param manifest - A job; jobs never change.
+ * @returns Its size as JSON in UTF-8.
+ */
+export function getManifestBytes(manifest: JobManifest): number {
+    const sizeBytes = manifestSizes.get(manifest) ?? Buffer.byteLength(JSON.stringify(manifest));
+    manifestSizes.set(manifest, sizeBytes);
+    return sizeBytes;
+}
+
 /**
  * @param manifest - A job.
  * @returns Why the store can't keep the job, or `undefined` if it can.
  */
 export function findSizeFault(manifest: JobManifest): string | undefined {
-    const sizeBytes = Buffer.byteLength(JSON.stringify(manifest));
+    const sizeBytes = getManifestBytes(manifest);
     const maxBytes = MAX_VALUE_BYTES - OBJECT_MARGIN_BYTES;
     return sizeBytes <= maxBytes
         ? undefined
--- a/packages/gateway/src/jobs/newJob.ts
+++ b/packages/gateway/src/jobs/newJob.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { SubmittedItem } from "../wireCodec";
 import { type BodyPart, encodeContent, splitBodies } from "./jobBodies";
-import { findSizeFault, type JobManifest } from "./jobStore";
+import { findSizeFault, getManifestBytes, type JobManifest } from "./jobStore";
 
 /** All instances read the objects of all jobs, so that paths and headers that make one larger are stored apart. */
 const MAX_MANIFEST_BYTES = 131_072;
@@ -24,8 +24,9 @@
  */
 export function newJob(head: JobHead, items: readonly SubmittedItem[]): Result<NewJob, string> {
     const jobWithBodies = newJobWithBodies(head, items);
-    const manifestBytes = Buffer.byteLength(JSON.stringify(jobWithBodies.manifest));
-    const job = manifestBytes <= MAX_MANIFEST_BYTES ? jobWithBodies : newJobWithContents(head, items);
+    const job = getManifestBytes(jobWithBodies.manifest) <= MAX_MANIFEST_BYTES
+        ? jobWithBodies
+        : newJobWithContents(head, items);
     const sizeFault = findSizeFault(job.manifest);
     return sizeFault === undefined ? ok(job) : err(sizeFault);
 }
--- a/packages/gateway/tests/jobMemory.test.ts
+++ b/packages/gateway/tests/jobMemory.test.ts
@@ -1,14 +1,15 @@
 import { newLogger, sleep } from "@heatherline/common";
 import { type Route, RouteTable, type RoutingConfig } from "@heatherline/fleet";
-import { StoreError } from "@heatherline/store";
+import { type ObjectStore, StoreError } from "@heatherline/store";
 import { err, ok } from "neverthrow";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import { describe, expect, it, vi } from "vitest";
 import { splitBodies } from "../src/jobs/jobBodies";
 import { JobBodyCache } from "../src/jobs/jobBodyCache";
+import { JobReader, type JobReaderDependencies } from "../src/jobs/jobReader";
 import { JobRunner, type JobRunnerDependencies } from "../src/jobs/jobRunner";
-import type { JobItem, JobManifest, JobStore } from "../src/jobs/jobStore";
+import { type JobItem, type JobManifest, JobStore } from "../src/jobs/jobStore";
 
 const JOBS = 40;
 const ITEMS = 10;
@@ -211,3 +212,74 @@
         runner.getActiveJobIds().forEach(jobId => runner.cancel(jobId));
     });
 });
+
+// Guards against a process that runs out of memory since it keeps a number of jobs, however large they are.
+describe("what is kept of jobs in memory", () => {
+    const LARGE_JOBS = 600;
+    /** Of the items of a job, besides their bodies. */
+    const HEADER_BYTES = 100_000;
+    const MAX_KEPT_HEAP_BYTES = 30_000_000;
+
+    function newLargeManifest(job: number): JobManifest {
+        const manifest = newManifest(job, { parts: [{}], firstParts: [] });
+        const newHeader = (itemId: string) =>
+            Buffer.alloc(HEADER_BYTES / ITEMS, `${job}/${itemId};`).toString("latin1");
+        const items = manifest.items.map(item => ({ ...item, headers: { Model: newHeader(item.itemId) } }));
+        return { ...manifest, items };
+    }
+
+    const objects = {
+        put: async () => ok(1),
+        get: async (path: string) => {
+            const manifest = newLargeManifest(Number(path.split("/")[1]));
+            return ok({ path, version: 1, value: { ...manifest } });
+        },
+    } as unknown as ObjectStore;
+
+    it.each([
+        {
+            what: "of jobs that were created here",
+            keep: async () => {
+                const store = new JobStore(objects, newLogger("test", "fatal"));
+                for (let job = 0; job < LARGE_JOBS; job += 1) {
+                    await store.create(newLargeManifest(job), [], Infinity);
+                }
+                return store;
+            },
+        },
+        {
+            what: "of jobs whose results are read here",
+            keep: async () => {
+                const store = new JobStore(objects, newLogger("test", "fatal"));
+                const runner = { getReadableRun: () => undefined };
+                const reader = new JobReader({ store, runner } as unknown as JobReaderDependencies);
+                for (let job = 0; job < LARGE_JOBS; job += 1) {
+                    await reader.readManifest(String(job));
+                }
+                return reader;
+            },
+        },
+        {
+            what: "of jobs that have finished here",
+            keep: async () => {
+                const runner = newRunner(new FakeStore());
+                for (let job = 0; job < LARGE_JOBS; job += 1) {
+                    const manifest = newLargeManifest(job);
+                    const finished = manifest.items.map(({ itemId }) => ({
+                        itemId,
+                        state: "dead" as const,
+                        output: "",
+                    }));
+                    runner.add(manifest, [], { jobId: manifest.jobId, by: "", items: [], finished });
+                }
+                await vi.waitFor(() => expect(runner.getActiveJobIds()).toEqual([]), { timeout: 10_000 });
+                return runner;
+            },
+        },
+    ])("takes a limited amount, however large they are: $what", async ({ keep }) => {
+        const startBytes = await getHeapBytes();
+        const keeper = await keep();
+        expect(await getHeapBytes() - startBytes).toBeLessThan(MAX_KEPT_HEAP_BYTES);
+        expect(keeper).toBeDefined();
+    });
+});
