Bound by bytes what instances report and hand over in one message

A first report to a coordinator holds up to 64 crashes and 120,000 streams, whatever the length of their parts and ids; one that was larger was refused each time, and its instance never came into contact. A job that was handed over at a planned stop while its results waited for the store was refused by all instances in the same way, and all its items ran again.

Cause: numbers of crashes, streams and results stood for their bytes. Now a report holds the newest crashes and the streams that fit into 1 MB each, and a handover 3 MB of results, then of progress; other items run again.

--- a/packages/gateway/src/fleet/syncMessages.ts
+++ b/packages/gateway/src/fleet/syncMessages.ts
@@ -1,15 +1,25 @@
+import type { EndpointCrash } from "@heatherline/common";
 import type {
     CoordinatorLease,
     FleetView,
     MemberEntry,
     PlacementClient,
     StateFeed,
+    StreamOriginReport,
     SyncReply,
     SyncReport,
     SyncRequest,
     TakeoverPromise,
 } from "@heatherline/fleet";
 import type { JobRunner } from "../jobs/jobRunner";
+import { takeFitting } from "../objectSize";
+import { PendingStreams } from "./pendingStreams";
+
+/**
+ * Limit of the crash reports, and of the streams, in one message, which keep it far below the largest one that an instance
+ * accepts: an instance whose first report is refused would never be in contact.
+ */
+const MAX_REPORT_BYTES = 1_000_000;
 
 /** A sync reply with updates. */
 export type SyncNews = Extract<SyncReply, { kind: "news"; }>;
@@ -52,9 +62,9 @@
             member: self,
             known: view.getRevisions(),
             places: isFull ? placement.getPlaces() : undefined,
-            crashes: isFull ? placement.getRecentCrashes() : undefined,
+            crashes: isFull ? this.getCrashes() : undefined,
             limits: isFull ? placement.statements.getLimits() : undefined,
-            streams: report === "first" ? placement.getStreams() : undefined,
+            streams: report === "first" ? this.getStreams() : undefined,
             jobs: runner.getProgress(),
             isStoreFailing: feed.isStoreFailing,
             storeCheck: feed.storeCheck,
@@ -63,6 +73,18 @@
         };
     }
 
+    /** The newest crashes are the most important ones. */
+    private getCrashes(): EndpointCrash[] {
+        const newestFirst = this.deps.placement.getRecentCrashes().reverse();
+        return takeFitting(newestFirst, MAX_REPORT_BYTES).reverse();
+    }
+
+    private getStreams(): StreamOriginReport[] {
+        const streams = new PendingStreams();
+        this.deps.placement.getStreams().forEach(report => streams.add(report));
+        return streams.take(MAX_REPORT_BYTES);
+    }
+
     /**
      * @param reply - The coordinator's reply.
      * @param transitMs - Longest time that it may have been in transit.
--- a/packages/gateway/src/jobs/jobRun.ts
+++ b/packages/gateway/src/jobs/jobRun.ts
@@ -2,17 +2,20 @@
 import type { JobProgress, Timestamp } from "@heatherline/fleet";
 import { setMaxListeners } from "node:events";
 import type PQueue from "p-queue";
+import { takeFitting } from "../objectSize";
 import type { ItemResult, ResultsPage } from "../wireCodec";
 import { type ItemJob, ItemRun, type ItemRunDependencies, type ItemState } from "./itemRun";
 import type { JobItem, JobManifest, JobStore } from "./jobStore";
 import { PublishedResults } from "./publishedResults";
-import { ChunkPlanner } from "./resultChunks";
+import { ChunkPlanner, getResultBytes } from "./resultChunks";
 import type { RunnerClaim } from "./runnerClaim";
 import { UnwrittenResults } from "./unwrittenResults";
 
 /** Results that arrive within this time are written to the store in one chunk. */
 const WRITE_DELAY_MS = 600;
 const RETRY_DELAY_MS = 300;
+/** Limit of the progress that is handed over, which keeps the message below the largest one that an instance accepts. */
+const MAX_HANDOVER_BYTES = 3_000_000;
 /** Delay after a chunk that the store doesn't accept although it is as small as can be. */
 const REJECTED_DELAY_MS = 1_000;
 /** How often a run that needs a confirmation before it writes checks whether there is one. */
@@ -210,16 +213,14 @@
 
     /**
      * @param by - Id of this instance, which hands the job over.
-     * @returns The job's progress beyond what the store has.
+     * @returns The job's progress beyond what the store has, as far as one message holds it; other items run again.
      */
     getHandover(by: string): JobHandover {
         const { jobId } = this.manifest;
-        return {
-            jobId,
-            by,
-            items: [...this.itemRuns.values()].map(run => run.getState()),
-            finished: this.unwritten.all,
-        };
+        const finished = takeFitting(this.unwritten.all, MAX_HANDOVER_BYTES);
+        const leftBytes = MAX_HANDOVER_BYTES - finished.reduce((sum, result) => sum + getResultBytes(result), 0);
+        const items = takeFitting([...this.itemRuns.values()].map(run => run.getState()), leftBytes);
+        return { jobId, by, items, finished };
     }
 
     /**
