Keep a connection open as long as its latest response has announced

What callers saw: a response announces in Keep-Alive how long its connection may stay idle. If a configuration lowered the limit before the response ended, the connection was closed after the lower one, and a caller that relied on the announcement found it closed: its next request ended with neither an answer nor a refusal.

Cause: the limit in force at the end of the response stood for the one that was announced at its beginning. Now a connection has the highest limit since its latest request arrived.

--- a/packages/common/src/idleConnections.ts
+++ b/packages/common/src/idleConnections.ts
@@ -23,7 +23,7 @@
     seenBytes: number;
     /** When more bytes were last seen. */
     bytesSeenAtMs: number;
-    /** Highest limit that has been in force since then. */
+    /** Highest limit that has been in force since it was accepted or its latest request arrived. */
     idleTimeoutMs: number;
     /** Whether there has been a request. */
     isUsed: boolean;
@@ -31,8 +31,8 @@
 
 /**
  * Closes the connections of an HTTP server that have been idle for too long. The limit may change while connections are
- * open: a higher limit holds for idle connections at once, a lower one only for those that become idle later, since
- * callers may still rely on the higher one. A connection on which a part of a request has arrived isn't idle.
+ * open: a higher limit holds for all connections at once, a lower one only after the next request, since callers may still
+ * rely on the higher one. A connection on which a part of a request has arrived isn't idle.
  */
 export class IdleConnections {
     private readonly connections = new Map<Socket, OpenConnection>();
@@ -115,11 +115,12 @@
         }
         connection.openRequests += 1;
         connection.isUsed = true;
+        // The response announces this limit, or a later one, to the caller.
+        connection.idleTimeoutMs = this.idleTimeoutMs;
         response.once("close", () => {
             connection.openRequests -= 1;
             connection.idleSinceMs = performance.now();
             connection.bytesRead = socket.bytesRead;
-            connection.idleTimeoutMs = this.idleTimeoutMs;
             if (this.isStopping()) {
                 this.closeWhere(other => other === connection);
             }
--- a/packages/gateway/tests/idleConnections.test.ts
+++ b/packages/gateway/tests/idleConnections.test.ts
@@ -49,6 +49,29 @@
         expect(caller.statuses).toEqual([200, 200]);
     });
 
+    // Guards against a connection that closes sooner than a response has announced, on the next request of its caller.
+    it("is what a response has announced, if it is lowered before the response ends", async () => {
+        harness.ingress.close();
+        harness = new IngressHarness((_, response) => {
+            response.startStream(200, []);
+            void response.write(Buffer.from("a"));
+            setTimeout(() => response.endStream(), 300);
+        });
+        await harness.listen();
+        harness.setLimits({ idleTimeoutMs: LONG_MS });
+        const caller = await harness.connect();
+        caller.send("/a");
+        await pause(100);
+        expect(caller.received).toContain("Keep-Alive: timeout=4\r\n");
+        harness.setLimits({ idleTimeoutMs: SHORT_MS });
+        await pause(IDLE_MS);
+        expect(caller.isClosed).toBe(false);
+        caller.send("/b");
+        await pause(IDLE_MS + 400);
+        expect(caller.statuses).toEqual([200, 200]);
+        expect(caller.isClosed).toBe(true);
+    });
+
     it("doesn't close a connection on which a part of a request has arrived", async () => {
         harness.setLimits({ idleTimeoutMs: SHORT_MS });
         const caller = await harness.connect();
