--- a/packages/gateway/src/jobs/itemRun.ts
+++ b/packages/gateway/src/jobs/itemRun.ts
@@ -6,7 +6,6 @@
     pickService,
     type PlacementClient,
     type RefusalReason,
-    type RequestEnd,
     type Route,
     type StreamOrigin,
 } from "@heatherline/fleet";
@@ -18,6 +17,7 @@
 import type { ItemResult, WireCodec } from "../wireCodec";
 import type { ItemDurationEstimator } from "./itemDurationEstimator";
 import type { ItemPlacementQueue } from "./itemPlacementQueue";
+import { type RunEnd, toErrorEnd, toRequestEnd } from "./itemRunEnd";
 import type { ItemContent } from "./jobBodies";
 import type { JobItem } from "./jobStore";
 
@@ -49,8 +49,6 @@
 const MAX_SILENCE_DOUBLINGS = 2;
 /** Whole answers without an event that show that an item has no output; a faulty endpoint may send one. */
 const MIN_EMPTY_ANSWERS = 3;
-const STATUS_UNPROCESSABLE = 422;
-const STATUS_INTERNAL_ERROR = 500;
 
 /** What the runs of an item depend on. */
 export interface ItemRunDependencies {
@@ -93,32 +91,6 @@
     readonly failures: number;
 }
 
-/**
- * How one run of an item ended.
- *
- * - `complete`: the item is finished.
- * - `failed`: the endpoint responded with status 500; counts towards the route's `maxAttempts`.
- * - `cannot-be-done`: the endpoint states that the item can't be processed.
- * - `called-back`: preempted, because the place is needed for other work.
- * - `unreachable`: no connection was established.
- * - `no-path`: this instance reaches no endpoint, and no other one relays the request, or the request can't be sent.
- * - `rejected`: the endpoint did not run the request.
- * - `broken`: the connection broke, or the response was unsigned or had another status than those above.
- * - `silent`: no data arrived for too long.
- * - `stopped`: no run took place, or this instance no longer runs the item.
- */
-type RunEnd =
-    | "complete"
-    | "failed"
-    | "cannot-be-done"
-    | "called-back"
-    | "unreachable"
-    | "no-path"
-    | "rejected"
-    | "broken"
-    | "silent"
-    | "stopped";
-
 /**
  * Runs one batch item until it has a result. A run that is preempted or breaks is resumed, at the same or another
  * endpoint, after the last event received.
@@ -434,38 +406,3 @@
         return this.emptyAnswers >= MIN_EMPTY_ANSWERS;
     }
 }
-
-function toErrorEnd(status: number, isNotExecuted: boolean): RunEnd {
-    if (isNotExecuted || status === 421) {
-        return "rejected";
-    }
-    if (status === STATUS_UNPROCESSABLE) {
-        return "cannot-be-done";
-    }
-    return status === STATUS_INTERNAL_ERROR ? "failed" : "broken";
-}
-
-/**
- * Translates the end of a run for the release of its place. A run that received more than one event before it broke is
- * not reported as `broken`, since it is not suspected of having crashed the endpoint. One that this side ended before the
- * first event says nothing about the endpoint, which may hang.
- */
-function toRequestEnd(end: RunEnd, events: number): RequestEnd {
-    switch (end) {
-        case "unreachable":
-        case "rejected":
-        case "silent":
-            return end;
-        case "broken":
-            return events > 1 ? "lost" : "broken";
-        case "failed":
-        case "no-path":
-            return "lost";
-        case "called-back":
-        case "stopped":
-            return events > 0 ? "done" : "lost";
-        case "complete":
-        case "cannot-be-done":
-            return "done";
-    }
-}
--- a/packages/gateway/src/online/exchangePlaces.ts
+++ b/packages/gateway/src/online/exchangePlaces.ts
@@ -11,7 +11,7 @@
 import type { Admission, AdmittedRequest } from "../callers/admission";
 import { newRefusal, type Refusal } from "../callers/refusal";
 import type { GatewayMetrics } from "../metrics";
-import type { OnlineRequest } from "./onlineHandler";
+import type { OnlineRequest } from "./onlineRequest";
 import type { AttemptEnd, RetryPolicy } from "./retryPolicy";
 
 /** With less time left, no place is requested. */
--- a/packages/gateway/src/online/onlineHandler.ts
+++ b/packages/gateway/src/online/onlineHandler.ts
@@ -1,17 +1,16 @@
 import { type Logger, type ResponseEnd, sleep } from "@heatherline/common";
 import type { HeldPlace, PlacementClient, RequestEnd } from "@heatherline/fleet";
 import type { Result } from "neverthrow";
-import type http from "node:http";
 import type { Admission, AdmittedRequest } from "../callers/admission";
-import type { CallerResponse } from "../callers/callerResponse";
 import { newRefusal, type Refusal } from "../callers/refusal";
 import { discardBody, readFullBody } from "../endpoints/bodyReader";
 import { type EndpointResponse, type EndpointSender, isNotSent, type SendFailure } from "../endpoints/endpointClient";
 import type { Fault } from "../endpoints/endpointLinks";
 import type { GatewayMetrics } from "../metrics";
-import type { CallerRequestHead, WireCodec } from "../wireCodec";
+import type { WireCodec } from "../wireCodec";
 import type { AttemptOutcome, FailureResponse } from "./attemptOutcome";
 import { ExchangePlaces, MIN_TIME_LEFT_MS } from "./exchangePlaces";
+import type { OnlineRequest } from "./onlineRequest";
 import { releasePlace } from "./placeRelease";
 import { StreamRelay } from "./responseRelay";
 import { isRetryable, RetryPolicy } from "./retryPolicy";
@@ -34,20 +33,6 @@
 /** Why a request is given up. */
 type AbortReason = "caller-gone" | "timeout" | "stopping";
 
-/** An online request with its body read. */
-export interface OnlineRequest {
-    readonly caller: CallerRequestHead;
-    readonly incoming: http.IncomingMessage;
-    readonly path: string;
-    readonly body: Buffer;
-    readonly response: CallerResponse;
-    readonly arrivedAtMs: number;
-    /** Aborted when the caller disconnects. */
-    readonly callerGone: AbortSignal;
-    /** Aborted when the process is about to end. */
-    readonly giveUp: AbortSignal;
-}
-
 /** What an {@link OnlineHandler} depends on. */
 export interface OnlineHandlerDependencies {
     readonly admission: Admission;
--- a/packages/gateway/tests/exchangePlaces.test.ts
+++ b/packages/gateway/tests/exchangePlaces.test.ts
@@ -3,7 +3,7 @@
 import { describe, expect, it } from "vitest";
 import { newTestEndpoint } from "../../fleet/tests/testEndpoint";
 import { ExchangePlaces, type ExchangePlacesDependencies } from "../src/online/exchangePlaces";
-import type { OnlineRequest } from "../src/online/onlineHandler";
+import type { OnlineRequest } from "../src/online/onlineRequest";
 import { RetryPolicy } from "../src/online/retryPolicy";
 
 const SIGNAL = new AbortController().signal;
