--- a/packages/common/src/promptPartTracker.property.test.ts
+++ b/packages/common/src/promptPartTracker.property.test.ts
@@ -101,7 +101,8 @@
     vi.useRealTimers();
 });
 
-describe("each block of parts", () => {
+// Guards against a coordinator that answers nothing any more, for good, as a block that explains no crash is found again and again.
+describe("CONFIG, a coordinator that hangs after crashes: each block of parts", () => {
     // Parts with the same number of crashes, but no common request, were blocked together again and again, without end.
     it.each<{ what: string; steps: readonly Step[]; blocked: string[]; }>([
         {
--- a/packages/common/src/promptPartTracker.test.ts
+++ b/packages/common/src/promptPartTracker.test.ts
@@ -260,7 +260,7 @@
         expect(tracker.isBlocked(["bad"])).toBe(true);
     });
 
-    // Each report went through all requests of all crashes, so that many of them blocked the process.
+    // Guards against a coordinator that is blocked for seconds: each report went through all requests of all crashes.
     it.each([
         { what: "of their own", getPart: (report: number, position: number) => `${report}.${position}` },
         {
--- a/packages/gateway/tests/jobBodies.test.ts
+++ b/packages/gateway/tests/jobBodies.test.ts
@@ -52,6 +52,7 @@
 
 const toBase64 = (sizeBytes: number) => Buffer.alloc(sizeBytes, "heatherline").toString("base64");
 
+// Guards against a job within the limit of a submission that is answered 503 for good, as a body is larger than an object.
 describe("a job within the limit of a submission", () => {
     it.each([
         { what: "many small bodies", bodies: Array.from({ length: 200 }, (_, index) => toBase64(15_000 + index)) },
--- a/packages/gateway/tests/jobRoute.test.ts
+++ b/packages/gateway/tests/jobRoute.test.ts
@@ -89,7 +89,8 @@
     } as unknown as JobRunnerDependencies);
 }
 
-describe("an item of a batch job", () => {
+// Guards against items that are given up before their time, as another route's prefix begins their own paths.
+describe("MIXED, items given up early beside a new route: an item of a batch job", () => {
     it.each([
         { what: "a route that its own path selects was added", manifest: MANIFEST, routes: [JOBS, STREAMS] },
         {
--- a/packages/gateway/tests/largeResults.test.ts
+++ b/packages/gateway/tests/largeResults.test.ts
@@ -104,7 +104,8 @@
     }
 }
 
-describe("results that wait through an outage of the store", () => {
+// Guards against results of an accepted job that are never listed, as they are written as one object that is too large.
+describe("LOST, results that are never listed: results that wait through an outage of the store", () => {
     it.each([
         { what: "texts of three bytes a character", count: 200, output: JAPANESE.repeat(240), maxBytes: Infinity },
         { what: "texts whose characters are escaped", count: 100, output: '\u0001"'.repeat(2_400), maxBytes: Infinity },
@@ -164,7 +165,8 @@
     });
 });
 
-describe("a store that rejects a chunk of results for good", () => {
+// Guards against a chunk that is written again and again although the store has rejected it.
+describe("LOST, results that are never listed: a store that rejects a chunk of results for good", () => {
     it("isn't sent the same chunk again and again", async () => {
         const store = new JobStore(new SmallStore(1_000), newLogger("test", "fatal"));
         const results: ItemResult[] = [{ itemId: "item", state: "completed", output: "a".repeat(2_000) }];
--- a/packages/gateway/tests/silenceWatch.test.ts
+++ b/packages/gateway/tests/silenceWatch.test.ts
@@ -140,7 +140,8 @@
     vi.useRealTimers();
 });
 
-describe("an attempt whose endpoint falls silent", () => {
+// Guards against an attempt at a silent endpoint that is given up before a place elsewhere is held.
+describe("LOST, streams cut: an attempt whose endpoint falls silent", () => {
     it.each(cases)("$what", async testCase => {
         const { movedAtMs, stop } = watch(testCase);
         await vi.advanceTimersByTimeAsync(5_000);
