Take the limit of an object from the platform's settings

What callers would see: at a platform whose valueBytes is lower than 700,000, jobs with bodies got 503 for good, since the objects of their bodies were always larger than the store takes.

Cause: a constant stood for a setting. Now JobStore knows maxObjectBytes (`valueBytes`, 1,048,576 where the settings name none), and bodies, long headers and the object of a job are bounded by fractions of it; chunks of results shrink to 16 KiB where the store rejects larger ones.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -174,6 +174,7 @@
         const jobStore = new JobStore(
             new RelayedStore({ directStore: store, rpc: this.rpc, getRelay, logger }),
             logger,
+            settings.maxObjectBytes,
         );
         this.endpoints = new EndpointAccess({
             self: this.self,
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -23,6 +23,8 @@
     readonly seeds: readonly { readonly host: string; readonly port: number; }[];
     /** Whether this is the first start of the whole fleet. */
     readonly isFirstStart: boolean;
+    /** Limit of the size of an object that the store accepts, with its metadata. */
+    readonly maxObjectBytes: number;
     /** How often an endpoint renews its registration, in milliseconds. */
     readonly endpointRenewalMs: number;
     /** Time within which the revocation of an API key must take effect. */
--- a/packages/gateway/src/jobs/batchApi.ts
+++ b/packages/gateway/src/jobs/batchApi.ts
@@ -143,6 +143,7 @@
                 path: request.path,
             },
             submission.value.items,
+            this.deps.store.maxObjectBytes,
         );
         if (job.isErr()) {
             return newRefusal("body-too-large", job.error);
--- a/packages/gateway/src/jobs/jobBodies.ts
+++ b/packages/gateway/src/jobs/jobBodies.ts
@@ -1,9 +1,10 @@
+import { MAX_VALUE_BYTES } from "@heatherline/store";
 import { z } from "zod";
 import { getJsonBytes } from "../objectSize";
 import { splitText } from "./resultChunks";
 
-/** Limit of the bodies in one object, as JSON in UTF-8. */
-const MAX_PART_BYTES = 700_000;
+/** Fraction of the largest object that bodies take; the rest is left for what the store adds. */
+export const MAX_PART_FRACTION = 0.7;
 /** Quotes are counted with each text; a colon and a comma are not. */
 const ENTRY_FRAMING_BYTES = 2;
 
@@ -56,18 +57,22 @@
  * Splits the bodies of a job, or the contents of its items, into objects that the store accepts.
  *
  * @param bodies - Bodies in base64 or contents, by item id.
+ * @param maxPartBytes - Limit of what one object holds, as JSON in UTF-8.
  * @returns The objects; at least one.
  */
-export function splitBodies(bodies: ReadonlyMap<string, string>): StoredBodies {
+export function splitBodies(
+    bodies: ReadonlyMap<string, string>,
+    maxPartBytes = MAX_VALUE_BYTES * MAX_PART_FRACTION,
+): StoredBodies {
     const parts: Record<string, string>[] = [];
     const firstParts: number[] = [];
     let sizeBytes = Infinity;
     for (const [itemId, body] of bodies) {
         const idBytes = getJsonBytes(itemId) + ENTRY_FRAMING_BYTES;
-        const texts = idBytes + getJsonBytes(body) > MAX_PART_BYTES ? splitText(body, MAX_PART_BYTES) : [body];
+        const texts = idBytes + getJsonBytes(body) > maxPartBytes ? splitText(body, maxPartBytes) : [body];
         for (const [index, text] of texts.entries()) {
             const textBytes = idBytes + getJsonBytes(text);
-            if (texts.length > 1 || sizeBytes + textBytes > MAX_PART_BYTES) {
+            if (texts.length > 1 || sizeBytes + textBytes > maxPartBytes) {
                 parts.push({});
                 sizeBytes = 0;
             }
--- a/packages/gateway/src/jobs/jobStore.ts
+++ b/packages/gateway/src/jobs/jobStore.ts
@@ -79,8 +79,13 @@
     /**
      * @param store - The store.
      * @param logger - Log of the instance.
+     * @param maxObjectBytes - Limit of the size of an object that the store accepts.
      */
-    constructor(private readonly store: ObjectStore, private readonly logger: Logger) {}
+    constructor(
+        private readonly store: ObjectStore,
+        private readonly logger: Logger,
+        readonly maxObjectBytes = MAX_VALUE_BYTES,
+    ) {}
 
     /**
      * Creates a job; an existing one is left unchanged.
@@ -345,11 +350,12 @@
 
 /**
  * @param manifest - A job.
+ * @param maxObjectBytes - Limit of the size of an object that the store accepts.
  * @returns Why the store can't keep the job, or `undefined` if it can.
  */
-export function findSizeFault(manifest: JobManifest): string | undefined {
+export function findSizeFault(manifest: JobManifest, maxObjectBytes: number): string | undefined {
     const sizeBytes = getManifestBytes(manifest);
-    const maxBytes = MAX_VALUE_BYTES - OBJECT_MARGIN_BYTES;
+    const maxBytes = maxObjectBytes - OBJECT_MARGIN_BYTES;
     return sizeBytes <= maxBytes
         ? undefined
         : `the items take ${sizeBytes} bytes without their bodies, at most ${maxBytes} can be stored`;
--- a/packages/gateway/src/jobs/newJob.ts
+++ b/packages/gateway/src/jobs/newJob.ts
@@ -1,10 +1,12 @@
 import { err, ok, type Result } from "neverthrow";
 import type { SubmittedItem } from "../wireCodec";
-import { type BodyPart, encodeContent, splitBodies } from "./jobBodies";
+import { type BodyPart, encodeContent, MAX_PART_FRACTION, splitBodies } from "./jobBodies";
 import { findSizeFault, getManifestBytes, type JobManifest } from "./jobStore";
 
 /** All instances read the objects of all jobs, so that paths and headers that make one larger are stored apart. */
 const MAX_MANIFEST_BYTES = 131_072;
+/** The same as a fraction of the largest object. */
+const MAX_MANIFEST_FRACTION = 0.5;
 
 /** What a submission says of a job, without its items. */
 export type JobHead = Pick<JobManifest, "jobId" | "organisation" | "route" | "host" | "path">;
@@ -20,19 +22,29 @@
  *
  * @param head - The job.
  * @param items - Its items.
+ * @param maxObjectBytes - Limit of the size of an object that the store accepts.
  * @returns The job with its objects, or why the store can't keep it.
  */
-export function newJob(head: JobHead, items: readonly SubmittedItem[]): Result<NewJob, string> {
-    const jobWithBodies = newJobWithBodies(head, items);
-    const job = getManifestBytes(jobWithBodies.manifest) <= MAX_MANIFEST_BYTES
+export function newJob(
+    head: JobHead,
+    items: readonly SubmittedItem[],
+    maxObjectBytes: number,
+): Result<NewJob, string> {
+    const maxManifestBytes = Math.min(MAX_MANIFEST_BYTES, MAX_MANIFEST_FRACTION * maxObjectBytes);
+    const maxPartBytes = MAX_PART_FRACTION * maxObjectBytes;
+    const jobWithBodies = newJobWithBodies(head, items, maxPartBytes);
+    const job = getManifestBytes(jobWithBodies.manifest) <= maxManifestBytes
         ? jobWithBodies
-        : newJobWithContents(head, items);
-    const sizeFault = findSizeFault(job.manifest);
+        : newJobWithContents(head, items, maxPartBytes);
+    const sizeFault = findSizeFault(job.manifest, maxObjectBytes);
     return sizeFault === undefined ? ok(job) : err(sizeFault);
 }
 
-function newJobWithBodies(head: JobHead, items: readonly SubmittedItem[]): NewJob {
-    const { parts, firstParts } = splitBodies(new Map(items.map(({ itemId, bodyBase64 }) => [itemId, bodyBase64])));
+function newJobWithBodies(head: JobHead, items: readonly SubmittedItem[], maxPartBytes: number): NewJob {
+    const { parts, firstParts } = splitBodies(
+        new Map(items.map(({ itemId, bodyBase64 }) => [itemId, bodyBase64])),
+        maxPartBytes,
+    );
     const manifest: JobManifest = {
         ...head,
         submittedAt: Date.now(),
@@ -46,9 +58,12 @@
     return { manifest, parts };
 }
 
-function newJobWithContents(head: JobHead, items: readonly SubmittedItem[]): NewJob {
+function newJobWithContents(head: JobHead, items: readonly SubmittedItem[], maxPartBytes: number): NewJob {
     const bareItems = items.map(({ itemId, tokens }) => ({ itemId, path: "", headers: {}, bodyBase64: "", tokens }));
-    const { parts, firstParts } = splitBodies(new Map(items.map(item => [item.itemId, encodeContent(item)])));
-    const { manifest } = newJobWithBodies(head, bareItems);
+    const { parts, firstParts } = splitBodies(
+        new Map(items.map(item => [item.itemId, encodeContent(item)])),
+        maxPartBytes,
+    );
+    const { manifest } = newJobWithBodies(head, bareItems, maxPartBytes);
     return { manifest: { ...manifest, bodyParts: parts.length, firstParts, areContentsInParts: true }, parts };
 }
--- a/packages/gateway/src/jobs/resultChunks.ts
+++ b/packages/gateway/src/jobs/resultChunks.ts
@@ -2,6 +2,8 @@
 import { getJsonBytes, ObjectSizeLimit } from "../objectSize";
 import type { ItemResult } from "../wireCodec";
 
+/** Chunks that the store doesn't accept become smaller, down to this limit. */
+const MIN_CHUNK_BYTES = 16_384;
 /** Limit of the results in one chunk, as JSON in UTF-8; a larger result is split over several chunks. */
 const MAX_CHUNK_BYTES = 500_000;
 
@@ -76,7 +78,7 @@
 
 /** Decides what the chunks hold in which the results of a job are written, one after the other. */
 export class ChunkPlanner {
-    private readonly sizeLimit = new ObjectSizeLimit(MAX_CHUNK_BYTES);
+    private readonly sizeLimit = new ObjectSizeLimit(MAX_CHUNK_BYTES, MIN_CHUNK_BYTES);
     private split: { readonly result: ItemResult; readonly pieces: readonly ResultPiece[]; next: number; } | undefined;
 
     /** Whether some but not all pieces of a result have been written. */
--- a/packages/gateway/src/objectSize.ts
+++ b/packages/gateway/src/objectSize.ts
@@ -1,6 +1,3 @@
-/** Objects that the store doesn't accept become smaller, down to this limit. */
-const MIN_OBJECT_BYTES = 65_536;
-
 /**
  * @param text - A text.
  * @returns Size of the text as JSON in UTF-8.
@@ -30,7 +27,7 @@
      * @param maxBytes - The limit at first, as JSON in UTF-8.
      * @param minBytes - The limit doesn't get smaller than this.
      */
-    constructor(public maxBytes: number, private readonly minBytes = MIN_OBJECT_BYTES) {}
+    constructor(public maxBytes: number, private readonly minBytes: number) {}
 
     /** Whether objects can't become smaller. */
     get isAtMinimum(): boolean {
--- a/packages/gateway/tests/jobBodies.test.ts
+++ b/packages/gateway/tests/jobBodies.test.ts
@@ -25,8 +25,13 @@
 }
 
 /** Submits a job; returns the status and the job store. */
-async function submit(items: readonly SubmittedItem[], objects = new MemoryStore(), admitted = ADMITTED) {
-    const store = new JobStore(objects, newLogger("test", "fatal"));
+async function submit(
+    items: readonly SubmittedItem[],
+    objects = new MemoryStore(),
+    admitted = ADMITTED,
+    maxObjectBytes?: number,
+) {
+    const store = new JobStore(objects, newLogger("test", "fatal"), maxObjectBytes);
     const statuses: number[] = [];
     const response = {
         sendLocal: (status: number) => statuses.push(status),
@@ -80,6 +85,26 @@
     });
 });
 
+// Guards against jobs that a platform whose objects are smaller rejects for good, as the limit was a constant.
+describe("a job at a store with a lower limit of objects", () => {
+    it.each([
+        { what: "usual bodies", maxObjectBytes: 262_144, count: 10, bodyBytes: 15_000, headerLength: 100 },
+        { what: "large bodies", maxObjectBytes: 262_144, count: 10, bodyBytes: 250_000, headerLength: 100 },
+        { what: "long headers", maxObjectBytes: 65_536, count: 200, bodyBytes: 100, headerLength: 1_000 },
+    ])("is accepted, and each of its objects fits: $what", async testCase => {
+        const { maxObjectBytes, count, bodyBytes, headerLength } = testCase;
+        const objects = new MemoryStore();
+        const bodies = Array.from({ length: count }, () => toBase64(bodyBytes));
+        const items = newItems(bodies, { Model: "m".repeat(headerLength) });
+        const { statuses } = await submit(items, objects, ADMITTED, maxObjectBytes);
+        expect(statuses).toEqual([202]);
+        const stored = (await objects.list("heatherline"))._unsafeUnwrap().objects;
+        expect(Math.max(...stored.map(({ value }) => Buffer.byteLength(JSON.stringify(value))))).toBeLessThan(
+            maxObjectBytes,
+        );
+    });
+});
+
 describe("a job with the id of an earlier one", () => {
     it.each([
         { what: "is the same job, sent again by its organisation", organisation: "alpha", status: 202 },
