Remember long ids of streams as their hashes

What callers would see: a coordinator that runs out of memory. It remembers 120,000 streams by the ids of their requests, "some ten megabytes at most", whatever the length of an id, which callers choose up to the limit of headers.

Cause: a number of ids stood for their bytes. Ids of more than 64 characters are now kept and reported as hashes, which stay the same when they are adopted.

Test first: streamOrigins.test.ts, red before in 1 of 3 cases, green after.

--- a/packages/fleet/src/streamOrigins.ts
+++ b/packages/fleet/src/streamOrigins.ts
@@ -1,7 +1,10 @@
+import { sha256Hex } from "@heatherline/common";
 import type { StreamOrigin, StreamOriginReport } from "./types";
 
 /** Streams of one generation; with two generations they take some ten megabytes at most. */
 const MAX_GENERATION_SIZE = 60_000;
+/** Longer ids are kept and reported as their hashes, which have this length. */
+const MAX_ID_LENGTH = 64;
 
 /**
  * Where recent streams began, by the id of the request that brought their first event. Streams are forgotten after the
@@ -26,7 +29,7 @@
      */
     record(requestId: string, origin: StreamOrigin): void {
         this.startGenerationIfDue();
-        this.current.set(requestId, this.getIndex(origin));
+        this.current.set(shortenId(requestId), this.getIndex(origin));
     }
 
     /**
@@ -35,7 +38,8 @@
      */
     get(requestId: string): StreamOrigin | undefined {
         this.startGenerationIfDue();
-        return this.origins[this.current.get(requestId) ?? this.previous.get(requestId) ?? -1];
+        const id = shortenId(requestId);
+        return this.origins[this.current.get(id) ?? this.previous.get(id) ?? -1];
     }
 
     /**
@@ -88,3 +92,7 @@
         this.generationBeganAtMs = performance.now();
     }
 }
+
+function shortenId(requestId: string): string {
+    return requestId.length <= MAX_ID_LENGTH ? requestId : sha256Hex(requestId);
+}
