--- a/packages/gateway/src/fleet/streamOriginStore.ts
+++ b/packages/gateway/src/fleet/streamOriginStore.ts
@@ -92,6 +92,11 @@
         this.pendingStreams.add(report);
     }
 
+    /** Number of streams that are yet to be written. */
+    get pendingCount(): number {
+        return this.pendingStreams.count;
+    }
+
     private async loadAndWrite(granter: StreamGranter): Promise<void> {
         for (let failures = 0; this.granter === granter && !this.isLoaded; failures += 1) {
             this.isLoaded = await this.load(granter);
@@ -192,6 +197,7 @@
             this.pendingStreams.putBack(streams);
             this.sizeLimit.recordRejected();
         }
+        this.dropOutdated();
     }
 
     /** The streams that run when a second version appears were begun before it, and are written, too. */
@@ -207,7 +213,7 @@
         this.mixedServices = mixed;
     }
 
-    /** While the store can't be written, no more is kept than the granter itself remembers. */
+    /** While the store can't be written, or rejects what is written, no more is kept than the granter itself remembers. */
     private dropOutdated(): void {
         const known = this.granter?.getStreams() ?? [];
         if (this.pendingStreams.count > countStreams(known)) {
--- a/packages/gateway/tests/streamOriginStore.test.ts
+++ b/packages/gateway/tests/streamOriginStore.test.ts
@@ -299,3 +299,21 @@
         next.originStore.stop();
     });
 });
+
+// Guards against a granter that runs out of memory, since the store rejects whatever is written.
+it("keeps no more streams for a store that rejects all than the granter remembers", async () => {
+    const store = new UnreliableStore();
+    store.maxBytes = 0;
+    const granter = startGranter(store, ["v1", "v2"]);
+    await vi.advanceTimersByTimeAsync(SETTLE_MS);
+    const pendingCounts: number[] = [];
+    for (let round = 0; round < 40; round += 1) {
+        for (let index = 0; index < 500; index += 1) {
+            begin(granter, `${round}.${index}`);
+        }
+        await vi.advanceTimersByTimeAsync(5_000);
+        pendingCounts.push(granter.originStore.pendingCount - countStreams(granter.streams.getReports()));
+    }
+    expect(Math.max(...pendingCounts.slice(20))).toBeLessThanOrEqual(500);
+    granter.originStore.stop();
+});
