heatherlined: write results that don't fit into one object in parts

What callers saw: all results of a chunk (up to 500 items) were listed as failed, "the response is too large to store", although the items had been run and each response would have fitted: 30 responses of 60 kB were enough. Found by reading, looking through what `rejected` does at each write.

Cause: the results of a chunk stood for an object; a rejected one was written again without any bodies. Now they are written in parts, each with as many results as fit, and the object of the chunk, which is written last, names them. Only a response that fits into no object is listed as failed.

--- a/packages/batch/src/jobReader.ts
+++ b/packages/batch/src/jobReader.ts
@@ -3,7 +3,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { BatchError } from "./errors";
 import { getManifestPath, getResultPath } from "./paths";
-import type { ChunkResult, ItemResult, JobManifest, JobStatus } from "./types";
+import type { ChunkResult, ItemResult, JobManifest, JobStatus, ResultPart } from "./types";
 
 /** A page of results. */
 export interface ResultPage {
@@ -154,8 +154,18 @@
 
     private async readChunk(jobId: string, index: number): Promise<Result<ChunkResult | undefined, BatchError>> {
         const read = await this.store.get(getResultPath(jobId, index));
-        return read
-            .map(object => object?.value as unknown as ChunkResult | undefined)
-            .mapErr(error => new BatchError("unavailable", "the store is unavailable", error));
+        if (read.isErr()) {
+            return err(new BatchError("unavailable", "the store is unavailable", read.error));
+        }
+        const chunk = read.value?.value as unknown as ChunkResult | undefined;
+        const results: ItemResult[] = [...chunk?.results ?? []];
+        for (const path of chunk?.partPaths ?? []) {
+            const part = await this.store.get(path);
+            if (part.isErr() || part.value === undefined) {
+                return err(new BatchError("unavailable", "the store is unavailable", part.isErr() ? part.error : path));
+            }
+            results.push(...(part.value.value as unknown as ResultPart).results);
+        }
+        return ok(chunk === undefined ? undefined : { ...chunk, results });
     }
 }
--- a/packages/batch/src/jobRunner.ts
+++ b/packages/batch/src/jobRunner.ts
@@ -8,10 +8,11 @@
     getIntentPath,
     getManifestPath,
     getOpenMarkerPath,
+    getResultPartPath,
     getResultPath,
     OPEN_JOBS_PREFIX,
 } from "./paths";
-import type { BatchItem, Chunk, ChunkResult, ItemResult, JobManifest } from "./types";
+import type { BatchItem, Chunk, ChunkResult, ItemResult, JobManifest, ResultPart } from "./types";
 
 /** Tells which instance runs a job. */
 export interface JobPlacement {
@@ -35,6 +36,17 @@
  * waits twice as long before it fails the chunk's items.
  */
 const INTENT_TTL_MS = 120_000;
+/** Limit of the results in one object, where those of a chunk don't fit into one, as JSON in UTF-8. */
+const MAX_PART_BYTES = 500_000;
+
+/**
+ * How creating an object ended.
+ *
+ * - `superseded`: another writer had created it.
+ * - `rejected`: the store doesn't accept the object, however often it is written.
+ * - `stopped`: this instance stops, and it is not known whether the object was created.
+ */
+type CreateOutcome = "written" | "superseded" | "rejected" | "stopped";
 
 interface ActiveJob {
     /** Aborted when this instance must no longer run the job. */
@@ -240,35 +252,64 @@
     }
 
     private async writeResults(job: ActiveJob, index: number, results: readonly ItemResult[]): Promise<boolean> {
-        const value: ChunkResult = {
-            results,
-            completed: results.filter(({ outcome }) => outcome === "completed").length,
-            failed: results.filter(({ outcome }) => outcome !== "completed").length,
-            runner: this.runnerId,
-        };
+        const { jobId } = job.manifest;
         const ids = new Set(results.map(({ customId }) => customId));
-        invariant("one-result-per-item", ids.size === results.length, () => `${job.manifest.jobId} chunk ${index}`);
-        const path = getResultPath(job.manifest.jobId, index);
+        invariant("one-result-per-item", ids.size === results.length, () => `${jobId} chunk ${index}`);
+        const path = getResultPath(jobId, index);
+        const outcome = await this.create(path, this.newChunkResult(results));
+        if (outcome === "rejected") {
+            this.logger.warn({ path }, "store rejected chunk results; writing them in parts");
+            return this.writeResultsInParts(job, index, results);
+        }
+        return this.recordChunk(outcome);
+    }
+
+    /** The object of the chunk is written last and names the parts, so that readers find all of them or none. */
+    private async writeResultsInParts(job: ActiveJob, index: number, results: readonly ItemResult[]): Promise<boolean> {
+        const { jobId } = job.manifest;
+        const storable = results.map(result => isStorable(result) ? result : toFailedResultWithoutBody(result));
+        const writeId = newId();
+        const partPaths: string[] = [];
+        for (const part of splitResults(storable)) {
+            const path = getResultPartPath(jobId, index, writeId, partPaths.length);
+            const outcome = await this.create(path, { results: part });
+            if (outcome === "rejected" || outcome === "stopped") {
+                this.logger.error({ path, outcome }, "part of chunk results not written");
+                return false;
+            }
+            partPaths.push(path);
+        }
+        const chunk = { ...this.newChunkResult(storable), results: [], partPaths };
+        return this.recordChunk(await this.create(getResultPath(jobId, index), chunk));
+    }
+
+    private newChunkResult(results: readonly ItemResult[]): ChunkResult {
+        const completed = results.filter(({ outcome }) => outcome === "completed").length;
+        return { results, completed, failed: results.length - completed, runner: this.runnerId };
+    }
+
+    /** Creates an object; retries until the store has it, rejects it for good, or this instance stops. */
+    private async create(path: string, value: ChunkResult | ResultPart): Promise<CreateOutcome> {
         while (!this.isStopping) {
             const written = await putWithReadBack(this.store, path, { ...value }, undefined);
             if (written.isOk()) {
-                this.counts.chunksWritten += 1;
-                return true;
+                return "written";
             }
             if (written.error.kind === "conflict") {
-                this.counts.chunksSuperseded += 1;
-                return true;
+                return "superseded";
             }
             if (written.error.kind === "rejected") {
-                this.logger.error(
-                    { path, error: written.error.message },
-                    "store rejected chunk results; writing failed results without bodies",
-                );
-                return this.writeResults(job, index, results.map(toFailedResultWithoutBody));
+                return "rejected";
             }
             await sleep(STORE_RETRY_MS);
         }
-        return false;
+        return "stopped";
+    }
+
+    private recordChunk(outcome: CreateOutcome): boolean {
+        this.counts.chunksWritten += outcome === "written" ? 1 : 0;
+        this.counts.chunksSuperseded += outcome === "superseded" ? 1 : 0;
+        return outcome === "written" || outcome === "superseded";
     }
 
     /**
@@ -344,6 +385,29 @@
     return { customId, outcome: "failed", reason: "the item was not started in time", attempts: 0 };
 }
 
+function isStorable(result: ItemResult): boolean {
+    return getJsonBytes(result) <= MAX_PART_BYTES;
+}
+
+/** Results of which none is larger than a part, in parts. */
+function splitResults(results: readonly ItemResult[]): ItemResult[][] {
+    const parts: ItemResult[][] = [];
+    let leftBytes = 0;
+    for (const result of results) {
+        leftBytes -= getJsonBytes(result);
+        if (leftBytes < 0) {
+            parts.push([]);
+            leftBytes = MAX_PART_BYTES - getJsonBytes(result);
+        }
+        parts.at(-1)?.push(result);
+    }
+    return parts;
+}
+
+function getJsonBytes(result: ItemResult): number {
+    return Buffer.byteLength(JSON.stringify(result)) + 1;
+}
+
 function toFailedResultWithoutBody(result: ItemResult): ItemResult {
     const { body: unusedBody, ...rest } = result;
     return { ...rest, outcome: "failed", reason: "the response is too large to store" };
--- a/packages/batch/src/paths.ts
+++ b/packages/batch/src/paths.ts
@@ -49,6 +49,17 @@
     return `batch/results/${jobId}/${index === undefined ? "" : padIndex(index)}`;
 }
 
+/**
+ * @param jobId - ID of a job.
+ * @param index - Index of the chunk.
+ * @param writeId - Distinguishes the parts of one writer from those of another.
+ * @param part - Index of the part.
+ * @returns Path of a part of the results of the chunk, which don't fit into one object.
+ */
+export function getResultPartPath(jobId: string, index: number, writeId: string, part: number): string {
+    return `batch/result-parts/${jobId}/${padIndex(index)}/${writeId}/${padIndex(part)}`;
+}
+
 /**
  * @param jobId - ID of a job.
  * @param index - Index of the chunk.
--- a/packages/batch/src/types.ts
+++ b/packages/batch/src/types.ts
@@ -52,11 +52,16 @@
 /** Results of one chunk as stored; written once. */
 export interface ChunkResult {
     readonly results: readonly ItemResult[];
+    /** Paths of the objects that hold the results, if they don't fit into this one. */
+    readonly partPaths?: readonly string[];
     readonly completed: number;
     readonly failed: number;
     readonly runner: string;
 }
 
+/** Some results of a chunk whose results don't fit into one object. */
+export type ResultPart = Pick<ChunkResult, "results">;
+
 /** Progress of a job, as reported to callers. */
 export interface JobStatus {
     readonly jobId: string;
