--- a/packages/serving/src/endpoints/creditPool.ts
+++ b/packages/serving/src/endpoints/creditPool.ts
@@ -1,30 +1,12 @@
 import { invariant, type Logger, monotonicMs, startLoop } from "@heatherline/common";
 import type { EndpointSpec, ServiceDocument } from "@heatherline/config";
 import type { WorkClass } from "../exchange";
-import type { CreditDemand, CreditGrant } from "./creditAllocator";
+import type { CreditDemand } from "./creditAllocator";
+import type { CreditProvider } from "./creditProvider";
+import { countOutstanding, type EndpointCredits, newEndpointCredits } from "./endpointCredits";
 import type { Candidate } from "./routePolicy";
 import type { HealthEvent } from "./warmUpLimiter";
 
-/**
- * Requests credits from the owners of endpoints. The owner of an endpoint is the one instance that divides its
- * concurrency limit among instances, with an `EndpointCreditAllocator`.
- */
-export interface CreditProvider {
-    /**
-     * @param demands - Endpoint to demand.
-     * @returns Endpoint to grant, without the endpoints whose owner can't be reached.
-     */
-    request(demands: ReadonlyMap<string, CreditDemand>): Promise<ReadonlyMap<string, CreditGrant>>;
-    /**
-     * Returns the credits that are safe to use while the owner can't be reached.
-     *
-     * @param endpoint - The endpoint.
-     * @param lastGrant - The owner's last grant, if any.
-     * @returns Number of credits.
-     */
-    getFallbackCredits(endpoint: string, lastGrant: CreditGrant | undefined): number;
-}
-
 /** The right to run one request at an endpoint; takes one credit until it is released, exactly once. */
 export interface EndpointSlot {
     readonly endpoint: string;
@@ -54,23 +36,6 @@
 /** Spare credits as a fraction of the recent online use. */
 const SPARE_FRACTION = 0.25;
 
-interface EndpointEntry {
-    readonly endpoint: string;
-    readonly service: string;
-    spec: EndpointSpec;
-    grant: CreditGrant | undefined;
-    validUntilMs: number;
-    readonly outstanding: Record<WorkClass, number>;
-    /** Decaying maximum of the online requests that run there. */
-    recentOnline: number;
-    events: HealthEvent[];
-    startMark: string | undefined;
-    meanFirstByteMs: number | undefined;
-    exclusiveRequests: number;
-    /** Functions that preempt the batch items that run there, oldest item first. */
-    readonly preemptions: (() => void)[];
-}
-
 /** Numbers of a service's requests that wait in this instance, by class. */
 export type WaitingCounts = Record<WorkClass, number>;
 
@@ -79,7 +44,7 @@
  * each endpoint, and preempts batch items when a new grant has fewer credits.
  */
 export class CreditPool {
-    private readonly entries = new Map<string, EndpointEntry>();
+    private readonly entries = new Map<string, EndpointCredits>();
     private readonly listeners = new Set<() => void>();
     private refreshing: Promise<void> | undefined;
     private isRefreshScheduled = false;
@@ -126,7 +91,7 @@
                 current.add(endpoint);
                 const entry = this.entries.get(endpoint);
                 if (entry === undefined) {
-                    this.entries.set(endpoint, newEntry(endpoint, service.service, spec));
+                    this.entries.set(endpoint, newEndpointCredits(endpoint, service.service, spec));
                 }
                 else {
                     entry.spec = spec;
@@ -283,7 +248,7 @@
     requestExclusive(service: string, isRequested: boolean, endpoint?: string): string | undefined {
         const eligible = this.getEligible(service);
         const entry = endpoint === undefined
-            ? eligible.reduce<EndpointEntry | undefined>(
+            ? eligible.reduce<EndpointCredits | undefined>(
                 (best, other) => best === undefined || countOutstanding(other) < countOutstanding(best) ? other : best,
                 undefined,
             )
@@ -324,7 +289,7 @@
         }));
     }
 
-    private getEligible(service: string): EndpointEntry[] {
+    private getEligible(service: string): EndpointCredits[] {
         const inService = [...this.entries.values()].filter(entry =>
             entry.service === service && entry.spec.state === "in" && !this.isDataCentreOut(entry.spec.dataCentre)
         );
@@ -332,14 +297,14 @@
         return local.length > 0 ? local : inService;
     }
 
-    private getCredits(entry: EndpointEntry): number {
+    private getCredits(entry: EndpointCredits): number {
         if (monotonicMs() < entry.validUntilMs) {
             return entry.grant?.credits ?? 0;
         }
         return this.provider.getFallbackCredits(entry.endpoint, entry.grant);
     }
 
-    private releaseSlot(entry: EndpointEntry, workClass: WorkClass, event: HealthEvent | undefined): void {
+    private releaseSlot(entry: EndpointCredits, workClass: WorkClass, event: HealthEvent | undefined): void {
         entry.outstanding[workClass] -= 1;
         invariant("outstanding-not-negative", entry.outstanding[workClass] >= 0, () => entry.endpoint);
         if (event !== undefined) {
@@ -359,7 +324,7 @@
         this.notify();
     }
 
-    private recordEvent(entry: EndpointEntry, event: HealthEvent): void {
+    private recordEvent(entry: EndpointCredits, event: HealthEvent): void {
         if (entry.events.length < MAX_PENDING_EVENTS) {
             entry.events.push(event);
         }
@@ -420,7 +385,7 @@
         this.notify();
     }
 
-    private computeDemand(entry: EndpointEntry): CreditDemand | undefined {
+    private computeDemand(entry: EndpointCredits): CreditDemand | undefined {
         const outstanding = countOutstanding(entry);
         const eligible = this.getEligible(entry.service);
         if (!eligible.includes(entry) && outstanding === 0 && entry.events.length === 0) {
@@ -441,12 +406,12 @@
     }
 
     /** Spare credits in proportion to the recent online use; none if there is no online traffic. */
-    private computeSpare(entry: EndpointEntry): number {
+    private computeSpare(entry: EndpointCredits): number {
         entry.recentOnline = Math.max(entry.outstanding.online, entry.recentOnline * RECENT_USE_DECAY);
         return entry.recentOnline < MIN_RECENT_USE ? 0 : Math.floor(entry.recentOnline * SPARE_FRACTION);
     }
 
-    private preemptExcessBatch(entry: EndpointEntry): void {
+    private preemptExcessBatch(entry: EndpointCredits): void {
         let excess = countOutstanding(entry) - (entry.grant?.credits ?? 0);
         while (excess > 0 && entry.preemptions.length > 0) {
             entry.preemptions.pop()?.();
@@ -473,24 +438,3 @@
 export function getEndpointKey(service: string, spec: EndpointSpec): string {
     return `${service}/${spec.endpoint}@${spec.address}:${spec.port}`;
 }
-
-function newEntry(endpoint: string, service: string, spec: EndpointSpec): EndpointEntry {
-    return {
-        endpoint,
-        service,
-        spec,
-        grant: undefined,
-        validUntilMs: 0,
-        outstanding: { online: 0, batch: 0 },
-        recentOnline: 0,
-        events: [],
-        startMark: undefined,
-        meanFirstByteMs: undefined,
-        exclusiveRequests: 0,
-        preemptions: [],
-    };
-}
-
-function countOutstanding(entry: EndpointEntry): number {
-    return entry.outstanding.online + entry.outstanding.batch;
-}
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./crashSuspects";
 export * from "./endpoints/creditAllocator";
 export * from "./endpoints/creditPool";
+export * from "./endpoints/creditProvider";
 export * from "./endpoints/routePolicy";
 export * from "./endpoints/warmUpLimiter";
 export * from "./errors";
