--- a/packages/gateway/tests/jobBodies.test.ts
+++ b/packages/gateway/tests/jobBodies.test.ts
@@ -126,6 +126,7 @@
 describe("a job whose items have long headers or paths", () => {
     it.each([
         { what: "8 KB of headers each", headerLength: 8_000, pathLength: 10, character: "m" },
+        { what: "10 KB of headers each", headerLength: 10_000, pathLength: 10, character: "m" },
         { what: "headers of several bytes a character", headerLength: 3_000, pathLength: 10, character: "é" },
         { what: "headers that are escaped", headerLength: 4_000, pathLength: 10, character: '"' },
         { what: "long paths", headerLength: 0, pathLength: 7_000, character: "p" },
