Accept jobs whose items are split only once all instances run them

What callers saw (LOST): while machines are replaced, a job with long headers or with a body larger than an object was accepted by today's instance, and all its items were given up as dead letters once an instance of the earlier release ran it.

A trial that kept the job's path with each item (not kept) let the old build run all items without headers and bodies: no form of the objects stops it.

Now an instance says in its registration that it runs split items (canRunSplitItems). While one that doesn't say so is registered, a job is stored in the form of the earlier release, whatever its size, and one that doesn't fit into that is refused at once with 503 and Retry-After 2 s, to be sent again.

--- a/packages/fleet/src/stateFeed.ts
+++ b/packages/fleet/src/stateFeed.ts
@@ -265,12 +265,20 @@
 }
 
 function decodeMember({ path, value }: StoredObject): MemberEntry[] {
-    const { instanceId, incarnation, host, rpcPort, dataCentre, processorShare } = value;
+    const { instanceId, incarnation, host, rpcPort, dataCentre, processorShare, canRunSplitItems } = value;
     const isComplete = typeof instanceId === "string" && typeof incarnation === "string" && typeof host === "string"
         && isPort(rpcPort) && typeof dataCentre === "string" && Number.isFinite(processorShare)
         && path === `${MEMBER_KIND}/${instanceId}`;
     return isComplete
-        ? [{ instanceId, incarnation, host, rpcPort, dataCentre, processorShare: Number(processorShare) }]
+        ? [{
+            instanceId,
+            incarnation,
+            host,
+            rpcPort,
+            dataCentre,
+            processorShare: Number(processorShare),
+            ...canRunSplitItems === true ? { canRunSplitItems } : {},
+        }]
         : [];
 }
 
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -135,6 +135,11 @@
     readonly dataCentre: string;
     /** CPU available to the instance, in cores. */
     readonly processorShare: number;
+    /**
+     * Whether it runs jobs whose items are split over several objects; absent from instances of earlier releases, which
+     * would run parts of such items.
+     */
+    readonly canRunSplitItems?: boolean | undefined;
 }
 
 /** Description of a batch job that all instances need. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -92,7 +92,15 @@
         const { store, schema, wire } = deps;
         const view = new FleetView(settings.endpointRenewalMs);
         this.view = view;
-        this.self = { instanceId, incarnation: newId(), host, rpcPort: peers.port, dataCentre, processorShare };
+        this.self = {
+            instanceId,
+            incarnation: newId(),
+            host,
+            rpcPort: peers.port,
+            dataCentre,
+            processorShare,
+            canRunSplitItems: true,
+        };
         this.registration = new MemberRegistration(store, this.self, () => this.stopSchedule.isStopping, logger);
         this.admission = new Admission(view, settings.revokeMs);
         this.rpc = new RpcPeerTransport(() => undefined, "", [METHODS.sync, METHODS.deputySync]);
--- a/packages/gateway/src/jobs/batchApi.ts
+++ b/packages/gateway/src/jobs/batchApi.ts
@@ -28,6 +28,8 @@
 const CANCEL_TIMEOUT_MS = 500;
 /** Retry delay for jobs refused because of the backlog limit: about the time that an item takes. */
 const JOB_RETRY_AFTER_MS = 900;
+/** Retry delay for jobs that some instances can't run; the next release takes their place one after the other. */
+const EARLIER_RELEASE_RETRY_AFTER_MS = 2_000;
 /** Limit of the long polling of results. */
 const MAX_READ_WAIT_MS = 1_000;
 
@@ -143,10 +145,16 @@
                 path: request.path,
             },
             submission.value.items,
-            this.deps.store.maxObjectBytes,
+            {
+                maxObjectBytes: this.deps.store.maxObjectBytes,
+                canSplitItems: this.deps.getMembers().every(({ canRunSplitItems }) => canRunSplitItems),
+            },
         );
         if (job.isErr()) {
-            return newRefusal("body-too-large", job.error);
+            const { kind, detail } = job.error;
+            return kind === "too-large"
+                ? newRefusal("body-too-large", detail)
+                : newRefusal("unavailable", detail, EARLIER_RELEASE_RETRY_AFTER_MS);
         }
         const { manifest, parts } = job.value;
         const refusal = await this.admitTokens(manifest, admitted);
--- a/packages/gateway/src/jobs/newJob.ts
+++ b/packages/gateway/src/jobs/newJob.ts
@@ -17,27 +17,57 @@
     readonly parts: readonly BodyPart[];
 }
 
+/**
+ * Why a job can't be stored.
+ *
+ * - `too-large`: the store can't keep it.
+ * - `not-yet`: some instances, which are of an earlier release, would run parts of its items.
+ */
+export interface NewJobFault {
+    readonly kind: "too-large" | "not-yet";
+    readonly detail: string;
+}
+
+/** What a job may be stored in. */
+export interface JobStorage {
+    /** Limit of the size of an object that the store accepts. */
+    readonly maxObjectBytes: number;
+    /** Whether all instances run items that are split over several objects. */
+    readonly canSplitItems: boolean;
+}
+
 /**
  * Decides in which objects the store keeps a job.
  *
  * @param head - The job.
  * @param items - Its items.
- * @param maxObjectBytes - Limit of the size of an object that the store accepts.
- * @returns The job with its objects, or why the store can't keep it.
+ * @param storage - What it may be stored in.
+ * @returns The job with its objects, or why it can't be stored.
  */
 export function newJob(
     head: JobHead,
     items: readonly SubmittedItem[],
-    maxObjectBytes: number,
-): Result<NewJob, string> {
+    { maxObjectBytes, canSplitItems }: JobStorage,
+): Result<NewJob, NewJobFault> {
     const maxManifestBytes = Math.min(MAX_MANIFEST_BYTES, MAX_MANIFEST_FRACTION * maxObjectBytes);
     const maxPartBytes = MAX_PART_FRACTION * maxObjectBytes;
     const jobWithBodies = newJobWithBodies(head, items, maxPartBytes);
-    const job = getManifestBytes(jobWithBodies.manifest) <= maxManifestBytes
-        ? jobWithBodies
-        : newJobWithContents(head, items, maxPartBytes);
+    const keepsHeaders = canSplitItems
+        ? getManifestBytes(jobWithBodies.manifest) <= maxManifestBytes
+        : findSizeFault(jobWithBodies.manifest, maxObjectBytes) === undefined;
+    const job = keepsHeaders ? jobWithBodies : newJobWithContents(head, items, maxPartBytes);
     const sizeFault = findSizeFault(job.manifest, maxObjectBytes);
-    return sizeFault === undefined ? ok(job) : err(sizeFault);
+    if (sizeFault !== undefined) {
+        return err({ kind: "too-large", detail: sizeFault });
+    }
+    return canSplitItems || !hasSplitItems(job.manifest)
+        ? ok(job)
+        : err({ kind: "not-yet", detail: "instances of an earlier release would run parts of the items" });
+}
+
+function hasSplitItems({ areContentsInParts, bodyParts, firstParts = [] }: JobManifest): boolean {
+    return areContentsInParts === true
+        || firstParts.some((first, index) => (firstParts[index + 1] ?? bodyParts) - first > 1);
 }
 
 function newJobWithBodies(head: JobHead, items: readonly SubmittedItem[], maxPartBytes: number): NewJob {
--- a/packages/gateway/tests/jobBodies.test.ts
+++ b/packages/gateway/tests/jobBodies.test.ts
@@ -1,5 +1,5 @@
 import { newLogger } from "@heatherline/common";
-import { JOB_KIND, type Route } from "@heatherline/fleet";
+import { JOB_KIND, type MemberEntry, type Route } from "@heatherline/fleet";
 import { MemoryStore } from "@heatherline/store";
 import { ok } from "neverthrow";
 import { describe, expect, it, vi } from "vitest";
@@ -12,6 +12,8 @@
 import type { SubmittedItem } from "../src/wireCodec";
 
 const JOB = "job";
+const TODAYS_MEMBER = { canRunSplitItems: true };
+const EARLIER_MEMBER = {};
 const ADMITTED = { route: { name: "jobs" } as Route, organisation: undefined } as AdmittedRequest;
 
 function newItems(bodies: readonly string[], headers: Record<string, string>): SubmittedItem[] {
@@ -30,6 +32,7 @@
     objects = new MemoryStore(),
     admitted = ADMITTED,
     maxObjectBytes?: number,
+    members: readonly Partial<MemberEntry>[] = [TODAYS_MEMBER],
 ) {
     const store = new JobStore(objects, newLogger("test", "fatal"), maxObjectBytes);
     const statuses: number[] = [];
@@ -45,6 +48,7 @@
         },
         wire: { parseSubmission: () => ok({ items }) },
         runner: { add: addJob },
+        getMembers: () => members,
         getCoordinator: () => ({ jobs: { isLoaded: true, admit: () => ({ kind: "admitted" }) } }),
         metrics: { recordRequest: () => undefined },
         logger: newLogger("test", "fatal"),
@@ -163,6 +167,34 @@
     });
 });
 
+// Guards against accepted items that an earlier release gives up or runs in part, as it doesn't find what they hold.
+describe("a job that one object can't hold", () => {
+    const longHeaders = newItems(Array.from({ length: 200 }, () => "x"), { Model: "m".repeat(8_000) });
+    const headers = newItems(Array.from({ length: 40 }, () => "x"), { Model: "m".repeat(8_000) });
+    const longBody = newItems([toBase64(900_000)], { Model: "m" });
+    const bodies = newItems(Array.from({ length: 200 }, () => toBase64(15_000)), { Model: "m" });
+
+    it.each([
+        { what: "long headers", items: longHeaders, members: [TODAYS_MEMBER, TODAYS_MEMBER], status: 202 },
+        { what: "long headers", items: longHeaders, members: [TODAYS_MEMBER, EARLIER_MEMBER], status: 503 },
+        { what: "a long body", items: longBody, members: [TODAYS_MEMBER, TODAYS_MEMBER], status: 202 },
+        { what: "a long body", items: longBody, members: [TODAYS_MEMBER, EARLIER_MEMBER], status: 503 },
+        { what: "headers for one object", items: headers, members: [TODAYS_MEMBER, EARLIER_MEMBER], status: 202 },
+        { what: "many bodies", items: bodies, members: [TODAYS_MEMBER, EARLIER_MEMBER], status: 202 },
+    ])("waits until no instance of an earlier release is left: $what, $members", async ({ items, members, status }) => {
+        const objects = new MemoryStore();
+        const { statuses, store, addJob } = await submit(items, objects, ADMITTED, undefined, members);
+        expect(statuses).toEqual([status]);
+        expect(addJob).toHaveBeenCalledTimes(status === 202 ? 1 : 0);
+        if (members.includes(EARLIER_MEMBER)) {
+            const manifest = (await store.read(JOB))._unsafeUnwrap()?.manifest;
+            expect(manifest?.items.map(({ headers }) => headers)).toEqual(
+                status === 202 ? items.map(({ headers }) => headers) : undefined,
+            );
+        }
+    });
+});
+
 describe("a job that the store can't keep, as the ids of its items are too large", () => {
     it("is refused for good, not as if it could be sent again, and nothing of it is kept", async () => {
         const objects = new MemoryStore();
