--- a/packages/agreement/src/agreement.ts
+++ b/packages/agreement/src/agreement.ts
@@ -1,8 +1,10 @@
 import { type Logger, monotonicMs, startLoop, withJitter } from "@heatherline/common";
-import type { ObjectStore, StoredObject } from "@heatherline/store";
+import type { ObjectStore } from "@heatherline/store";
 import { ActiveTable } from "./activeTable";
+import type { AgreementDependencies } from "./agreementDependencies";
 import { HeldLease } from "./heldLease";
 import { MemberTracker } from "./memberTracker";
+import { ObservedLease } from "./observedLease";
 import {
     type AgreementIdentity,
     type Heartbeat,
@@ -12,7 +14,6 @@
     type LeaseRecord,
     type MemberTable,
     type PeerTransport,
-    TAKEOVER_MARGIN_MS,
 } from "./types";
 
 const CALL_TIMEOUT_MS = 700;
@@ -21,50 +22,6 @@
 const TABLE_METHOD = "agreement.table";
 const HEARTBEAT_METHOD = "agreement.heartbeat";
 
-/** What the agreement needs from the rest of the instance. */
-export interface AgreementDependencies {
-    /** @returns Instances of this data centre that the platform lists, this one included. */
-    getListedInstances(): readonly string[];
-    /** @returns Version of the table for which this instance has sent its state to all others; 0 while it has not. */
-    getSyncedVersion(): number;
-    /**
-     * @param current - State that the lease holds now.
-     * @returns State that the lease holds from the next renewal on.
-     */
-    getDurableState(current: Record<string, unknown>): Record<string, unknown>;
-    /** @returns State that this instance, as the lease holder, broadcasts in its data centre. */
-    getBroadcastState(): Record<string, unknown>;
-    /**
-     * Called with the broadcast state of each valid heartbeat reply; also with its own while this instance is the lease
-     * holder.
-     *
-     * @param state - State that the lease holder broadcasts.
-     * @param sentAtMs - When the heartbeat was sent, on the monotonic clock; validities in the state count from then.
-     */
-    onBroadcastState(state: Record<string, unknown>, sentAtMs: number): void;
-    /**
-     * Called before this instance uses a new table.
-     *
-     * @param table - The new table.
-     */
-    onNewTable(table: MemberTable): void;
-    /**
-     * Called when no member uses an older table any more.
-     *
-     * @param version - Version of the table that all members use.
-     */
-    onTableSettled(version: number): void;
-}
-
-/** A version of another instance's lease that this instance has read in the store. */
-interface ObservedLease {
-    readonly object: StoredObject;
-    readonly record: LeaseRecord;
-    /** When this instance first read this version, on the monotonic clock. */
-    readonly firstSeenAtMs: number;
-    lastSeenAtMs: number;
-}
-
 /**
  * Lets the instances of a data centre agree on their members and on the owner of each subject. The data centre has one
  * lease in the store. Its holder maintains the table of members, among whom subjects are divided by rendezvous hashing,
@@ -258,16 +215,15 @@
             await this.acquire(undefined);
             return false;
         }
-        if (object.version !== this.observation?.object.version) {
-            const record = object.value as unknown as LeaseRecord;
-            this.observation = { object, record, firstSeenAtMs: monotonicMs(), lastSeenAtMs: monotonicMs() };
-            if (record.epoch === this.renouncedEpoch) {
+        if (object.version !== this.observation?.objectVersion) {
+            this.observation = new ObservedLease(object);
+            if (this.observation.record.epoch === this.renouncedEpoch) {
                 // The lease holder has renewed, so a takeover based on the version read before can't succeed any more.
                 this.renouncedEpoch -= 1;
             }
             return true;
         }
-        this.observation.lastSeenAtMs = monotonicMs();
+        this.observation.recordSeen();
         return true;
     }
 
@@ -276,9 +232,8 @@
         if (observation === undefined || this.lease !== undefined) {
             return;
         }
-        const unchangedMs = observation.lastSeenAtMs - observation.firstSeenAtMs;
         const { record } = observation;
-        if (!record.isReleased && unchangedMs < LEASE_TERM_MS + TAKEOVER_MARGIN_MS) {
+        if (!observation.mayBeTakenOver()) {
             return;
         }
         if (!record.isReleased && this.promise.epoch >= record.epoch && monotonicMs() < this.promise.untilMs) {
@@ -293,14 +248,6 @@
         await this.acquire(observation);
     }
 
-    /** @returns Whether the lease in the store has expired, according to a recent read. */
-    private isLeaseStale(): boolean {
-        const { observation } = this;
-        return observation !== undefined &&
-            monotonicMs() - observation.lastSeenAtMs < LEASE_TERM_MS &&
-            observation.lastSeenAtMs - observation.firstSeenAtMs > LEASE_TERM_MS + TAKEOVER_MARGIN_MS;
-    }
-
     /** @returns Whether a joining instance may take over: one member consents, or no member is listed any more. */
     private async requestConsent(record: LeaseRecord): Promise<boolean> {
         const listed = this.deps.getListedInstances();
@@ -332,7 +279,7 @@
             isReleased: false,
         };
         const sentAtMs = monotonicMs();
-        const written = await this.store.put(this.path, { ...record }, observation?.object.version ?? 0);
+        const written = await this.store.put(this.path, { ...record }, observation?.objectVersion ?? 0);
         if (written.isErr()) {
             if (written.error.kind === "conflict" && observation !== undefined) {
                 this.renouncedEpoch = Math.min(this.renouncedEpoch, observation.record.epoch - 1);
@@ -471,7 +418,7 @@
         if (reply.remainingMs > 0) {
             this.lastReplyAtMs = monotonicMs();
         }
-        else if (this.isLeaseStale()) {
+        else if (this.observation?.isStale() === true) {
             // The lease holder can't renew, but this instance can reach the store: another instance should take over.
             return;
         }
--- a/packages/agreement/src/index.ts
+++ b/packages/agreement/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./agreement";
+export * from "./agreementDependencies";
 export * from "./coverage";
 export * from "./errors";
 export * from "./ownership";
