--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -198,14 +198,8 @@
         getRemaining: () => PlaceRequest,
         signal: AbortSignal,
     ): Promise<PlacementOutcome | UnknownEndpoint> {
-        let wasCoordinatorAsked = false;
-        // The deputy decides nothing once it knows a coordinator, which is then asked again, unless it didn't reply.
+        // The deputy decides nothing once it knows a coordinator, which is then asked again.
         for (const granter of [this.coordinator, this.deputy, this.coordinator]) {
-            const isAskedAgain = wasCoordinatorAsked && granter === this.coordinator;
-            if (isAskedAgain && this.remotePlacement.isUnresponsive(granter)) {
-                break;
-            }
-            wasCoordinatorAsked = true;
             const decision = await this.requestFrom(granter, getRemaining(), signal);
             if (decision !== undefined) {
                 return this.toOutcome(request, decision, granter.decider, signal);
