--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -14,26 +14,14 @@
 import { GrantLimiter, type RateLimiter, StaticSplitLimiter } from "@heatherline/limits";
 import { AuditLog, AuditReader, type SloThresholds, SloTracker } from "@heatherline/reports";
 import {
-    AttemptFilter,
-    AuthenticateFilter,
     CreditPool,
-    DeduplicateFilter,
     EndpointReconciler,
     getEndpointKey,
-    HttpDispatcher,
     HttpOrderTransport,
     InFlightRegistry,
-    LimitFilter,
-    newPipeline,
-    type Pipeline,
-    RecordFilter,
-    Refusal,
-    ResolveFilter,
-    RetryBudget,
     Scheduler,
 } from "@heatherline/serving";
 import { HttpStore, MemoryStore, type ObjectStore } from "@heatherline/store";
-import { err } from "neverthrow";
 import { readFile } from "node:fs/promises";
 import { AdminApi, type InstanceStatus } from "./adminApi";
 import { BatchApi, getJobSubject } from "./batchApi";
@@ -49,6 +37,7 @@
 import { type Hello, PeerDirectory } from "./peerDirectory";
 import { addPeerMethods } from "./peerMethods";
 import { PipelineItemExecutor } from "./pipelineItemExecutor";
+import { newPipelines } from "./pipelines";
 import { newBatchAdmission, newRoutePolicy } from "./policies";
 import { QuarantineBroadcaster } from "./quarantineBroadcaster";
 import type { DaemonSettings } from "./settings";
@@ -179,7 +168,20 @@
             () => this.getStatus(),
         );
         this.auditLog = new AuditLog(this.store, instance, logger);
-        const { online, batch } = this.newPipelines();
+        const { online, batch } = newPipelines({
+            replica: this.replica,
+            scheduler: this.scheduler,
+            creditPool: this.creditPool,
+            quarantine: this.quarantine,
+            inFlight: this.inFlight,
+            claims: this.claims,
+            limiter: this.limiter,
+            metrics: this.metrics,
+            auditLog: this.auditLog,
+            sloTracker: this.sloTracker,
+            logger,
+            getConfigAgeMs: () => this.getConfigAgeMs(),
+        });
         this.jobRunner = new JobRunner(
             this.store,
             new PipelineItemExecutor(batch, this.replica),
@@ -308,42 +310,6 @@
         this.logger.info({ cut: this.callerServer.countOpenRequests() }, "stopped");
     }
 
-    private newPipelines(): { online: Pipeline; batch: Pipeline; } {
-        const record = new RecordFilter((entry, outcome) => {
-            this.metrics.record(entry);
-            this.auditLog.addEntry({ at: new Date().toISOString(), ...entry });
-            if (entry.workClass === "online" && entry.service !== undefined) {
-                this.sloTracker.recordEvent({
-                    ...entry,
-                    service: entry.service,
-                    organisation: entry.organisation ?? "",
-                });
-            }
-            const cause = outcome.isErr() && outcome.error.cause !== undefined
-                ? String(outcome.error.cause)
-                : undefined;
-            this.logger.info({ ...entry, cause }, "request");
-        });
-        const resolve = new ResolveFilter(this.replica);
-        const attempt = new AttemptFilter(
-            this.scheduler,
-            new HttpDispatcher(this.creditPool),
-            new RetryBudget(),
-            this.quarantine.suspects,
-            this.replica,
-        );
-        const fallback = async () => err(new Refusal("internal", 500, "no filter answered", true));
-        const online = newPipeline([
-            record,
-            resolve,
-            new AuthenticateFilter(this.replica, this.inFlight, () => this.getConfigAgeMs()),
-            new DeduplicateFilter(this.claims),
-            new LimitFilter(this.limiter),
-            attempt,
-        ], fallback);
-        return { online, batch: newPipeline([record, resolve, attempt], fallback) };
-    }
-
     private newMetrics(): DaemonMetrics {
         return new DaemonMetrics({
             getInFlight: () => this.inFlight.size,
