--- a/review/common-2/harness.mjs
+++ b/review/common-2/harness.mjs
@@ -29,6 +29,31 @@
     return randomBytes(8).toString("hex");
 }
 
+const MAX_PAGE_BYTES = 1_000_000;
+const MAX_PAGE_ITEMS = 500;
+
+/** The project's stand-in of the store, with lists of about 500 objects or 1 MB at most, as the pages say. */
+class PagedObjectApi extends ObjectApi {
+    async get(url, kind, name, response) {
+        if (name !== undefined || url.searchParams.has("watch")) {
+            return super.get(url, kind, name, response);
+        }
+        const after = url.searchParams.get("after") ?? "";
+        const names = this.getNames(kind).sort().filter(other => other > after);
+        const items = [];
+        let sizeBytes = 0;
+        for (const other of names.slice(0, MAX_PAGE_ITEMS)) {
+            const item = this.read(kind, other);
+            sizeBytes += JSON.stringify(item).length;
+            if (items.length > 0 && sizeBytes > MAX_PAGE_BYTES) {
+                break;
+            }
+            items.push(item);
+        }
+        this.send(response, 200, { items, hasMore: names.length > items.length, storeRevision: this.revision });
+    }
+}
+
 /** Lines of record.txt, with the time since the start. */
 export class Record {
     constructor(folder) {
@@ -49,7 +74,7 @@
         this.record = record;
         this.regions = regions;
         this.contracts = contracts;
-        this.store = new ObjectApi();
+        this.store = new PagedObjectApi();
         this.engines = [];
         this.gateways = [];
         this.folder = mkdtempSync(join(tmpdir(), "review-"));
