--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,99 +1,141 @@
-// Cold servers under a steady press of clients, and the end of one gateway process.
+// Half of the servers spoil one in fifty of their answers: bytes that are no answer come without end until the caller
+// closes. Batch jobs run meanwhile.
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import {
     BROKEN,
     call,
+    GENERATION_HEADERS,
     hasTrouble,
     HELD,
+    HOST,
     newConfig,
     newId,
-    newStreamRequest,
     NOT_RUN,
     runCase,
     sleep,
 } from "../common-2/harness.mjs";
 
-const WARMUP_PER_S = 20;
-const WARMUP_S = 3;
-const COLD_OVER = 1.5;
-const COLD_SLACK = 5;
-const BOUND = WARMUP_PER_S * COLD_OVER + COLD_SLACK;
-const REQUESTS_PER_S = Number(process.env.REQUESTS_PER_S ?? 200);
-const WINDOW_MS = 1_000;
-/** The process ends this long after the servers have started. */
-const KILL_AFTER_MS = 1_500;
+const JOBS = 14;
+const ITEMS = 200;
+const TOKENS_PER_ITEM = 160;
+const SPOILED_SHARE = 0.5;
+/** One in so many answers of a spoiling server: 0.02 of them. */
+const ANSWERS_PER_SPOILED = 50;
+const JUNK = `data: ${"z".repeat(300)}\n\n`.repeat(50);
 const RESTART_MS = 500;
+const MIN_ENDS = 3;
+const MIN_MACHINES = 2;
+const LENGTH_MS = 70_000;
+
+/** Sends events without the ids that each event of a stream has, without end; the caller reads as fast as it can. */
+function sendJunk(entry, response) {
+    response.writeHead(200, {
+        "Request-Id": entry.requestId,
+        "Response-Signature": `sig.${entry.requestId}`,
+        "Content-Type": "text/event-stream",
+    });
+    const pump = () => {
+        while (!response.destroyed) {
+            if (!response.write(JUNK)) {
+                response.once("drain", pump);
+                return;
+            }
+        }
+    };
+    pump();
+}
+
+function makeSpoiling(server, record) {
+    const respond = server.respond.bind(server);
+    let answers = 0;
+    server.respond = (entry, response, faultText) => {
+        answers += 1;
+        if (hasTrouble && answers % ANSWERS_PER_SPOILED === 0) {
+            record.write(`disruption: server ${server.id} sends bytes without end for ${entry.requestId}`);
+            const sinceMs = Date.now();
+            response.once("close", () => {
+                const sentMb = Math.round((response.socket?.bytesWritten ?? entry.socket.bytesWritten) / 1_000_000);
+                record.write(`server ${server.id}: closed after ${Date.now() - sinceMs} ms and ${sentMb} MB`);
+            });
+            entry.socket = response.socket;
+            sendJunk(entry, response);
+            return Promise.resolve();
+        }
+        return respond(entry, response, faultText);
+    };
+}
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (record, newDeployment) => {
     const deployment = newDeployment();
     await deployment.start();
     deployment.writeConfig(newConfig());
     const zones = ["east", "west"];
-    await deployment.addEngine({ service: "plain", dataCentre: "east" });
-    const earlier = [];
-    for (const dataCentre of zones) {
-        earlier.push(await deployment.addEngine({ service: "lm", dataCentre, eventGapMs: 20 }));
+    for (const [index, dataCentre] of [...zones, ...zones].entries()) {
+        const server = await deployment.addEngine({ service: "lm", dataCentre, eventGapMs: 20 });
+        if (index < zones.length * 2 * SPOILED_SHARE) {
+            makeSpoiling(server, record);
+        }
     }
     for (const zone of zones) {
-        await deployment.addGateway(`front-${zone}-1`, zone);
-        await deployment.addGateway(`front-${zone}-2`, zone);
+        for (let index = 1; index <= 2; index += 1) {
+            await deployment.addGateway(`front-${zone}-${index}`, zone);
+        }
     }
     if (await deployment.waitForLeader() === undefined) {
         return { code: NOT_RUN, reason: "there is no leader" };
     }
-    await sleep(3_500);
-    // A release: the new servers start first, and are cold; the old ones drain.
-    const coldSinceMs = Date.now();
-    const servers = [];
-    for (const dataCentre of zones) {
-        const server = await deployment.addEngine({ service: "lm", dataCentre, eventGapMs: 20 });
-        deployment.store.write("servers", server.id, { ...server.getRegistration(), warmupLeftMs: WARMUP_S * 1_000 });
-        record.write(`server ${server.id} is cold for ${WARMUP_S} s`);
-        servers.push(server);
-    }
-    for (const server of earlier) {
-        deployment.store.write("servers", server.id, server.getRegistration("draining"));
-        record.write(`server ${server.id} is draining`);
-    }
-    const sentAtMs = new Map();
-    const pending = [];
-    const untilMs = coldSinceMs + WARMUP_S * 1_000;
-    let isDisrupted = false;
-    for (let count = 0; Date.now() < untilMs; count += 1) {
-        await sleep(coldSinceMs + count * 1_000 / REQUESTS_PER_S - Date.now());
-        if (!isDisrupted && hasTrouble && Date.now() - coldSinceMs > KILL_AFTER_MS) {
-            isDisrupted = true;
-            const leader = deployment.getLeader();
-            deployment.signal(leader, "SIGKILL");
-            void deployment.restartAfter(leader, RESTART_MS);
+    await sleep(2_000);
+    const ends = new Map();
+    let isOver = false;
+    const watch = gateway =>
+        gateway.child.once("exit", (code, signal) => {
+            if (isOver) {
+                return;
+            }
+            ends.set(gateway.name, (ends.get(gateway.name) ?? 0) + 1);
+            const why = gateway.lines.join("\n").match(/FATAL ERROR: [^\n]*/)?.[0] ?? "";
+            record.write(`${gateway.name} has ended by itself: ${signal ?? code} ${why}`);
+            gateway.lines.length = 0;
+            void deployment.restartAfter(gateway, RESTART_MS).then(() => watch(gateway));
+        });
+    deployment.gateways.forEach(watch);
+    const hasEnoughEnds = () => [...ends.values()].filter(times => times >= MIN_ENDS).length >= MIN_MACHINES;
+    const jobs = [];
+    for (let index = 0; index < JOBS; index += 1) {
+        const jobId = newId();
+        const items = Array.from({ length: ITEMS }, () => {
+            const id = newId();
+            const body = Buffer.from("item events=10").toString("base64");
+            return { id, path: `/jobs/${id}`, headers: GENERATION_HEADERS, body, tokens: TOKENS_PER_ITEM };
+        });
+        const headers = { Host: HOST, Authorization: "Token alpha-key", "Request-Id": jobId, Deadline: "4000" };
+        const gateway = deployment.gateways[index % deployment.gateways.length];
+        const { status } = await call(gateway.front, {
+            path: `/jobs/${jobId}`,
+            headers,
+            body: JSON.stringify({ items }),
+        });
+        record.write(`client gets ${status} for job ${jobId} of ${ITEMS} items at ${gateway.name}`);
+        if (status === 202) {
+            jobs.push({ jobId, headers, results: 0 });
         }
-        const running = deployment.gateways.filter(({ child }) => !child.killed);
-        const gateway = running[count % running.length];
-        const requestId = newId();
-        sentAtMs.set(requestId, Date.now());
-        record.write(`client sends ${requestId} to ${gateway.name}`);
-        pending.push(call(gateway.front, newStreamRequest(requestId)).then(reply => {
-            record.write(`client gets ${reply.status} for ${requestId}`);
-            return reply;
-        }));
-    }
-    const byStatus = {};
-    for (const { status } of await Promise.all(pending)) {
-        byStatus[status] = (byStatus[status] ?? 0) + 1;
     }
-    record.write(`answers by status: ${JSON.stringify(byStatus)}`);
-    let worst = { count: 0, server: "" };
-    for (const server of servers) {
-        const runs = server.seen.map(({ requestId, atMs }) => ({ requestId, atMs, sentAtMs: sentAtMs.get(requestId) }))
-            .filter(({ atMs }) => atMs < untilMs);
-        runs.forEach(({ requestId, atMs }) => record.write(`server ${server.id} runs ${requestId}`, atMs));
-        // Counted are requests that were sent and arrived inside one second.
-        for (const { sentAtMs: fromMs } of runs) {
-            const count = runs.filter(run => run.sentAtMs >= fromMs && run.atMs < fromMs + WINDOW_MS).length;
-            worst = count > worst.count ? { count, server: server.id } : worst;
+    const startMs = Date.now();
+    const isDone = () => jobs.every(({ results }) => results === ITEMS);
+    while (Date.now() < startMs + LENGTH_MS && !hasEnoughEnds() && !isDone()) {
+        await sleep(1_000);
+        for (const [index, job] of jobs.entries()) {
+            const gateway = deployment.gateways[index % deployment.gateways.length];
+            const path = `/-/lots/${job.jobId}?after=${job.results}`;
+            const read = await call(gateway.front, { method: "GET", path, headers: job.headers, timeoutMs: 2_000 });
+            if (read.status === 200 && read.isComplete) {
+                job.results = JSON.parse(read.body).next;
+            }
         }
+        record.write(`clients have read ${jobs.map(({ results }) => results).join(", ")} results`);
     }
-    const reason = `at most ${worst.count} requests in one second at a cold server (${worst.server}), ${BOUND} allowed`;
-    return { code: worst.count > BOUND ? BROKEN : HELD, reason };
+    isOver = true;
+    const list = [...ends].map(([name, times]) => `${name} ${times} times`).join(", ") || "none";
+    return { code: hasEnoughEnds() ? BROKEN : HELD, reason: `processes that ended by themselves: ${list}` };
 });
