--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,5 +1,5 @@
-// Half of the servers spoil one in fifty of their answers: bytes that are no answer come without end until the caller
-// closes. Batch jobs run meanwhile.
+// For some seconds, several times, half of the servers spoil one in fifty of their answers: bytes that are no answer come
+// without end until the caller closes. Batch jobs run meanwhile.
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import {
@@ -16,17 +16,20 @@
     sleep,
 } from "../common-2/harness.mjs";
 
-const JOBS = 14;
+const JOBS = 24;
 const ITEMS = 200;
 const TOKENS_PER_ITEM = 160;
 const SPOILED_SHARE = 0.5;
 /** One in so many answers of a spoiling server: 0.02 of them. */
 const ANSWERS_PER_SPOILED = 50;
+/** The servers spoil answers for so long, and then none for a while. */
+const SPOILING_MS = 5_000;
+const PAUSE_MS = 3_000;
 const JUNK = `data: ${"z".repeat(300)}\n\n`.repeat(50);
 const RESTART_MS = 500;
 const MIN_ENDS = 3;
 const MIN_MACHINES = 2;
-const LENGTH_MS = 70_000;
+const LENGTH_MS = 85_000;
 
 /** Sends events without the ids that each event of a stream has, without end; the caller reads as fast as it can. */
 function sendJunk(entry, response) {
@@ -46,12 +49,16 @@
     pump();
 }
 
+function isSpoiling(record) {
+    return hasTrouble && (Date.now() - record.startedAtMs) % (SPOILING_MS + PAUSE_MS) < SPOILING_MS;
+}
+
 function makeSpoiling(server, record) {
     const respond = server.respond.bind(server);
     let answers = 0;
     server.respond = (entry, response, faultText) => {
-        answers += 1;
-        if (hasTrouble && answers % ANSWERS_PER_SPOILED === 0) {
+        answers += isSpoiling(record) ? 1 : 0;
+        if (isSpoiling(record) && answers % ANSWERS_PER_SPOILED === 0) {
             record.write(`disruption: server ${server.id} sends bytes without end for ${entry.requestId}`);
             const sinceMs = Date.now();
             response.once("close", () => {
