--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -16,7 +16,7 @@
     sleep,
 } from "../common-2/harness.mjs";
 
-const JOBS = 24;
+const JOBS = 34;
 const ITEMS = 200;
 const TOKENS_PER_ITEM = 160;
 const SPOILED_SHARE = 0.5;
--- a/review/common-2/harness.mjs
+++ b/review/common-2/harness.mjs
@@ -298,6 +298,9 @@
         await deployment?.stop().catch(() => undefined);
         process.exit(code);
     };
+    for (const signal of ["SIGTERM", "SIGINT"]) {
+        process.once(signal, () => finish(NOT_RUN, `ended by ${signal}`));
+    }
     try {
         const { code, reason } = await run(record, options => {
             deployment = new Deployment(record, options);
