--- a/review/common-2/harness.mjs
+++ b/review/common-2/harness.mjs
@@ -79,6 +79,7 @@
         this.gateways = [];
         this.folder = mkdtempSync(join(tmpdir(), "review-"));
         this.configVersion = 0;
+        this.isStopped = false;
         this.runLine = /^run = "(.*gateway.*)"$/m.exec(readFileSync(join(ROOT, "deploy", "system.toml"), "utf8"))[1];
     }
 
@@ -239,12 +240,16 @@
             await new Promise(resolve => gateway.child.once("exit", resolve));
         }
         await sleep(delayMs);
+        if (this.isStopped) {
+            return;
+        }
         writeFileSync(gateway.settingsPath, this.newSettings(gateway, false));
         this.spawn(gateway);
         this.record.write(`platform: ${gateway.name} started again`);
     }
 
     async stop() {
+        this.isStopped = true;
         for (const { child } of this.gateways) {
             child?.kill("SIGCONT");
             child?.kill("SIGKILL");
