--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -17,9 +17,10 @@
 const CONTACT_MS = 3_000;
 const MAX_RETRIES = 3;
 const CRASHES_BEFORE = 3;
-/** The request comes again this long after its answer. */
+/** The request comes again this long after its answer, or after the time that a refusal names. */
 const AGAIN_MS = 100;
 const SERVER_DOWN_MS = 2_000;
+const WARMUP_MS = 3_000;
 const CRASH_DELAY_MS = 30;
 /** The process ends this long after the third crash. */
 const KILL_AFTER_MS = 4_000;
@@ -30,7 +31,7 @@
 const BODY = "the same body each time";
 
 /** Makes a server crash when it begins to run the request; it is back after a while, under the id that it had. */
-function makeCrashable(server, record, crashes) {
+function makeCrashable(server, store, record, crashes) {
     server.respond = async entry => {
         crashes.runs.push({ requestId: entry.requestId, server: server.id, atMs: entry.atMs });
         record.write(`server ${server.id} begins to run ${entry.requestId}`, entry.atMs);
@@ -44,8 +45,10 @@
         server.server.closeAllConnections();
         await sleep(SERVER_DOWN_MS);
         if (!crashes.isOver) {
-            server.server.listen(server.port, "127.0.0.1");
             server.startedAt = Date.now();
+            server.server.listen(server.port, "127.0.0.1");
+            store.write("servers", server.id, { ...server.getRegistration(), warmupLeftMs: WARMUP_MS });
+            record.write(`server ${server.id} is back, and cold`);
         }
     };
 }
@@ -58,7 +61,8 @@
     const zones = ["east", "west"];
     const crashes = { atMs: [], runs: [], isOver: false };
     for (const dataCentre of [...zones, ...zones, ...zones]) {
-        makeCrashable(await deployment.addEngine({ service: "lm", dataCentre }), record, crashes);
+        const server = await deployment.addEngine({ service: "lm", dataCentre });
+        makeCrashable(server, deployment.store, record, crashes);
     }
     for (const zone of zones) {
         for (let index = 1; index <= 3; index += 1) {
@@ -88,7 +92,7 @@
         const requestId = newId();
         sentTo.set(requestId, gateway.name);
         record.write(`client sends ${requestId} to ${gateway.name}`);
-        const { status } = await call(gateway.front, {
+        const { status, headers: answered } = await call(gateway.front, {
             path: "/again/crashing",
             headers: {
                 Host: HOST,
@@ -102,7 +106,7 @@
             body: BODY,
         });
         record.write(`client gets ${status} for ${requestId}`);
-        await sleep(AGAIN_MS);
+        await sleep(Math.max(AGAIN_MS, Number(answered["retry-after"] ?? 0) * 1_000));
     }
     crashes.isOver = true;
     const thirdCrashMs = crashes.atMs[CRASHES_BEFORE - 1];
--- a/review/common-2/harness.mjs
+++ b/review/common-2/harness.mjs
@@ -298,6 +298,10 @@
     let deployment;
     const finish = async (code, reason) => {
         clearTimeout(deadline);
+        for (const { id, seen } of deployment?.engines ?? []) {
+            const requests = new Set(seen.map(({ requestId }) => requestId)).size;
+            record.write(`server ${id} has begun ${seen.length} runs of ${requests} requests or items`);
+        }
         record.write(`result ${code}: ${reason}`);
         process.stdout.write(`result ${code}: ${reason}\n`);
         await deployment?.stop().catch(() => undefined);
