Review case 6: jobs of two tenants, inside the sheet's limit of waiting tokens

Before, one tenant had 1,088,000 tokens waiting, where the sheet has 890,000 at most; a configuration may leave the limit out, so it was allowed, but more than it needs.

--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -19,6 +19,8 @@
 const JOBS = 34;
 const ITEMS = 200;
 const TOKENS_PER_ITEM = 160;
+const MAX_TOKENS = 890_000;
+const TENANTS = ["alpha", "beta"];
 const SPOILED_SHARE = 0.5;
 /** One in so many answers of a spoiling server: 0.02 of them. */
 const ANSWERS_PER_SPOILED = 50;
@@ -76,7 +78,8 @@
 await runCase(dirname(fileURLToPath(import.meta.url)), async (record, newDeployment) => {
     const deployment = newDeployment();
     await deployment.start();
-    deployment.writeConfig(newConfig());
+    const tenants = TENANTS.map(name => ({ name, apiKeys: [`${name}-key`], priority: 0, ratePerS: 0, burst: 0 }));
+    deployment.writeConfig(newConfig({ routes: { jobs: { maxCount: MAX_TOKENS } }, tenants }));
     const zones = ["east", "west"];
     for (const [index, dataCentre] of [...zones, ...zones].entries()) {
         const server = await deployment.addEngine({ service: "lm", dataCentre, eventGapMs: 20 });
@@ -116,7 +119,8 @@
             const body = Buffer.from("item events=10").toString("base64");
             return { id, path: `/jobs/${id}`, headers: GENERATION_HEADERS, body, tokens: TOKENS_PER_ITEM };
         });
-        const headers = { Host: HOST, Authorization: "Token alpha-key", "Request-Id": jobId, Deadline: "4000" };
+        const tenant = TENANTS[index % TENANTS.length];
+        const headers = { Host: HOST, Authorization: `Token ${tenant}-key`, "Request-Id": jobId, Deadline: "4000" };
         const gateway = deployment.gateways[index % deployment.gateways.length];
         const { status } = await call(gateway.front, {
             path: `/jobs/${jobId}`,
