Bound what is kept of the events of batch items

Cause: ItemRun kept the data of each event, without a limit on the size, the number, the time or the memory of all items. Nobody reads a response to an item but the instance, so that nobody made it stop. A run ends 5 s after the deadline that its endpoint was given, and an event that isn't kept doesn't count as a sign of life.

--- a/packages/gateway/src/jobs/itemRun.ts
+++ b/packages/gateway/src/jobs/itemRun.ts
@@ -7,12 +7,11 @@
     type PlacementClient,
     type RefusalReason,
     type Route,
-    type StreamOrigin,
 } from "@heatherline/fleet";
 import { discardBody, readChunks } from "../endpoints/bodyReader";
 import { type EndpointResponse, type EndpointSender, isNotSent } from "../endpoints/endpointClient";
 import type { MemoryBudget } from "../memoryBudget";
-import { EventStreamParser, getEventData, hasContent } from "../online/eventStreamParser";
+import { EventStreamParser, hasContent } from "../online/eventStreamParser";
 import { releasePlace } from "../online/placeRelease";
 import { StreamContinuation } from "../online/streamContinuation";
 import type { ItemResult, WireCodec } from "../wireCodec";
@@ -20,6 +19,7 @@
 import type { ItemDurationEstimator } from "./itemDurationEstimator";
 import type { ItemPlacementQueue } from "./itemPlacementQueue";
 import { newItemPlaceOptions } from "./itemPlaceOptions";
+import { ItemProgress } from "./itemProgress";
 import { getItemFigures, type RunEnd, toErrorEnd, toRequestEnd } from "./itemRunEnd";
 import type { ItemContent } from "./jobBodies";
 import type { JobItem } from "./jobStore";
@@ -42,6 +42,8 @@
 const VERSION_BUSY_PATIENCE_MS = 8_000;
 /** Deadline that an endpoint is given for one run. */
 const MAX_RUN_MS = 60_000;
+/** An endpoint that still sends this long after the deadline is faulty. */
+const MAX_OVERRUN_MS = 5_000;
 /**
  * Without any data for this long, the endpoint is considered unavailable and the run is aborted. The time doubles with
  * each run in a row that was aborted before it produced anything, since endpoints may take long for the item.
@@ -50,6 +52,8 @@
 const MAX_SILENCE_DOUBLINGS = 2;
 /** Whole answers without an event that show that an item has no output; a faulty endpoint may send one. */
 const MIN_EMPTY_ANSWERS = 3;
+/** How runs end that this side aborts. */
+const ABORT_ENDS = ["called-back", "stopped", "silent", "too-long", "memory-short"] as const;
 
 /** What the runs of an item depend on. */
 export interface ItemRunDependencies {
@@ -84,30 +88,13 @@
     readonly submittedAt: number;
 }
 
-/** Progress of an item, which another instance can continue from. */
-export interface ItemState {
-    readonly itemId: string;
-    /** Data of the events received so far. */
-    readonly data: readonly string[];
-    readonly lastEventId: number | undefined;
-    /** Where these events come from; absent from instances of earlier releases. */
-    readonly origin?: StreamOrigin | undefined;
-    /** Number of runs that ended as `failed`. */
-    readonly failures: number;
-}
-
 /**
  * Runs one batch item until it has a result. A run that is preempted or breaks is resumed, at the same or another
  * endpoint, after the last event received.
  */
 export class ItemRun {
-    private data: string[];
-    /** Where the events received so far come from. */
-    private origin: StreamOrigin | undefined;
     /** Since when the item has been waiting for an endpoint that can go on with it. */
     private waitingSinceMs: number | undefined;
-    private lastEventId: number | undefined;
-    private failures: number;
     /** Consecutive runs that broke before they produced anything. */
     private emptyRuns = 0;
     /** Whole answers without an event, if no answer had one. */
@@ -116,6 +103,8 @@
     private silentRuns = 0;
     /** Whether a run was refused. A faulty endpoint may send the refusal again, with the same id, on its connection. */
     private wasRejected = false;
+    /** Events of the latest run. */
+    private runEventCount = 0;
     /** How the response of the latest run ended, for the log. */
     private lastResponseEnd: ResponseEnd | undefined;
     private routeLastSeenAtMs = performance.now();
@@ -128,22 +117,15 @@
      * @param item - The item.
      * @param deps - What the runs depend on.
      * @param signal - Aborted when this instance is to stop running the item.
-     * @param state - Progress that another instance has made with the item.
+     * @param progress - What has been received of its output so far, also by another instance.
      */
     constructor(
         private readonly job: ItemJob,
         private readonly item: JobItem,
         private readonly deps: ItemRunDependencies,
         private readonly signal: AbortSignal,
-        state: ItemState | undefined,
+        private readonly progress = new ItemProgress(),
     ) {
-        this.data = [...state?.data ?? []];
-        this.lastEventId = state?.lastEventId;
-        this.origin = state?.origin;
-        if (this.data.length > 0 && this.origin === undefined) {
-            this.startAnew();
-        }
-        this.failures = state?.failures ?? 0;
         this.body = new ItemBody({
             getContent: deps.getContent,
             bodies: deps.memoryBudget?.bodies,
@@ -151,12 +133,6 @@
         });
     }
 
-    /** @returns The item's progress. */
-    getState(): ItemState {
-        const { data, lastEventId, origin, failures } = this;
-        return { itemId: this.item.itemId, data, lastEventId, origin, failures };
-    }
-
     /** @returns The result, or `undefined` if this instance is to stop running the item. */
     async run(): Promise<ItemResult | undefined> {
         try {
@@ -164,6 +140,7 @@
         }
         finally {
             this.body.end();
+            this.progress.release();
         }
     }
 
@@ -178,7 +155,7 @@
             if (route !== undefined && Date.now() > this.job.submittedAt + route.retentionMs + CLOCK_SKEW_MARGIN_MS) {
                 return this.newDeadResult();
             }
-            if (route === undefined || !this.deps.mayRun()) {
+            if (route === undefined || !this.mayRun()) {
                 if (isRouteMissing && performance.now() - this.routeLastSeenAtMs > ROUTE_REMOVAL_GRACE_MS) {
                     return this.newDeadResult();
                 }
@@ -187,13 +164,13 @@
             }
             const end = await this.runOnce(route).finally(() => this.body.release());
             if (end === "complete") {
-                return { itemId: this.item.itemId, state: "completed", output: this.data.join("\n") };
+                return { itemId: this.item.itemId, state: "completed", output: this.progress.output };
             }
             if (end === "cannot-be-done") {
                 return this.newDeadResult();
             }
-            this.failures += end === "failed" ? 1 : 0;
-            if (this.failures >= route.maxAttempts) {
+            this.progress.failures += end === "failed" ? 1 : 0;
+            if (this.progress.failures >= route.maxAttempts) {
                 return this.newDeadResult();
             }
             if (end !== "called-back" && end !== "stopped") {
@@ -203,22 +180,27 @@
         return undefined;
     }
 
+    private mayRun(): boolean {
+        return this.deps.mayRun() && this.progress.mayRun;
+    }
+
     private newDeadResult(): ItemResult {
         return { itemId: this.item.itemId, state: "dead", output: "" };
     }
 
     private async runOnce(route: Route): Promise<RunEnd> {
-        const isUnresumable = this.data.length > 0 && this.lastEventId === undefined;
-        if (isUnresumable || (this.origin !== undefined && !getServices(route).includes(this.origin.service))) {
+        const { lastEventId, origin } = this.progress;
+        const isUnresumable = this.progress.eventCount > 0 && lastEventId === undefined;
+        if (isUnresumable || (origin !== undefined && !getServices(route).includes(origin.service))) {
             this.startAnew();
         }
         const targets = route.targets.filter(target => !this.tooSmallServices.has(target.service));
-        const service = this.origin?.service ?? pickService({ ...route, targets }, Math.random());
+        const service = this.progress.origin?.service ?? pickService({ ...route, targets }, Math.random());
         if (service === undefined) {
             await sleep(NOT_RUNNABLE_DELAY_MS, this.signal);
             return "stopped";
         }
-        const remainingMs = this.deps.durationEstimator.getRemainingMs(this.data.length);
+        const remainingMs = this.deps.durationEstimator.getRemainingMs(this.progress.eventCount);
         const timing = { dueInMs: this.getDueInMs(route), remainingMs };
         // The content is read only now, so that few are in memory.
         const request = await this.deps.placementQueue.add(service, timing, async () => {
@@ -246,15 +228,18 @@
         }
         const { place } = outcome;
         this.waitingSinceMs = undefined;
-        if (!this.deps.mayRun()) {
+        if (!this.mayRun()) {
             place.release("lost");
             return "stopped";
         }
-        const previousEventCount = this.data.length;
+        const previousEventCount = this.progress.eventCount;
         const startedAtMs = performance.now();
         const end = await this.runAtPlace(place, content);
         this.wasRejected ||= end === "rejected";
-        const eventCount = this.data.length - previousEventCount;
+        if (end === "too-long") {
+            this.startAnew();
+        }
+        const eventCount = this.runEventCount;
         const placeEnd = {
             end: toRequestEnd(end, eventCount),
             wasSilent: end === "silent",
@@ -264,12 +249,14 @@
             },
         };
         await releasePlace(place, placeEnd, this.deps.endpoints);
-        const isEmpty = end === "no-path" || (end === "broken" && eventCount === 0);
+        const isEmpty = end === "no-path" || end === "too-long" || (end === "broken" && eventCount === 0);
         this.emptyRuns = isEmpty ? this.emptyRuns + 1 : 0;
         this.silentRuns = eventCount > 0 ? 0 : this.silentRuns + Number(end === "silent");
-        this.deps.durationEstimator.recordRun(eventCount, performance.now() - startedAtMs);
+        if (end !== "too-long" && end !== "memory-short") {
+            this.deps.durationEstimator.recordRun(eventCount, performance.now() - startedAtMs);
+        }
         if (end === "complete") {
-            this.deps.durationEstimator.recordFinished(this.data.length);
+            this.deps.durationEstimator.recordFinished(this.progress.eventCount);
         }
         this.deps.onRunEnded(this.item, end, {
             endpoint: place.endpoint.endpointId,
@@ -296,21 +283,19 @@
                 tokens: this.item.tokens,
             }),
             fingerprint: `${this.job.jobId}/${this.item.itemId}`,
-            softwareVersion: this.origin?.softwareVersion,
+            softwareVersion: this.progress.origin?.softwareVersion,
             signal: this.signal,
         });
     }
 
     /** What another version has begun can't be gone on with; an item is owed, so that it begins again. */
     private startAnew(): void {
-        this.data = [];
-        this.lastEventId = undefined;
-        this.origin = undefined;
+        this.progress.startAnew();
         this.waitingSinceMs = undefined;
     }
 
     private startAnewIfHopeless(reason: RefusalReason): void {
-        if (this.origin === undefined) {
+        if (this.progress.origin === undefined) {
             return;
         }
         this.waitingSinceMs ??= performance.now();
@@ -332,19 +317,22 @@
         const { wire, endpoints } = this.deps;
         const { body } = content;
         this.lastResponseEnd = undefined;
+        this.runEventCount = 0;
         const abortController = new AbortController();
         const onPreempted = () => abortController.abort("called-back");
         const onStopped = () => abortController.abort("stopped");
         place.preemptSignal.addEventListener("abort", onPreempted, { once: true });
         this.signal.addEventListener("abort", onStopped, { once: true });
+        this.progress.onDropped = () => abortController.abort("memory-short");
         const silenceTimer = setTimeout(() => abortController.abort("silent"), this.getSilenceTimeoutMs());
+        const runTimer = setTimeout(() => abortController.abort("too-long"), MAX_RUN_MS + MAX_OVERRUN_MS);
         const headers = wire.toEndpointHeaders(
             wire.toItemHeaders(this.job.host, this.item.itemId, content.headers),
             {
                 endpointId: place.endpoint.endpointId,
                 organisation: this.job.organisation,
                 timeLeftMs: MAX_RUN_MS,
-                lastEventId: this.lastEventId,
+                lastEventId: this.progress.lastEventId,
                 bodyBytes: body.length,
             },
         );
@@ -370,65 +358,73 @@
                 discardBody(incoming);
                 return toErrorEnd(status, head.isNotExecuted);
             }
-            const isComplete = await this.readEvents(result.value, place, silenceTimer);
-            return isComplete ? "complete" : this.toAbortEnd(abortController.signal) ?? "broken";
+            const end = await this.readEvents(result.value, place, silenceTimer);
+            return end === "broken" ? this.toAbortEnd(abortController.signal) ?? end : end;
         }
         finally {
             clearTimeout(silenceTimer);
+            clearTimeout(runTimer);
+            this.progress.onDropped = undefined;
             place.preemptSignal.removeEventListener("abort", onPreempted);
             this.signal.removeEventListener("abort", onStopped);
         }
     }
 
     private toAbortEnd({ reason }: AbortSignal): RunEnd | undefined {
-        return reason === "called-back" || reason === "stopped" || reason === "silent" ? reason : undefined;
+        return ABORT_ENDS.find(end => end === reason);
     }
 
     /**
      * Keeps complete events only, so that a resumed run continues exactly after the last one.
      *
-     * @returns Whether the response is complete.
+     * @returns How the run ended; `broken` also if this side has aborted it.
      */
     private async readEvents(
         response: EndpointResponse,
         { endpoint }: HeldPlace,
         silenceTimer: NodeJS.Timeout,
-    ): Promise<boolean> {
+    ): Promise<"complete" | "broken" | "too-long"> {
+        const { progress } = this;
         const { incoming, endObserver } = response;
         const parser = new EventStreamParser();
-        const continuation = new StreamContinuation(this.lastEventId, true);
+        const continuation = new StreamContinuation(progress.lastEventId, true);
         if (continuation.findHeadFault(response) !== undefined) {
             incoming.destroy();
-            return false;
+            return "broken";
         }
+        const origin = { service: endpoint.service, softwareVersion: getSoftwareVersion(endpoint) };
         try {
             for await (const chunk of readChunks(incoming)) {
                 for (const event of parser.parse(chunk)) {
                     if (continuation.findFault(event) !== undefined) {
-                        return false;
+                        return "broken";
                     }
                     if (!hasContent(event)) {
                         continue;
                     }
-                    silenceTimer.refresh();
-                    if (event.eventId === undefined || event.eventId > (this.lastEventId ?? -1)) {
-                        this.origin ??= { service: endpoint.service, softwareVersion: getSoftwareVersion(endpoint) };
-                        this.lastEventId = event.eventId ?? this.lastEventId;
-                        this.data.push(getEventData(event));
+                    if (event.eventId === undefined || event.eventId > (progress.lastEventId ?? -1)) {
+                        silenceTimer.refresh();
+                        this.runEventCount += 1;
+                        const outcome = progress.add(event, origin);
+                        if (outcome !== "kept") {
+                            return outcome === "too-long" ? outcome : "broken";
+                        }
                     }
                 }
             }
         }
         catch {
             // The caller checks whether this side aborted the run; otherwise the connection broke.
-            return false;
+            return "broken";
         }
         finally {
             this.lastResponseEnd = endObserver.responseEnd;
         }
-        const isWhole = endObserver.isComplete && !parser.isInsideEvent;
-        return isWhole && continuation.findEndFault(response) === undefined
-            && (this.data.length > 0 || this.hasNoOutput(endObserver.responseEnd));
+        const isWhole = endObserver.isComplete && !parser.isInsideEvent
+            && continuation.findEndFault(response) === undefined;
+        return isWhole && (progress.eventCount > 0 || this.hasNoOutput(endObserver.responseEnd))
+            ? "complete"
+            : "broken";
     }
 
     /** Whether a whole answer without an event shows that the item has no output. */
--- a/packages/gateway/src/jobs/itemRunEnd.ts
+++ b/packages/gateway/src/jobs/itemRunEnd.ts
@@ -14,6 +14,8 @@
  * - `no-path`: this instance reaches no endpoint, and no other one relays the request, or the request can't be sent.
  * - `rejected`: the endpoint did not run the request.
  * - `broken`: the connection broke, or the response was unsigned or had another status than those above.
+ * - `too-long`: the endpoint sent more than the output of any item, or went on after its deadline.
+ * - `memory-short`: the outputs of all items together took too much memory, and this one held the most.
  * - `silent`: no data arrived for too long.
  * - `stopped`: no run took place, or this instance no longer runs the item.
  */
@@ -26,6 +28,8 @@
     | "no-path"
     | "rejected"
     | "broken"
+    | "too-long"
+    | "memory-short"
     | "silent"
     | "stopped";
 
@@ -63,8 +67,10 @@
             return events > 1 ? "lost" : "broken";
         case "failed":
         case "no-path":
+        case "too-long":
             return "lost";
         case "called-back":
+        case "memory-short":
         case "stopped":
             return events > 0 ? "done" : "lost";
         case "complete":
@@ -83,6 +89,7 @@
     switch (end) {
         case "failed":
         case "broken":
+        case "too-long":
             return { hasFailed: true };
         case "complete":
             return resumedAfter === 0 ? { durationMs } : {};
--- a/packages/gateway/src/jobs/jobRun.ts
+++ b/packages/gateway/src/jobs/jobRun.ts
@@ -4,8 +4,10 @@
 import type PQueue from "p-queue";
 import { takeFitting } from "../objectSize";
 import type { ItemResult, ResultsPage } from "../wireCodec";
-import { type ItemJob, ItemRun, type ItemRunDependencies, type ItemState } from "./itemRun";
+import { ItemProgress, type ItemState } from "./itemProgress";
+import { type ItemJob, ItemRun, type ItemRunDependencies } from "./itemRun";
 import type { JobItem, JobManifest, JobStore } from "./jobStore";
+import type { ProgressMemory } from "./progressMemory";
 import { PublishedResults } from "./publishedResults";
 import { ChunkPlanner, getResultBytes } from "./resultChunks";
 import type { RunnerClaim } from "./runnerClaim";
@@ -38,6 +40,8 @@
         manifest: JobManifest,
         item: JobItem,
     ) => ItemRunDependencies;
+    /** Bounds the outputs of items that are not finished; absent where they are not counted. */
+    readonly progressMemory?: ProgressMemory | undefined;
     /** Called when this instance has stopped running the job, or all items have results. */
     readonly onEnded: () => void;
     /** Whether it is certain that no other instance has been assigned the job since the claim began. */
@@ -65,8 +69,8 @@
     private readonly planner = new ChunkPlanner();
     private isWriting = false;
     private hasLoaded = false;
-    private readonly itemRuns = new Map<string, ItemRun>();
-    private readonly handedOverStates: ReadonlyMap<string, ItemState>;
+    /** Progress of the items that have begun, here or at the instance that handed the job over. */
+    private readonly progressByItem: Map<string, ItemProgress>;
     /** How often another instance may have written results, and up to which of these times the store has been read. */
     private requiredVerifications = 0;
     private doneVerifications = 0;
@@ -105,7 +109,9 @@
         if (!isNew) {
             this.expectOtherWriter();
         }
-        this.handedOverStates = new Map(handover?.items.map(state => [state.itemId, state]));
+        this.progressByItem = new Map(
+            handover?.items.map(state => [state.itemId, new ItemProgress(deps.progressMemory, state)]),
+        );
         this.unwritten = new UnwrittenResults(handover?.finished ?? []);
         // Every running item adds a listener, so there is no fixed limit.
         setMaxListeners(0, this.stopping.signal);
@@ -189,9 +195,11 @@
         const unwrittenIds = new Set(this.unwritten.all.map(({ itemId }) => itemId));
         void this.writeResults();
         for (const item of this.manifest.items) {
-            if (!this.published.has(item.itemId) && !unwrittenIds.has(item.itemId)) {
-                void this.deps.queue.add(() => this.runItem(item), { priority: -this.manifest.submittedAt });
+            if (this.published.has(item.itemId) || unwrittenIds.has(item.itemId)) {
+                this.progressByItem.get(item.itemId)?.release();
+                continue;
             }
+            void this.deps.queue.add(() => this.runItem(item), { priority: -this.manifest.submittedAt });
         }
         await this.closeIfFinished();
     }
@@ -207,6 +215,7 @@
             this.deps.logger.info({ event: "job-stopped", job: jobId, reason, listed: this.published.count });
             this.stopping.abort();
             this.published.wakeWaiters();
+            this.progressByItem.forEach(progress => progress.release());
             this.deps.onEnded();
         }
     }
@@ -219,7 +228,8 @@
         const { jobId } = this.manifest;
         const finished = takeFitting(this.unwritten.all, MAX_HANDOVER_BYTES);
         const leftBytes = MAX_HANDOVER_BYTES - finished.reduce((sum, result) => sum + getResultBytes(result), 0);
-        const items = takeFitting([...this.itemRuns.values()].map(run => run.getState()), leftBytes);
+        const states = [...this.progressByItem].map(([itemId, progress]) => progress.getState(itemId));
+        const items = takeFitting(states, leftBytes);
         return { jobId, by, items, finished };
     }
 
@@ -327,17 +337,17 @@
 
     private async runItem(item: JobItem): Promise<void> {
         if (this.isStopped || this.published.has(item.itemId)) {
+            this.progressByItem.get(item.itemId)?.release();
             return;
         }
         const { jobId, organisation, host, submittedAt } = this.manifest;
         const job: ItemJob = { jobId, organisation, host, submittedAt };
         const itemRunDeps = this.deps.newItemRunDependencies(this.manifest, item);
-        const state = this.handedOverStates.get(item.itemId);
-        const run = new ItemRun(job, item, itemRunDeps, this.stopping.signal, state);
-        this.itemRuns.set(item.itemId, run);
-        const result = await run.run();
+        const progress = this.progressByItem.get(item.itemId) ?? new ItemProgress(this.deps.progressMemory);
+        this.progressByItem.set(item.itemId, progress);
+        const result = await new ItemRun(job, item, itemRunDeps, this.stopping.signal, progress).run();
         if (result !== undefined) {
-            this.itemRuns.delete(item.itemId);
+            this.progressByItem.delete(item.itemId);
             this.unwritten.add(result);
             void this.writeResults();
         }
--- a/packages/gateway/src/jobs/jobRunner.ts
+++ b/packages/gateway/src/jobs/jobRunner.ts
@@ -22,6 +22,7 @@
 import { findJobRoute } from "./jobRoute";
 import { type JobHandover, JobRun } from "./jobRun";
 import { getManifestBytes, type JobItem, type JobManifest, type JobStore } from "./jobStore";
+import { ProgressMemory } from "./progressMemory";
 import type { RunnerClaim } from "./runnerClaim";
 
 /** Items of an instance and a route that run or wait for a place; a waiting one costs little memory. */
@@ -64,6 +65,7 @@
     private readonly queuesByRoute = new Map<string, PQueue>();
     private readonly placementQueue = new ItemPlacementQueue();
     private readonly durationEstimator = new ItemDurationEstimator();
+    private readonly progressMemory = new ProgressMemory();
     private readonly maxUnwrittenBytes = Math.min(
         MAX_UNWRITTEN_BYTES,
         getHeapStatistics().heap_size_limit * MAX_UNWRITTEN_HEAP_FRACTION,
@@ -103,6 +105,7 @@
             {
                 store: this.deps.store,
                 queue: this.getQueue(manifest.route),
+                progressMemory: this.progressMemory,
                 newItemRunDependencies: (job, item) => this.newItemRunDependencies(job, item),
                 onEnded: () => {
                     this.bodies.drop(manifest);
