Bound the unfinished events of all streams together

Callers would see a gateway end for want of memory: an event without end was cut off at 1 MiB, on each stream by itself, so that some hundred streams and items at once could take hundreds of megabytes. Evidence: 40 streams of 15 blocks each held 40 MB on the code before; the new case of endlessResponses.test.ts was red. Now the parsers count what they hold together: beyond 16 MiB a stream with a large unfinished event ends as broken, so that it is resumed elsewhere; events up to 64 KiB are always taken.

--- a/packages/gateway/src/jobs/itemRun.ts
+++ b/packages/gateway/src/jobs/itemRun.ts
@@ -418,6 +418,7 @@
             return "broken";
         }
         finally {
+            parser.close();
             this.lastResponseEnd = endObserver.responseEnd;
         }
         const isWhole = endObserver.isComplete && !parser.isInsideEvent
--- a/packages/gateway/src/online/eventStreamParser.ts
+++ b/packages/gateway/src/online/eventStreamParser.ts
@@ -7,6 +7,10 @@
 
 /** An event holds some tokens; one that is longer than this is no event. */
 const MAX_EVENT_BYTES = 1_048_576;
+/** Limit of the unfinished events of all streams together. */
+const MAX_UNFINISHED_BYTES = 16_777_216;
+/** An event up to this size doesn't fail for the size of others. */
+const SMALL_EVENT_BYTES = 65_536;
 /** The end of an event, a blank line, takes three bytes at most after the line feed before it. */
 const MAX_END_BYTES = 3;
 /** Whole lines that are blank or a comment, and thus part of no event. */
@@ -14,30 +18,43 @@
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 
-/** Splits a stream of server-sent events into complete events. */
+let unfinishedBytes = 0;
+
+/** Splits a stream of server-sent events into complete events. To be closed when no more of the stream is read. */
 export class EventStreamParser {
     /** Bytes after the last complete event. */
     private chunks: Buffer[] = [];
     private sizeBytes = 0;
+    /** What counts towards the limit of all streams. */
+    private countedBytes = 0;
 
     /**
      * Adds bytes of the stream.
      *
      * @param chunk - The next bytes.
      * @returns The events that these bytes complete.
-     * @throws Error if an event doesn't end within `MAX_EVENT_BYTES`.
+     * @throws Error if an event doesn't end within `MAX_EVENT_BYTES`, or the large ones of all streams don't fit.
      */
     parse(chunk: Buffer): StreamEvent[] {
         const mayContainEnd = this.chunks.length === 0 || findEventEnd(this.getTailWith(chunk)) >= 0;
         this.chunks.push(chunk);
-        this.sizeBytes += chunk.length;
+        this.setSize(this.sizeBytes + chunk.length);
         const events = mayContainEnd ? this.takeEvents() : [];
         if (this.sizeBytes > MAX_EVENT_BYTES) {
             throw new Error(`an event of more than ${MAX_EVENT_BYTES} bytes`);
         }
+        if (this.sizeBytes > SMALL_EVENT_BYTES && unfinishedBytes > MAX_UNFINISHED_BYTES) {
+            throw new Error(`an event of ${this.sizeBytes} bytes beside large ones of other streams`);
+        }
         return events;
     }
 
+    /** Records that the bytes after the last event are not kept any more; they can still be read. */
+    close(): void {
+        unfinishedBytes -= this.countedBytes;
+        this.countedBytes = 0;
+    }
+
     /** Whether an event has begun that is not complete yet; a stream that ends here was broken off. */
     get isInsideEvent(): boolean {
         return !LINES_OUTSIDE_EVENTS.test(this.getRemainder().toString("latin1"));
@@ -69,9 +86,15 @@
             events.push({ bytes, eventId: readEventId(bytes) });
         }
         this.chunks = rest.length === 0 ? [] : [rest];
-        this.sizeBytes = rest.length;
+        this.setSize(rest.length);
         return events;
     }
+
+    private setSize(sizeBytes: number): void {
+        unfinishedBytes += sizeBytes - this.countedBytes;
+        this.countedBytes = sizeBytes;
+        this.sizeBytes = sizeBytes;
+    }
 }
 
 /**
--- a/packages/gateway/src/online/responseRelay.ts
+++ b/packages/gateway/src/online/responseRelay.ts
@@ -128,6 +128,7 @@
             return { kind: "broken", reason: error instanceof Error ? error.message : String(error) };
         }
         finally {
+            parser.close();
             this.lastResponseEnd = { ...endObserver.responseEnd, unfinishedBytes: parser.getRemainder().length };
         }
         if (!endObserver.isComplete) {
--- a/packages/gateway/tests/endlessResponses.test.ts
+++ b/packages/gateway/tests/endlessResponses.test.ts
@@ -271,3 +271,30 @@
         expect(Buffer.concat([...events.map(({ bytes }) => bytes), parser.getRemainder()]).toString()).toBe(text);
     });
 });
+
+// Fails if unfinished events, each within its own limit, together take memory that nothing bounds.
+describe("events without end on many streams at once", () => {
+    it("take bounded memory, and usual events of other streams are still taken", () => {
+        const streams = Array.from({ length: 40 }, () => new EventStreamParser());
+        const failed = new Set<EventStreamParser>();
+        for (let block = 0; block < 15; block += 1) {
+            for (const parser of streams.filter(stream => !failed.has(stream))) {
+                try {
+                    parser.parse(Buffer.alloc(BLOCK.length, "x"));
+                }
+                catch {
+                    parser.close();
+                    failed.add(parser);
+                }
+            }
+        }
+        const held = streams.filter(stream => !failed.has(stream));
+        const heldBytes = held.reduce((sum, parser) => sum + parser.getRemainder().length, 0);
+        expect(heldBytes).toBeLessThanOrEqual(16_777_216);
+        expect(held.length).toBeGreaterThan(0);
+        const other = new EventStreamParser();
+        expect(other.parse(Buffer.from(`id: 1\ndata: ${"y".repeat(60_000)}\n\n`))).toHaveLength(1);
+        held.forEach(parser => parser.close());
+        other.close();
+    });
+});
