Bound the memory for requests that are relayed for other instances

Callers would see an instance end for want of memory while many others can't reach the endpoints: it took up to 96 messages of up to 32 MiB each. Evidence: of six messages of 300 kB to an instance with 1 MB for bodies all six were taken on the code before; the new case of relay.test.ts was red. Now they count with the other bodies in memory, and what doesn't fit is refused as "busy", which says that it wasn't sent, so that another instance is asked.

--- a/packages/gateway/src/endpoints/endpointAccess.ts
+++ b/packages/gateway/src/endpoints/endpointAccess.ts
@@ -9,6 +9,7 @@
     METHODS,
     type RpcCaller,
 } from "@heatherline/fleet";
+import type { HeldBodies } from "../heldBodies";
 import type { GatewayMetrics } from "../metrics";
 import type { WireCodec } from "../wireCodec";
 import { EndpointClient, type EndpointSender } from "./endpointClient";
@@ -32,6 +33,8 @@
     readonly wire: WireCodec;
     readonly getMetrics: () => GatewayMetrics;
     readonly isStopping: () => boolean;
+    /** Counts the bodies in memory. */
+    readonly bodies: HeldBodies;
     readonly logger: Logger;
 }
 
@@ -50,7 +53,7 @@
      * @param deps - What it depends on.
      */
     constructor(private readonly deps: EndpointAccessDependencies) {
-        const { self, view, statements, getRegion, rpc, wire, getMetrics, isStopping, logger } = deps;
+        const { self, view, statements, getRegion, rpc, wire, getMetrics, isStopping, bodies, logger } = deps;
         const direct = new EndpointClient(wire, statements);
         const links = new EndpointLinks({
             getEndpoints: () => view.getEndpoints(),
@@ -82,6 +85,7 @@
             links,
             getUsableEndpoint: head => this.getUsableEndpoint(head),
             isStopping,
+            bodies,
             logger,
         });
     }
--- a/packages/gateway/src/endpoints/relayServer.ts
+++ b/packages/gateway/src/endpoints/relayServer.ts
@@ -2,6 +2,7 @@
 import type { EndpointEntry } from "@heatherline/fleet";
 import type http from "node:http";
 import { waitUntilDrained } from "../callers/callerResponse";
+import type { HeldBodies } from "../heldBodies";
 import { readChunks } from "./bodyReader";
 import type { EndpointClient, EndpointResponse } from "./endpointClient";
 import type { EndpointLinks } from "./endpointLinks";
@@ -43,6 +44,8 @@
     /** @returns An endpoint that may be sent requests, as far as this instance knows. */
     readonly getUsableEndpoint: (head: RelayRequestHead) => EndpointEntry | undefined;
     readonly isStopping: () => boolean;
+    /** Counts the requests in memory with those of this instance's own callers; absent where they are not counted. */
+    readonly bodies?: HeldBodies | undefined;
     readonly logger: Logger;
 }
 
@@ -70,10 +73,12 @@
     async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         response.on("error", () => undefined);
         this.loopDelay.start();
+        const { bodies } = this.deps;
         const refusal = this.getRefusal();
-        if (refusal !== undefined) {
+        const held = refusal === undefined ? bodies?.holdOnline(getMessageBytes(request)) : undefined;
+        if (refusal !== undefined || (bodies !== undefined && held === undefined)) {
             request.resume();
-            sendFailure(response, refusal);
+            sendFailure(response, refusal ?? "busy");
             return;
         }
         this.openRelays += 1;
@@ -91,6 +96,7 @@
         }
         finally {
             this.openRelays -= 1;
+            held?.release();
         }
     }
 
@@ -182,6 +188,10 @@
     response.writeHead(STATUS_OK, { [RELAY_FAILURE_HEADER]: failure }).end();
 }
 
+function getMessageBytes({ headers }: http.IncomingMessage): number {
+    return Number(headers["content-length"] ?? MAX_MESSAGE_BYTES);
+}
+
 async function readMessage(request: http.IncomingMessage): Promise<Buffer> {
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -210,6 +210,8 @@
             getRolloutGuard,
             hedgeExtraFraction,
         );
+        const { memoryBytes, maxCallerUnreadMs = DEFAULT_MAX_CALLER_UNREAD_MS } = settings;
+        const callerBudget = new MemoryBudget(getCallerMemoryBytes(memoryBytes), maxCallerUnreadMs);
         this.endpoints = new EndpointAccess({
             self: this.self,
             view,
@@ -219,11 +221,10 @@
             wire,
             getMetrics: () => this.metrics,
             isStopping: () => this.stopSchedule.isStopping,
+            bodies: callerBudget.bodies,
             logger,
         });
         const endpoints = this.endpoints.sender;
-        const { memoryBytes, maxCallerUnreadMs = DEFAULT_MAX_CALLER_UNREAD_MS } = settings;
-        const callerBudget = new MemoryBudget(getCallerMemoryBytes(memoryBytes), maxCallerUnreadMs);
         this.metrics = new GatewayMetrics({
             getQueueStats: () => this.role.localCoordinator?.getServiceStats() ?? [],
             getConfigAgeMs: () => view.getConfigAgeMs(),
--- a/packages/gateway/tests/relay.test.ts
+++ b/packages/gateway/tests/relay.test.ts
@@ -12,10 +12,13 @@
 import { RelayPeers } from "../src/endpoints/relayPeers";
 import { RELAY_PATH } from "../src/endpoints/relayProtocol";
 import { RelayServer } from "../src/endpoints/relayServer";
+import { MemoryBudget } from "../src/memoryBudget";
 import type { WireCodec } from "../src/wireCodec";
 
 const logger = newLogger("test", "fatal");
 const BODY = "x".repeat(300_000);
+/** Memory of an instance for the requests that it relays. */
+const BUDGET_BYTES = 1_000_000;
 const wire = {
     parseResponseHead: (headers: http.IncomingHttpHeaders) => ({
         requestId: headers["request-id"],
@@ -45,6 +48,7 @@
     readonly rpcServer = new RpcPeerServer("");
     port = 0;
     relays: RelayServer | undefined;
+    readonly budget = new MemoryBudget(BUDGET_BYTES, Infinity);
 
     constructor(readonly instanceId: string, private readonly state: PeerState) {}
 
@@ -55,6 +59,7 @@
             getUsableEndpoint: ({ service }) =>
                 this.state === "not-usable" || service !== endpoint.service ? undefined : endpoint,
             isStopping: () => this.state === "stopping",
+            bodies: this.budget.bodies,
             logger,
         });
         if (this.state !== "earlier-release") {
@@ -325,3 +330,30 @@
         expect((await sender.send(newRequest()))._unsafeUnwrapErr().kind).toBe("invalid-response");
     });
 });
+
+// Fails if an instance takes the messages of others into memory without a limit.
+describe("requests of other instances beyond the memory of one that relays", () => {
+    it("are refused as not sent, and the others are relayed", async () => {
+        const waiting: http.ServerResponse[] = [];
+        respond = (_, response) => waiting.push(response);
+        const sender = await newSender(["sound"]);
+        const body = Buffer.from(BODY);
+        const headers = ["Host", "h", "Request-Id", "r1", "Content-Length", String(body.length)];
+        const sent = Array.from({ length: 6 }, () => sender.send(newRequest({ headers, body })));
+        const outcomes = sent.map(async result => (await result).match(() => "response", ({ kind }) => kind));
+        while (waiting.length < 3) {
+            await sleep(5);
+        }
+        await sleep(100);
+        const { budget } = peers[0] as Peer;
+        expect(waiting).toHaveLength(3);
+        expect(budget.usedBytes).toBeLessThanOrEqual(BUDGET_BYTES);
+        waiting.forEach(response => response.end("ok"));
+        expect((await Promise.all(outcomes)).toSorted()).toEqual([
+            ...Array.from({ length: 3 }, () => "no-path"),
+            ...Array.from({ length: 3 }, () => "response"),
+        ]);
+        await sleep(50);
+        expect(budget.usedBytes).toBe(0);
+    });
+});
