Bound the error responses that are kept while requests are sent again

Callers would see a gateway end for want of memory: the latest error response of an endpoint, up to 8 MiB, was kept for the caller while the request went to other endpoints, with no limit for all requests together, and then was written to callers that read slowly without a count. Now it counts with the other bodies in memory; the caller gets a 502 in place of one that doesn't fit, and one that is sent counts until it is read, as other responses do.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -276,6 +276,7 @@
                 metrics,
                 logger,
                 callerBuffers,
+                bodies: callerBudget.bodies,
                 hedgeDelays: hedgeExtraFraction > 0 ? new HedgeDelays() : undefined,
             }),
             batch: this.jobs.batch,
--- a/packages/gateway/src/online/attemptOutcome.ts
+++ b/packages/gateway/src/online/attemptOutcome.ts
@@ -7,11 +7,12 @@
         readonly kind: "ended";
         readonly end: AttemptEnd;
         readonly reason: string;
-        readonly failure?: FailureResponse;
+        /** The error response, passed on to the caller if no later attempt succeeds. */
+        readonly failure?: WholeResponse;
     };
 
-/** An endpoint's error response, passed on to the caller if no later attempt succeeds. */
-export interface FailureResponse {
+/** A response of an endpoint that is no stream. */
+export interface WholeResponse {
     readonly status: number;
     readonly rawHeaders: readonly string[];
     readonly body: Buffer;
--- a/packages/gateway/src/online/onlineHandler.ts
+++ b/packages/gateway/src/online/onlineHandler.ts
@@ -6,14 +6,16 @@
 import { discardBody, readFullBody } from "../endpoints/bodyReader";
 import { type EndpointResponse, type EndpointSender, isNotSent, type SendFailure } from "../endpoints/endpointClient";
 import type { Fault } from "../endpoints/endpointLinks";
+import type { HeldBodies } from "../heldBodies";
 import type { GatewayMetrics } from "../metrics";
 import type { WireCodec } from "../wireCodec";
-import type { AttemptOutcome, FailureResponse } from "./attemptOutcome";
+import type { AttemptOutcome, WholeResponse } from "./attemptOutcome";
 import type { CallerBuffer, CallerBuffers } from "./callerBuffer";
 import { reportIfCrashed } from "./crashCheck";
 import { ExchangePlaces, MIN_TIME_LEFT_MS } from "./exchangePlaces";
 import type { Sent } from "./hedgedSend";
 import { Hedging } from "./hedging";
+import { KeptFailure } from "./keptFailure";
 import type { OnlineRequest } from "./onlineRequest";
 import { releasePlace } from "./placeRelease";
 import { logEndedAttempt, logRequest } from "./requestLog";
@@ -44,6 +46,8 @@
     readonly logger: Logger;
     /** Holds responses for callers that read slowly; without it, endpoints wait for them. */
     readonly callerBuffers?: CallerBuffers | undefined;
+    /** Counts the error responses that are kept while requests are sent again; absent where they are not counted. */
+    readonly bodies?: HeldBodies | undefined;
     /** Says when a request is slow, so that it is sent to a second endpoint; absent if none is. */
     readonly hedgeDelays?: HedgeDelays | undefined;
 }
@@ -75,7 +79,9 @@
     private readonly abortController = new AbortController();
     private readonly places: ExchangePlaces;
     private attempts = 0;
-    private lastFailure: FailureResponse | undefined;
+    private readonly keptFailure: KeptFailure;
+    /** Status of the endpoint's error response that the caller is sent, if there is one. */
+    private sentFailureStatus: number | undefined;
     private silenceWatch: SilenceWatch | undefined;
     /** When the response of the current attempt began to arrive. */
     private firstResponseAtMs: number | undefined;
@@ -97,6 +103,7 @@
         const { route } = admitted;
         this.retryPolicy = new RetryPolicy(route);
         this.hedging = new Hedging(deps, caller.requestId, this.retryPolicy);
+        this.keptFailure = new KeptFailure(deps.bodies);
         this.buffer = deps.callerBuffers?.open(request.response, caller.requestId);
         this.relay = new StreamRelay(
             request.response,
@@ -127,6 +134,9 @@
         try {
             const end = await this.runAttempts();
             clearTimeout(timer);
+            if (typeof end !== "number") {
+                this.sendFailure();
+            }
             // What is ready is delivered, even if late; no place is held meanwhile.
             await this.buffer?.flushUnless(giveUp);
             if (typeof end === "number") {
@@ -138,6 +148,7 @@
         }
         finally {
             this.places.releaseNext();
+            this.keptFailure.release();
             clearTimeout(timer);
             callerGone.removeEventListener("abort", onGone);
             giveUp.removeEventListener("abort", onGiveUp);
@@ -179,7 +190,9 @@
 
     /** @returns Whether the request may be sent again, after an attempt without a response for the caller. */
     private recordEnded(place: HeldPlace, outcome: Extract<AttemptOutcome, { kind: "ended"; }>): boolean {
-        this.lastFailure = outcome.failure ?? this.lastFailure;
+        if (outcome.failure !== undefined) {
+            this.keptFailure.keep(outcome.failure);
+        }
         this.places.exclude(place, outcome.end);
         const mayRetry = this.retryPolicy.recordAttempt(outcome.end);
         const { abortedFor, bodyEnd } = this;
@@ -384,19 +397,33 @@
         this.recordResponse();
         const fullBody = sent.isBodyRead === true ? sent.body : await readFullBody(result.value);
         this.bodyEnd = result.value.endObserver.responseEnd;
-        const { response } = this.request;
-        const fault = findWholeFault(result.value, fullBody, response.hasStarted);
+        const fault = findWholeFault(result.value, fullBody, this.request.response.hasStarted);
         if (fault !== undefined || fullBody === undefined) {
             return fault ?? { kind: "ended", end: "broken", reason: "no body" };
         }
+        this.sendWhole({ status, rawHeaders, body: fullBody });
+        return { kind: "answered", status };
+    }
+
+    private sendWhole({ status, rawHeaders, body }: WholeResponse): void {
+        const { response } = this.request;
         if (this.buffer === undefined) {
-            response.sendFull(status, rawHeaders, fullBody);
+            response.sendFull(status, rawHeaders, body);
         }
         else {
-            response.startFull(status, rawHeaders, fullBody.length);
-            this.buffer.sendWhole(fullBody);
+            response.startFull(status, rawHeaders, body.length);
+            this.buffer.sendWhole(body);
+        }
+    }
+
+    /** Sends the caller the error response of an endpoint, if there is one and no other has begun. */
+    private sendFailure(): void {
+        const { response, callerGone } = this.request;
+        const failure = this.keptFailure.take();
+        if (failure !== undefined && !response.hasStarted && !callerGone.aborted) {
+            this.sendWhole(failure);
+            this.sentFailureStatus = failure.status;
         }
-        return { kind: "answered", status };
     }
 
     /**
@@ -444,10 +471,8 @@
             response.abort();
             return;
         }
-        const { lastFailure } = this;
-        if (lastFailure !== undefined && !response.hasStarted) {
-            response.sendFull(lastFailure.status, lastFailure.rawHeaders, lastFailure.body);
-            this.log("failed", lastFailure.status, "endpoint-answered", refusal.detail);
+        if (this.sentFailureStatus !== undefined) {
+            this.log("failed", this.sentFailureStatus, "endpoint-answered", refusal.detail);
             return;
         }
         const wasStarted = response.hasStarted;
--- a/packages/gateway/tests/onlineHarness.ts
+++ b/packages/gateway/tests/onlineHarness.ts
@@ -178,6 +178,7 @@
             callerBuffers: budgetBytes === undefined
                 ? undefined
                 : new CallerBuffers({ budget: this.budget, metrics, logger }),
+            bodies: budgetBytes === undefined ? undefined : this.budget.bodies,
             ...changes,
         } as unknown as OnlineHandlerDependencies);
     }
