Keep what is known of requests that crash endpoints beyond the end of who decides

Cause: CrashTracker was a field of the Coordinator. The deputies and the next coordinator each began without a record, and instances that decide alone had none at all. Now: each process has one tracker, whoever decides. Who decides spreads the records of requests that are held back with its sync replies, each instance reports its own with the first message to who begins to decide, and records are sets of crashes with ids, so that they add up in any order. Instances of earlier releases ignore both fields.

--- a/packages/fleet/src/aloneGranter.ts
+++ b/packages/fleet/src/aloneGranter.ts
@@ -1,4 +1,5 @@
 import { ORIGIN_RETRY_MS } from "./coordinator";
+import type { CrashTracker } from "./crashTracker";
 import { Dispatcher } from "./dispatcher";
 import type { EndpointStatements } from "./endpointStatements";
 import { explainPlace } from "./explanation/explainPlace";
@@ -28,6 +29,7 @@
     readonly statements: EndpointStatements;
     readonly streams: StreamLocator;
     readonly promptEvidence: PromptEvidence;
+    readonly crashTracker: CrashTracker;
     readonly getRegion: (dataCentre: string) => string;
     /** @returns Places at an endpoint that this instance holds and that others have granted. */
     readonly countPlacesOfOthers: (endpointId: string) => number;
@@ -75,7 +77,8 @@
             extraFraction: deps.hedgeExtraFraction,
             dispatcher: this.dispatcher,
             getTokenBuckets: () => this.tokenBuckets,
-            isCrashSuspected: ({ promptParts = [] }) => deps.promptEvidence.isBlocked(promptParts),
+            isCrashSuspected: ({ fingerprint, promptParts = [] }) =>
+                deps.crashTracker.isSuspected(fingerprint) || deps.promptEvidence.isBlocked(promptParts),
         });
     }
 
--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -2,7 +2,7 @@
 import type { StoredObject } from "@heatherline/store";
 import { getElapsedMs, newTimestamp } from "./ageTracker";
 import type { CoordinatorDependencies } from "./coordinatorDependencies";
-import { CrashTracker } from "./crashTracker";
+import type { CrashRecord } from "./crashTracker";
 import { Dispatcher } from "./dispatcher";
 import { EndpointAllowances } from "./endpointAllowances";
 import { explainPlace } from "./explanation/explainPlace";
@@ -12,7 +12,7 @@
 import { type JobsToStop, JobTracker } from "./jobTracker";
 import type { PlaceReply, ReleaseRequest, SyncReply, SyncRequest } from "./messages";
 import type { Place } from "./place";
-import { newBlockedPromptRefusal, newRateRefusal } from "./placeRefusals";
+import { findCrashRefusal, newBlockedPromptRefusal, newRateRefusal } from "./placeRefusals";
 import { newGuardGate } from "./rollouts/rolloutGuard";
 import type { QueueStats } from "./serviceState";
 import { SpeedChanges } from "./speedChanges";
@@ -44,7 +44,6 @@
     readonly jobs: JobTracker;
     readonly heartbeats: HeartbeatMonitor;
     private readonly dispatcher: Dispatcher;
-    private readonly crashTracker = new CrashTracker();
     private readonly partTracker = new PromptPartTracker((prompt, isEnded) => this.onBlockChanged(prompt, isEnded));
     private readonly allowances: EndpointAllowances;
     private readonly streams: StreamLocator;
@@ -83,8 +82,9 @@
             dispatcher: this.dispatcher,
             getTokenBuckets: () => deps.scope.tokenBuckets,
             isCrashSuspected: ({ fingerprint, promptParts = [] }) =>
-                this.crashTracker.isSuspected(fingerprint) || this.partTracker.isBlocked(promptParts),
+                deps.crashTracker.isSuspected(fingerprint) || this.partTracker.isBlocked(promptParts),
         });
+        deps.crashTracker.addListener(this.spreadCrashes);
         this.reviewInstances();
         this.onViewChanged();
         this.reviewTimer = setInterval(() => this.reviewInstances(), REVIEW_INTERVAL_MS);
@@ -94,6 +94,7 @@
     stop(): void {
         clearInterval(this.reviewTimer);
         clearTimeout(this.returnTimer);
+        this.deps.crashTracker.removeListener(this.spreadCrashes);
         this.dispatcher.refuseAll("the coordinator is stepping down");
         this.outbox.replyToAll();
     }
@@ -116,9 +117,9 @@
     private async placeLocated(
         { request, origin }: Extract<LocatedRequest, { kind: "located"; }>,
     ): Promise<PlaceOutcome> {
-        if (request.workClass === "online" && !this.crashTracker.mayRun(request.fingerprint)) {
-            const detail = "connections to endpoints broke while they ran this request";
-            return { kind: "refused", reason: "crashes-endpoints", retryAfterMs: 0, detail };
+        const crashRefusal = findCrashRefusal(request, this.deps.crashTracker);
+        if (crashRefusal !== undefined) {
+            return crashRefusal;
         }
         const parts = request.promptParts ?? [];
         const admission = this.partTracker.admit(parts);
@@ -222,10 +223,10 @@
             }
             const released = this.dispatcher.release(placeId, end, firstAnswerMs, figures);
             if (end === "broken" && released?.place.workClass !== "batch") {
-                this.crashTracker.recordCrash(fingerprint);
+                this.deps.crashTracker.recordCrash(fingerprint, placeId);
             }
             else if (end === "done") {
-                this.crashTracker.recordResponse(fingerprint);
+                this.deps.crashTracker.recordResponse(fingerprint);
             }
             if (released?.isPaused === true) {
                 const { endpointId } = released.place;
@@ -321,9 +322,12 @@
     }
 
     private recordSync(
-        { member, promise, storeCheck, places, crashes = [], limits = [], streams = [] }: SyncRequest,
+        { member, promise, storeCheck, places, crashes = [], crashRecords, limits = [], streams = [] }: SyncRequest,
     ): void {
         const { instanceId } = member;
+        if (crashRecords !== undefined) {
+            this.exchangeCrashes(instanceId, crashRecords);
+        }
         this.streams.adopt(streams);
         this.recordCrashes(crashes);
         this.recordLimits(limits);
@@ -339,6 +343,25 @@
         }
     }
 
+    /** Takes over what an instance knows of requests whose endpoints crashed, and tells it of those that are held back. */
+    private exchangeCrashes(instanceId: string, reported: readonly CrashRecord[]): void {
+        const { crashTracker } = this.deps;
+        reported.forEach(record => crashTracker.adopt(record));
+        for (const { fingerprint } of crashTracker.getRecords("held")) {
+            this.outbox.addCrashedRequest(instanceId, fingerprint);
+        }
+    }
+
+    /** All instances know which requests are held back, so that this outlasts each of them. */
+    private readonly spreadCrashes = ({ fingerprint }: CrashRecord): void => {
+        const { self, scope } = this.deps;
+        for (const { instanceId } of scope.getMembers()) {
+            if (instanceId !== self.instanceId) {
+                this.outbox.addCrashedRequest(instanceId, fingerprint);
+            }
+        }
+    };
+
     /**
      * Adopts reported places that this coordinator doesn't know, which an earlier coordinator granted or the instance
      * itself in fallback mode, and frees known places that are no longer reported.
@@ -395,7 +418,10 @@
 
     private newSyncReply({ member, known }: SyncRequest, progress: JobsToStop): SyncReply {
         const { self, view, getLeaseVersion } = this.deps;
-        const { calledBack, decisions } = this.outbox.takeMessages(member.instanceId);
+        const { calledBack, decisions, crashedRequests } = this.outbox.takeMessages(member.instanceId);
+        const crashRecords = [...crashedRequests].flatMap(fingerprint =>
+            this.deps.crashTracker.getRecord(fingerprint) ?? []
+        );
         return {
             kind: "news",
             coordinator: self,
@@ -409,6 +435,7 @@
             takenJobs: progress.taken,
             assignedJobs: this.assignJobs(member.instanceId),
             decisions,
+            ...crashRecords.length > 0 ? { crashRecords } : {},
         };
     }
 
--- a/packages/fleet/src/coordinatorDependencies.ts
+++ b/packages/fleet/src/coordinatorDependencies.ts
@@ -1,5 +1,6 @@
 import type { BlockedPrompt, Logger } from "@heatherline/common";
 import type { CoordinatorScope } from "./coordinatorScope";
+import type { CrashTracker } from "./crashTracker";
 import type { FleetView } from "./fleetView";
 import type { RolloutController } from "./rollouts/rolloutController";
 import type { RolloutGuard } from "./rollouts/rolloutGuard";
@@ -16,6 +17,8 @@
     readonly isStoreFailing: () => boolean;
     /** Preempts a place of this instance. */
     readonly preemptOwnPlace: (placeId: string) => void;
+    /** What this instance knows of requests whose endpoints crashed. */
+    readonly crashTracker: CrashTracker;
     /** Stores a block of a prompt, or removes it if it has ended. */
     readonly saveBlockedPrompt: (prompt: BlockedPrompt, isEnded: boolean) => void;
     /** Records where streams run, so that this outlasts all instances. */
--- a/packages/fleet/src/crashTracker.ts
+++ b/packages/fleet/src/crashTracker.ts
@@ -2,42 +2,131 @@
 
 /** How long a request is held back after its second crash, third crash and so on, in milliseconds. */
 const HOLDS_MS = [3_000, 20_000, 60_000];
-/** The record of a request is dropped this long after its last crash, in milliseconds. */
+/** Crashes from which on a request is held back. */
+const MIN_HELD_CRASHES = 2;
+/** The record of a request is dropped this long after its last crash or response, in milliseconds. */
 const RECORD_TTL_MS = 120_000;
 /** Maximum number of remembered requests. */
 const MAX_REMEMBERED = 4_096;
+/** Remembered crashes of a request; more don't hold it back for longer. */
+const MAX_CRASHES = 8;
 
-interface CrashRecord {
-    crashes: number;
-    lastAtMs: number;
+/** Crash of an endpoint while it ran a request, as one instance tells it to another. */
+export interface RequestCrash {
+    /** Equal in all reports of the crash. */
+    readonly crashId: string;
+    readonly ageMs: number;
+}
+
+/** What is known of a request whose endpoints crashed. */
+export interface CrashRecord {
+    /** Identifies the request across its attempts. */
+    readonly fingerprint: string;
+    /** The crashes since its last response. */
+    readonly crashes: readonly RequestCrash[];
+    /** Age of its last response; `undefined` if there was none. */
+    readonly answeredAgeMs?: number | undefined;
+}
+
+/** Called with the record of a request that is held back, or no longer is. */
+export type CrashListener = (record: CrashRecord) => void;
+
+interface TrackedRequest {
+    /** Monotonic times of the crashes by their ids. */
+    readonly crashTimesMs: Map<string, number>;
+    answeredAtMs: number;
 }
 
 /**
  * Tracks online requests whose endpoint crashed while it ran them, so that a request that crashes any endpoint is not
  * sent to all of them. Endpoints also crash for other reasons, so a request is only held back, longer after each crash.
  * A response clears its record. Batch items are not tracked: each is owed until its retention time is over.
+ *
+ * Each instance has one, whoever decides. Those who decide spread the records of requests that are held back, so that these
+ * outlast any single process, and each instance reports its own to those who begin to decide. Records can be applied in
+ * any order and more than once.
  */
 export class CrashTracker {
-    private readonly records = new LRUCache<string, CrashRecord>({ max: MAX_REMEMBERED });
+    private readonly requests = new LRUCache<string, TrackedRequest>({ max: MAX_REMEMBERED });
+    private readonly listeners = new Set<CrashListener>();
+
+    /**
+     * @param listener - Told of each change of a request that is held back.
+     */
+    addListener(listener: CrashListener): void {
+        this.listeners.add(listener);
+    }
+
+    /**
+     * @param listener - Told of no more changes.
+     */
+    removeListener(listener: CrashListener): void {
+        this.listeners.delete(listener);
+    }
 
     /**
      * Records a crash, unless the fingerprint is empty.
      *
      * @param fingerprint - The request whose connection broke after it had been sent.
+     * @param crashId - Identifies the crash; one that is known is ignored.
+     */
+    recordCrash(fingerprint: string, crashId: string): void {
+        this.adopt({ fingerprint, crashes: [{ crashId, ageMs: 0 }] });
+    }
+
+    /**
+     * @param fingerprint - A request that an endpoint answered.
+     */
+    recordResponse(fingerprint: string): void {
+        if (this.requests.has(fingerprint)) {
+            this.adopt({ fingerprint, crashes: [], answeredAgeMs: 0 });
+        }
+    }
+
+    /**
+     * Adds what another instance knows of a request.
+     *
+     * @param record - The record.
      */
-    recordCrash(fingerprint: string): void {
+    adopt({ fingerprint, crashes, answeredAgeMs = Infinity }: CrashRecord): void {
         if (fingerprint === "") {
             return;
         }
-        const crashes = (this.records.get(fingerprint)?.crashes ?? 0) + 1;
-        this.records.set(fingerprint, { crashes, lastAtMs: performance.now() });
+        const nowMs = performance.now();
+        const tracked = this.requests.get(fingerprint) ?? { crashTimesMs: new Map(), answeredAtMs: -Infinity };
+        const wasHeld = isHeld(tracked);
+        const newCrashes = crashes.filter(({ crashId, ageMs }) =>
+            !tracked.crashTimesMs.has(crashId) && nowMs - ageMs > tracked.answeredAtMs
+        );
+        const isAnswered = nowMs - answeredAgeMs > tracked.answeredAtMs;
+        newCrashes.forEach(({ crashId, ageMs }) => tracked.crashTimesMs.set(crashId, nowMs - ageMs));
+        tracked.answeredAtMs = Math.max(tracked.answeredAtMs, nowMs - answeredAgeMs);
+        forgetOld(tracked);
+        this.requests.set(fingerprint, tracked);
+        if ((newCrashes.length > 0 && isHeld(tracked)) || (isAnswered && wasHeld)) {
+            const record = toRecord(fingerprint, tracked);
+            this.listeners.forEach(listener => listener(record));
+        }
     }
 
     /**
-     * @param fingerprint - A request that an endpoint answered.
+     * @param scope - All records, or those of requests that are held back.
+     * @returns The records, the latest first.
      */
-    recordResponse(fingerprint: string): void {
-        this.records.delete(fingerprint);
+    getRecords(scope: "all" | "held"): CrashRecord[] {
+        const oldestMs = performance.now() - RECORD_TTL_MS;
+        return [...this.requests.entries()]
+            .filter(([, tracked]) => getLastMs(tracked) > oldestMs && (scope === "all" || isHeld(tracked)))
+            .map(([fingerprint, tracked]) => toRecord(fingerprint, tracked));
+    }
+
+    /**
+     * @param fingerprint - Fingerprint of a request.
+     * @returns Its record, if there is one.
+     */
+    getRecord(fingerprint: string): CrashRecord | undefined {
+        const tracked = this.find(fingerprint);
+        return tracked === undefined ? undefined : toRecord(fingerprint, tracked);
     }
 
     /**
@@ -45,7 +134,7 @@
      * @returns Whether connections have broken while endpoints ran it.
      */
     isSuspected(fingerprint: string): boolean {
-        return this.records.has(fingerprint);
+        return (this.find(fingerprint)?.crashTimesMs.size ?? 0) > 0;
     }
 
     /**
@@ -53,15 +142,48 @@
      * @returns Whether it may be sent to an endpoint now.
      */
     mayRun(fingerprint: string): boolean {
-        const record = this.records.get(fingerprint);
-        if (record === undefined) {
+        const tracked = this.find(fingerprint);
+        if (tracked === undefined || !isHeld(tracked)) {
             return true;
         }
-        if (performance.now() - record.lastAtMs > RECORD_TTL_MS) {
-            this.records.delete(fingerprint);
-            return true;
+        const holdIndex = Math.min(tracked.crashTimesMs.size - MIN_HELD_CRASHES, HOLDS_MS.length - 1);
+        return performance.now() - getLastCrashMs(tracked) >= (HOLDS_MS[holdIndex] ?? 0);
+    }
+
+    private find(fingerprint: string): TrackedRequest | undefined {
+        const tracked = this.requests.get(fingerprint);
+        if (tracked !== undefined && performance.now() - getLastMs(tracked) > RECORD_TTL_MS) {
+            this.requests.delete(fingerprint);
+            return undefined;
         }
-        const holdTimeMs = record.crashes < 2 ? 0 : HOLDS_MS[Math.min(record.crashes - 2, HOLDS_MS.length - 1)] ?? 0;
-        return performance.now() - record.lastAtMs >= holdTimeMs;
+        return tracked;
     }
 }
+
+function isHeld({ crashTimesMs }: TrackedRequest): boolean {
+    return crashTimesMs.size >= MIN_HELD_CRASHES;
+}
+
+function getLastCrashMs({ crashTimesMs }: TrackedRequest): number {
+    return Math.max(-Infinity, ...crashTimesMs.values());
+}
+
+function getLastMs(tracked: TrackedRequest): number {
+    return Math.max(tracked.answeredAtMs, getLastCrashMs(tracked));
+}
+
+/** Forgets the crashes before the last response, and the first ones beyond the limit. */
+function forgetOld({ crashTimesMs, answeredAtMs }: TrackedRequest): void {
+    const oldestFirst = [...crashTimesMs].toSorted(([, left], [, right]) => left - right);
+    for (const [crashId, atMs] of oldestFirst) {
+        if (atMs <= answeredAtMs || crashTimesMs.size > MAX_CRASHES) {
+            crashTimesMs.delete(crashId);
+        }
+    }
+}
+
+function toRecord(fingerprint: string, { crashTimesMs, answeredAtMs }: TrackedRequest): CrashRecord {
+    const nowMs = performance.now();
+    const crashes = [...crashTimesMs].map(([crashId, atMs]) => ({ crashId, ageMs: nowMs - atMs }));
+    return { fingerprint, crashes, ...answeredAtMs > -Infinity ? { answeredAgeMs: nowMs - answeredAtMs } : {} };
+}
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -1,4 +1,5 @@
 import type { EndpointCrash } from "@heatherline/common";
+import type { CrashRecord } from "./crashTracker";
 import type { FleetUpdate, KnownRevisions } from "./fleetView";
 import type {
     EndpointLimit,
@@ -56,6 +57,11 @@
     readonly crashes?: readonly EndpointCrash[] | undefined;
     /** With a full report of the places: limits of endpoints that the instance knows. */
     readonly limits?: readonly EndpointLimit[] | undefined;
+    /**
+     * With the first report to a coordinator or deputy: requests whose endpoints crashed, as far as the instance knows. The
+     * reply tells it of those that are held back.
+     */
+    readonly crashRecords?: readonly CrashRecord[] | undefined;
     /** With the first report to a coordinator or deputy: where the instance's recent streams began. */
     readonly streams?: readonly StreamOriginReport[] | undefined;
     readonly jobs: readonly JobProgress[];
@@ -95,6 +101,8 @@
         readonly takenJobs: readonly string[];
         /** Jobs that the instance is to run from now on. */
         readonly assignedJobs: readonly string[];
+        /** Requests that are held back since endpoints crashed, or no longer are; absent if none has changed. */
+        readonly crashRecords?: readonly CrashRecord[] | undefined;
         /** Decisions on queued place requests. */
         readonly decisions: readonly PlaceDecision[];
     };
--- a/packages/fleet/src/placeRefusals.ts
+++ b/packages/fleet/src/placeRefusals.ts
@@ -1,5 +1,23 @@
+import type { CrashTracker } from "./crashTracker";
 import type { PlaceRefusal } from "./placeDecisions";
 import type { RateDecision } from "./tokenBuckets";
+import type { PlaceRequest } from "./types";
+
+/**
+ * @param request - A request for a place.
+ * @param crashTracker - What is known of requests whose endpoints crashed.
+ * @returns The refusal of the request, if it is held back.
+ */
+export function findCrashRefusal(
+    { workClass, fingerprint }: Pick<PlaceRequest, "workClass" | "fingerprint">,
+    crashTracker: CrashTracker,
+): PlaceRefusal | undefined {
+    if (workClass !== "online" || crashTracker.mayRun(fingerprint)) {
+        return undefined;
+    }
+    const detail = "connections to endpoints broke while they ran this request";
+    return { kind: "refused", reason: "crashes-endpoints", retryAfterMs: 0, detail };
+}
 
 /**
  * @param parts - Shared parts of a request's prompt, among them blocked ones.
--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -1,5 +1,6 @@
 import { type EndpointCrash, type Logger, newRequestId, sleep } from "@heatherline/common";
 import { AloneGranter } from "./aloneGranter";
+import { CrashTracker } from "./crashTracker";
 import { getTokens } from "./endpointMemory";
 import { EndpointStatements } from "./endpointStatements";
 import { explainPlacement, type PlacementExplanation } from "./explanation/explainPlacement";
@@ -8,6 +9,7 @@
 import type { HeldPlace, PlacementOutcome, PlaceRequestOptions } from "./heldPlace";
 import type { AdmitJobRequest, PlaceDecision } from "./messages";
 import type { PlaceDecider, PlaceGranter } from "./placeGranter";
+import { findCrashRefusal } from "./placeRefusals";
 import { PromptEvidence } from "./promptEvidence";
 import { RemotePlacement } from "./remotePlacement";
 import type { RolloutGuard } from "./rollouts/rolloutGuard";
@@ -58,6 +60,8 @@
 export class PlacementClient {
     /** What endpoints have said of themselves. */
     readonly statements: EndpointStatements;
+    /** Requests whose endpoints crashed, here or elsewhere. */
+    readonly crashTracker = new CrashTracker();
     private readonly heldPlaces = new Map<string, HeldPlaceRecord>();
     private readonly aloneGranter: AloneGranter;
     private readonly unreachable: UnreachableEndpoints;
@@ -99,6 +103,7 @@
             statements: this.statements,
             streams: this.streams,
             promptEvidence: this.promptEvidence,
+            crashTracker: this.crashTracker,
             getRegion,
             countPlacesOfOthers: endpointId => this.countPlacesOfOthers(endpointId),
             getTokensOfOthers: endpointId => this.getTokensOfOthers(endpointId),
@@ -148,6 +153,11 @@
             return { ...located.outcome, decidedBy: "alone" };
         }
         const { request } = located;
+        // Who decides may have begun to do so just now, and this instance may be on its own.
+        const crashRefusal = findCrashRefusal(request, this.crashTracker);
+        if (crashRefusal !== undefined) {
+            return { ...crashRefusal, decidedBy: "alone" };
+        }
         const startedAtMs = performance.now();
         const getRemaining = () => subtractElapsed(request, performance.now() - startedAtMs);
         const outcome = await this.requestFromAny(request, getRemaining, signal);
@@ -369,6 +379,7 @@
         }
         this.aloneGranter.release(placeId, end, firstAnswerMs, figures);
         const { fingerprint, promptParts = [] } = held.request;
+        this.recordEnd(placeId, end, held.request);
         const succeededParts = hasResponded ? this.promptEvidence.recordSuccess(promptParts) : [];
         // A coordinator may have adopted places that this instance granted in fallback mode; it ignores unknown ones.
         this.reports.addRelease({
@@ -381,6 +392,15 @@
         });
     }
 
+    private recordEnd(placeId: string, end: RequestEnd, { workClass, fingerprint }: PlaceRequest): void {
+        if (end === "broken" && workClass === "online") {
+            this.crashTracker.recordCrash(fingerprint, placeId);
+        }
+        else if (end === "done") {
+            this.crashTracker.recordResponse(fingerprint);
+        }
+    }
+
     private reportCrash(placeId: string, endpointId: string, { fingerprint, promptParts = [] }: PlaceRequest): void {
         const report = this.promptEvidence.recordCrash({ reportId: placeId, endpointId, fingerprint, promptParts });
         if (report !== undefined) {
--- a/packages/fleet/src/syncOutbox.ts
+++ b/packages/fleet/src/syncOutbox.ts
@@ -11,6 +11,8 @@
 interface Outbox {
     calledBack: string[];
     decisions: PlaceDecision[];
+    /** Fingerprints of requests whose record has changed. */
+    crashedRequests: Set<string>;
 }
 
 /**
@@ -49,6 +51,17 @@
         this.replyToReady();
     }
 
+    /**
+     * Queues the record of a request whose endpoints crashed.
+     *
+     * @param instanceId - The instance that is to know it.
+     * @param fingerprint - The request.
+     */
+    addCrashedRequest(instanceId: string, fingerprint: string): void {
+        this.getOutbox(instanceId).crashedRequests.add(fingerprint);
+        this.replyToReady();
+    }
+
     /**
      * Removes and returns the messages for an instance.
      *
@@ -62,12 +75,13 @@
     }
 
     /**
-     * Drops the messages for an instance that is gone.
+     * Drops the messages for an instance that is silent; which requests' records have changed it may still have to know.
      *
      * @param instanceId - The instance.
      */
     drop(instanceId: string): void {
-        this.outboxes.delete(instanceId);
+        const { crashedRequests } = this.takeMessages(instanceId);
+        crashedRequests.forEach(fingerprint => this.addCrashedRequest(instanceId, fingerprint));
     }
 
     /**
@@ -116,7 +130,7 @@
     private getOutbox(instanceId: string): Outbox {
         let outbox = this.outboxes.get(instanceId);
         if (outbox === undefined) {
-            outbox = { calledBack: [], decisions: [] };
+            outbox = { calledBack: [], decisions: [], crashedRequests: new Set() };
             this.outboxes.set(instanceId, outbox);
         }
         return outbox;
--- a/packages/fleet/tests/decisions.test.ts
+++ b/packages/fleet/tests/decisions.test.ts
@@ -255,7 +255,7 @@
     ])("are held back for $heldMs ms after $crashes crashes", ({ crashes, heldMs }) => {
         const tracker = new CrashTracker();
         for (let count = 0; count < crashes; count += 1) {
-            tracker.recordCrash("a");
+            tracker.recordCrash("a", `p${count}`);
         }
         vi.advanceTimersByTime(Math.max(0, heldMs - 1));
         expect(tracker.mayRun("a")).toBe(heldMs === 0);
@@ -265,8 +265,8 @@
 
     it("are released by a response, and don't hold back others", () => {
         const tracker = new CrashTracker();
-        tracker.recordCrash("a");
-        tracker.recordCrash("a");
+        tracker.recordCrash("a", "p1");
+        tracker.recordCrash("a", "p2");
         expect([tracker.mayRun("a"), tracker.mayRun("b"), tracker.mayRun("")]).toEqual([false, true, true]);
         tracker.recordResponse("a");
         expect(tracker.mayRun("a")).toBe(true);
--- a/packages/fleet/tests/explanation.test.ts
+++ b/packages/fleet/tests/explanation.test.ts
@@ -2,6 +2,7 @@
 import {
     AloneGranter,
     type Coordinator,
+    CrashTracker,
     EndpointStatements,
     FleetView,
     GranterReports,
@@ -153,6 +154,7 @@
             statements: new EndpointStatements(new GranterReports([]), LOGGER),
             streams: new StreamLocator(view.softwareVersions),
             promptEvidence: new PromptEvidence(),
+            crashTracker: new CrashTracker(),
             getRegion: () => "",
             countPlacesOfOthers: () => 0,
             getTokensOfOthers: () => 0,
--- a/packages/fleet/tests/testCoordinator.ts
+++ b/packages/fleet/tests/testCoordinator.ts
@@ -2,6 +2,7 @@
 import {
     Coordinator,
     type CoordinatorDependencies,
+    CrashTracker,
     type EndpointEntry,
     FleetScope,
     FleetView,
@@ -48,6 +49,7 @@
         getRegion: () => "",
         getLeaseVersion: () => 1,
         isStoreFailing: () => false,
+        crashTracker: new CrashTracker(),
         preemptOwnPlace: () => undefined,
         saveBlockedPrompt: () => undefined,
         recordStreams: () => undefined,
--- a/packages/gateway/src/fleet/granterDependencies.ts
+++ b/packages/gateway/src/fleet/granterDependencies.ts
@@ -55,6 +55,7 @@
         getRegion,
         getLeaseVersion: lease.getVersion,
         isStoreFailing,
+        crashTracker: placement.crashTracker,
         preemptOwnPlace: placeId => placement.preempt(placeId),
         saveBlockedPrompt,
         recordStreams: report => streamOriginStore.add(report),
--- a/packages/gateway/src/fleet/syncMessages.ts
+++ b/packages/gateway/src/fleet/syncMessages.ts
@@ -1,6 +1,7 @@
 import type { EndpointCrash } from "@heatherline/common";
 import type {
     CoordinatorLease,
+    CrashRecord,
     FleetView,
     MemberEntry,
     PlacementClient,
@@ -63,6 +64,7 @@
             known: view.getRevisions(),
             places: isFull ? placement.getPlaces() : undefined,
             crashes: isFull ? this.getCrashes() : undefined,
+            crashRecords: report === "first" ? this.getCrashRecords() : undefined,
             limits: isFull ? placement.statements.getLimits() : undefined,
             streams: report === "first" ? this.getStreams() : undefined,
             jobs: runner.getProgress(),
@@ -79,6 +81,10 @@
         return takeFitting(newestFirst, MAX_REPORT_BYTES).reverse();
     }
 
+    private getCrashRecords(): CrashRecord[] {
+        return takeFitting(this.deps.placement.crashTracker.getRecords("all"), MAX_REPORT_BYTES);
+    }
+
     private getStreams(): StreamOriginReport[] {
         const streams = new PendingStreams();
         this.deps.placement.getStreams().forEach(report => streams.add(report));
@@ -111,9 +117,10 @@
      * @param reply - The deputy's reply, which decides about places only.
      * @param transitMs - Longest time that it may have been in transit.
      */
-    applyDeputyReply({ news, decisions, calledBack }: SyncNews, transitMs: number): void {
+    applyDeputyReply({ news, decisions, calledBack, crashRecords = [] }: SyncNews, transitMs: number): void {
         const { view, placement } = this.deps;
         view.applyUpdate(news, transitMs);
+        crashRecords.forEach(record => placement.crashTracker.adopt(record));
         for (const decision of decisions) {
             placement.handleDecision(decision);
         }
--- a/packages/gateway/tests/largeMessages.test.ts
+++ b/packages/gateway/tests/largeMessages.test.ts
@@ -19,6 +19,11 @@
             crashId: `${index}`,
             requests: [{ name: `${index}`, parts: ["p".repeat(partLength)] }],
         }));
+    const newCrashRecords = (count: number) =>
+        Array.from({ length: count }, (_, index) => ({
+            fingerprint: `${index}`.padEnd(32, "f"),
+            crashes: Array.from({ length: 8 }, (__, crash) => ({ crashId: `${index}-${crash}`.padEnd(16), ageMs: 1 })),
+        }));
     const newStreams = (count: number, idLength: number) => [{
         service: "lm",
         softwareVersion: "v1",
@@ -40,6 +45,7 @@
             isWhole: true,
         },
     ])("is accepted, with the newest crashes: $what", ({ crashes, streams, isWhole }) => {
+        const crashRecords = newCrashRecords(4_096);
         const messages = new SyncMessages({
             self: OTHER,
             view: { getRevisions: () => ({}) },
@@ -48,6 +54,7 @@
                 getPlaces: () => [],
                 getRecentCrashes: () => [...crashes],
                 statements: { getLimits: () => [] },
+                crashTracker: { getRecords: () => crashRecords },
                 getStreams: () => streams,
             },
             runner: { getProgress: () => [] },
@@ -55,6 +62,8 @@
         const report = messages.newRequest("first", 0);
         expect(getBytes(report)).toBeLessThan(MAX_MESSAGE_BYTES);
         expect(report.crashes?.at(-1)).toEqual(crashes.at(-1));
+        expect(report.crashRecords?.length).toBeGreaterThan(900);
+        expect(report.crashRecords?.[0]).toEqual(crashRecords[0]);
         const streamCount = report.streams?.[0]?.requestIds.length ?? 0;
         expect(streamCount).toBeGreaterThan(streams.length === 0 ? -1 : 900);
         expect(report.crashes?.length === crashes.length && streamCount === (streams[0]?.requestIds.length ?? 0)).toBe(
