Hold requests that crash endpoints back for longer each time

Callers would see: a request that crashes each endpoint and comes again without end crashed one a minute. Now the holds after the fifth and sixth crash are 10 and 30 minutes, and a record lasts until the request has had the time to come again. A response still clears it. Beyond the third crash only one after the hold counts, since many callers may send the same request, and an outage that ends all of these at once says no more of it than one; before, 100 crashes at once held it for 60 s, now for 20 s. A request that comes for hours still runs once every 30 minutes.

--- a/packages/fleet/src/crashTracker.ts
+++ b/packages/fleet/src/crashTracker.ts
@@ -1,15 +1,23 @@
 import { LRUCache } from "lru-cache";
 
 /** How long a request is held back after its second crash, third crash and so on, in milliseconds. */
-const HOLDS_MS = [3_000, 20_000, 60_000];
+const HOLDS_MS = [3_000, 20_000, 60_000, 600_000, 1_800_000];
+/**
+ * After this many crashes only one that comes after the hold counts as a further one. Many callers may send the same request, and
+ * endpoints that go down with all of these say no more of it than one.
+ */
+const MAX_CRASHES_AT_ONCE = 3;
 /** Crashes from which on a request is held back. */
 const MIN_HELD_CRASHES = 2;
-/** The record of a request is dropped this long after its last crash or response, in milliseconds. */
+/**
+ * The record of a request is dropped this long after its last crash or response, but not before the request has had the time to
+ * come again after it was held back, in milliseconds.
+ */
 const RECORD_TTL_MS = 120_000;
 /** Maximum number of remembered requests. */
 const MAX_REMEMBERED = 4_096;
-/** Remembered crashes of a request; more don't hold it back for longer. */
-const MAX_CRASHES = 8;
+/** Remembered crashes of a request, the latest ones. */
+const MAX_CRASHES = 32;
 
 /** Crash of an endpoint while it ran a request, as one instance tells it to another. */
 export interface RequestCrash {
@@ -114,9 +122,8 @@
      * @returns The records, the latest first.
      */
     getRecords(scope: "all" | "held"): CrashRecord[] {
-        const oldestMs = performance.now() - RECORD_TTL_MS;
         return [...this.requests.entries()]
-            .filter(([, tracked]) => getLastMs(tracked) > oldestMs && (scope === "all" || isHeld(tracked)))
+            .filter(([, tracked]) => !isExpired(tracked) && (scope === "all" || isHeld(tracked)))
             .map(([fingerprint, tracked]) => toRecord(fingerprint, tracked));
     }
 
@@ -146,13 +153,12 @@
         if (tracked === undefined || !isHeld(tracked)) {
             return true;
         }
-        const holdIndex = Math.min(tracked.crashTimesMs.size - MIN_HELD_CRASHES, HOLDS_MS.length - 1);
-        return performance.now() - getLastCrashMs(tracked) >= (HOLDS_MS[holdIndex] ?? 0);
+        return performance.now() - getLastCrashMs(tracked) >= getHoldMs(tracked);
     }
 
     private find(fingerprint: string): TrackedRequest | undefined {
         const tracked = this.requests.get(fingerprint);
-        if (tracked !== undefined && performance.now() - getLastMs(tracked) > RECORD_TTL_MS) {
+        if (tracked !== undefined && isExpired(tracked)) {
             this.requests.delete(fingerprint);
             return undefined;
         }
@@ -164,12 +170,28 @@
     return crashTimesMs.size >= MIN_HELD_CRASHES;
 }
 
-function getLastCrashMs({ crashTimesMs }: TrackedRequest): number {
-    return Math.max(-Infinity, ...crashTimesMs.values());
+function getHoldMs({ crashTimesMs }: TrackedRequest): number {
+    let level = 0;
+    let lastMs = -Infinity;
+    for (const atMs of [...crashTimesMs.values()].toSorted((left, right) => left - right)) {
+        const isAfterHold = atMs - lastMs >= getLevelHoldMs(level);
+        level += level < MAX_CRASHES_AT_ONCE || isAfterHold ? 1 : 0;
+        lastMs = atMs;
+    }
+    return getLevelHoldMs(level);
 }
 
-function getLastMs(tracked: TrackedRequest): number {
-    return Math.max(tracked.answeredAtMs, getLastCrashMs(tracked));
+function getLevelHoldMs(crashes: number): number {
+    return HOLDS_MS[Math.min(crashes - MIN_HELD_CRASHES, HOLDS_MS.length - 1)] ?? 0;
+}
+
+function isExpired(tracked: TrackedRequest): boolean {
+    const lastMs = Math.max(tracked.answeredAtMs, getLastCrashMs(tracked));
+    return performance.now() - lastMs > getHoldMs(tracked) + RECORD_TTL_MS;
+}
+
+function getLastCrashMs({ crashTimesMs }: TrackedRequest): number {
+    return Math.max(-Infinity, ...crashTimesMs.values());
 }
 
 /** Forgets the crashes before the last response, and the first ones beyond the limit. */
--- a/packages/fleet/tests/crashTakeover.test.ts
+++ b/packages/fleet/tests/crashTakeover.test.ts
@@ -9,6 +9,9 @@
 const HOLD_MS = 20_000;
 /** The process that decides ends this long after the third crash. */
 const END_AFTER_MS = 4_000;
+/** How often, and for how long, the request comes again where only its record is played. */
+const AGAIN_MS = 1_000;
+const PRESS_MS = 2_400_000;
 const OTHERS = ["b", "c"].map(instanceId => ({ ...TEST_MEMBER, instanceId, incarnation: instanceId }));
 
 beforeEach(() => vi.useFakeTimers());
@@ -180,10 +183,31 @@
         expect(told).toEqual([2, 3, 0]);
     });
 
-    it("end two minutes after the last crash", () => {
+    it.each([
+        { crashes: 1, endMs: 120_000 },
+        { crashes: 3, endMs: 140_000 },
+    ])("end two minutes after the request may run again: $crashes crashes", ({ crashes, endMs }) => {
         const tracker = new CrashTracker();
-        ["a", "b", "c"].forEach(crashId => tracker.recordCrash(FINGERPRINT, crashId));
-        vi.advanceTimersByTime(120_001);
+        for (let crash = 0; crash < crashes; crash += 1) {
+            tracker.recordCrash(FINGERPRINT, String(crash));
+        }
+        vi.advanceTimersByTime(endMs);
+        expect(tracker.getRecords("all")).toHaveLength(1);
+        vi.advanceTimersByTime(1);
         expect([tracker.getRecords("all"), tracker.getRecord(FINGERPRINT)]).toEqual([[], undefined]);
     });
+
+    it("let a request that comes again for 40 minutes run three times later than 3 s after its third crash", () => {
+        const tracker = new CrashTracker();
+        const crashTimesMs: number[] = [];
+        for (let atMs = 0; atMs < PRESS_MS; atMs += AGAIN_MS) {
+            if (tracker.mayRun(FINGERPRINT)) {
+                tracker.recordCrash(FINGERPRINT, String(atMs));
+                crashTimesMs.push(atMs);
+            }
+            vi.advanceTimersByTime(AGAIN_MS);
+        }
+        const thirdMs = crashTimesMs[2] ?? Infinity;
+        expect(crashTimesMs.filter(atMs => atMs > thirdMs + 3_000).length).toBeLessThanOrEqual(3);
+    });
 });
