Don't take a response as complete that ends while its request is still being written

Callers would get a part of a response as a whole one (MIXED): an endpoint answers a long upload at once with a 200 without a length, sends a part of its body, ends its side of the connection, and resets it while the upload is still being written. Cause: ResponseEndObserver looked only at how the response's side ended. Now an end of the connection counts only if the whole request has been handed to the system by then: an endpoint that ends its response earlier takes no more of the upload.

--- a/packages/common/src/responseEnd.ts
+++ b/packages/common/src/responseEnd.ts
@@ -13,8 +13,8 @@
 export interface ResponseEnd {
     readonly framing: BodyFraming;
     /**
-     * Whether the connection is the end of the response and the other side has closed it in an orderly way; false after
-     * a reset.
+     * Whether the connection is the end of the response and the other side has closed it in an orderly way, after it was sent
+     * the whole request; false after a reset.
      */
     readonly hasRemoteEnded: boolean;
 }
@@ -26,15 +26,15 @@
 
     /**
      * @param incoming - A response whose headers have arrived.
-     * @param method - Method of the request.
+     * @param request - The request that it responds to.
      * @param relayedFraming - How its sender marked its end, if another instance has relayed it with a framing of its own.
      */
     constructor(
         private readonly incoming: http.IncomingMessage,
-        method: string,
+        private readonly request: http.ClientRequest,
         private readonly relayedFraming?: BodyFraming,
     ) {
-        this.framing = getBodyFraming(incoming, method);
+        this.framing = getBodyFraming(incoming, request.method);
         if (this.framing === "connection") {
             this.observeEnd(incoming.socket);
         }
@@ -43,7 +43,8 @@
     /**
      * Whether the response has ended with its last byte. Node.js reports a response that ends with its connection as
      * complete also after a reset and after this side has closed the connection; only an orderly close by the other
-     * side is its end.
+     * side is its end. An end that comes while the request is still being written isn't, since the other side takes no more of
+     * it and thus resets the connection.
      */
     get isComplete(): boolean {
         return this.incoming.complete && (this.framing !== "connection" || this.hasRemoteEnded);
@@ -62,7 +63,9 @@
      * only, and before the listener of the HTTP client, which destroys the socket.
      */
     private observeEnd(socket: Socket): void {
-        socket.prependOnceListener("end", () => this.hasRemoteEnded = socket.remoteAddress !== undefined);
+        socket.prependOnceListener("end", () => {
+            this.hasRemoteEnded = socket.remoteAddress !== undefined && this.request.writableFinished;
+        });
     }
 }
 
--- a/packages/gateway/src/endpoints/endpointClient.ts
+++ b/packages/gateway/src/endpoints/endpointClient.ts
@@ -198,7 +198,7 @@
                 // Without a listener, an error while the body arrives would end the process. Whoever reads the body
                 // sees the error there.
                 incoming.on("error", () => undefined);
-                const endObserver = new ResponseEndObserver(incoming, endpointRequest.method);
+                const endObserver = new ResponseEndObserver(incoming, request);
                 const { statusCode = 0, rawHeaders } = incoming;
                 const response = { status: statusCode, rawHeaders, incoming, endObserver };
                 const { reusedSocket } = request;
--- a/packages/gateway/src/endpoints/relayClient.ts
+++ b/packages/gateway/src/endpoints/relayClient.ts
@@ -100,13 +100,18 @@
                         : { kind: isConnected ? "lost" : "not-taken", reason },
                 );
             });
-            outgoing.on("response", incoming => resolve(toOutcome(peer, endpointId, incoming)));
+            outgoing.on("response", incoming => resolve(toOutcome(peer, endpointId, outgoing, incoming)));
             outgoing.end(message);
         });
     }
 }
 
-function toOutcome(peer: MemberEntry, endpointId: string, incoming: http.IncomingMessage): RelaySendOutcome {
+function toOutcome(
+    peer: MemberEntry,
+    endpointId: string,
+    outgoing: http.ClientRequest,
+    incoming: http.IncomingMessage,
+): RelaySendOutcome {
     // Without a listener, an error while the body arrives would end the process.
     incoming.on("error", () => undefined);
     const failure = incoming.headers[RELAY_FAILURE_HEADER];
@@ -129,7 +134,7 @@
             incoming,
             endObserver: new ResponseEndObserver(
                 incoming,
-                "POST",
+                outgoing,
                 toBodyFraming(incoming.headers[RELAYED_FRAMING_HEADER]),
             ),
         },
--- a/packages/serving/src/httpDispatcher.ts
+++ b/packages/serving/src/httpDispatcher.ts
@@ -115,7 +115,7 @@
                 }
             });
             request.on("response", incoming => {
-                resolve(ok({ incoming, endObserver: new ResponseEndObserver(incoming, exchange.method) }));
+                resolve(ok({ incoming, endObserver: new ResponseEndObserver(incoming, request) }));
             });
             request.on("error", (error: NodeJS.ErrnoException) => {
                 resolve(err(toDispatchError(error, isSent, signal.aborted)));
--- a/packages/store/src/httpCall.ts
+++ b/packages/store/src/httpCall.ts
@@ -95,7 +95,7 @@
         });
         request.on("error", fail);
         request.on("response", response => {
-            const endObserver = new ResponseEndObserver(response, call.method);
+            const endObserver = new ResponseEndObserver(response, request);
             const chunks: Buffer[] = [];
             let sizeBytes = 0;
             response.on("data", (chunk: Buffer) => {
