Don't pass a status on that no response may have

Callers would get an endpoint's status of 600 or more as an answer. 000 to 199 were refused before, 600 to 999 weren't, as the two new cases of oddStatuses.test.ts showed (red before). Now such a response ends the attempt as bytes that are no answer: the request is sent again where that is safe, and the caller gets a 502 otherwise.

--- a/packages/gateway/src/endpoints/endpointClient.ts
+++ b/packages/gateway/src/endpoints/endpointClient.ts
@@ -14,8 +14,9 @@
 const SLOW_CONNECT_MS = 100;
 /** Informational heads (1xx) before a response; endpoints send one at most. */
 const MAX_INFORMATIONAL_HEADS = 8;
-/** Lower ones don't end a request, or are none. */
+/** Lower ones don't end a request, or are none; higher ones than the other are none. */
 const MIN_FINAL_STATUS = 200;
+const MAX_FINAL_STATUS = 599;
 const STATUS_MISDIRECTED = 421;
 const MIN_ERROR_STATUS = 400;
 /** Endpoints whose latest response is remembered. */
@@ -251,7 +252,7 @@
             incoming.destroy();
             return err({ kind: "invalid-response", reason: `response to request ${head.requestId}` });
         }
-        if (status < MIN_FINAL_STATUS) {
+        if (status < MIN_FINAL_STATUS || status > MAX_FINAL_STATUS) {
             incoming.destroy();
             return err({ kind: "invalid-response", reason: `status ${status}` });
         }
--- a/packages/gateway/tests/oddStatuses.test.ts
+++ b/packages/gateway/tests/oddStatuses.test.ts
@@ -36,6 +36,8 @@
         "HTTP/1.1 101 Switching Protocols\r\n\r\n",
         "HTTP/1.1 099 Odd\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 999 Odd\r\nContent-Length: 0\r\n\r\n",
     ])("ends the attempt: %j", async text => {
         head = text;
         const { port } = server.address() as net.AddressInfo;
