Refuse what has waited for endpoints that are only tried again, in vain, once it is late

Now a trial in vain ends the wait of those for which it is too late by then. Where an endpoint that isn't only tried again has places, nothing changes.

--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -327,7 +327,10 @@
         }
     }
 
-    /** Dispatches waiting requests when the pause of an endpoint ends; refuses those for which that is too late. */
+    /**
+     * Dispatches waiting requests when the pause of an endpoint ends; refuses those for which that is too late, and those that
+     * have waited for endpoints that are tried again, in vain, until it was too late.
+     */
     private handlePause(service: string, pauseMs: number | undefined): void {
         if (pauseMs === undefined) {
             return;
@@ -335,8 +338,8 @@
         setTimeout(() => this.dispatchService(service), pauseMs + 1).unref();
         const state = this.getService(service);
         for (const waiter of state.queue.getOnline()) {
-            const { capacity, pauseLeftMs } = this.decisions.getQueueState(state, waiter);
-            if (capacity === 0 && performance.now() + pauseLeftMs > waiter.usefulUntilMs) {
+            const { isOnlyTriedAgain, pauseLeftMs } = this.decisions.getQueueState(state, waiter);
+            if (isOnlyTriedAgain && performance.now() + pauseLeftMs > waiter.usefulUntilMs) {
                 this.refuse(waiter, pauseLeftMs);
             }
         }
--- a/packages/fleet/src/endpointPool.ts
+++ b/packages/fleet/src/endpointPool.ts
@@ -26,6 +26,8 @@
     /** May be a fraction, since a limit may allow less than one running request on average. */
     total: number;
     free: number;
+    /** The places at endpoints that aren't only tried again after a pause. */
+    sound: number;
     /** The places at endpoints of the service's mean speed that would serve as much as all places. */
     weighted: number;
     /** Places that batch items release at once when preempted. */
@@ -161,7 +163,7 @@
      * @returns The number of its places.
      */
     countPlaces(service: string, request: PlaceRequest | undefined, holdMs: number): PlaceCount {
-        const count: PlaceCount = { total: 0, free: 0, weighted: 0, preemptable: 0 };
+        const count: PlaceCount = { total: 0, free: 0, sound: 0, weighted: 0, preemptable: 0 };
         const versions = this.getAllowedVersions(request);
         for (const state of this.byService.get(service) ?? []) {
             const capacity = this.getUsableCapacity(state);
@@ -172,6 +174,7 @@
                 const free = Math.min(Math.max(0, capacity - state.running.size), sendable, room);
                 const total = Math.min(capacity, (limitPerS ?? Infinity) * holdMs / MS_PER_S);
                 count.total += total;
+                count.sound += state.health.isTriedAgain ? 0 : total;
                 count.weighted += total / state.speed.slowness;
                 count.free += free;
                 count.preemptable += Math.min(state.batchCount, sendable - free);
--- a/packages/fleet/src/placeDecisions.ts
+++ b/packages/fleet/src/placeDecisions.ts
@@ -178,9 +178,16 @@
     }
 
     private newQueueState(service: ServiceState, request: PlaceRequest, ahead: number): QueueState {
-        const { total, weighted, free, preemptable } = this.countPlaces(service, request.service, request);
+        const { total, sound, weighted, free, preemptable } = this.countPlaces(service, request.service, request);
         const pauseLeftMs = total === 0 ? this.pool.getShortestPauseMs(request) : 0;
-        return { capacity: weighted, free, available: free + preemptable, pauseLeftMs, ahead };
+        return {
+            capacity: weighted,
+            free,
+            available: free + preemptable,
+            isOnlyTriedAgain: sound === 0,
+            pauseLeftMs,
+            ahead,
+        };
     }
 
     private grantBatch(service: ServiceState, name: string, grant: Grant): void {
--- a/packages/fleet/src/waitForecast.ts
+++ b/packages/fleet/src/waitForecast.ts
@@ -25,6 +25,8 @@
     readonly available: number;
     /** Places that are free. */
     readonly free: number;
+    /** Whether there are places only at endpoints that are tried again after a pause, or none. */
+    readonly isOnlyTriedAgain: boolean;
     /** Time until a paused endpoint may be tried again, where there are no places; in milliseconds. */
     readonly pauseLeftMs: number;
     /** Requests that will be served before the one in question. */
--- a/packages/fleet/tests/failingEndpoints.test.ts
+++ b/packages/fleet/tests/failingEndpoints.test.ts
@@ -156,3 +156,37 @@
         expect(outcome?.kind).toBe(isRefused ? "refused" : undefined);
     });
 });
+
+// Fails if a request waits while one endpoint after the other is tried again in vain, and is refused only after a second.
+describe("a request that waits while all endpoints are tried again", () => {
+    const TRIAL_MS = 360;
+    /** So many quick responses let the forecast expect short waits. */
+    const QUICK_RESPONSES = 50;
+    const QUICK_MS = 5;
+    const cases = [
+        { title: "is refused after the first trial that fails once it is late", end: "unreachable", isRefused: true },
+        { title: "is placed if the trial succeeds", end: "done", isRefused: false },
+    ] as const;
+    it.each(cases)("$title", async ({ end, isRefused }) => {
+        const endpointIds = ["e1", "e2"];
+        const dispatcher = newDispatcher(endpointIds);
+        for (let count = 0; count < QUICK_RESPONSES; count += 1) {
+            const [placeId = ""] = await placeEverywhere(dispatcher, ["e1"]);
+            vi.advanceTimersByTime(QUICK_MS);
+            dispatcher.release(placeId, "done", QUICK_MS);
+        }
+        for (const placeId of await placeEverywhere(dispatcher, endpointIds)) {
+            dispatcher.release(placeId, "unreachable");
+        }
+        await vi.advanceTimersByTimeAsync(151);
+        const trials = await placeEverywhere(dispatcher, endpointIds);
+        let outcome: PlaceOutcome | undefined;
+        const request = newTestRequest({ usefulForMs: 300, targetLatencyMs: 300, giveUpAfterMs: 5_000 });
+        void dispatcher.place(request).then(decided => outcome = decided);
+        await vi.advanceTimersByTimeAsync(TRIAL_MS);
+        expect(outcome).toBeUndefined();
+        dispatcher.release(trials[0] ?? "", end);
+        await vi.advanceTimersByTimeAsync(1);
+        expect(outcome?.kind).toBe(isRefused ? "refused" : "placed");
+    });
+});
--- a/packages/gateway/src/endpoints/endpointClient.ts
+++ b/packages/gateway/src/endpoints/endpointClient.ts
@@ -14,7 +14,7 @@
 const SLOW_CONNECT_MS = 100;
 /** Informational heads (1xx) before a response; endpoints send one at most. */
 const MAX_INFORMATIONAL_HEADS = 8;
-/** Lower ones don't end a request, or are none; higher ones than the other are none. */
+/** Statuses outside these don't end a request, or are none. */
 const MIN_FINAL_STATUS = 200;
 const MAX_FINAL_STATUS = 599;
 const STATUS_MISDIRECTED = 421;
