--- a/packages/fleet/src/coordinator.ts
+++ b/packages/fleet/src/coordinator.ts
@@ -2,7 +2,7 @@
 import type { StoredObject } from "@heatherline/store";
 import { getElapsedMs, newTimestamp } from "./ageTracker";
 import type { CoordinatorDependencies } from "./coordinatorDependencies";
-import type { CrashRecord } from "./crashTracker";
+import { CrashExchange } from "./crashExchange";
 import { Dispatcher } from "./dispatcher";
 import { EndpointAllowances } from "./endpointAllowances";
 import { explainPlace } from "./explanation/explainPlace";
@@ -12,6 +12,7 @@
 import { type JobsToStop, JobTracker } from "./jobTracker";
 import type { PlaceReply, ReleaseRequest, SyncReply, SyncRequest } from "./messages";
 import type { Place } from "./place";
+import { PlaceReconciler } from "./placeReconciler";
 import { findCrashRefusal, newBlockedPromptRefusal, newRateRefusal } from "./placeRefusals";
 import { newGuardGate } from "./rollouts/rolloutGuard";
 import type { QueueStats } from "./serviceState";
@@ -21,8 +22,6 @@
 import { newRateRequest } from "./tokenBuckets";
 import type { EndpointLimit, PlaceOutcome, PlaceRequest, PlaceSummary, RateBounds, StreamOriginReport } from "./types";
 
-/** A place younger than this may still be on its way to its instance, and is kept if not reported; in milliseconds. */
-const PLACE_IN_TRANSIT_MS = 1_200;
 /** A new coordinator waits this long for records of where a stream began that a caller takes up, in milliseconds. */
 const ORIGIN_WAIT_MS = 500;
 /** A coordinator is found within this time, in milliseconds. */
@@ -50,6 +49,8 @@
     private readonly speedChanges = new SpeedChanges();
     private readonly startedAtMs = performance.now();
     private readonly outbox: SyncOutbox;
+    private readonly crashExchange: CrashExchange;
+    private readonly reconciler: PlaceReconciler;
     private readonly hedges: HedgePlacement;
     private readonly reviewTimer: NodeJS.Timeout;
     private returnTimer: NodeJS.Timeout | undefined;
@@ -84,7 +85,12 @@
             isCrashSuspected: ({ fingerprint, promptParts = [] }) =>
                 deps.crashTracker.isSuspected(fingerprint) || this.partTracker.isBlocked(promptParts),
         });
-        deps.crashTracker.addListener(this.spreadCrashes);
+        this.reconciler = new PlaceReconciler(this.dispatcher, deps.logger);
+        this.crashExchange = new CrashExchange({
+            crashTracker: deps.crashTracker,
+            outbox: this.outbox,
+            getFollowerIds: () => this.getFollowerIds(),
+        });
         this.reviewInstances();
         this.onViewChanged();
         this.reviewTimer = setInterval(() => this.reviewInstances(), REVIEW_INTERVAL_MS);
@@ -94,7 +100,7 @@
     stop(): void {
         clearInterval(this.reviewTimer);
         clearTimeout(this.returnTimer);
-        this.deps.crashTracker.removeListener(this.spreadCrashes);
+        this.crashExchange.stop();
         this.dispatcher.refuseAll("the coordinator is stepping down");
         this.outbox.replyToAll();
     }
@@ -308,7 +314,7 @@
      * @param places - The places.
      */
     adoptOwnPlaces(places: readonly PlaceSummary[]): void {
-        this.reconcile(this.deps.self.instanceId, places);
+        this.reconciler.reconcile(this.deps.self.instanceId, places);
     }
 
     /** @returns Waiting requests and free places by service, for metrics. */
@@ -326,86 +332,26 @@
     ): void {
         const { instanceId } = member;
         if (crashRecords !== undefined) {
-            this.exchangeCrashes(instanceId, crashRecords);
+            this.crashExchange.exchange(instanceId, crashRecords);
         }
         this.streams.adopt(streams);
         this.recordCrashes(crashes);
         this.recordLimits(limits);
         const promisedAtStamp = promise?.epoch === this.epoch ? promise.stamp : undefined;
         if (this.heartbeats.recordHeartbeat(member, promisedAtStamp, storeCheck)) {
-            this.releasePlacesOf(instanceId, "its process restarted");
+            this.reconciler.releaseAll(instanceId, "its process restarted");
         }
         if (places !== undefined) {
-            this.reconcile(instanceId, places);
+            this.reconciler.reconcile(instanceId, places);
         }
         if (this.heartbeats.silentInstances.has(instanceId)) {
             this.returnTimer ??= setTimeout(() => this.reviewReturned(), RETURN_REVIEW_DELAY_MS);
         }
     }
 
-    /** Takes over what an instance knows of requests whose endpoints crashed, and tells it of those that are held back. */
-    private exchangeCrashes(instanceId: string, reported: readonly CrashRecord[]): void {
-        const { crashTracker } = this.deps;
-        reported.forEach(record => crashTracker.adopt(record));
-        for (const { fingerprint } of crashTracker.getRecords("held")) {
-            this.outbox.addCrashedRequest(instanceId, fingerprint);
-        }
-    }
-
-    /** All instances know which requests are held back, so that this outlasts each of them. */
-    private readonly spreadCrashes = ({ fingerprint }: CrashRecord): void => {
+    private getFollowerIds(): string[] {
         const { self, scope } = this.deps;
-        for (const { instanceId } of scope.getMembers()) {
-            if (instanceId !== self.instanceId) {
-                this.outbox.addCrashedRequest(instanceId, fingerprint);
-            }
-        }
-    };
-
-    /**
-     * Adopts reported places that this coordinator doesn't know, which an earlier coordinator granted or the instance
-     * itself in fallback mode, and frees known places that are no longer reported.
-     */
-    private reconcile(instanceId: string, reported: readonly PlaceSummary[]): void {
-        const nowMs = performance.now();
-        const reportedIds = new Set(reported.map(({ placeId }) => placeId));
-        for (const summary of reported) {
-            this.dispatcher.adopt({
-                placeId: summary.placeId,
-                endpointId: summary.endpointId,
-                instanceId,
-                service: summary.service,
-                workClass: summary.workClass,
-                organisation: summary.organisation,
-                route: summary.route,
-                grantedAtMs: nowMs,
-                dueAtMs: nowMs + summary.dueInMs,
-                finishAtMs: nowMs + summary.remainingMs,
-                tokens: summary.tokens,
-                isPreempted: false,
-            });
-        }
-        for (const place of this.dispatcher.getPlaces()) {
-            const isOld = nowMs - place.grantedAtMs > PLACE_IN_TRANSIT_MS;
-            if (place.instanceId === instanceId && isOld && !reportedIds.has(place.placeId)) {
-                this.dispatcher.release(place.placeId, "lost");
-            }
-        }
-    }
-
-    private releasePlacesOf(instanceId: string, reason: string): void {
-        const places = this.dispatcher.getPlaces().filter(place => place.instanceId === instanceId);
-        for (const { placeId } of places) {
-            this.dispatcher.release(placeId, "lost");
-        }
-        if (places.length > 0) {
-            this.deps.logger.info({
-                event: "places-freed",
-                instance: instanceId,
-                count: places.length,
-                reason,
-            });
-        }
+        return scope.getMembers().map(({ instanceId }) => instanceId).filter(id => id !== self.instanceId);
     }
 
     private preempt(place: Place): void {
@@ -419,9 +365,7 @@
     private newSyncReply({ member, known }: SyncRequest, progress: JobsToStop): SyncReply {
         const { self, view, getLeaseVersion } = this.deps;
         const { calledBack, decisions, crashedRequests } = this.outbox.takeMessages(member.instanceId);
-        const crashRecords = [...crashedRequests].flatMap(fingerprint =>
-            this.deps.crashTracker.getRecord(fingerprint) ?? []
-        );
+        const crashRecords = this.crashExchange.getRecords(crashedRequests);
         return {
             kind: "news",
             coordinator: self,
@@ -456,7 +400,7 @@
         this.lastReviewAt = newTimestamp();
         for (const instanceId of wasBlocked ? [] : this.heartbeats.takeExpired()) {
             this.outbox.drop(instanceId);
-            this.releasePlacesOf(instanceId, "it is silent");
+            this.reconciler.releaseAll(instanceId, "it is silent");
         }
         this.updateSilentInstances();
         for (const { service, slowness } of this.speedChanges.begin() ? this.getServiceStats() : []) {
--- a/packages/gateway/tests/onlineHarness.ts
+++ b/packages/gateway/tests/onlineHarness.ts
@@ -9,7 +9,8 @@
 import { EndpointClient } from "../src/endpoints/endpointClient";
 import { MemoryBudget } from "../src/memoryBudget";
 import { CallerBuffers } from "../src/online/callerBuffer";
-import { OnlineHandler, type OnlineHandlerDependencies } from "../src/online/onlineHandler";
+import type { OnlineDependencies } from "../src/online/onlineDependencies";
+import { OnlineHandler } from "../src/online/onlineHandler";
 import type { OnlineRequest } from "../src/online/onlineRequest";
 import type { WireCodec } from "../src/wireCodec";
 
@@ -112,7 +113,7 @@
     /** Memory for what callers are yet to read; without it, responses are not buffered. */
     readonly budgetBytes?: number | undefined;
     readonly maxUnreadMs?: number;
-    readonly changes?: Partial<OnlineHandlerDependencies>;
+    readonly changes?: Partial<OnlineDependencies>;
     /** Whether places say that they may be hedged. */
     readonly mayHedge?: boolean;
     /** Why second places are refused; granted if left out. */
@@ -180,7 +181,7 @@
                 : new CallerBuffers({ budget: this.budget, metrics, logger }),
             bodies: budgetBytes === undefined ? undefined : this.budget.bodies,
             ...changes,
-        } as unknown as OnlineHandlerDependencies);
+        } as unknown as OnlineDependencies);
     }
 
     /** Lines of the log about whole requests. */
