Don't give the output of an item up once it is whole

The new case of endlessItems.test.ts was red. Now a whole output doesn't count any more from the moment in which its response has been found complete, and a run whose output was dropped before that ends as memory-short, however its response ended. CrashTracker.adopt no longer adds to a record that has expired.

--- a/packages/fleet/src/crashTracker.ts
+++ b/packages/fleet/src/crashTracker.ts
@@ -101,7 +101,7 @@
             return;
         }
         const nowMs = performance.now();
-        const tracked = this.requests.get(fingerprint) ?? { crashTimesMs: new Map(), answeredAtMs: -Infinity };
+        const tracked = this.find(fingerprint) ?? { crashTimesMs: new Map(), answeredAtMs: -Infinity };
         const wasHeld = isHeld(tracked);
         const newCrashes = crashes.filter(({ crashId, ageMs }) =>
             !tracked.crashTimesMs.has(crashId) && nowMs - ageMs > tracked.answeredAtMs
--- a/packages/gateway/src/jobs/itemProgress.ts
+++ b/packages/gateway/src/jobs/itemProgress.ts
@@ -115,7 +115,7 @@
         this.onDropped?.();
     }
 
-    /** Records that the output is about to be written to the store, or handed over, or is not needed any more. */
+    /** Records that the output is whole or isn't needed any more; it doesn't count then and is never given up. */
     release(): void {
         this.setBytes(0);
     }
--- a/packages/gateway/src/jobs/itemRun.ts
+++ b/packages/gateway/src/jobs/itemRun.ts
@@ -359,7 +359,8 @@
                 return toErrorEnd(status, head.isNotExecuted);
             }
             const end = await this.readEvents(result.value, place, silenceTimer);
-            return end === "broken" ? this.toAbortEnd(abortController.signal) ?? end : end;
+            const abortEnd = this.toAbortEnd(abortController.signal);
+            return end === "broken" || abortEnd === "memory-short" ? abortEnd ?? end : end;
         }
         finally {
             clearTimeout(silenceTimer);
@@ -423,9 +424,12 @@
         }
         const isWhole = endObserver.isComplete && !parser.isInsideEvent
             && continuation.findEndFault(response) === undefined;
-        return isWhole && (progress.eventCount > 0 || this.hasNoOutput(endObserver.responseEnd))
-            ? "complete"
-            : "broken";
+        if (!isWhole || (progress.eventCount === 0 && !this.hasNoOutput(endObserver.responseEnd))) {
+            return "broken";
+        }
+        // From now on the output is not given up for others.
+        progress.release();
+        return "complete";
     }
 
     /** Whether a whole answer without an event shows that the item has no output. */
--- a/packages/gateway/tests/endlessItems.test.ts
+++ b/packages/gateway/tests/endlessItems.test.ts
@@ -75,12 +75,16 @@
     await closeServer(server);
 });
 
-function run(memory: ProgressMemory | undefined, ends: string[] = []): Promise<ItemResult | undefined> {
+function run(
+    memory: ProgressMemory | undefined,
+    ends: string[] = [],
+    onReleased: () => void = () => undefined,
+): Promise<ItemResult | undefined> {
     const place = {
         placeId: "p",
         endpoint: newTestEndpoint({ port }),
         preemptSignal: new AbortController().signal,
-        release: () => undefined,
+        release: onReleased,
     } as unknown as HeldPlace;
     const route = { kind: "batch", targets: [{ service: "lm", weight: 1 }], retentionMs: 60_000, maxAttempts: 3 };
     return new ItemRun(
@@ -151,6 +155,16 @@
     });
 });
 
+// Fails if an item is completed with less than its output, since others took the memory before the output was read.
+describe("the output of an item that has just been completed", () => {
+    it("is not given up for others", async () => {
+        endless = { answers: 0, newEvent: () => "" };
+        const memory = new ProgressMemory(300);
+        const fillMemory = () => memory.setBytes({ drop: () => undefined }, 150);
+        expect(await run(memory, [], fillMemory)).toEqual({ itemId: "i", state: "completed", output: "a\nb" });
+    });
+});
+
 describe("the progress of items that another instance hands over", () => {
     const newState = (itemId: string, sizeBytes: number) => ({
         itemId,
