Ask the records of crashes only where an instance decides alone

Found by reading the diff: an instance asked its own records before it asked the coordinator, whose records an answer elsewhere may have cleared since, so that a usual request could be refused for three seconds after two crashes with answers between them.

--- a/packages/fleet/src/aloneGranter.ts
+++ b/packages/fleet/src/aloneGranter.ts
@@ -7,7 +7,7 @@
 import { scaleRateBounds } from "./fallbackShares";
 import type { FleetView } from "./fleetView";
 import { HedgePlacement } from "./hedging/hedgePlacement";
-import { newBlockedPromptRefusal, newRateRefusal } from "./placeRefusals";
+import { findCrashRefusal, newBlockedPromptRefusal, newRateRefusal } from "./placeRefusals";
 import type { PromptEvidence } from "./promptEvidence";
 import { newGuardGate, type RolloutGuard } from "./rollouts/rolloutGuard";
 import type { StreamLocator } from "./streamLocator";
@@ -102,12 +102,16 @@
         if (asked.hedgeOf !== undefined) {
             return this.hedges.place(asked);
         }
-        const { streams, promptEvidence } = this.deps;
+        const { streams, promptEvidence, crashTracker } = this.deps;
         const located = streams.locate(asked, ORIGIN_RETRY_MS);
         if (located.kind === "refused") {
             return located.outcome;
         }
         const { request, origin } = located;
+        const crashRefusal = findCrashRefusal(request, crashTracker);
+        if (crashRefusal !== undefined) {
+            return crashRefusal;
+        }
         const parts = request.promptParts ?? [];
         if (promptEvidence.isBlocked(parts)) {
             return newBlockedPromptRefusal(parts);
--- a/packages/fleet/src/placementClient.ts
+++ b/packages/fleet/src/placementClient.ts
@@ -9,7 +9,6 @@
 import type { HeldPlace, PlacementOutcome, PlaceRequestOptions } from "./heldPlace";
 import type { AdmitJobRequest, PlaceDecision } from "./messages";
 import type { PlaceDecider, PlaceGranter } from "./placeGranter";
-import { findCrashRefusal } from "./placeRefusals";
 import { PromptEvidence } from "./promptEvidence";
 import { RemotePlacement } from "./remotePlacement";
 import type { RolloutGuard } from "./rollouts/rolloutGuard";
@@ -153,11 +152,6 @@
             return { ...located.outcome, decidedBy: "alone" };
         }
         const { request } = located;
-        // Who decides may have begun to do so just now, and this instance may be on its own.
-        const crashRefusal = findCrashRefusal(request, this.crashTracker);
-        if (crashRefusal !== undefined) {
-            return { ...crashRefusal, decidedBy: "alone" };
-        }
         const startedAtMs = performance.now();
         const getRemaining = () => subtractElapsed(request, performance.now() - startedAtMs);
         const outcome = await this.requestFromAny(request, getRemaining, signal);
