--- a/review/common-3/harness.mjs
+++ b/review/common-3/harness.mjs
@@ -220,8 +220,29 @@
     return { requestId, status, isComplete, events, error };
 }
 
+/** Sends streams to all gateways in turn, as usual load; each has a channel of its own to its replica. */
+export async function sendStreams(deployment, { durationMs, intervalMs }) {
+    const untilMs = Date.now() + durationMs;
+    const streams = [];
+    for (let index = 0; Date.now() < untilMs; index += 1) {
+        const gateway = deployment.gateways[index % deployment.gateways.length];
+        streams.push(openStream(deployment, gateway, `stream-${index + 1}`));
+        await sleep(intervalMs);
+    }
+    await Promise.all(streams);
+}
+
+/** The case doesn't count if a replica has sent more of its answers a second time than the pages allow. */
+export function checkRepeatedPart(deployment, replica, maxPart) {
+    const answers = replica.runs.filter(({ end }) => end === "sent").length;
+    deployment.note(`${replica.id} sent ${answers} answers and ${replica.repeatedCount} of them a second time`);
+    if (replica.repeatedCount > maxPart * answers) {
+        throw new Error("the replica repeated more answers than the pages allow");
+    }
+}
+
 /** @returns The status that the submission of a batch job is answered with. */
-export async function submitJob(deployment, gateway, { jobId, itemIds }) {
+export async function submitJob(deployment, gateway, { jobId, itemIds, key = KEY }) {
     const headers = { Model: "m", "Token-Count": "250,400", "Prompt-Prefix": "5c1e07a2:100,91bd3f06:150" };
     const items = itemIds.map(id => ({ id, path: `/jobs/${id}`, headers, body: "cHJvbXB0", tokens: 650 }));
     const { status, error } = await send({
@@ -229,7 +250,7 @@
         path: `/jobs/${jobId}`,
         headers: {
             "Request-Id": jobId,
-            Authorization: `Token ${KEY}`,
+            Authorization: `Token ${key}`,
             Deadline: "4000",
             "Content-Type": "application/json",
         },
@@ -241,12 +262,12 @@
 }
 
 /** @returns The results of a batch job so far; none if they can't be read now. */
-export async function readResults(gateway, jobId) {
+export async function readResults(gateway, jobId, key = KEY) {
     const { status, body } = await send({
         port: gateway.front,
         method: "GET",
         path: `/-/lots/${jobId}?after=0`,
-        headers: { Authorization: `Token ${KEY}`, "Poll-Wait": "1000" },
+        headers: { Authorization: `Token ${key}`, "Poll-Wait": "1000" },
     });
     return status === 200 ? JSON.parse(body).results : [];
 }
--- a/review/common-3/replica.mjs
+++ b/review/common-3/replica.mjs
@@ -3,6 +3,8 @@
 
 const REPORT = { stage: "both", models: [], busy: false, sequence: 0, numWaiting: 0, numRunning: 0, kvUsed: 0 };
 
+const getId = ({ requestId }) => requestId;
+
 /**
  * Runs requests: a stream of `events` events, one each `gapMs`. A test may set `behave`, which is told of each run and
  * returns changes for it: `status` (a failure, with its body), `events`, `gapMs`, `delayMs` (before the head).
@@ -11,17 +13,16 @@
     port = 0;
     runs = [];
     behave = () => ({});
-    /** The replica sends its answer with such a status once more, when the next answer on the channel is due. */
-    repeatedStatus = undefined;
-    /** Only its answers to these runs of a request, counted from 1. */
-    repeatedRuns = [1];
+    /** Whether the replica sends the answer to a run once more, when the next answer on the channel is due. */
+    isRepeated = () => false;
+    /** How many answers it has sent once more. */
     repeatedCount = 0;
     lateCopies = new WeakMap();
     server = http.createServer((request, response) => void this.handle(request, response));
 
     constructor(id, options, note) {
         this.id = id;
-        this.options = { service: "lm", zone: "east", slots: 8, events: 20, gapMs: 20, ...options };
+        this.options = { service: "lm", zone: "east", slots: 8, events: 20, gapMs: 20, newText: getId, ...options };
         this.note = note;
     }
 
@@ -68,7 +69,7 @@
     async run(request, response, requestId, body) {
         const { events, gapMs } = this.options;
         const lastEventId = Number(request.headers["last-event-id"] ?? 0);
-        const run = { requestId, path: request.url, headers: request.headers, body, status: 200, events: 0, end: "" };
+        const run = { startedAt: Date.now(), requestId, path: request.url, headers: request.headers, body, status: 200, events: 0, end: "" };
         this.runs.push(run);
         const number = this.runs.filter(other => other.requestId === requestId).length;
         const plan = { status: 200, events, gapMs, delayMs: 5, ...this.behave(run, number) };
@@ -84,35 +85,32 @@
             return;
         }
         const head = { "Request-Id": requestId, "Response-Signature": `${this.id}.${requestId}.${number}` };
-        if (plan.status !== 200) {
-            this.sendFailure(request, response, { status: plan.status, number, head });
-            return;
+        const text = plan.status === 200
+            ? await this.sendStream(response, run, { ...plan, head, lastEventId })
+            : sendFailure(response, plan.status, head);
+        if (response.writableEnded && this.isRepeated(run, number)) {
+            const bytes = formatAnswer(plan.status, head, text);
+            this.lateCopies.set(request.socket, { bytes, requestId });
         }
+    }
+
+    /** @returns The text of the stream. */
+    async sendStream(response, run, { events, gapMs, head, lastEventId }) {
+        let text = "";
         response.writeHead(200, { ...head, "Content-Type": "text/event-stream" });
         response.flushHeaders();
-        for (let id = lastEventId + 1; id <= plan.events; id += 1) {
-            await wait(plan.gapMs);
+        for (let id = lastEventId + 1; id <= events; id += 1) {
+            await wait(gapMs);
             if (response.destroyed) {
-                return;
+                return text;
             }
-            response.write(`id: ${id}\ndata: ${requestId}-${id}\n\n`);
+            const event = `id: ${id}\ndata: ${this.options.newText(run)}-${id}\n\n`;
+            response.write(event);
+            text += event;
             run.events += 1;
         }
         response.end();
-    }
-
-    sendFailure(request, response, { status, number, head }) {
-        const text = `failed with ${status}`;
-        response.writeHead(status, { ...head, "Content-Type": "text/plain", "Content-Length": text.length });
-        response.end(text);
-        if (this.repeatedStatus === status && this.repeatedRuns.includes(number)) {
-            const lines = Object.entries({ ...head, "Content-Type": "text/plain", "Content-Length": text.length })
-                .map(([name, value]) => `${name}: ${value}\r\n`).join("");
-            this.lateCopies.set(request.socket, {
-                bytes: `HTTP/1.1 ${status} Failed\r\n${lines}\r\n${text}`,
-                requestId: head["Request-Id"],
-            });
-        }
+        return text;
     }
 
     /** An extra answer arrives late, where the next one on the channel is expected. */
@@ -127,6 +125,21 @@
     }
 }
 
+/** @returns The text of the answer. */
+function sendFailure(response, status, head) {
+    const text = `failed with ${status}`;
+    response.writeHead(status, { ...head, "Content-Type": "text/plain", "Content-Length": text.length });
+    response.end(text);
+    return text;
+}
+
+function formatAnswer(status, head, text) {
+    const type = status === 200 ? "text/event-stream" : "text/plain";
+    const headers = { ...head, "Content-Type": type, "Content-Length": Buffer.byteLength(text) };
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    return `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\n${lines}\r\n${text}`;
+}
+
 function wait(durationMs) {
     return new Promise(resolve => setTimeout(resolve, durationMs));
 }
