--- a/review/common-3/store.mjs
+++ b/review/common-3/store.mjs
@@ -46,9 +46,11 @@
     }
 
     remove(kind, name) {
-        const object = this.getKind(kind).get(name);
-        this.getKind(kind).delete(name);
-        this.recordChange(kind, object, true);
+        const object = this.read(kind, name);
+        if (object !== undefined) {
+            this.getKind(kind).delete(name);
+            this.recordChange(kind, object, true);
+        }
     }
 
     read(kind, name) {
