--- a/review/common-3/harness.mjs
+++ b/review/common-3/harness.mjs
@@ -222,25 +222,38 @@
 
 /** Sends streams to all gateways in turn, as usual load; each has a channel of its own to its replica. */
 export async function sendStreams(deployment, { durationMs, intervalMs }) {
-    const untilMs = Date.now() + durationMs;
+    const startedAtMs = Date.now();
+    const untilMs = startedAtMs + durationMs;
     const streams = [];
     for (let index = 0; Date.now() < untilMs; index += 1) {
         const gateway = deployment.gateways[index % deployment.gateways.length];
-        streams.push(openStream(deployment, gateway, `stream-${index + 1}`));
+        streams.push(openStream(deployment, gateway, `stream-${startedAtMs}-${index + 1}`));
         await sleep(intervalMs);
     }
     await Promise.all(streams);
 }
 
-/** The case doesn't count if a replica has sent more of its answers a second time than the pages allow. */
-export function checkRepeatedPart(deployment, replica, maxPart) {
-    const answers = replica.runs.filter(({ end }) => end === "sent").length;
-    deployment.note(`${replica.id} sent ${answers} answers and ${replica.repeatedCount} of them a second time`);
-    if (replica.repeatedCount > maxPart * answers) {
-        throw new Error("the replica repeated more answers than the pages allow");
+/** Remembers what faulty replicas have sent before a window of the disruption begins. */
+export function newWindow(replicas) {
+    return { replicas, before: countAnswers(replicas) };
+}
+
+/** The case doesn't count if faulty replicas have sent more of their answers a second time than the pages allow. */
+export function checkRepeatedPart(deployment, { replicas, before }, maxPart) {
+    const after = countAnswers(replicas);
+    const sent = after.sent - before.sent;
+    const repeated = after.repeated - before.repeated;
+    deployment.note(`${replicas.map(({ id }) => id).join(", ")} sent ${sent} answers in this window, ${repeated} twice`);
+    if (repeated > maxPart * sent) {
+        throw new Error("the replicas repeated more answers than the pages allow");
     }
 }
 
+function countAnswers(replicas) {
+    const sent = replicas.reduce((sum, { runs }) => sum + runs.filter(({ end }) => end === "sent").length, 0);
+    return { sent, repeated: replicas.reduce((sum, { repeatedCount }) => sum + repeatedCount, 0) };
+}
+
 /** @returns The status that the submission of a batch job is answered with. */
 export async function submitJob(deployment, gateway, { jobId, itemIds, key = KEY }) {
     const headers = { Model: "m", "Token-Count": "250,400", "Prompt-Prefix": "5c1e07a2:100,91bd3f06:150" };
