--- a/review/13/run.mjs
+++ b/review/13/run.mjs
@@ -1,162 +1,108 @@
-import http from "node:http";
-import { HAS_TROUBLE, HOST, newConfig, runCase, send, sleep } from "../common-3/harness.mjs";
+import {
+    checkRepeatedPart,
+    HAS_TROUBLE,
+    newConfig,
+    newWindow,
+    readResults,
+    runCase,
+    sendStreams,
+    sleep,
+    submitJob,
+} from "../common-3/harness.mjs";
 
-const TENANTS = 8;
-const MAX_WAITING_TOKENS = 890_000;
-const ITEMS = 200;
-const ITEM_TOKENS = 150;
-const BODY_BYTES = 300;
-/** As many jobs as the tenants' limits let wait. */
-const JOBS = TENANTS * Math.floor(MAX_WAITING_TOKENS / (ITEMS * ITEM_TOKENS));
-const JOB_INTERVAL_MS = 165;
-const SETTLE_MS = 6_000;
-/** The disruption: `node_kill`, the process that holds the lease, once. */
-const DOWN_MS = 3_500;
-const RESTART_MS = 500;
-const WATCHED_MS = 15_000;
+const MAX_ATTEMPTS = 3;
+const FINISH_MS = 30_000;
+const PAUSE_MS = 3_000;
+const ROUNDS = 6;
+const REPLICAS = 2;
+const ITEMS = 10;
+const EVENTS = 237;
+const EVENT_GAP_MS = 8;
+const STREAM = { events: 34, gapMs: 15 };
+/** A third of the sheet's rate at its higher steps, for a third of its replicas. */
+const STREAM_INTERVAL_MS = 70;
 
-const LOOKUPS = 16;
-const LOOKUP_MS = 600;
-const MAX_CUT = 3;
+/** The disruption: `garble`, "extra late", at one of two replicas for 5 s at a time. */
+const WINDOW_MS = 5_000;
+/** No answer is chosen later than this before the end of a window, so that its copy is sent within the window, too. */
+const COPY_MARGIN_MS = 1_000;
+const MAX_REPEATED_PART = 0.03;
+const MAX_COPIES = 1;
+/** One item of each job is answered with 500 in these of its runs, wherever it runs; it is completed in any other. */
+const FAILED_RUNS = [1, 3];
 
-/** LOST: a machine in touch closes kept channels whose requests it has passed on, without an answer. */
+/** MIXED: an item is a dead letter before a 422 or `maxAttempts` answers of 500. */
 await runCase(import.meta.url, async deployment => {
-    const tenants = Array.from({ length: TENANTS }, (_, index) => (
-        { name: `tenant-${index}`, apiKeys: [`key-${index}`], priority: 0, ratePerS: 0, burst: 0 }
-    ));
-    const lm = { events: 20, gapMs: 150 };
-    const plain = { service: "plain", events: 1, gapMs: LOOKUP_MS };
     await deployment.start({
-        config: newConfig({ tenants }),
+        config: newConfig(),
         zones: ["east", "west"],
-        replicas: ["east", "west"].flatMap(zone => [{ zone, ...lm }, { zone, ...plain }, { zone, ...plain }]),
+        replicas: Array.from({ length: REPLICAS }, (_, index) => ({ zone: index % 2 === 0 ? "east" : "west", ...STREAM })),
     });
-    await sleep(1_500);
-    const ends = { killed: undefined, own: [], isOver: false };
-    deployment.gateways.forEach(gateway => void restartAfterEnds(deployment, gateway, ends));
-    const statuses = await submitJobs(deployment);
-    deployment.note(`client: ${JOBS} batch jobs were answered ${JSON.stringify(statuses)}`);
-    await sleep(SETTLE_MS);
-    const lookups = deployment.gateways.flatMap(gateway =>
-        Array.from({ length: LOOKUPS }, (_, index) => sendLookups(deployment, gateway, index, ends))
-    );
-    await sleep(1_000);
-    if (HAS_TROUBLE) {
-        ends.killed = deployment.getCoordinator();
-        deployment.signal(ends.killed, "SIGKILL");
+    const [faulty] = deployment.replicas;
+    let unluckyId;
+    let copies = 0;
+    let copiedUntilMs = 0;
+    for (const replica of deployment.replicas) {
+        replica.behave = ({ requestId }) => {
+            if (!requestId.startsWith("item")) {
+                return {};
+            }
+            unluckyId ??= replica === faulty ? requestId : undefined;
+            const number = findRuns(deployment, requestId).length;
+            const hasFailed = requestId === unluckyId && FAILED_RUNS.includes(number);
+            return hasFailed ? { status: 500 } : { events: EVENTS, gapMs: EVENT_GAP_MS, delayMs: 20 };
+        };
+        replica.isRepeated = ({ requestId, status }) => {
+            const isCopied = HAS_TROUBLE && replica === faulty && requestId === unluckyId && status === 500
+                && copies < MAX_COPIES && Date.now() < copiedUntilMs;
+            copies += isCopied ? 1 : 0;
+            return isCopied;
+        };
     }
-    await sleep(WATCHED_MS);
-    ends.isOver = true;
-    const cut = (await Promise.all(lookups)).flat().filter(({ gateway }) => gateway !== ends.killed);
-    const passedOn = cut.filter(({ requestId }) =>
-        deployment.replicas.some(({ runs }) => runs.some(run => run.requestId === requestId))
-    );
-    deployment.note(`ended by themselves: ${ends.own.join(", ") || "none"}; lookups passed on and cut: ${passedOn.length}`);
-    return passedOn.length > MAX_CUT
-        ? [`LOST: ${passedOn.length} lookups on kept channels were passed on and cut; ${ends.own.join(", ")} ended by itself`]
-        : [];
+    const breaches = [];
+    for (let round = 1; round <= ROUNDS; round += 1) {
+        unluckyId = undefined;
+        copies = 0;
+        copiedUntilMs = Date.now() + WINDOW_MS - COPY_MARGIN_MS;
+        const window = newWindow([faulty]);
+        const online = sendStreams(deployment, { durationMs: WINDOW_MS, intervalMs: STREAM_INTERVAL_MS });
+        await sleep(200);
+        breaches.push(...await playJob(deployment, round));
+        await online;
+        checkRepeatedPart(deployment, window, MAX_REPEATED_PART);
+        await sleep(PAUSE_MS);
+    }
+    return breaches;
 });
 
-/** As on the platform, a process that has ended is started again. */
-async function restartAfterEnds(deployment, gateway, ends) {
-    for (;;) {
-        await gateway.exited;
-        if (ends.isOver) {
-            return;
-        }
-        const wasKilled = ends.killed === gateway && !ends.own.includes(gateway.name);
-        if (!wasKilled) {
-            ends.own.push(gateway.name);
-            const [reason = "no reason found"] = /FATAL ERROR[^\n]*/.exec(gateway.lines.join("")) ?? [];
-            deployment.note(`${gateway.name} has ended by itself: ${reason}`);
-        }
-        gateway.lines.length = 0;
-        await sleep(wasKilled ? DOWN_MS : RESTART_MS);
-        deployment.launch(gateway);
-    }
+function findRuns(deployment, itemId) {
+    return deployment.replicas.flatMap(({ runs }) => runs).filter(({ requestId }) => requestId === itemId);
 }
 
-/** @returns How often each status came. */
-async function submitJobs(deployment) {
-    const counts = {};
-    const submissions = [];
-    for (let number = 0; number < JOBS; number += 1) {
-        submissions.push(submit(deployment.gateways[number % deployment.gateways.length], number).then(status => {
-            counts[status] = (counts[status] ?? 0) + 1;
-        }));
-        await sleep(JOB_INTERVAL_MS);
+async function playJob(deployment, round) {
+    const gateway = deployment.gateways[round % deployment.gateways.length];
+    const jobId = `job-${round}`;
+    const itemIds = Array.from({ length: ITEMS }, (_, index) => `item-${round}-${index + 1}`);
+    if (await submitJob(deployment, gateway, { jobId, itemIds }) !== 202) {
+        throw new Error(`${jobId} was not accepted`);
     }
-    await Promise.all(submissions);
-    return counts;
-}
-
-async function submit(gateway, number) {
-    const items = Array.from({ length: ITEMS }, (_, index) => {
-        const id = (number * 1_000 + index).toString(16).padStart(16, "0");
-        return {
-            id,
-            path: `/jobs/${number}/${index}`,
-            headers: { Model: "m", "Token-Count": "100,50", "Prompt-Prefix": `9c2e41:60,${id}:40` },
-            body: Buffer.alloc(BODY_BYTES, number + index).toString("base64"),
-            tokens: ITEM_TOKENS,
-        };
-    });
-    const { status } = await send({
-        port: gateway.front,
-        path: `/jobs/${number}`,
-        headers: {
-            "Request-Id": `job-${number}`,
-            Authorization: `Token key-${number % TENANTS}`,
-            Deadline: "4000",
-            "Content-Type": "application/json",
-        },
-        body: JSON.stringify({ items }),
-    });
-    return status;
-}
-
-/** @returns The lookups whose channel was closed without an answer. */
-async function sendLookups(deployment, gateway, index, ends) {
-    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
-    const cut = [];
-    for (let number = 0; !ends.isOver; number += 1) {
-        const requestId = `lookup-${gateway.name}-${index}-${number}`;
-        const { status, isReused } = await lookUp(gateway, requestId, agent);
-        if (status === 0) {
-            deployment.note(`client: ${requestId} got no answer, on a ${isReused ? "kept" : "new"} channel`);
-            if (isReused) {
-                cut.push({ requestId, gateway });
-            }
-            await sleep(200);
+    const endAtMs = Date.now() + FINISH_MS;
+    while (Date.now() < endAtMs) {
+        const results = await readResults(gateway, jobId);
+        if (results.length === ITEMS) {
+            return results.flatMap(result => judge(deployment, result));
         }
+        await sleep(200);
     }
-    agent.destroy();
-    return cut;
+    return [`LOST: not all items of ${jobId} are listed`];
 }
 
-function lookUp(gateway, requestId, agent) {
-    return new Promise(resolve => {
-        const request = http.request({
-            host: "127.0.0.1",
-            port: gateway.front,
-            method: "POST",
-            path: `/lookup/${requestId}`,
-            agent,
-            headers: {
-                Host: HOST,
-                "Request-Id": requestId,
-                Authorization: "Token key-0",
-                Deadline: "5000",
-                "Content-Length": 0,
-            },
-        });
-        const finish = status => resolve({ status, isReused: request.reusedSocket });
-        request.on("error", () => finish(0));
-        request.on("response", response => {
-            response.on("error", () => undefined);
-            response.on("close", () => finish(response.complete ? response.statusCode : 0));
-            response.resume();
-        });
-        request.end();
-    });
+function judge(deployment, { id, state }) {
+    const runs = findRuns(deployment, id);
+    const answers = runs.map(({ status, end }) => `${status} ${end}`);
+    deployment.note(`client: ${id} is ${state}; the replicas' answers: ${answers.join(", ")}`);
+    const failures = runs.filter(({ status }) => status === 500).length;
+    return state === "dead_letter" && failures < MAX_ATTEMPTS
+        ? [`MIXED: ${id} is a dead letter after ${failures} answers of 500, the route's maxAttempts is ${MAX_ATTEMPTS}`]
+        : [];
 }
