Give no request a connection that has carried its id

A caller's request with the id of an earlier one got the earlier one's answer.

Cause: one fault. An endpoint may send an answer once more, late, in the place of the next one on the connection, and the request's id alone tells the two apart. Ids of items are sent as they are (PROTOCOL.md), so that they are unique in their job only, and the runs of one item share theirs. A connection that had carried an id was used again for it. ItemRun.wasRejected avoided this for one caller and one status.

Why this works: a copy comes on the connection of the answer that it copies. EndpointAgent, through which each request to an endpoint goes (items, online requests, those relayed for other instances), now chooses an idle connection that hasn't carried the request's id, or opens one.

Why no test found it: the soak's item ids contained the job's id and its engines never repeated an answer. A metric counts it.

--- a/packages/gateway/src/endpoints/endpointAccess.ts
+++ b/packages/gateway/src/endpoints/endpointAccess.ts
@@ -54,7 +54,7 @@
      */
     constructor(private readonly deps: EndpointAccessDependencies) {
         const { self, view, statements, getRegion, rpc, wire, getMetrics, isStopping, bodies, logger } = deps;
-        const direct = new EndpointClient(wire, statements);
+        const direct = new EndpointClient(wire, statements, event => getMetrics().recordConnection(event));
         const links = new EndpointLinks({
             getEndpoints: () => view.getEndpoints(),
             canConnect: endpoint => direct.canConnect(endpoint),
--- a/packages/gateway/src/endpoints/endpointClient.ts
+++ b/packages/gateway/src/endpoints/endpointClient.ts
@@ -5,7 +5,7 @@
 import http from "node:http";
 import net from "node:net";
 import type { EndpointResponseHead, WireCodec } from "../wireCodec";
-import { EndpointAgent } from "./endpointAgent";
+import { type ConnectionEvent, EndpointAgent, type EndpointRequestOptions } from "./endpointAgent";
 import type { Fault } from "./endpointLinks";
 
 /** Endpoints in the same region accept a connection within a few milliseconds. */
@@ -120,15 +120,22 @@
 
 /** Sends requests to endpoints over connections of this instance. */
 export class EndpointClient implements EndpointSender {
-    private readonly agent = new EndpointAgent();
+    private readonly agent: EndpointAgent;
     /** Kept of endpoints that are no longer registered, too, since they go on with their requests. */
     private readonly lastDataAtMs = new LRUCache<string, number>({ max: MAX_REMEMBERED_ENDPOINTS });
 
     /**
      * @param wire - Parses the headers of responses.
      * @param listener - Told what endpoints say of themselves.
+     * @param onConnectionEvent - Called with what happens to the connections that are kept.
      */
-    constructor(private readonly wire: WireCodec, private readonly listener?: EndpointStatementListener) {}
+    constructor(
+        private readonly wire: WireCodec,
+        private readonly listener?: EndpointStatementListener,
+        onConnectionEvent?: (event: ConnectionEvent) => void,
+    ) {
+        this.agent = new EndpointAgent(onConnectionEvent);
+    }
 
     getLastDataAtMs(endpointId: string): number {
         return this.lastDataAtMs.get(endpointId) ?? -Infinity;
@@ -270,16 +277,18 @@
 
     /** Node.js throws at once for what can't be sent: a port out of range, or a character that no header may have. */
     private openRequest(endpointRequest: EndpointRequest): Result<http.ClientRequest, SendFailure> {
-        const { endpoint, method, path, headers, mayReuseConnection } = endpointRequest;
+        const { requestId, endpoint, method, path, headers, mayReuseConnection } = endpointRequest;
+        const options: EndpointRequestOptions = {
+            requestId,
+            host: endpoint.host,
+            port: endpoint.port,
+            method,
+            path,
+            headers: headers as unknown as http.OutgoingHttpHeaders,
+            agent: mayReuseConnection ? this.agent : false,
+        };
         try {
-            return ok(http.request({
-                host: endpoint.host,
-                port: endpoint.port,
-                method,
-                path,
-                headers: headers as unknown as http.OutgoingHttpHeaders,
-                agent: mayReuseConnection ? this.agent : false,
-            }));
+            return ok(http.request(options));
         }
         catch (error) {
             const { code = String(error) } = error as NodeJS.ErrnoException;
--- a/packages/gateway/src/jobs/itemRun.ts
+++ b/packages/gateway/src/jobs/itemRun.ts
@@ -101,12 +101,12 @@
     private emptyAnswers = 0;
     /** Runs that were aborted since nothing arrived, since the last one that produced something. */
     private silentRuns = 0;
-    /** Whether a run was refused. A faulty endpoint may send the refusal again, with the same id, on its connection. */
-    private wasRejected = false;
     /** Events of the latest run. */
     private runEventCount = 0;
     /** How the response of the latest run ended, for the log. */
     private lastResponseEnd: ResponseEnd | undefined;
+    /** Why the latest run got no response, for the log. */
+    private lastFailure: string | undefined;
     private routeLastSeenAtMs = performance.now();
     /** Services whose endpoints hold fewer tokens than the item has. */
     private readonly tooSmallServices = new Set<string>();
@@ -235,7 +235,6 @@
         const previousEventCount = this.progress.eventCount;
         const startedAtMs = performance.now();
         const end = await this.runAtPlace(place, content);
-        this.wasRejected ||= end === "rejected";
         if (end === "too-long") {
             this.startAnew();
         }
@@ -265,6 +264,7 @@
             resumedAfter: previousEventCount,
             events: eventCount,
             ...this.lastResponseEnd,
+            failure: this.lastFailure,
             durationMs: Math.round(performance.now() - startedAtMs),
         });
         return end;
@@ -317,6 +317,7 @@
         const { wire, endpoints } = this.deps;
         const { body } = content;
         this.lastResponseEnd = undefined;
+        this.lastFailure = undefined;
         this.runEventCount = 0;
         const abortController = new AbortController();
         const onPreempted = () => abortController.abort("called-back");
@@ -345,11 +346,12 @@
                 headers,
                 renewHeaders: () => this.deps.mayRun() ? headers : undefined,
                 body,
-                mayReuseConnection: !this.wasRejected,
+                mayReuseConnection: true,
                 signal: abortController.signal,
             });
             if (result.isErr()) {
-                const { kind } = result.error;
+                const { kind, reason } = result.error;
+                this.lastFailure = reason;
                 return this.toAbortEnd(abortController.signal)
                     ?? (kind === "unsendable" ? "no-path" : isNotSent(kind) ? kind : "broken");
             }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -2,6 +2,7 @@
 import type { QueueStats, RolloutRecord } from "@heatherline/fleet";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { CutBy } from "./callers/cutObserver";
+import type { ConnectionEvent } from "./endpoints/endpointAgent";
 import type { BodyKind, HeldBodies } from "./heldBodies";
 import type { SlowCallerCause } from "./memoryBudget";
 import type { HedgeEvent } from "./online/hedgedSend";
@@ -43,6 +44,7 @@
     private readonly forecastErrors: Histogram;
     private readonly items: Counter;
     private readonly relayedRequests: Counter;
+    private readonly connections: Counter;
     private readonly cutRequests: Counter;
     private readonly slowCallers: Counter;
     private readonly limitedClients: Counter;
@@ -91,6 +93,12 @@
             labelNames: ["outcome"],
             registers,
         });
+        this.connections = new Counter({
+            name: "heatherline_endpoint_connections_total",
+            help: "Kept connections to endpoints: reused, opened, opened because of a repeated request id, used up",
+            labelNames: ["event"],
+            registers,
+        });
         this.cutRequests = new Counter({
             name: "heatherline_requests_cut_total",
             help: "Requests that were read and whose connection closed before the response was complete",
@@ -166,6 +174,15 @@
         this.relayedRequests.inc({ outcome });
     }
 
+    /**
+     * Records what happens to a connection to an endpoint.
+     *
+     * @param event - What happens.
+     */
+    recordConnection(event: ConnectionEvent): void {
+        this.connections.inc({ event });
+    }
+
     /**
      * Records a request whose connection closed before the response was complete.
      *
--- a/packages/gateway/tests/cutHeads.test.ts
+++ b/packages/gateway/tests/cutHeads.test.ts
@@ -70,9 +70,13 @@
     parseResponseHead: () => ({ requestId: undefined, requestLimit: { kind: "none" } }),
 } as unknown as WireCodec;
 
+let requestCount = 0;
+
+/** Ids differ, since no connection carries two requests with the same one. */
 function newRequest(port: number): EndpointRequest {
+    requestCount += 1;
     return {
-        requestId: "r1",
+        requestId: `r${requestCount}`,
         endpoint: newTestEndpoint({ port }),
         method: "POST",
         path: "/",
--- a/standins/operators/engine.ts
+++ b/standins/operators/engine.ts
@@ -1,5 +1,6 @@
 import { sleep } from "@heatherline/common";
 import http from "node:http";
+import { AnswerRepeater } from "./answerRepeater";
 import { closeServer, listenOnLoopback, readBody } from "./httpServer";
 
 /** A fault that an engine simulates, selected by a word in the request's body. */
@@ -89,14 +90,14 @@
 /** Time from the start of a request until it crashes the engine. */
 const CRASH_DELAY_MS = 30;
 
-/** Ids of all requests that any engine has received; a repeated id gets no fault unless the body says `ALWAYS`. */
-const receivedRequestIds = new Set<string>();
+/** How often any engine has received a request, by its id and path: items of different jobs may have the same id. */
+const receivedCounts = new Map<string, number>();
 
 /**
  * Stand-in for an inference engine, which is an endpoint of the operators' platform. A request's body may contain
- * fault words ({@link EngineFault}), which apply to the first run of its id only, or to each run with the word
- * `ALWAYS`, and `events=N`, the number of events to stream, and `fill=N`, the number of characters of three bytes that
- * each event has beside its numbers.
+ * fault words ({@link EngineFault}), which apply to the first run of its id and path only, to other runs with `runs=N,M`, or
+ * to each run with the word `ALWAYS`, and `events=N`, the number of events to stream, `of=NAME`, what they name in place of the
+ * request's id, and `fill=N`, the number of characters of three bytes that each event has beside its numbers.
  */
 export class Engine {
     readonly seen: SeenRequest[] = [];
@@ -113,6 +114,8 @@
     /** Part of prompts that crashes it as soon as it begins to respond to a request with it. */
     crashingPromptPart: string | undefined;
     crashes = 0;
+    /** Connections that it has accepted. */
+    connections = 0;
     /** Crashes under a part of prompts. */
     readonly partCrashes: { readonly part: string; readonly atMs: number; }[] = [];
     /** Called at each of them. */
@@ -128,7 +131,9 @@
     private silentUntilMs = 0;
     private readonly unframedResponses = new Set<http.ServerResponse>();
     private restartTimer: NodeJS.Timeout | undefined;
-    private readonly server = http.createServer((request, response) => void this.handle(request, response));
+    private readonly server = http.createServer();
+    /** Sends answers once more, if a test tells it to. */
+    readonly repeater = new AnswerRepeater(this.server);
 
     /**
      * @param id - The engine's id in the platform's list of servers.
@@ -136,6 +141,10 @@
      */
     constructor(id: string, readonly options: EngineOptions) {
         this.id = id;
+        this.server.on("connection", () => {
+            this.connections += 1;
+        });
+        this.server.on("request", (request, response) => void this.handle(request, response));
     }
 
     /** Starts listening on a free port of the loopback interface. */
@@ -198,7 +207,7 @@
             response.writeHead(421, { "Instance-Id": this.id }).end();
             return;
         }
-        const faultText = this.shouldSimulateFault(requestId, body) ? body : "";
+        const faultText = this.shouldSimulateFault(`${requestId} ${request.url}`, body) ? body : "";
         if (this.running >= (this.options.slots ?? 8) || faultText.includes("FULL")) {
             await this.waitWhileSilent();
             response.writeHead(503, { "Not-Executed": "1", "Request-Id": requestId }).end();
@@ -261,10 +270,11 @@
         this.restartTimer = setTimeout(() => this.server.listen(this.port, "127.0.0.1"), RESTART_MS);
     }
 
-    private shouldSimulateFault(requestId: string, body: string): boolean {
-        const isFirst = !receivedRequestIds.has(requestId);
-        receivedRequestIds.add(requestId);
-        return isFirst || body.includes("ALWAYS");
+    private shouldSimulateFault(request: string, body: string): boolean {
+        const number = (receivedCounts.get(request) ?? 0) + 1;
+        receivedCounts.set(request, number);
+        const faultyRuns = /runs=([\d,]+)/.exec(body)?.[1] ?? "1";
+        return faultyRuns.split(",").includes(String(number)) || body.includes("ALWAYS");
     }
 
     private async respond(entry: SeenRequest, response: http.ServerResponse, faultText: string): Promise<void> {
@@ -336,6 +346,7 @@
         eventGapMs: number,
     ): Promise<void> {
         const eventCount = Number(/events=(\d+)/.exec(entry.body)?.[1] ?? DEFAULT_EVENT_COUNT);
+        const name = /of=(\S+)/.exec(entry.body)?.[1] ?? entry.requestId;
         const filling = FILLER.repeat(Number(/fill=(\d+)/.exec(entry.body)?.[1] ?? 0));
         const firstEventId = Number(entry.headers["last-event-id"] ?? -1) + 1;
         for (let eventId = firstEventId; eventId < eventCount; eventId += 1) {
@@ -354,7 +365,7 @@
                 await dribble(response);
                 return;
             }
-            response.write(`id: ${eventId}\ndata: event ${eventId} of ${entry.requestId}${filling}\n\n`);
+            response.write(`id: ${eventId}\ndata: event ${eventId} of ${name}${filling}\n\n`);
             entry.events += 1;
             await sleep(eventGapMs);
         }
--- a/standins/operators/soak.test.ts
+++ b/standins/operators/soak.test.ts
@@ -14,6 +14,9 @@
     { seed: 11, variant: "long-texts" },
     // Items were given up when a configuration added a route for their own path.
     { seed: 12, variant: "moving-routes" },
+    // Items were completed with the output of other jobs' items, or given up, because of late copies of answers.
+    { seed: 2, variant: "repeated-answers" },
+    { seed: 3, variant: "repeated-answers" },
     // Streams of a silent endpoint were given up before there was a place elsewhere.
     { seed: 1, variant: "silences" },
 ];
--- a/standins/operators/soak.ts
+++ b/standins/operators/soak.ts
@@ -21,6 +21,8 @@
 const LIMIT_INTERVAL_MS = 2_300;
 const SILENCE_INTERVAL_MS = 2_100;
 const PARTITION_INTERVAL_MS = 2_600;
+/** Longer than engines send answers once more, so that never more of them do than the operators' pages allow. */
+const REPEAT_INTERVAL_MS = 5_500;
 const CONFIG_INTERVAL_MS = 1_900;
 const WATCH_INTERVAL_MS = 400;
 const ROUTES_INTERVAL_MS = 300;
@@ -42,12 +44,25 @@
 export interface SoakReport {
     readonly seed: number;
     readonly faults: readonly string[];
-    readonly counts: SoakLoad["counts"] & SoakJobs["counts"] & SoakChecks["counts"] & Partial<SlowReaders["counts"]>;
+    readonly counts:
+        & SoakLoad["counts"]
+        & SoakJobs["counts"]
+        & SoakChecks["counts"]
+        & Partial<SlowReaders["counts"]>
+        & EngineCounts;
     readonly violations: readonly Violation[];
     /** What the gateways have logged about the requests, jobs and items that the violations name. */
     readonly logLines: readonly string[];
 }
 
+/** What all engines together have seen. */
+interface EngineCounts {
+    readonly runs: number;
+    readonly connections: number;
+    /** Answers that they have sent once more. */
+    readonly copies: number;
+}
+
 /** Runs one piece of load or faults again and again until the soak is over. */
 interface SoakLoop {
     readonly pauseMs: number;
@@ -106,9 +121,10 @@
     private async startFleet(): Promise<void> {
         const { fleet, traits: { hasVersions, heapMb, memoryMb }, loadTraits: { eventGapMs, maxBodyBytes } } = this;
         const hasSlowReaders = this.traits.hasSlowReaders === true;
-        const { limits, services } = newConfig() as { limits: Record<string, unknown>; services: ServiceConfig[]; };
+        const { limits, services, tenants } = newConfig() as unknown as SoakConfig;
         fleet.configChanges = {
             limits: { ...limits, maxBodyBytes },
+            ...this.traits.repeatsAnswers === true ? { tenants: tenants.map(withoutRate) } : {},
             ...hasSlowReaders ? { services: services.map(withCapacity) } : {},
         };
         fleet.processLimits = { ...fleet.processLimits, ...memoryMb === undefined ? {} : { memoryMb } };
@@ -165,7 +181,8 @@
             fleet.gateways.find(({ sourceAddress }) => sourceAddress === address)?.name ?? "";
         this.crashingParts.forEach(part => checks.checkCrashingPart(part, getGateway));
         await readers?.checkEnd(SETTLE_TIMEOUT_MS);
-        const counts = { ...load.counts, ...jobs.counts, ...checks.counts, ...readers?.counts };
+        const atEngines = this.countAtEngines();
+        const counts = { ...load.counts, ...jobs.counts, ...checks.counts, ...readers?.counts, ...atEngines };
         const { violations } = checks;
         return {
             seed: this.seed,
@@ -176,6 +193,15 @@
         };
     }
 
+    private countAtEngines(): EngineCounts {
+        const { engines } = this.fleet;
+        return {
+            runs: sum(engines.map(({ seen }) => seen.length)),
+            connections: sum(engines.map(({ connections }) => connections)),
+            copies: sum(engines.map(({ repeater }) => repeater.copies)),
+        };
+    }
+
     private getLogLines(violations: readonly Violation[]): string[] {
         const ids = violations.flatMap(violation => violation.match(/\b[sm][0-9a-z]{6}\b/g) ?? []);
         const rolloutEvents = violations.some(violation => violation.startsWith("order for ")) ? ROLLOUT_EVENTS : [];
@@ -186,8 +212,8 @@
     }
 
     private newFaultLoops(injector: FaultInjector, checks: SoakChecks): SoakLoop[] {
-        const { namesLimits, hasNoCommonFaults, hasSilences, hasCrashingParts, hasPartitions, changesConfigs } =
-            this.traits;
+        const { namesLimits, hasNoCommonFaults, hasSilences, hasCrashingParts, hasPartitions } = this.traits;
+        const { changesConfigs, repeatsAnswers } = this.traits;
         const watch = new SoakWatch(this.fleet, this.faults, injector.faultyGateways, checks);
         const loops: SoakLoop[] = [{ pauseMs: WATCH_INTERVAL_MS, run: () => watch.checkGateways() }];
         if (hasNoCommonFaults !== true) {
@@ -199,6 +225,9 @@
         if (hasSilences === true) {
             loops.push({ pauseMs: SILENCE_INTERVAL_MS, run: async () => injector.silenceOrStop() });
         }
+        if (repeatsAnswers === true) {
+            loops.push({ pauseMs: REPEAT_INTERVAL_MS, run: async () => injector.repeatAnswers() });
+        }
         if (hasPartitions === true) {
             loops.push({ pauseMs: PARTITION_INTERVAL_MS, run: async () => injector.cutOffGateway() });
         }
@@ -244,6 +273,13 @@
     }
 }
 
+/** The parts of the configuration that variants change. */
+interface SoakConfig {
+    readonly limits: Record<string, unknown>;
+    readonly services: ServiceConfig[];
+    readonly tenants: Record<string, unknown>[];
+}
+
 /** The engine's part of a service in the configuration. */
 interface ServiceConfig {
     readonly engine?: Record<string, unknown>;
@@ -254,6 +290,14 @@
     return engine === undefined ? service : { ...service, engine: { ...engine, kvCapacityTokens: CAPACITY_TOKENS } };
 }
 
+function withoutRate(tenant: Record<string, unknown>): Record<string, unknown> {
+    return { ...tenant, ratePerS: 0, burst: 0 };
+}
+
+function sum(values: readonly number[]): number {
+    return values.reduce((total, value) => total + value, 0);
+}
+
 async function repeat(isOver: () => boolean, { pauseMs, run }: SoakLoop): Promise<void> {
     while (!isOver()) {
         await run();
--- a/standins/operators/soakFaults.ts
+++ b/standins/operators/soakFaults.ts
@@ -15,6 +15,10 @@
 const PARTITIONS = ["store", "coordinator", "gateways", "store and gateways"] as const;
 /** Timeouts of the routes of the model service that configurations alternate between, in milliseconds. */
 const ROUTE_TIMEOUTS_MS = [5_000, 6_500, 8_000];
+/** Part of the engines that send answers once more, part of their answers, and how long, in milliseconds. */
+const REPEATING_ENGINES_PART = 0.6;
+const REPEATED_ANSWERS_PART = 0.03;
+const REPEATING_MS = 5_000;
 /** How long an engine that has crashed is away, and a little more, in milliseconds. */
 const CRASH_MS = 700;
 
@@ -77,6 +81,22 @@
         });
     }
 
+    /** Lets some engines send answers once more, of items or of any requests: those of one service, or any. */
+    repeatAnswers(): void {
+        const { extraRandom, fleet } = this;
+        const [service, ofItems] = pick(extraRandom, [["lm", true], ["lm", false], [undefined, false]] as const);
+        const engines = fleet.engines.filter(({ options }) => service === undefined || options.service === service);
+        const count = Math.floor(fleet.engines.length * REPEATING_ENGINES_PART);
+        while (engines.length > count) {
+            engines.splice(Math.floor(extraRandom() * engines.length), 1);
+        }
+        for (const { id, repeater } of engines) {
+            repeater.begin(REPEATED_ANSWERS_PART, ({ url }) => !ofItems || url?.startsWith("/jobs/") === true);
+            const description = `${id} sends answers${ofItems ? " to items" : ""} once more`;
+            this.begin("unplanned", `engine ${id}`, description, REPEATING_MS, async () => repeater.end());
+        }
+    }
+
     /** Silences one engine, all of a service or all, and stops a gateway as planned, either or both. */
     silenceOrStop(): void {
         const { engines } = this.fleet;
--- a/standins/operators/soakJobs.ts
+++ b/standins/operators/soakJobs.ts
@@ -1,3 +1,4 @@
+import { KEYS } from "./fleet";
 import { EVENT_COUNT, type SoakChecks, toEventData } from "./soakChecks";
 import type { SoakClient } from "./soakClient";
 import { GENERATION_HEADERS, newBody } from "./soakLoad";
@@ -5,6 +6,9 @@
 import type { LoadTraits } from "./soakVariants";
 
 const FAULT_WORDS = ["", "", "BREAK", "BREAK UNFRAMED", "CRASH", "FAIL"];
+/** Words of variants in which items fail or are refused in more than one run; the route allows two failures. */
+const REPEATED_FAULT_WORDS = ["", "", "", "", "", "FAIL runs=1,3", "FAIL runs=1,2", "FULL runs=1,3"];
+const API_KEYS = [KEYS.alpha, KEYS.beta];
 const SUBMIT_ATTEMPTS = 6;
 const JOBS_PER_BURST = 5;
 const READ_INTERVAL_MS = 50;
@@ -18,12 +22,13 @@
 
 /** A job that was accepted, with the results that have been read by position. */
 interface AcceptedJob {
+    readonly apiKey: string;
     readonly itemIds: readonly string[];
     readonly acceptedAtMs: number;
     readonly results: Map<number, string>;
 }
 
-/** Submits batch jobs and checks their results. */
+/** Submits batch jobs of two organisations, whose items have the same ids in all jobs, and checks their results. */
 export class SoakJobs {
     readonly counts = { jobs: 0, items: 0, notAccepted: 0 };
     private readonly jobs = new Map<string, AcceptedJob>();
@@ -43,14 +48,17 @@
 
     /** Submits a job, with up to six attempts until it is accepted. */
     async submitJob(): Promise<void> {
-        const { itemEventFillers, itemBodyBytes, itemsPerJob } = this.traits;
+        const { itemEventFillers, itemBodyBytes, itemsPerJob, hasRepeatedFailures } = this.traits;
+        const faultWords = hasRepeatedFailures ? REPEATED_FAULT_WORDS : FAULT_WORDS;
         const jobId = this.client.newId();
-        const itemIds = Array.from({ length: itemsPerJob }, (_, index) => `${jobId}-${index}`);
+        const apiKey = API_KEYS[this.counts.jobs % API_KEYS.length] ?? "";
+        const itemIds = Array.from({ length: itemsPerJob }, (_, index) => String(index));
         const items = itemIds.map(id => {
-            const body = newBody(pick(this.random, FAULT_WORDS), itemEventFillers, itemBodyBytes);
+            const words = `${pick(this.random, faultWords)} of=${toItemName(jobId, id)}`;
+            const body = newBody(words, itemEventFillers, itemBodyBytes);
             return {
                 id,
-                path: `/jobs/${id}`,
+                path: `/jobs/${jobId}/${id}`,
                 headers: GENERATION_HEADERS,
                 body: Buffer.from(body).toString("base64"),
                 tokens: 10,
@@ -58,9 +66,9 @@
         });
         const text = JSON.stringify({ items });
         for (let attempt = 0; attempt < SUBMIT_ATTEMPTS; attempt += 1) {
-            const { status } = await this.client.request("POST", "/jobs/x", jobId, text, {});
+            const { status } = await this.client.request("POST", "/jobs/x", jobId, text, toKeyHeaders(apiKey));
             if (status === 202) {
-                this.jobs.set(jobId, { itemIds, acceptedAtMs: Date.now(), results: new Map() });
+                this.jobs.set(jobId, { apiKey, itemIds, acceptedAtMs: Date.now(), results: new Map() });
                 this.counts.jobs += 1;
                 return;
             }
@@ -108,9 +116,12 @@
     private async readAndCheckJob(jobId: string, after: number): Promise<void> {
         const job = this.jobs.get(jobId);
         const path = `/-/lots/${jobId}?after=${after}`;
-        const response = await this.client.request("GET", path, this.client.newId(), "", {});
+        if (job === undefined) {
+            return;
+        }
+        const response = await this.client.request("GET", path, this.client.newId(), "", toKeyHeaders(job.apiKey));
         const isCut = response.status === 200 && !response.isComplete;
-        if (job === undefined || response.status === 503 || response.status === 0 || isCut) {
+        if (response.status === 503 || response.status === 0 || isCut) {
             return;
         }
         if (response.status !== 200) {
@@ -130,24 +141,34 @@
         { id, state, output }: ResultPage["results"][number],
     ): void {
         const text = `${id} ${state} ${output}`;
+        const name = toItemName(jobId, id);
         const previousText = results.get(position);
         const expectedOutput = Array.from(
             { length: EVENT_COUNT },
-            (_, event) => toEventData(event, id, this.traits.itemEventFillers),
+            (_, event) => toEventData(event, name, this.traits.itemEventFillers),
         ).join("\n");
         if (previousText !== undefined && previousText !== text) {
             this.checks.record(`job ${jobId}: the result at position ${position} has changed`);
         }
         if (state === "completed" && output !== expectedOutput) {
-            this.checks.record(`item ${id}: its output is incomplete or wrong`);
+            this.checks.record(`item ${name}: its output is incomplete or wrong`);
         }
-        // No item fails more than once.
+        // No item fails as often as its route allows.
         if (previousText === undefined && state !== "completed" && Date.now() - acceptedAtMs < RETENTION_MS) {
-            this.checks.record(`item ${id}: given up as ${state} ${Date.now() - acceptedAtMs} ms after its job came`);
+            this.checks.record(`item ${name}: given up as ${state} ${Date.now() - acceptedAtMs} ms after its job came`);
         }
         if (previousText === undefined && [...results.values()].some(other => other.startsWith(`${id} `))) {
-            this.checks.record(`item ${id} has results at two positions`);
+            this.checks.record(`item ${name} has results at two positions`);
         }
         results.set(position, text);
     }
 }
+
+/** @returns What the events of an item name. */
+function toItemName(jobId: string, itemId: string): string {
+    return `${jobId}-${itemId}`;
+}
+
+function toKeyHeaders(apiKey: string): Record<string, string> {
+    return { Authorization: `Token ${apiKey}` };
+}
--- a/standins/operators/soakVariants.ts
+++ b/standins/operators/soakVariants.ts
@@ -12,6 +12,8 @@
     readonly hasSilences?: boolean;
     /** Whether engines crash under one part of prompts. */
     readonly hasCrashingParts?: boolean;
+    /** Whether engines send answers once more, late, in the place of the next answer on the connection. */
+    readonly repeatsAnswers?: boolean;
     /** Whether configurations add, remove, move and nest routes. */
     readonly movesRoutes?: boolean;
     /** Whether gateways run today's build or that of another commit, side by side. */
@@ -51,6 +53,8 @@
     readonly maxBodyBytes: number;
     /** Part of the callers of online requests that read their responses slowly. */
     readonly slowCallerPart: number;
+    /** Whether some items fail or are refused more than once, yet less often than their route allows. */
+    readonly hasRepeatedFailures: boolean;
     /** Every how many seconds several jobs come at once; never if 0. */
     readonly burstEveryS: number;
 }
@@ -66,9 +70,19 @@
     itemBodyBytes: 0,
     maxBodyBytes: 100_000,
     slowCallerPart: 0,
+    hasRepeatedFailures: false,
     burstEveryS: 0,
 };
 
+/** Items, most of all, of which some fail more than once. */
+const MANY_SMALL_JOBS = {
+    callers: 3,
+    eventGapMs: 5,
+    hasRepeatedFailures: true,
+    itemsPerJob: 3,
+    burstEveryS: 0.2,
+} as const satisfies Partial<LoadTraits>;
+
 /**
  * - `plain`: engines of one software version.
  * - `versions-and-limits`: engines of two versions side by side, which name limits now and then, and callers that take up
@@ -87,6 +101,9 @@
  * - `roll-outs-and-all-faults`: as `roll-outs`, with partitions and changes of the configuration beside the common faults.
  * - `slow-readers`: callers and engines that read slowly, long responses, and bodies of online requests and items that
  *   together are larger than the memory that gateways have for them; nothing else goes wrong.
+ * - `repeated-answers`: engines that send answers of any status once more, in the place of the next answer on the connection;
+ *   many items, some of which fail more than once; nothing else goes wrong but what requests ask for.
+ * - `repeated-answers-and-faults`: the same beside the common faults.
  * - `silences`: engines that fall silent for a second or so beside gateways that stop as planned; nothing unplanned.
  */
 const TRAITS = {
@@ -134,6 +151,15 @@
             burstEveryS: 4,
         },
     },
+    "repeated-answers": {
+        hasNoCommonFaults: true,
+        repeatsAnswers: true,
+        load: MANY_SMALL_JOBS,
+    },
+    "repeated-answers-and-faults": {
+        repeatsAnswers: true,
+        load: MANY_SMALL_JOBS,
+    },
     silences: {
         hasNoCommonFaults: true,
         hasSilences: true,
