Let the daemon's dispatcher keep the rule on repeated ids, too

What callers of the older daemon saw (packages/serving; the deploy file doesn't start it): a retry of an idempotent request was taken as refused while the endpoint ran it, when the endpoint sent its refusal of the first attempt once more.

The attempts of a request share its id, and HttpDispatcher kept connections with Node.js's agent.

Mend: EndpointAgent and RequestIdHistory are in packages/common now, and both senders use them. The daemon keeps its order (the connection that was idle for the shortest time first) and its idle time; an idle connection that receives data is closed there, too.

--- a/packages/gateway/src/endpoints/endpointAgent.ts
+++ b/packages/common/src/endpointAgent.ts
@@ -2,10 +2,18 @@
 import type { Socket } from "node:net";
 import { RequestIdHistory, toRequestIdDigest } from "./requestIdHistory";
 
-/** Idle connections are closed after this time, because endpoints may drop theirs without notice. */
-const IDLE_MS = 2_000;
 const KEEP_ALIVE_PROBE_MS = 1_000;
 
+/** Options of an {@link EndpointAgent}. */
+export interface EndpointAgentOptions {
+    /** Idle connections are closed after this time, because endpoints may drop theirs without notice. */
+    readonly idleMs: number;
+    /** Which of several idle connections is used next: the one that has been idle for longest, or for the shortest time. */
+    readonly firstReused: "longest-idle" | "shortest-idle";
+    /** Called with what happens to connections. */
+    readonly onEvent?: ((event: ConnectionEvent) => void) | undefined;
+}
+
 /** Options of a request to an endpoint. */
 export interface EndpointRequestOptions extends http.RequestOptions {
     /** Id that the endpoint repeats in its response. */
@@ -33,14 +41,15 @@
     private readonly histories = new WeakMap<Socket, RequestIdHistory>();
 
     /**
-     * @param onEvent - Called with what happens to connections.
+     * @param agentOptions - Its options.
      */
-    constructor(private readonly onEvent: (event: ConnectionEvent) => void = () => undefined) {
-        super({ keepAlive: true, keepAliveMsecs: KEEP_ALIVE_PROBE_MS, timeout: IDLE_MS, scheduling: "fifo" });
+    constructor(private readonly agentOptions: EndpointAgentOptions) {
+        const { idleMs } = agentOptions;
+        super({ keepAlive: true, keepAliveMsecs: KEEP_ALIVE_PROBE_MS, timeout: idleMs, scheduling: "fifo" });
     }
 
     /**
-     * Gives a request the idle connection that has waited longest and hasn't carried its id, or else a new one.
+     * Gives a request an idle connection that hasn't carried its id, or else a new one.
      *
      * @param request - The request.
      * @param options - Its options.
@@ -49,14 +58,17 @@
         const digest = toRequestIdDigest(options.requestId);
         request.once("socket", socket => this.getHistory(socket).add(digest));
         const idleSockets = this.freeSockets[this.getName(options)] ?? [];
-        const index = idleSockets.findIndex(socket => !socket.destroyed && !this.getHistory(socket).has(digest));
+        const isFit = (socket: Socket) => !socket.destroyed && !this.getHistory(socket).has(digest);
+        const index = this.agentOptions.firstReused === "longest-idle"
+            ? idleSockets.findIndex(isFit)
+            : idleSockets.findLastIndex(isFit);
         if (index >= 0) {
-            this.onEvent("reused");
+            this.report("reused");
             idleSockets.unshift(...idleSockets.splice(index, 1));
             prototype.addRequest.call(this, request, options);
             return;
         }
-        this.onEvent(idleSockets.some(socket => !socket.destroyed) ? "opened-for-id" : "opened");
+        this.report(idleSockets.some(socket => !socket.destroyed) ? "opened-for-id" : "opened");
         const unfitSockets = idleSockets.splice(0);
         prototype.addRequest.call(this, request, options);
         this.restoreIdle(options, unfitSockets);
@@ -64,7 +76,7 @@
 
     override keepSocketAlive(socket: Socket): boolean {
         if (this.getHistory(socket).isFull) {
-            this.onEvent("used-up");
+            this.report("used-up");
             return false;
         }
         const isKept = prototype.keepSocketAlive.call(this, socket) !== false;
@@ -85,6 +97,10 @@
         prototype.reuseSocket.call(this, socket, request);
     }
 
+    private report(event: ConnectionEvent): void {
+        this.agentOptions.onEvent?.(event);
+    }
+
     private getHistory(socket: Socket): RequestIdHistory {
         let history = this.histories.get(socket);
         if (history === undefined) {
--- a/packages/gateway/tests/endpointAgent.test.ts
+++ b/packages/common/tests/endpointAgent.test.ts
@@ -1,13 +1,19 @@
 import http from "node:http";
 import net from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { type ConnectionEvent, EndpointAgent, type EndpointRequestOptions } from "../src/endpoints/endpointAgent";
-import { MAX_REQUESTS_PER_CONNECTION } from "../src/endpoints/requestIdHistory";
+import {
+    type ConnectionEvent,
+    EndpointAgent,
+    type EndpointAgentOptions,
+    type EndpointRequestOptions,
+    MAX_REQUESTS_PER_CONNECTION,
+} from "../src";
 
 const STRAY_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nRequest-Id: other\r\n\r\nother";
 /** Delay of the stray response after the proper one, and of the second request after the first response. */
 const STRAY_AFTER_MS = 20;
 const PAUSE_MS = 60;
+const OPTIONS: EndpointAgentOptions = { idleMs: 2_000, firstReused: "longest-idle" };
 
 let server: net.Server;
 let connections = 0;
@@ -56,19 +62,19 @@
 describe("an idle connection to an endpoint", () => {
     it("is reused for the next request", async () => {
         sendsStrayResponse = false;
-        expect(await getTwice(new EndpointAgent())).toEqual(["own-1", "own-1"]);
+        expect(await getTwice(new EndpointAgent(OPTIONS))).toEqual(["own-1", "own-1"]);
     });
 
     it("is closed when it receives data, which belongs to no request", async () => {
         sendsStrayResponse = true;
-        expect(await getTwice(new EndpointAgent())).toEqual(["own-1", "own-2"]);
+        expect(await getTwice(new EndpointAgent(OPTIONS))).toEqual(["own-1", "own-2"]);
     });
 });
 
 /** Sends requests with these ids one after the other, and returns which connections they got and what happened. */
-async function getAll(requestIds: readonly string[]) {
+async function getAll(requestIds: readonly string[], changes: Partial<EndpointAgentOptions> = {}) {
     const events: ConnectionEvent[] = [];
-    const agent = new EndpointAgent(event => events.push(event));
+    const agent = new EndpointAgent({ ...OPTIONS, ...changes, onEvent: event => events.push(event) });
     const names: string[] = [];
     for (const requestId of requestIds) {
         names.push(await get(agent, requestId));
@@ -111,6 +117,15 @@
         expect(await getAll(requestIds)).toEqual({ connections, events });
     });
 
+    it.each(
+        [
+            { firstReused: "longest-idle", connections: [1, 2, 1, 2] },
+            { firstReused: "shortest-idle", connections: [1, 2, 2, 2] },
+        ] as const,
+    )("is used again in the order of idle times: $firstReused", async ({ firstReused, connections }) => {
+        expect((await getAll(["a", "a", "b", "c"], { firstReused })).connections).toEqual(connections);
+    });
+
     it("is closed once its history is full, so that it never forgets an id", async () => {
         const ids = Array.from({ length: MAX_REQUESTS_PER_CONNECTION + 1 }, (_, index) => String(index));
         const { connections, events } = await getAll(ids);
@@ -121,7 +136,7 @@
 
     it("isn't used for a request to another address", async () => {
         const events: ConnectionEvent[] = [];
-        const agent = new EndpointAgent(event => events.push(event));
+        const agent = new EndpointAgent({ ...OPTIONS, onEvent: event => events.push(event) });
         const { port } = server.address() as net.AddressInfo;
         await get(agent, "a");
         const options: EndpointRequestOptions = { host: "localhost", family: 4, port, agent, requestId: "a" };
--- a/packages/gateway/src/endpoints/endpointClient.ts
+++ b/packages/gateway/src/endpoints/endpointClient.ts
@@ -1,17 +1,22 @@
-import { ResponseEndObserver } from "@heatherline/common";
+import {
+    type ConnectionEvent,
+    EndpointAgent,
+    type EndpointRequestOptions,
+    ResponseEndObserver,
+} from "@heatherline/common";
 import type { EndpointEntry } from "@heatherline/fleet";
 import { LRUCache } from "lru-cache";
 import { err, ok, type Result } from "neverthrow";
 import http from "node:http";
 import net from "node:net";
 import type { EndpointResponseHead, WireCodec } from "../wireCodec";
-import { type ConnectionEvent, EndpointAgent, type EndpointRequestOptions } from "./endpointAgent";
 import type { Fault } from "./endpointLinks";
 
 /** Endpoints in the same region accept a connection within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 250;
 /** After this time it is likely that no connection will be established. */
 const SLOW_CONNECT_MS = 100;
+const IDLE_CONNECTION_MS = 2_000;
 /** Informational heads (1xx) before a response; endpoints send one at most. */
 const MAX_INFORMATIONAL_HEADS = 8;
 /** Statuses outside these don't end a request, or are none. */
@@ -134,7 +139,11 @@
         private readonly listener?: EndpointStatementListener,
         onConnectionEvent?: (event: ConnectionEvent) => void,
     ) {
-        this.agent = new EndpointAgent(onConnectionEvent);
+        this.agent = new EndpointAgent({
+            idleMs: IDLE_CONNECTION_MS,
+            firstReused: "longest-idle",
+            onEvent: onConnectionEvent,
+        });
     }
 
     getLastDataAtMs(endpointId: string): number {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,8 +1,7 @@
-import { type ClientLimitCause, getDroppedLineCount } from "@heatherline/common";
+import { type ClientLimitCause, type ConnectionEvent, getDroppedLineCount } from "@heatherline/common";
 import type { QueueStats, RolloutRecord } from "@heatherline/fleet";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { CutBy } from "./callers/cutObserver";
-import type { ConnectionEvent } from "./endpoints/endpointAgent";
 import type { BodyKind, HeldBodies } from "./heldBodies";
 import type { SlowCallerCause } from "./memoryBudget";
 import type { HedgeEvent } from "./online/hedgedSend";
--- a/packages/serving/src/httpDispatcher.ts
+++ b/packages/serving/src/httpDispatcher.ts
@@ -1,4 +1,4 @@
-import { monotonicMs, ResponseEndObserver } from "@heatherline/common";
+import { EndpointAgent, type EndpointRequestOptions, monotonicMs, ResponseEndObserver } from "@heatherline/common";
 import { err, ok, type Result } from "neverthrow";
 import http from "node:http";
 import type { CreditPool, EndpointSlot } from "./endpoints/creditPool";
@@ -9,7 +9,7 @@
 
 const REQUEST_ID_HEADER = "x-request-id";
 const ENDPOINT_START_HEADER = "x-endpoint-start";
-const KEEP_ALIVE_MS = 4_000;
+const IDLE_CONNECTION_MS = 4_000;
 const OVERLOAD_STATUSES = new Set([429, 503]);
 
 /**
@@ -44,10 +44,7 @@
 
 /** Runs one attempt over HTTP; online requests and batch items use separate connection pools. */
 export class HttpDispatcher implements Dispatcher {
-    private readonly agents: Record<WorkClass, http.Agent> = {
-        online: new http.Agent({ keepAlive: true, timeout: KEEP_ALIVE_MS, scheduling: "lifo" }),
-        batch: new http.Agent({ keepAlive: true, timeout: KEEP_ALIVE_MS, scheduling: "lifo" }),
-    };
+    private readonly agents: Record<WorkClass, EndpointAgent> = { online: newAgent(), batch: newAgent() };
 
     /**
      * @param creditPool - Gets the time to first byte and the start mark of each response.
@@ -127,17 +124,19 @@
     /** Node.js throws at once for what can't be sent, such as a path with a space. */
     private openRequest(exchange: Exchange, slot: EndpointSlot): Result<http.ClientRequest, DispatchError> {
         const isIdempotent = exchange.route?.idempotent === true;
+        const options: EndpointRequestOptions = {
+            requestId: exchange.requestId,
+            host: slot.spec.address,
+            port: slot.spec.port,
+            method: exchange.method,
+            path: exchange.upstreamPath,
+            headers: getUpstreamHeaders(exchange),
+            // The endpoint may close an idle connection just as a request is sent on it; then it is unknown whether
+            // the request ran. Requests that must not run twice therefore use a new connection.
+            agent: isIdempotent ? this.agents[exchange.workClass] : false,
+        };
         try {
-            return ok(http.request({
-                host: slot.spec.address,
-                port: slot.spec.port,
-                method: exchange.method,
-                path: exchange.upstreamPath,
-                headers: getUpstreamHeaders(exchange),
-                // The endpoint may close an idle connection just as a request is sent on it; then it is unknown whether
-                // the request ran. Requests that must not run twice therefore use a new connection.
-                agent: isIdempotent ? this.agents[exchange.workClass] : false,
-            }));
+            return ok(http.request(options));
         }
         catch (error) {
             return err(new DispatchError("refused", "the request can't be sent", false, error));
@@ -145,6 +144,10 @@
     }
 }
 
+function newAgent(): EndpointAgent {
+    return new EndpointAgent({ idleMs: IDLE_CONNECTION_MS, firstReused: "shortest-idle" });
+}
+
 function toDispatchError(error: NodeJS.ErrnoException, isSent: boolean, isAborted: boolean): DispatchError {
     if (isAborted) {
         return new DispatchError("aborted", "the request was aborted", isSent, error);
