Let a repeated signal change nothing at a gateway that stops

Cause: Gateway.stop returned at once when a stop had begun, and main.ts exits once stop returns. Each call now returns the promise of the one stop. SIGINT has the same handler; the daemon's handler was right.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -82,6 +82,7 @@
     });
     private readonly stopSchedule = new StopSchedule(() => this.settings.graceMs);
     private timers: NodeJS.Timeout[] = [];
+    private stopped: Promise<void> | undefined;
 
     /**
      * @param settings - Settings of the instance.
@@ -386,12 +387,16 @@
 
     /**
      * Stops gracefully: releases the coordinator lease, hands batch jobs over, accepts no more connections and waits for
-     * open requests, at most until shortly before the process is killed.
+     * open requests, at most until shortly before the process is killed. A repeated call changes nothing.
+     *
+     * @returns Resolves once the instance has stopped, at each call.
      */
-    async stop(): Promise<void> {
-        if (this.stopSchedule.isStopping) {
-            return;
-        }
+    stop(): Promise<void> {
+        this.stopped ??= this.stopGracefully();
+        return this.stopped;
+    }
+
+    private async stopGracefully(): Promise<void> {
         this.stopSchedule.start();
         this.logger.info({ event: "stopping", openRequests: this.ingress.openRequestCount });
         await this.role.lease.stop();
