Split Gateway: the stop, the upkeep of roles, the status line

GracefulStop, RoleUpkeep, newPlacementClient, logStatus and newCallerBudget were parts of Gateway; PlaceCount has a file of its own. No behaviour changes but that the listener for other instances closes just before the last line of the log, not after it.

--- a/packages/fleet/src/endpointPool.ts
+++ b/packages/fleet/src/endpointPool.ts
@@ -12,6 +12,7 @@
     newEndpointState,
 } from "./endpointState";
 import type { Place } from "./place";
+import type { PlaceCount } from "./placeCount";
 import type { AllowedVersions } from "./rollouts/types";
 import { isVersionAllowed, type VersionGate } from "./rollouts/versionGate";
 import { getSoftwareVersion } from "./softwareVersions";
@@ -21,19 +22,6 @@
 const COLD_RATE_FRACTION = 0.9;
 const MS_PER_S = 1_000;
 
-/** Number of places of a service. Those of an endpoint with a limit count as far as it lets them be used. */
-export interface PlaceCount {
-    /** May be a fraction, since a limit may allow less than one running request on average. */
-    total: number;
-    free: number;
-    /** The places at endpoints that aren't only tried again after a pause. */
-    sound: number;
-    /** The places at endpoints of the service's mean speed that would serve as much as all places. */
-    weighted: number;
-    /** Places that batch items release at once when preempted. */
-    preemptable: number;
-}
-
 /** The endpoints of all services; picks one for each request. */
 export class EndpointPool {
     private readonly byId = new Map<string, EndpointState>();
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -31,6 +31,7 @@
 export * from "./leavingEndpoints";
 export * from "./messages";
 export * from "./place";
+export * from "./placeCount";
 export * from "./placeDecisions";
 export * from "./placeGranter";
 export * from "./placementClient";
--- a/packages/fleet/src/placeDecisions.ts
+++ b/packages/fleet/src/placeDecisions.ts
@@ -1,7 +1,8 @@
 import { getTokens } from "./endpointMemory";
-import type { EndpointPool, PlaceCount } from "./endpointPool";
+import type { EndpointPool } from "./endpointPool";
 import type { EndpointState } from "./endpointState";
 import { getItemRank } from "./itemOrder";
+import type { PlaceCount } from "./placeCount";
 import { describeVersions, type VersionGate } from "./rollouts/versionGate";
 import { MAX_LATE_WAIT_MS, newWaiter, type ServiceState } from "./serviceState";
 import { isResumption, newVersionGoneRefusal } from "./streamLocator";
--- a/packages/gateway/src/fleet/registration.ts
+++ b/packages/gateway/src/fleet/registration.ts
@@ -1,5 +1,5 @@
 import { type Logger, sleep, withJitter } from "@heatherline/common";
-import { MEMBER_KIND, type MemberEntry } from "@heatherline/fleet";
+import { MEMBER_KIND, type MemberEntry, type Versioned } from "@heatherline/fleet";
 import type { ObjectStore } from "@heatherline/store";
 
 const RETRY_DELAY_MS = 250;
@@ -66,11 +66,12 @@
     }
 
     /**
-     * Registers again if the registration was removed, which happens to an instance that was silent for too long.
+     * Logs a change, and registers again if the registration was removed, which happens to an instance that was silent for too long.
      *
-     * @param members - All registered instances.
+     * @param members - All registered instances, and the revision of their list.
      */
-    renewIfRemoved(members: readonly MemberEntry[]): void {
+    onMembersChanged({ revision, value: members }: Versioned<readonly MemberEntry[]>): void {
+        this.logger.info({ event: "members-changed", count: members.length, revision });
         const isRegistered = members.some(({ incarnation }) => incarnation === this.self.incarnation);
         if (!isRegistered && this.wasRegistered && !this.isRegistering && !this.isStopping()) {
             void this.register();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,11 +6,12 @@
     HedgeDelays,
     type MemberEntry,
     METHODS,
-    PlacementClient,
+    type PlacementClient,
     StateFeed,
 } from "@heatherline/fleet";
 import { Admission } from "./callers/admission";
 import { ClientLimitReport } from "./callers/clientLimitReport";
+import { GracefulStop } from "./callers/gracefulStop";
 import { Ingress } from "./callers/ingress";
 import { serveMetrics, serveReadiness } from "./callers/readinessAndMetrics";
 import { StartupGate } from "./callers/startupGate";
@@ -20,11 +21,12 @@
 import { BlockedPromptStore } from "./fleet/blockedPromptStore";
 import { CoordinatorRole } from "./fleet/coordinatorRole";
 import { DeputyRole } from "./fleet/deputyRole";
-import { FeedScopePolicy } from "./fleet/feedScopePolicy";
+import { newPlacementClient } from "./fleet/newPlacementClient";
 import { addPeerMethods } from "./fleet/peerMethods";
 import { PeerStatePoller } from "./fleet/peerStatePoller";
 import { MemberRegistration } from "./fleet/registration";
 import { RetirementAcknowledger } from "./fleet/retirementAcknowledger";
+import { RoleUpkeep } from "./fleet/roleUpkeep";
 import { newRolloutGuard, newRolloutRole, type RolloutRole } from "./fleet/rolloutRole";
 import { StreamOriginStore } from "./fleet/streamOriginStore";
 import { Sweeper } from "./fleet/sweeper";
@@ -34,10 +36,11 @@
 import { JobServices } from "./jobs/jobServices";
 import { toManifest } from "./jobs/jobStore";
 import { isSoleRunner, type RunnerClaim } from "./jobs/runnerClaim";
-import { getCallerMemoryBytes, MemoryBudget } from "./memoryBudget";
+import { newCallerBudget } from "./memoryBudget";
 import { GatewayMetrics } from "./metrics";
 import { CallerBuffers } from "./online/callerBuffer";
 import { OnlineHandler } from "./online/onlineHandler";
+import { logStatus } from "./statusLog";
 import { WhereExplainer } from "./where/whereExplainer";
 
 const CHECK_INTERVAL_MS = 200;
@@ -47,8 +50,6 @@
 const FIRST_STATE_WAIT_MS = 1_500;
 const SWEEP_INTERVAL_MS = 3_000;
 const STATUS_INTERVAL_MS = 10_000;
-const DRAIN_POLL_MS = 50;
-const DEFAULT_MAX_CALLER_UNREAD_MS = 30_000;
 
 /** One gateway instance: admits callers' requests and forwards them to endpoints. */
 export class Gateway {
@@ -71,8 +72,8 @@
     private readonly statePoller: PeerStatePoller;
     private readonly sweeper: Sweeper;
     private readonly registration: MemberRegistration;
-    private wasCoordinatorKnown = false;
-    private readonly feedScopePolicy = new FeedScopePolicy();
+    private readonly upkeep: RoleUpkeep;
+    private readonly gracefulStop: GracefulStop;
     private readonly syncMessages: SyncMessages;
     private readonly metrics: GatewayMetrics;
     private readonly where: WhereExplainer;
@@ -82,7 +83,6 @@
     });
     private readonly stopSchedule = new StopSchedule(() => this.settings.graceMs);
     private timers: NodeJS.Timeout[] = [];
-    private stopped: Promise<void> | undefined;
 
     /**
      * @param settings - Settings of the instance.
@@ -133,7 +133,7 @@
                 },
                 onRollouts: objects => this.rollouts?.setObjects(objects),
             },
-            () => this.isFollower,
+            () => this.upkeep.isFollower,
             logger,
         );
         this.rollouts = newRolloutRole({
@@ -189,30 +189,12 @@
         }, logger);
         const { link, lease } = this.role;
         const getCoordinator = () => this.role.activeCoordinator;
-        this.placement = new PlacementClient(
-            this.self,
-            view,
-            {
-                decider: "coordinator",
-                link,
-                getLocal: getCoordinator,
-                placeMethod: METHODS.place,
-                releaseMethod: METHODS.release,
-            },
-            {
-                decider: "deputy",
-                link: this.deputy.link,
-                getLocal: () => this.deputy.localDeputy,
-                placeMethod: METHODS.deputyPlace,
-                releaseMethod: METHODS.deputyRelease,
-            },
-            getRegion,
+        const { role, deputy } = this;
+        this.placement = newPlacementClient(
+            { self: this.self, view, role, deputy, getRegion, getRolloutGuard, hedgeExtraFraction },
             logger,
-            getRolloutGuard,
-            hedgeExtraFraction,
         );
-        const { memoryBytes, maxCallerUnreadMs = DEFAULT_MAX_CALLER_UNREAD_MS } = settings;
-        const callerBudget = new MemoryBudget(getCallerMemoryBytes(memoryBytes), maxCallerUnreadMs);
+        const callerBudget = newCallerBudget(settings);
         this.endpoints = new EndpointAccess({
             self: this.self,
             view,
@@ -265,6 +247,17 @@
         this.where = new WhereExplainer({ self: this.self, view, admission, placement, links });
         const { runner, reader } = this.jobs;
         this.syncMessages = new SyncMessages({ self: this.self, view, feed: this.feed, placement, runner, lease });
+        this.upkeep = new RoleUpkeep({
+            self: this.self,
+            view,
+            feed: this.feed,
+            role: this.role,
+            deputy: this.deputy,
+            placement,
+            runner,
+            syncMessages: this.syncMessages,
+            isStopping: () => this.stopSchedule.isStopping,
+        });
         this.ingress = new Ingress({
             admission,
             view,
@@ -289,6 +282,15 @@
             clientLimits: this.clientLimits,
             observeClientLimit: this.clientLimitReport.getObserver("callers"),
         });
+        this.gracefulStop = new GracefulStop({
+            schedule: this.stopSchedule,
+            ingress: this.ingress,
+            getOpenRelayCount: () => this.endpoints.openRelayCount,
+            releaseLease: () => lease.stop(),
+            handJobsOver: () => void runner.handOver(getHandoverCandidates(view.members, this.self, link.coordinator)),
+            endBackgroundWork: () => this.endBackgroundWork(),
+            logger,
+        });
         const onAnnouncement = ({ coordinator, epoch }: Announcement) => this.role.follow(coordinator, epoch);
         const getAnnouncement = () => this.role.getAnnouncement();
         addPeerMethods(this.rpcServer, {
@@ -322,16 +324,12 @@
         const endpointChangeLogger = new EndpointChangeLogger(logger);
         view.onChange(part => {
             if (part === "members") {
-                const { revision, value } = view.versionedMembers;
-                logger.info({ event: "members-changed", count: value.length, revision });
-                this.registration.renewIfRemoved(value);
+                this.registration.onMembersChanged(view.versionedMembers);
+                this.upkeep.updateDeputy();
             }
             if (part === "endpoints") {
                 endpointChangeLogger.logChanges(view);
             }
-            if (part === "members" && !this.stopSchedule.isStopping) {
-                this.updateDeputy();
-            }
             this.placement.onViewChanged();
             this.role.localCoordinator?.onViewChanged();
             this.deputy.localDeputy?.onViewChanged();
@@ -351,27 +349,26 @@
         logger.info({ event: "started", incarnation: this.self.incarnation });
         const waitsForOthers = this.settings.isFirstStart && !this.isSeed;
         if (waitsForOthers) {
-            this.feedScopePolicy.waitForOthers(FIRST_STATE_WAIT_MS);
+            this.upkeep.waitForOthers(FIRST_STATE_WAIT_MS);
         }
-        this.runChecks();
+        this.upkeep.check();
         void this.statePoller.run();
         void this.registration.register()
             .then(() => sleep(waitsForOthers ? FIRST_STATE_WAIT_MS : 0))
             .then(() => this.view.members.length === 0 ? this.feed.readMembers() : undefined);
         this.role.lease.start(waitsForOthers ? LEASE_START_DELAY_MS * (1 + Math.random()) : 0);
         this.timers = [
-            setInterval(() => this.runChecks(), CHECK_INTERVAL_MS),
+            setInterval(() => this.upkeep.check(), CHECK_INTERVAL_MS),
             setInterval(() => this.jobs.ownJobSync.sync(), JOB_SYNC_INTERVAL_MS),
             setInterval(() => this.logStatus(), STATUS_INTERVAL_MS),
             setInterval(() => this.sweep(), SWEEP_INTERVAL_MS),
         ];
-        const metricsAddress = { host: settings.host, port: settings.metricsPort };
-        const metricsContent = {
-            render: () => this.metrics.render(),
-            answerWhere: (query: string) => this.where.answer(query),
-        };
-        const metricsLimits = { limits, observe: this.clientLimitReport.getObserver("metrics") };
-        void serveMetrics(metricsAddress, metricsContent, logger, metricsLimits);
+        void serveMetrics(
+            { host: settings.host, port: settings.metricsPort },
+            { render: () => this.metrics.render(), answerWhere: query => this.where.answer(query) },
+            logger,
+            { limits, observe: this.clientLimitReport.getObserver("metrics") },
+        );
     }
 
     /**
@@ -386,37 +383,19 @@
     }
 
     /**
-     * Stops gracefully: releases the coordinator lease, hands batch jobs over, accepts no more connections and waits for
-     * open requests, at most until shortly before the process is killed. A repeated call changes nothing.
+     * Stops gracefully. A repeated call changes nothing.
      *
      * @returns Resolves once the instance has stopped, at each call.
      */
     stop(): Promise<void> {
-        this.stopped ??= this.stopGracefully();
-        return this.stopped;
+        return this.gracefulStop.run();
     }
 
-    private async stopGracefully(): Promise<void> {
-        this.stopSchedule.start();
-        this.logger.info({ event: "stopping", openRequests: this.ingress.openRequestCount });
-        await this.role.lease.stop();
-        void this.jobs.runner.handOver(getHandoverCandidates(this.view.members, this.self, this.role.link.coordinator));
-        await sleep(this.stopSchedule.acceptingLeftMs);
-        // A request that arrives late on a kept-alive connection would be cut off, so idle connections are closed.
-        await this.ingress.stopAccepting();
-        while (this.ingress.openConnectionCount + this.endpoints.openRelayCount > 0 && this.stopSchedule.leftMs > 0) {
-            await sleep(DRAIN_POLL_MS);
-        }
-        const cut = this.ingress.openRequestCount;
-        if (cut > 0) {
-            await this.ingress.giveUpRequests();
-        }
+    private endBackgroundWork(): void {
         this.role.link.stop("stopping");
         this.deputy.stop();
         this.endpoints.stop();
         this.timers.forEach(timer => clearInterval(timer));
-        this.logger.info({ event: "stopped", cut });
-        this.ingress.close();
         this.rpcServer.close();
     }
 
@@ -428,11 +407,6 @@
         return this.settings.seeds.some(seed => this.statePoller.isOwnAddress(seed));
     }
 
-    /** Whether the coordinator or a deputy sends this instance the state. */
-    private get isFollower(): boolean {
-        return (this.role.link.coordinator ?? this.deputy.link.coordinator) !== undefined;
-    }
-
     /** Whether this instance lacks state that other instances may have. */
     private get isStateIncomplete(): boolean {
         return !this.role.isCoordinatorKnown || !this.admission.isConfigFresh || this.view.getEndpoints().length === 0;
@@ -445,40 +419,7 @@
 
     private onRoleChange(): void {
         this.startupGate.check();
-        this.runChecks();
-    }
-
-    /**
-     * Periodic checks, also made when the coordinator or the deputy has changed.
-     */
-    private runChecks(): void {
-        if (this.stopSchedule.isStopping) {
-            return;
-        }
-        this.updateDeputy();
-        const deputy = this.view.fallbackShares.getDeputy(this.self.dataCentre);
-        this.feed.setScope(this.feedScopePolicy.getScope({
-            isCoordinator: this.role.localCoordinator !== undefined,
-            isFollower: this.isFollower,
-            isDeputy: deputy?.instanceId === this.self.instanceId,
-            isCoordinatorStoreFailing: this.syncMessages.isCoordinatorStoreFailing,
-            configAgeMs: this.view.getConfigAgeMs(),
-        }));
-        this.view.dropLapsedEndpoints();
-        this.role.releaseLeaseIfUnfit();
-    }
-
-    /** In fallback mode this instance is the deputy of its data centre or follows it. */
-    private updateDeputy(): void {
-        const { isCoordinatorKnown } = this.role;
-        if (!isCoordinatorKnown && this.wasCoordinatorKnown) {
-            this.placement.enterFallbackMode();
-        }
-        if (isCoordinatorKnown && !this.wasCoordinatorKnown) {
-            this.jobs.runner.requireVerification();
-        }
-        this.wasCoordinatorKnown = isCoordinatorKnown;
-        this.deputy.update(isCoordinatorKnown);
+        this.upkeep.check();
     }
 
     private isSoleRunner(claim: RunnerClaim): boolean {
@@ -498,19 +439,7 @@
     }
 
     private logStatus(): void {
-        this.logger.info({
-            event: "status",
-            configVersion: this.view.routes?.config.version,
-            configAgeMs: Math.round(this.view.getConfigAgeMs()),
-            coordinator: this.role.coordinatorId,
-            endpoints: this.view.getEndpoints().length,
-            members: this.view.members.length,
-            openRequests: this.ingress.openRequestCount,
-            openRelays: this.endpoints.openRelayCount,
-            isStranded: this.endpoints.isStranded,
-            jobs: this.jobs.runner.getStats(),
-            residentBytes: process.memoryUsage.rss(),
-            storeCalls: this.deps.getStoreCalls(),
-        });
+        const { view, role, ingress, endpoints, jobs: { runner }, deps: { getStoreCalls } } = this;
+        logStatus({ view, role, ingress, endpoints, runner, getStoreCalls }, this.logger);
     }
 }
--- a/packages/gateway/src/memoryBudget.ts
+++ b/packages/gateway/src/memoryBudget.ts
@@ -1,4 +1,5 @@
 import { getHeapStatistics } from "node:v8";
+import type { GatewaySettings } from "./gatewaySettings";
 import { HeldBodies } from "./heldBodies";
 
 /**
@@ -6,6 +7,7 @@
  * the bodies of what is in progress.
  */
 const MAX_MEMORY_FRACTION = 0.1;
+const DEFAULT_MAX_CALLER_UNREAD_MS = 30_000;
 const CHECK_INTERVAL_MS = 250;
 /** A caller that has read something this recently is not closed for want of memory; others wait for room meanwhile. */
 const MIN_UNREAD_MS = 1_000;
@@ -178,9 +180,10 @@
 }
 
 /**
- * @param memoryBytes - Memory of the machine for this process; `undefined` if it is unknown.
- * @returns Bytes for data that callers are yet to read, and for the bodies of what is in progress.
+ * @param settings - Settings of the instance.
+ * @returns Memory for data that callers are yet to read, and for the bodies of what is in progress.
  */
-export function getCallerMemoryBytes(memoryBytes: number | undefined): number {
-    return Math.min(getHeapStatistics().heap_size_limit, memoryBytes ?? Infinity) * MAX_MEMORY_FRACTION;
+export function newCallerBudget({ memoryBytes, maxCallerUnreadMs }: GatewaySettings): MemoryBudget {
+    const sizeBytes = Math.min(getHeapStatistics().heap_size_limit, memoryBytes ?? Infinity) * MAX_MEMORY_FRACTION;
+    return new MemoryBudget(sizeBytes, maxCallerUnreadMs ?? DEFAULT_MAX_CALLER_UNREAD_MS);
 }
