Don't answer 503 for a batch job that exists and can't be read

Cause: a submission that finds that its job exists reads it, and passed on the failure of that read. It now reads again until shortly before the caller's timeout, and answers 504 (outcome-unknown) if it can't read it.

--- a/packages/gateway/src/jobs/batchApi.ts
+++ b/packages/gateway/src/jobs/batchApi.ts
@@ -1,4 +1,4 @@
-import type { Logger } from "@heatherline/common";
+import { type Logger, sleep } from "@heatherline/common";
 import {
     type AdmitJobReply,
     type AdmitJobRequest,
@@ -10,6 +10,7 @@
     newTimestamp,
     type RpcCaller,
 } from "@heatherline/fleet";
+import type { Result } from "neverthrow";
 import type { Admission, AdmittedRequest } from "../callers/admission";
 import type { CallerResponse } from "../callers/callerResponse";
 import { newRefusal, type Refusal } from "../callers/refusal";
@@ -25,6 +26,8 @@
 const SUBMIT_MARGIN_MS = 250;
 /** Timeout of submissions whose callers set none. */
 const DEFAULT_SUBMIT_TIMEOUT_MS = 3_500;
+/** Delay before a job that exists is read once more. */
+const READ_RETRY_DELAY_MS = 200;
 const ADMIT_TIMEOUT_MS = 500;
 const CANCEL_TIMEOUT_MS = 500;
 /** Retry delay for jobs refused because of the backlog limit: about the time that an item takes. */
@@ -178,9 +181,10 @@
             this.deps.runner.add(manifest, parts, undefined, startedAt);
             return undefined;
         }
-        const existing = await this.deps.reader.readManifest(manifest.jobId);
+        const existing = await this.readExisting(manifest.jobId, untilMs);
         if (existing.isErr()) {
-            return newRefusal("store-unavailable", existing.error.detail);
+            // The job is in the store and will run, so that nothing may promise that it doesn't.
+            return newRefusal("outcome-unknown", existing.error.detail);
         }
         if (existing.value.organisation !== manifest.organisation) {
             return newRefusal("job-id-taken", "the job belongs to another organisation");
@@ -189,6 +193,17 @@
         return undefined;
     }
 
+    /** Reads a job that exists, again and again until a time if it can't be read. */
+    private async readExisting(jobId: string, untilMs: number): Promise<Result<JobManifest, Refusal>> {
+        let existing = await this.deps.reader.readManifest(jobId);
+        const isUnreadable = () => existing.isErr() && existing.error.reason === "store-unavailable";
+        while (isUnreadable() && performance.now() + READ_RETRY_DELAY_MS < untilMs) {
+            await sleep(READ_RETRY_DELAY_MS);
+            existing = await this.deps.reader.readManifest(jobId);
+        }
+        return existing;
+    }
+
     private async admitTokens(
         manifest: JobManifest,
         { route }: AdmittedRequest,
