Let jobs of public routes be read and ended beside organisations

Cause: a public route leaves the organisation out of a job, and reads asked for the key's organisation. A job without an organisation is now read and ended by whoever knows its id, as the route asks for no key; keys are looked at as before where no batch route is public.

--- a/packages/gateway/src/jobs/batchApi.ts
+++ b/packages/gateway/src/jobs/batchApi.ts
@@ -118,7 +118,7 @@
         target: { readonly resource: "results" | "body"; readonly jobId: string; },
     ): Promise<void> {
         const { jobId } = target;
-        const organisation = this.authenticate(request);
+        const organisation = await this.authorise(request, jobId);
         const refusal = typeof organisation !== "string"
             ? organisation
             : request.method === "DELETE"
@@ -240,6 +240,21 @@
         return isOverLimit ? newRefusal("job-too-large", detail, JOB_RETRY_AFTER_MS) : undefined;
     }
 
+    /** Jobs of public routes belong to no organisation; whoever knows the id of one may read and end it. */
+    private async authorise(request: BatchApiRequest, jobId: string): Promise<string | Refusal> {
+        const identity = this.authenticate(request);
+        const routes = this.deps.view.routes?.config.routes ?? [];
+        if (identity === "" || !routes.some(({ kind, isPublic }) => kind === "batch" && isPublic)) {
+            return identity;
+        }
+        const manifest = await this.deps.reader.readManifest(jobId);
+        if (manifest.isErr()) {
+            // Whether the job needs a key can't be told then.
+            return typeof identity !== "string" && manifest.error.status === 503 ? manifest.error : identity;
+        }
+        return manifest.value.organisation === "" ? "" : identity;
+    }
+
     private authenticate({ caller }: BatchApiRequest): string | Refusal {
         const { routes } = this.deps.view;
         if (routes === undefined) {
