Don't list all jobs for each batch job that is refused

Cause: BatchApi.admitTokens listed the objects of all jobs after each refusal by the coordinator, only to see whether the job existed, and for each submission without a coordinator; lists of submissions that came together were in memory together. After a refusal the one job is read now.

--- a/packages/gateway/src/jobs/batchApi.ts
+++ b/packages/gateway/src/jobs/batchApi.ts
@@ -21,6 +21,7 @@
 import type { JobRunner } from "./jobRunner";
 import type { JobManifest, JobStore } from "./jobStore";
 import { newJob } from "./newJob";
+import { StoredJobsReader } from "./storedJobs";
 
 /** Subtracted from the caller's timeout for a submission, so that the response arrives in time. */
 const SUBMIT_MARGIN_MS = 250;
@@ -72,10 +73,14 @@
 
 /** Handles requests to the batch API: submissions, reads of results and bodies, and cancellations. */
 export class BatchApi {
+    private readonly storedJobs: StoredJobsReader;
+
     /**
      * @param deps - What the API depends on.
      */
-    constructor(private readonly deps: BatchApiDependencies) {}
+    constructor(private readonly deps: BatchApiDependencies) {
+        this.storedJobs = new StoredJobsReader(deps.store);
+    }
 
     /**
      * Accepts a job; the response confirms it only once the store has it.
@@ -225,19 +230,24 @@
         if (reply?.kind === "admitted") {
             return undefined;
         }
-        const storedJobs = await this.deps.store.list();
+        if (reply?.kind === "full") {
+            const existing = await this.deps.reader.readManifest(manifest.jobId);
+            return existing.isErr() && existing.error.reason === "not-found"
+                ? newFullRefusal(request, reply.waitingTokens)
+                : existing.match(() => undefined, error => error);
+        }
+        const storedJobs = await this.storedJobs.read();
         if (storedJobs.isErr()) {
             return newRefusal("store-unavailable", storedJobs.error.toString());
         }
-        if (storedJobs.value.some(({ jobId }) => jobId === manifest.jobId)) {
+        if (storedJobs.value.has(manifest.jobId)) {
             return undefined;
         }
         // Without a reply from the coordinator it is unknown what is finished, so all items of open jobs count as
         // waiting.
-        const waitingTokens = reply?.kind === "full" ? reply.waitingTokens : sumOpenTokens(storedJobs.value, request);
+        const waitingTokens = storedJobs.value.sumOpenTokens(request.organisation, request.route);
         const isOverLimit = request.maxWaitingTokens > 0 && waitingTokens + tokens > request.maxWaitingTokens;
-        const detail = `${waitingTokens} tokens waiting, ${tokens} submitted, limit ${request.maxWaitingTokens}`;
-        return isOverLimit ? newRefusal("job-too-large", detail, JOB_RETRY_AFTER_MS) : undefined;
+        return isOverLimit ? newFullRefusal(request, waitingTokens) : undefined;
     }
 
     /** Jobs of public routes belong to no organisation; whoever knows the id of one may read and end it. */
@@ -381,9 +391,7 @@
     }
 }
 
-function sumOpenTokens(jobs: readonly JobManifest[], { jobId, organisation, route }: AdmitJobRequest): number {
-    return jobs
-        .filter(job => job.state === "open" && job.jobId !== jobId)
-        .filter(job => job.organisation === organisation && job.route === route)
-        .reduce((total, job) => total + job.itemTokens.reduce((sum, tokens) => sum + tokens, 0), 0);
+function newFullRefusal({ tokens, maxWaitingTokens }: AdmitJobRequest, waitingTokens: number): Refusal {
+    const detail = `${waitingTokens} tokens waiting, ${tokens} submitted, limit ${maxWaitingTokens}`;
+    return newRefusal("job-too-large", detail, JOB_RETRY_AFTER_MS);
 }
