Soak: copy only answers whose requests came while answers are repeated

The stand-in recorded the bytes of every answer of every engine in every soak, and could choose an answer that it had recorded in part. It records while it repeats answers only, and chooses among those whose requests came since.

--- a/standins/operators/answerRepeater.ts
+++ b/standins/operators/answerRepeater.ts
@@ -1,11 +1,14 @@
 import type http from "node:http";
 import type { Socket } from "node:net";
 
-/** What has been written to a connection since its latest request. */
+/** The answer to the latest request on a connection. */
 interface Recording {
+    /** The period in which the request came. */
+    period: number;
+    /** What has been written; kept only while answers are sent once more. */
     chunks: Buffer[];
-    /** The period in which it was chosen that the answer is sent once more in the place of the next one. */
-    chosenInPeriod: number | undefined;
+    /** Whether the answer is sent once more in the place of the next one. */
+    isChosen: boolean;
 }
 
 /**
@@ -56,12 +59,14 @@
     }
 
     private record(socket: Socket): void {
-        const recording: Recording = { chunks: [], chosenInPeriod: undefined };
+        const recording: Recording = { period: this.period, chunks: [], isChosen: false };
         this.recordings.set(socket, recording);
         const write = socket.write.bind(socket) as (...parameters: unknown[]) => boolean;
         socket.write = (chunk: Uint8Array | string, ...rest: unknown[]) => {
-            const encoding = typeof rest[0] === "string" ? rest[0] as BufferEncoding : "utf8";
-            recording.chunks.push(typeof chunk === "string" ? Buffer.from(chunk, encoding) : Buffer.from(chunk));
+            if (this.part > 0) {
+                const encoding = typeof rest[0] === "string" ? rest[0] as BufferEncoding : "utf8";
+                recording.chunks.push(typeof chunk === "string" ? Buffer.from(chunk, encoding) : Buffer.from(chunk));
+            }
             return write(chunk, ...rest);
         };
     }
@@ -71,22 +76,26 @@
         if (recording === undefined) {
             return;
         }
-        const copy = Buffer.concat(recording.chunks);
-        if (recording.chosenInPeriod === this.period) {
+        const copy = recording.isChosen && recording.period === this.period
+            ? Buffer.concat(recording.chunks)
+            : undefined;
+        if (copy !== undefined) {
             this.copies += 1;
             socket.write(copy);
         }
-        recording.chunks = [];
-        recording.chosenInPeriod = undefined;
+        Object.assign(recording, { period: this.period, chunks: [], isChosen: false });
     }
 
     private choose(request: http.IncomingMessage, response: http.ServerResponse): void {
         const recording = this.recordings.get(request.socket);
+        if (recording?.period !== this.period) {
+            return;
+        }
         this.answers += 1;
         const isWithinPart = this.chosen + 1 <= this.part * this.answers;
-        if (recording !== undefined && isWithinPart && response.shouldKeepAlive && this.mayRepeat(request)) {
+        if (isWithinPart && response.shouldKeepAlive && this.mayRepeat(request)) {
             this.chosen += 1;
-            recording.chosenInPeriod = this.period;
+            recording.isChosen = true;
         }
     }
 }
