--- a/packages/gateway/src/jobs/batchApi.ts
+++ b/packages/gateway/src/jobs/batchApi.ts
@@ -253,8 +253,7 @@
     /** Jobs of public routes belong to no organisation; whoever knows the id of one may read and end it. */
     private async authorise(request: BatchApiRequest, jobId: string): Promise<string | Refusal> {
         const identity = this.authenticate(request);
-        const routes = this.deps.view.routes?.config.routes ?? [];
-        if (identity === "" || !routes.some(({ kind, isPublic }) => kind === "batch" && isPublic)) {
+        if (identity === "" || !this.hasPublicBatchRoute) {
             return identity;
         }
         const manifest = await this.deps.reader.readManifest(jobId);
@@ -265,6 +264,11 @@
         return manifest.value.organisation === "" ? "" : identity;
     }
 
+    private get hasPublicBatchRoute(): boolean {
+        const routes = this.deps.view.routes?.config.routes ?? [];
+        return routes.some(({ kind, isPublic }) => kind === "batch" && isPublic);
+    }
+
     private authenticate({ caller }: BatchApiRequest): string | Refusal {
         const { routes } = this.deps.view;
         if (routes === undefined) {
