Reserve the ports of test processes, so that no two get the same one

No caller of the product is touched.

Cause, as far as it is shown: a test process chose ports on which nothing listened at that moment and started a gateway for them; until that gateway listened, another of the three test processes could choose the same port, and the gateway that came second exited.

The mend: a port is reserved by a UDP socket of the same number, which the kernel gives to one process only and takes back when the process ends. Both fleets of the tests use it; what chose ports stood twice (fleet.ts, cluster.ts) and stands once now (standins/freePorts.ts).

--- a/packages/daemon/tests/clientLimits.test.ts
+++ b/packages/daemon/tests/clientLimits.test.ts
@@ -1,8 +1,9 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { join } from "node:path";
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from "vitest";
-import { callJson, Cluster, type DaemonChild, getFreePort, waitFor } from "../../../standins/cluster";
+import { callJson, Cluster, type DaemonChild, waitFor } from "../../../standins/cluster";
 import { applyDocuments, issueKey, newModelService } from "../../../standins/documents";
+import { reserveFreePorts } from "../../../standins/freePorts";
 import { CHUNKED_HEAD, Crowd, type CrowdShape, newHead } from "../../../standins/operators/crowd";
 import { ProcessWatch } from "../../../standins/operators/processWatch";
 
@@ -122,7 +123,7 @@
 
 /** Starts a daemon whose heap and descriptors are limited; the shell sets the limit of this one process. */
 async function startDaemon(): Promise<DaemonChild> {
-    const [port, peerPort] = [await getFreePort(), await getFreePort()];
+    const [port = 0, peerPort = 0] = await reserveFreePorts(2);
     const command = [
         process.execPath,
         ...NODE_OPTIONS,
--- a/standins/cluster.ts
+++ b/standins/cluster.ts
@@ -3,8 +3,8 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { createWriteStream } from "node:fs";
 import http from "node:http";
-import { createServer } from "node:net";
 import { join } from "node:path";
+import { reserveFreePort } from "./freePorts";
 import type { PlatformFaults } from "./platform";
 
 const DIST = join(import.meta.dirname, "..", "dist");
@@ -139,8 +139,8 @@
         ports: { readonly port?: number; readonly peerPort?: number; },
         flags: readonly string[],
     ): Promise<DaemonChild> {
-        const port = ports.port ?? await getFreePort();
-        const peerPort = ports.peerPort ?? await getFreePort();
+        const port = ports.port ?? await reserveFreePort();
+        const peerPort = ports.peerPort ?? await reserveFreePort();
         const store = this.platform === undefined ? [] : ["--store-url", `http://127.0.0.1:${this.platform.port}`];
         const child = spawn(process.execPath, [
             join(DIST, "heatherlined.mjs"),
@@ -258,33 +258,6 @@
     }
 }
 
-/** Lowest port to assign; all are below the ephemeral range, so that no outgoing connection takes one before its use. */
-const MIN_PORT = 20_000;
-const PORT_COUNT = 12_000;
-const PORT_ATTEMPTS = 100;
-
-/** @returns A port that is free now and hasn't been returned before. */
-export async function getFreePort(): Promise<number> {
-    for (let attempt = 0; attempt < PORT_ATTEMPTS; attempt += 1) {
-        const port = MIN_PORT + Math.floor(Math.random() * PORT_COUNT);
-        if (!assignedPorts.has(port) && await isPortFree(port)) {
-            assignedPorts.add(port);
-            return port;
-        }
-    }
-    throw new Error("no free port was found");
-}
-
-const assignedPorts = new Set<number>();
-
-function isPortFree(port: number): Promise<boolean> {
-    return new Promise(resolve => {
-        const server = createServer();
-        server.once("error", () => resolve(false));
-        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
-    });
-}
-
 function tryParse(text: string): unknown {
     try {
         return JSON.parse(text);
--- a/standins/operators/fleet.ts
+++ b/standins/operators/fleet.ts
@@ -1,8 +1,8 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { existsSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { reserveFreePorts } from "../freePorts";
 import { Engine, type EngineOptions } from "./engine";
 import { ObjectApi } from "./objectApi";
 
@@ -16,6 +16,8 @@
     .find(path => existsSync(path)) ?? "";
 const READY_TIMEOUT_MS = 15_000;
 const POLL_MS = 25;
+/** How many of the last lines of a gateway that isn't ready in time its error shows. */
+const LINES_IN_ERROR = 40;
 
 /** API keys of the two organisations in {@link newConfig}. */
 export const KEYS = { alpha: "alpha-key", beta: "beta-key" } as const;
@@ -167,7 +169,7 @@
         jobReadableS = 120,
         storePort = this.storePort,
     ): Promise<GatewayProcess> {
-        const [port = 0, readyPort = 0, controlPort = 0, metricsPort = 0] = await findFreePorts(4);
+        const [port = 0, readyPort = 0, controlPort = 0, metricsPort = 0] = await reserveFreePorts(4);
         const settingsPath = join(this.folder, `${name}.toml`);
         const seeds = [...this.gateways.map(other => other.controlPort), controlPort].slice(0, 3);
         writeFileSync(
@@ -325,8 +327,9 @@
      * @param gateway - The gateway.
      * @throws Error if it isn't ready in time.
      */
-    async waitReady({ name, readyPort }: GatewayProcess): Promise<void> {
+    async waitReady({ name, readyPort, child, lines }: GatewayProcess): Promise<void> {
         const endAtMs = Date.now() + READY_TIMEOUT_MS;
+        const firstLine = lines.length;
         while (Date.now() < endAtMs) {
             const status = await fetch(`http://127.0.0.1:${readyPort}/-/readyz`).then(
                 response => response.status,
@@ -337,7 +340,13 @@
             }
             await new Promise(resolve => setTimeout(resolve, POLL_MS));
         }
-        throw new Error(`gateway ${name} was not ready in time`);
+        const { pid, exitCode, signalCode } = child;
+        const written = lines.slice(firstLine).slice(-LINES_IN_ERROR).join("\n");
+        throw new Error(
+            `gateway ${name} was not ready in time: process ${pid}, exit ${
+                exitCode ?? signalCode ?? "none"
+            }, wrote:\n${written}`,
+        );
     }
 
     /** @returns The gateway that holds the coordinator lease in the store. */
@@ -476,23 +485,3 @@
 address = "127.0.0.1:${storePort}"
 `;
 }
-
-/** Finds free ports below the ephemeral port range, so that no outgoing connection takes them before they are used. */
-async function findFreePorts(count: number): Promise<number[]> {
-    const ports: number[] = [];
-    while (ports.length < count) {
-        const port = 11_000 + Math.floor(Math.random() * 18_000);
-        if (!ports.includes(port) && await isPortFree(port)) {
-            ports.push(port);
-        }
-    }
-    return ports;
-}
-
-function isPortFree(port: number): Promise<boolean> {
-    return new Promise(resolve => {
-        const probe = createServer();
-        probe.once("error", () => resolve(false));
-        probe.listen(port, "127.0.0.1", () => probe.close(() => resolve(true)));
-    });
-}
--- a/standins/soak.ts
+++ b/standins/soak.ts
@@ -2,8 +2,9 @@
 import type { ListedInstance } from "@heatherline/store";
 import { mkdirSync } from "node:fs";
 import { parseArgs } from "node:util";
-import { callJson, Cluster, type DaemonChild, getFreePort, waitFor } from "./cluster";
+import { callJson, Cluster, type DaemonChild, waitFor } from "./cluster";
 import { applyDocuments, issueKey, newModelService, newPlainService } from "./documents";
+import { reserveFreePort } from "./freePorts";
 import { Relay } from "./relay";
 import { SoakChecks } from "./soakChecks";
 import { SeededRandom, SoakLoad } from "./soakLoad";
@@ -52,8 +53,8 @@
         for (let index = 0; index < DAEMONS_PER_DATA_CENTRE; index += 1) {
             addresses.set(`${dataCentre}-${index}`, {
                 dataCentre,
-                port: await getFreePort(),
-                peerPort: await getFreePort(),
+                port: await reserveFreePort(),
+                peerPort: await reserveFreePort(),
             });
         }
     }
