--- a/standins/operators/clientLimits.test.ts
+++ b/standins/operators/clientLimits.test.ts
@@ -3,7 +3,8 @@
 import { CallerConnection } from "../../packages/gateway/tests/ingressHarness";
 import { call, eventually, newJobBody, newRequestId, readAllResults } from "../../platform/tests/callerClient";
 import { CHUNKED_HEAD, Crowd, type CrowdShape, newHead } from "./crowd";
-import { type GatewayProcess, KEYS, OperatorsFleet } from "./fleet";
+import { KEYS, OperatorsFleet } from "./fleet";
+import type { GatewayProcess } from "./gatewayProcess";
 import { ProcessWatch } from "./processWatch";
 
 /** Settings of the process; they are the bounds that each case checks. */
--- a/standins/operators/fleet.ts
+++ b/standins/operators/fleet.ts
@@ -1,24 +1,12 @@
-import { type ChildProcess, spawn } from "node:child_process";
-import { existsSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { reserveFreePorts } from "../freePorts";
 import { Engine, type EngineOptions } from "./engine";
+import { DEFAULT_PROCESS_LIMITS, newSettings, type ProcessLimits } from "./fleetSettings";
+import { GATEWAY_PROGRAM, type GatewayProcess, startGatewayProcess, waitForExit, waitReady } from "./gatewayProcess";
 import { ObjectApi } from "./objectApi";
 
-/** Path of the gateway's bundle, relative to the bundled soak (`dist/`) or to this source file. */
-export const GATEWAY_PROGRAM = ["../target/gateway.cjs", "../../target/gateway.cjs"]
-    .map(path => new URL(path, import.meta.url).pathname)
-    .find(path => existsSync(path)) ?? "";
-/** Path of the file through which a test cuts a gateway's connections, relative to the same files. */
-const CUT_FILE = ["./strandedSockets.cjs", "../standins/operators/strandedSockets.cjs"]
-    .map(path => new URL(path, import.meta.url).pathname)
-    .find(path => existsSync(path)) ?? "";
-const READY_TIMEOUT_MS = 15_000;
-const POLL_MS = 25;
-/** How many of the last lines of a gateway that isn't ready in time its error shows. */
-const LINES_IN_ERROR = 40;
-
 /** API keys of the two organisations in {@link newConfig}. */
 export const KEYS = { alpha: "alpha-key", beta: "beta-key" } as const;
 
@@ -37,37 +25,12 @@
 /** All ways in which a gateway may be stranded. */
 export const STRAND_MODES: readonly StrandMode[] = ["hang", "reset", "refuse"];
 
-/** Limits of a gateway process as its settings name them. */
-export interface ProcessLimits {
-    readonly memoryMb: number;
-    readonly maxFds: number;
-}
-
-const DEFAULT_PROCESS_LIMITS: ProcessLimits = { memoryMb: 350, maxFds: 4_100 };
-
 interface Cut {
     readonly mode: StrandMode | "none";
     /** Ports that can't be reached. */
     readonly ports: readonly number[];
 }
 
-/** A gateway process and its ports. */
-export interface GatewayProcess {
-    readonly name: string;
-    readonly port: number;
-    readonly readyPort: number;
-    readonly controlPort: number;
-    readonly metricsPort: number;
-    child: ChildProcess;
-    /** Lines that it wrote to standard output, and chunks that it wrote to standard error. */
-    readonly lines: string[];
-    readonly settingsPath: string;
-    /** Address from which it connects to engines. */
-    readonly sourceAddress: string;
-    /** Path of the bundle that it runs, or runs after a restart. */
-    program: string;
-}
-
 /**
  * The operators' platform on the loopback interface: stand-ins for the object store and the engines in this process,
  * and gateways as separate processes.
@@ -172,40 +135,35 @@
         const [port = 0, readyPort = 0, controlPort = 0, metricsPort = 0] = await reserveFreePorts(4);
         const settingsPath = join(this.folder, `${name}.toml`);
         const seeds = [...this.gateways.map(other => other.controlPort), controlPort].slice(0, 3);
+        const ports = { port, readyPort, controlPort, metricsPort };
+        const { processLimits, contracts, program, nodeOptions, programArguments } = this;
         writeFileSync(
             settingsPath,
-            newSettings(
+            newSettings({
                 name,
                 dataCentre,
                 storePort,
                 isFirstStart,
                 jobReadableS,
                 seeds,
-                {
-                    port,
-                    readyPort,
-                    controlPort,
-                    metricsPort,
-                },
-                this.processLimits,
-                this.contracts,
-            ),
+                ports,
+                processLimits,
+                contracts,
+            }),
         );
         const lines: string[] = [];
         const sourceAddress = `127.0.1.${this.gateways.length + 1}`;
-        const { program, nodeOptions } = this;
-        const child = startGatewayProcess(
+        const child = startGatewayProcess({
             program,
             settingsPath,
             sourceAddress,
             lines,
             nodeOptions,
-            this.programArguments,
-        );
-        const ports = { port, readyPort, controlPort, metricsPort };
+            programArguments,
+        });
         const gateway = { name, ...ports, child, lines, settingsPath, sourceAddress, program };
         this.gateways.push(gateway);
-        await this.waitReady(gateway);
+        await waitReady(gateway);
         return gateway;
     }
 
@@ -216,20 +174,13 @@
      * @throws Error if it isn't ready in time.
      */
     async restart(gateway: GatewayProcess): Promise<void> {
-        const { program, settingsPath, sourceAddress, lines } = gateway;
-        gateway.child = startGatewayProcess(
-            program,
-            settingsPath,
-            sourceAddress,
-            lines,
-            this.nodeOptions,
-            this.programArguments,
-        );
+        const { nodeOptions, programArguments } = this;
+        gateway.child = startGatewayProcess({ ...gateway, nodeOptions, programArguments });
         const cut = this.cuts.get(gateway);
         if (cut !== undefined) {
             await this.applyCut(gateway, cut);
         }
-        await this.waitReady(gateway);
+        await waitReady(gateway);
     }
 
     /**
@@ -321,34 +272,6 @@
         });
     }
 
-    /**
-     * Waits until a gateway's readiness check succeeds.
-     *
-     * @param gateway - The gateway.
-     * @throws Error if it isn't ready in time.
-     */
-    async waitReady({ name, readyPort, child, lines }: GatewayProcess): Promise<void> {
-        const endAtMs = Date.now() + READY_TIMEOUT_MS;
-        const firstLine = lines.length;
-        while (Date.now() < endAtMs) {
-            const status = await fetch(`http://127.0.0.1:${readyPort}/-/readyz`).then(
-                response => response.status,
-                () => 0,
-            );
-            if (status === 200) {
-                return;
-            }
-            await new Promise(resolve => setTimeout(resolve, POLL_MS));
-        }
-        const { pid, exitCode, signalCode } = child;
-        const written = lines.slice(firstLine).slice(-LINES_IN_ERROR).join("\n");
-        throw new Error(
-            `gateway ${name} was not ready in time: process ${pid}, exit ${
-                exitCode ?? signalCode ?? "none"
-            }, wrote:\n${written}`,
-        );
-    }
-
     /** @returns The gateway that holds the coordinator lease in the store. */
     getCoordinator(): GatewayProcess | undefined {
         const lease = this.store.read("heatherline-leases", "coordinator")?.spec as
@@ -395,93 +318,3 @@
         ],
     };
 }
-
-async function waitForExit({ child }: GatewayProcess): Promise<void> {
-    if (child.exitCode === null && child.signalCode === null) {
-        await new Promise(resolve => child.once("exit", resolve));
-    }
-}
-
-function startGatewayProcess(
-    program: string,
-    settingsPath: string,
-    sourceAddress: string,
-    lines: string[],
-    nodeOptions: readonly string[],
-    programArguments: readonly string[],
-): ChildProcess {
-    const child = spawn(process.execPath, [...nodeOptions, "--require", CUT_FILE, program, ...programArguments], {
-        env: { PATH: process.env.PATH, HEATHERLINE_CONFIG: settingsPath, SOURCE_ADDRESS: sourceAddress },
-        stdio: ["ignore", "pipe", "pipe", "ipc"],
-    });
-    let partialLine = "";
-    child.stdout?.on("data", (chunk: Buffer) => {
-        const parts = (partialLine + chunk.toString("utf8")).split("\n");
-        partialLine = parts.pop() ?? "";
-        lines.push(...parts);
-    });
-    child.stderr?.on("data", (chunk: Buffer) => lines.push(chunk.toString("utf8")));
-    return child;
-}
-
-/**
- * @param name - Name of the instance.
- * @param dataCentre - Its data centre.
- * @param storePort - Port of the store.
- * @param isFirstStart - Whether this is the first start of the whole system (setting `bootstrap`).
- * @param jobReadableS - How long jobs stay readable, in seconds.
- * @param seeds - Control ports of the instances that the gateway contacts first.
- * @param ports - The instance's own ports.
- * @param processLimits - Memory and file descriptors that the process may use.
- * @param contracts - Optional features that are enabled.
- * @returns Text of a settings file (TOML) as the operators' platform provides it.
- */
-export function newSettings(
-    name: string,
-    dataCentre: string,
-    storePort: number,
-    isFirstStart: boolean,
-    jobReadableS: number,
-    seeds: readonly number[],
-    ports: { port: number; readyPort: number; controlPort: number; metricsPort: number; },
-    processLimits: ProcessLimits = DEFAULT_PROCESS_LIMITS,
-    contracts: readonly string[] = [],
-): string {
-    return `nodeName = "${name}"
-role = "gateway"
-machineClass = "front"
-serves = ["front","control"]
-ip = "127.0.0.1"
-zone = "${dataCentre}"
-region = "middle"
-portRange = [${ports.metricsPort},${ports.metricsPort}]
-seeds = [${seeds.map(port => `"127.0.0.1:${port}"`).join(",")}]
-bootstrap = ${isFirstStart}
-heartbeatMs = 1200${contracts.length === 0 ? "" : `\ncontracts = ${JSON.stringify(contracts)}`}
-[zones]
-east = "middle"
-west = "middle"
-[listen]
-front = "127.0.0.1:${ports.port}"
-ready = "127.0.0.1:${ports.readyPort}"
-control = "127.0.0.1:${ports.controlPort}"
-[limits]
-memoryMb = ${processLimits.memoryMb}
-maxFds = ${processLimits.maxFds}
-[bounds]
-contactMs = 3000
-configApplyMs = 2000
-revokeMs = 5000
-graceS = 8
-drainMs = 2000
-statusS = ${jobReadableS}
-quotaWindowS = 5
-quotaOver = 0.1
-quotaSlack = 20
-exposeShare = 0.1
-exposeSlack = 50
-rollbackMs = 5000
-[platform]
-address = "127.0.0.1:${storePort}"
-`;
-}
--- a/standins/operators/mixedBuilds.ts
+++ b/standins/operators/mixedBuilds.ts
@@ -1,4 +1,4 @@
-import { GATEWAY_PROGRAM, type GatewayProcess } from "./fleet";
+import { GATEWAY_PROGRAM, type GatewayProcess } from "./gatewayProcess";
 import { buildGateway, type OldBuild } from "./oldBuild";
 
 /** The gateways of a fleet that run today's build or that of another commit, side by side. */
--- a/standins/operators/soak.ts
+++ b/standins/operators/soak.ts
@@ -1,5 +1,6 @@
 import { FaultLog } from "./faultLog";
 import { newConfig, OperatorsFleet } from "./fleet";
+import { waitReady } from "./gatewayProcess";
 import { MixedBuilds } from "./mixedBuilds";
 import { SoakChecks, type Violation } from "./soakChecks";
 import { SoakClient } from "./soakClient";
@@ -175,7 +176,7 @@
         await Promise.all(loops.map(loop => repeat(() => Date.now() >= endAtMs, loop)));
         await injector.waitForRecovery();
         fleet.store.clearFaults();
-        await Promise.all(fleet.gateways.map(gateway => fleet.waitReady(gateway)));
+        await Promise.all(fleet.gateways.map(waitReady));
         await jobs.checkJobs(SETTLE_TIMEOUT_MS);
         const getGateway = (address: string) =>
             fleet.gateways.find(({ sourceAddress }) => sourceAddress === address)?.name ?? "";
--- a/standins/operators/soakFaults.ts
+++ b/standins/operators/soakFaults.ts
@@ -1,5 +1,6 @@
 import type { FaultKind, FaultLog, FaultTarget } from "./faultLog";
-import { type GatewayProcess, newConfig, type OperatorsFleet } from "./fleet";
+import { newConfig, type OperatorsFleet } from "./fleet";
+import type { GatewayProcess } from "./gatewayProcess";
 import type { MixedBuilds } from "./mixedBuilds";
 import { pick, type Random } from "./soakRandom";
 
--- a/standins/operators/soakReaders.ts
+++ b/standins/operators/soakReaders.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from "node:fs";
-import type { GatewayProcess, OperatorsFleet } from "./fleet";
+import type { OperatorsFleet } from "./fleet";
+import type { GatewayProcess } from "./gatewayProcess";
 import type { SoakChecks } from "./soakChecks";
 
 const BYTES_PER_KB = 1_024;
--- a/standins/operators/soakWatch.ts
+++ b/standins/operators/soakWatch.ts
@@ -1,5 +1,6 @@
 import { CONTACT_MS, type FaultLog } from "./faultLog";
-import type { GatewayProcess, OperatorsFleet } from "./fleet";
+import type { OperatorsFleet } from "./fleet";
+import type { GatewayProcess } from "./gatewayProcess";
 import type { SoakChecks } from "./soakChecks";
 
 const LAST_LINES = 3;
--- a/standins/operators/strandedGateway.test.ts
+++ b/standins/operators/strandedGateway.test.ts
@@ -2,7 +2,8 @@
 import net from "node:net";
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from "vitest";
 import { call, eventually, newRequestId } from "../../platform/tests/callerClient";
-import { type GatewayProcess, OperatorsFleet, STRAND_MODES } from "./fleet";
+import { OperatorsFleet, STRAND_MODES } from "./fleet";
+import type { GatewayProcess } from "./gatewayProcess";
 
 const CUT_FILE = new URL("strandedSockets.cjs", import.meta.url).pathname;
 const CUT_MS = 300;
